--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,512 @@
+package dispatch
+
+import (
+	"log/slog"
+	"math"
+	"time"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/slowfit"
+	"leadproxy/internal/wire"
+)
+
+// Core is the leader's state for one term. Step is its only way in.
+type Core struct {
+	cfg  Config
+	log  *slog.Logger
+	term uint64
+	now  time.Duration
+	wall int64 // time of day in ms at now
+
+	began     time.Duration
+	leaseTime time.Duration // a worker's lease, stretched by drift and margin
+	report    time.Duration
+
+	jobs      []*job
+	jobIndex  map[string]int32
+	machines  []*machine
+	machineAt map[string]int32
+	live      []*machine // all that are not gone
+	zones     names
+	images    names
+	classes   names
+	types     []machineType
+	typeAt    map[string]int32
+	teams     []team
+	teamAt    map[string]int32
+	spareTeam int32 // for jobs of teams that the settings no longer name
+
+	active   []*job // jobs that are not settled
+	goal     slowfit.Goal
+	view     []slowfit.Machine // reused by placement
+	viewOf   []*machine
+	attempts uint64
+	calls    map[uint64]*directCall
+	callID   uint64
+	dirty    bool
+	fleet    fleetState
+
+	out []any
+}
+
+type machineType struct {
+	wire.MachineType
+	total slowfit.Size
+	zones []int32
+	boot  time.Duration // learned
+}
+
+type directCall struct {
+	machine  *machine
+	session  uint64
+	token    uint64
+	attempts []uint64
+}
+
+// NewCore starts a term from what the ledger holds. now is the node's steady
+// time, wall the time of day in ms.
+func NewCore(cfg Config, s ledger.Snapshot, now time.Duration, wall int64, log *slog.Logger) *Core {
+	w := cfg.Platform.Facts.Workers
+	c := &Core{
+		cfg: cfg, log: log, term: cfg.Term, now: now, wall: wall, began: now,
+		leaseTime: settings.Stretch(settings.Seconds(w.LeaseS)) + 250*time.Millisecond,
+		report:    settings.Seconds(w.ReportS),
+		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
+		typeAt: map[string]int32{}, teamAt: map[string]int32{},
+		goal:  slowfit.Goal{C: cfg.Operator.SlowFitC},
+		calls: map[uint64]*directCall{},
+	}
+	for _, t := range cfg.Platform.Facts.Teams {
+		c.teamAt[t.Name] = int32(len(c.teams))
+		c.teams = append(c.teams, team{guarantee: limitUnits(t.CPUs, t.GPUs), limit: limitUnits(t.CPUsMax, t.GPUsMax)})
+	}
+	c.spareTeam = int32(len(c.teams))
+	c.teams = append(c.teams, team{})
+	c.fleet.begin()
+	for i := range s.Jobs {
+		c.restore(&s.Jobs[i])
+	}
+	for _, h := range s.Hires {
+		c.restoreHire(h)
+	}
+	c.flush()
+	return c
+}
+
+// Step takes one event and returns what must be done. The result is valid until
+// the next step.
+func (c *Core) Step(event any, now time.Duration, wall int64) []any {
+	c.now, c.wall = now, wall
+	switch e := event.(type) {
+	case JobSeen:
+		c.jobSeen(e)
+	case ReportIn:
+		c.reportIn(e)
+	case DirectBack:
+		c.directBack(e)
+	case CancelAsked:
+		c.cancelAsked(e)
+	case StatusAsked:
+		c.statusAsked(e)
+	case NowDurable:
+		for _, tag := range e.Tags {
+			c.durable(tag)
+		}
+	case CloudBack:
+		c.cloudBack(e.Result)
+	case Tick:
+		c.tick()
+	}
+	if c.dirty {
+		c.dirty = false
+		c.place()
+	}
+	c.flush()
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// TakeStart returns the effects of NewCore.
+func (c *Core) TakeStart() []any {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) emit(effect any) { c.out = append(c.out, effect) }
+
+func (c *Core) put(w ledger.Write) { c.emit(Put{Writes: []ledger.Write{w}}) }
+
+// tick does what time alone brings.
+func (c *Core) tick() {
+	for _, m := range c.live {
+		c.checkMachine(m)
+	}
+	for _, j := range c.active {
+		if j.notBefore > 0 && c.now >= j.notBefore {
+			j.notBefore = 0
+			c.dirty = true
+		}
+	}
+	c.sweep()
+	c.fleetTick()
+}
+
+// sweep forgets jobs and machines that need no more attention.
+func (c *Core) sweep() {
+	keep := c.active[:0]
+	for _, j := range c.active {
+		if !j.settled {
+			keep = append(keep, j)
+		}
+	}
+	clear(c.active[len(keep):])
+	c.active = keep
+	live := c.live[:0]
+	for _, m := range c.live {
+		if m.state != machineGone {
+			live = append(live, m)
+		}
+	}
+	clear(c.live[len(live):])
+	c.live = live
+}
+
+// --- jobs ---
+
+func (c *Core) newJob(ref string, rec ledger.JobRecord, version uint64) *job {
+	j := &job{index: int32(len(c.jobs)), ref: ref, spec: rec.Job, version: version, accept: rec.AcceptedMS,
+		fate: rec.Fate, fateDurable: rec.Fate != "", total: rec.Tasks, done: rec.Done, due: math.MaxInt64, zone: -1}
+	c.jobIndex[ref] = j.index
+	c.jobs = append(c.jobs, j)
+	s := rec.Job
+	if s == nil {
+		j.settled = true
+		return j
+	}
+	j.arrived = c.now - max(0, time.Duration(c.wall-rec.AcceptedMS)*time.Millisecond)
+	if s.DeadlineS != nil {
+		j.due = j.arrived + settings.Seconds(*s.DeadlineS)
+	}
+	j.rank = s.Rank()
+	j.size = slowfit.Size{CPUs: s.CPUs, GPUs: s.GPUs, MemGB: s.MemGB}
+	j.class = c.classes.of(s.Class)
+	j.image = c.images.of(s.Image)
+	if s.Zone != nil {
+		j.zone = c.zones.of(*s.Zone)
+	}
+	var ok bool
+	if j.team, ok = c.teamAt[s.Team]; !ok {
+		j.team = c.spareTeam
+	}
+	j.total = s.Tasks
+	j.hostAt = map[int32]int{}
+	j.tasks = make([]task, s.Tasks)
+	c.active = append(c.active, j)
+	return j
+}
+
+// fillWaiting lists the waiting tasks, the lowest number to go first.
+func (j *job) fillWaiting() {
+	j.waiting = make([]int32, 0, len(j.tasks)-j.done)
+	for i := len(j.tasks) - 1; i >= 0; i-- {
+		if j.tasks[i].state == taskWaiting {
+			j.waiting = append(j.waiting, int32(i))
+		}
+	}
+}
+
+func (c *Core) jobSeen(e JobSeen) *job {
+	if i, ok := c.jobIndex[e.Ref]; ok {
+		return c.jobs[i]
+	}
+	j := c.newJob(e.Ref, e.Record, e.Version)
+	if j.settled {
+		return j
+	}
+	j.fillWaiting()
+	if j.over() {
+		c.settleJob(j)
+		return j
+	}
+	c.arrived(j)
+	c.log.Debug("job accepted", "job", j.ref, "tasks", j.total, "cpus", j.size.CPUs, "class", j.spec.Class)
+	c.dirty = true
+	return j
+}
+
+// restore takes a job from the ledger at the start of a term.
+func (c *Core) restore(s *ledger.SavedJob) {
+	if s.Record.Job == nil && s.Record.Fate == "" {
+		// Ranges or hosts whose job record is missing: records are never
+		// deleted, so there is nothing that could run.
+		c.log.Error("ledger has traces of a job without a record", "job", s.Ref)
+		return
+	}
+	j := c.newJob(s.Ref, s.Record, s.Version)
+	if j.spec == nil {
+		// It is done; an earlier leader was stopped while it tidied up.
+		var writes []ledger.Write
+		for _, key := range ledger.HostKeys(s.Ref, len(s.Hosts)) {
+			writes = append(writes, ledger.Write{Key: key})
+		}
+		for chunk := range s.Finished {
+			writes = append(writes, ledger.Write{Key: ledger.FinKey(s.Ref, chunk)})
+		}
+		if len(writes) > 0 {
+			c.emit(Put{Writes: writes})
+		}
+		return
+	}
+	for chunk, ranges := range s.Finished {
+		ranges.Each(func(i int) {
+			if n := chunk*ledger.ChunkTasks + i; n < len(j.tasks) && j.tasks[n].state != taskDurable {
+				j.tasks[n].state = taskDurable
+				j.done++
+			}
+		})
+	}
+	j.fillWaiting()
+	c.restoreHosts(j, s.Hosts)
+	switch {
+	case j.over():
+		c.settleJob(j)
+	case j.done == j.total:
+		c.finish(j, wire.Done)
+	}
+	c.dirty = true
+}
+
+// restoreHosts notes the machines that a job's tasks may be on. Until each has
+// been heard of, or must have ended them, unseen tasks are neither placed
+// again nor taken for free.
+func (c *Core) restoreHosts(j *job, hosts []string) {
+	for _, name := range hosts {
+		m := c.machineNamed(name)
+		if _, ok := j.hostAt[m.index]; ok {
+			continue
+		}
+		j.hostAt[m.index] = len(j.hosts)
+		j.hosts = append(j.hosts, host{machine: m.index, durable: true})
+		if j.unclear == nil {
+			j.unclear = map[int32]bool{}
+		}
+		j.unclear[m.index] = true
+		m.unclear = append(m.unclear, j.index)
+	}
+}
+
+// clearMachine ends the doubt about what an earlier leader started on m.
+func (c *Core) clearMachine(m *machine) {
+	for _, i := range m.unclear {
+		j := c.jobs[i]
+		delete(j.unclear, m.index)
+		if len(j.unclear) == 0 {
+			c.dirty = true
+			if j.over() {
+				c.settleJob(j)
+			}
+		}
+	}
+	m.unclear = nil
+}
+
+func (c *Core) statusAsked(e StatusAsked) {
+	i, ok := c.jobIndex[e.Ref]
+	if !ok {
+		c.emit(AnswerUser{To: e.To})
+		return
+	}
+	c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(c.jobs[i])})
+}
+
+// status is what may be told about a job: a terminal state only once it is
+// durable.
+func (c *Core) status(j *job) wire.JobStatus {
+	s := wire.JobStatus{Ref: j.ref, Status: wire.Queued, Done: j.done}
+	switch {
+	case j.fateDurable:
+		s.Status = j.fate
+		if j.fate == wire.Done {
+			s.Done = j.total
+		}
+	default:
+		if j.tasks != nil {
+			s.Running = c.runningTasks(j)
+		}
+		if s.Running > 0 {
+			s.Status = wire.Running
+		}
+	}
+	return s
+}
+
+func (c *Core) runningTasks(j *job) int {
+	n := 0
+	if j.booked == 0 {
+		return 0
+	}
+	for _, h := range j.hosts {
+		for _, b := range c.machines[h.machine].bookings {
+			if b.job == j.index && b.status == wire.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (c *Core) cancelAsked(e CancelAsked) {
+	i, ok := c.jobIndex[e.Ref]
+	if !ok {
+		c.emit(AnswerUser{To: e.To})
+		return
+	}
+	j := c.jobs[i]
+	if j.fateDurable {
+		c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(j)})
+		return
+	}
+	j.waiters = append(j.waiters, e.To)
+	if !j.over() {
+		c.log.Debug("job is being cancelled", "job", j.ref)
+		c.finish(j, wire.Aborted)
+	}
+}
+
+// finish decides a job's fate and writes it. It is told, and acted on, when it
+// is durable.
+func (c *Core) finish(j *job, fate string) {
+	j.fate = fate
+	rec := ledger.JobRecord{AcceptedMS: j.accept, Fate: fate, Tasks: j.total, Done: j.done}
+	if fate == wire.Aborted {
+		// The description stays: a new leader charges the team for tasks that
+		// it has not yet seen gone.
+		rec.Job = j.spec
+	}
+	c.put(ledger.Write{Key: ledger.JobKey(j.ref), Value: rec, Urgent: true, Version: j.version, Tag: fateTag{j.index}})
+}
+
+func (c *Core) fateIsDurable(j *job) {
+	j.fateDurable = true
+	j.waiting = nil
+	c.log.Debug("job is over", "job", j.ref, "fate", j.fate, "seconds", (c.now - j.arrived).Seconds(), "late", c.now > j.due)
+	for _, to := range j.waiters {
+		c.emit(AnswerUser{To: to, Known: true, Status: c.status(j)})
+	}
+	j.waiters = nil
+	if j.booked > 0 {
+		for _, m := range c.live {
+			for k := len(m.bookings) - 1; k >= 0; k-- {
+				if b := m.bookings[k]; b.job == j.index {
+					c.stopBooking(m, b, 0)
+				}
+			}
+		}
+	}
+	c.dirty = true
+	c.settleJob(j)
+}
+
+// settleJob drops what is kept for a job that is over, once nothing of it is on
+// any machine any more.
+func (c *Core) settleJob(j *job) {
+	if !j.fateDurable || j.settled || j.booked > 0 || len(j.unclear) > 0 {
+		return
+	}
+	j.settled = true
+	var writes []ledger.Write
+	for _, key := range ledger.HostKeys(j.ref, len(j.hosts)) {
+		writes = append(writes, ledger.Write{Key: key})
+	}
+	for chunk := 0; chunk*ledger.ChunkTasks < j.total; chunk++ {
+		used := false
+		for n := chunk * ledger.ChunkTasks; n < min(j.total, (chunk+1)*ledger.ChunkTasks) && n < len(j.tasks); n++ {
+			used = used || j.tasks[n].state >= taskDone
+		}
+		if used {
+			writes = append(writes, ledger.Write{Key: ledger.FinKey(j.ref, chunk)})
+		}
+	}
+	if len(writes) > 0 {
+		c.emit(Put{Writes: writes})
+	}
+	j.tasks, j.hosts, j.hostAt, j.failedOn = nil, nil, nil, nil
+}
+
+// taskEnded notes that a task has completed.
+func (c *Core) taskEnded(j *job, n int32) {
+	if j.over() || j.tasks[n].state >= taskDone {
+		return
+	}
+	if j.tasks[n].state == taskWaiting {
+		j.dropWaiting(n)
+	}
+	j.tasks[n].state = taskDone
+	j.done++
+	c.clearOfBlame(j)
+	if j.done == j.total {
+		c.finish(j, wire.Done)
+		return
+	}
+	chunk := int(n) / ledger.ChunkTasks
+	first := chunk * ledger.ChunkTasks
+	size := min(ledger.ChunkTasks, j.total-first)
+	var fresh []int32
+	for i := first; i < first+size; i++ {
+		if j.tasks[i].state == taskDone {
+			fresh = append(fresh, int32(i))
+		}
+	}
+	ranges := ledger.EncodeRanges(func(i int) bool { return j.tasks[first+i].state >= taskDone }, size)
+	c.put(ledger.Write{Key: ledger.FinKey(j.ref, chunk), Value: ranges, Tag: finTag{j.index, fresh}})
+}
+
+func (j *job) dropWaiting(n int32) {
+	for k, w := range j.waiting {
+		if w == n {
+			j.waiting = append(j.waiting[:k], j.waiting[k+1:]...)
+			return
+		}
+	}
+}
+
+// requeue makes a task wait again.
+func (c *Core) requeue(j *job, n int32) {
+	if j.over() || j.tasks[n].state != taskBooked {
+		return
+	}
+	j.tasks[n].state = taskWaiting
+	j.waiting = append(j.waiting, n)
+	c.dirty = true
+}
+
+func (c *Core) durable(tag any) {
+	switch t := tag.(type) {
+	case hostTag:
+		j := c.jobs[t.job]
+		if j.hosts == nil {
+			return
+		}
+		for i := t.from; i < t.to; i++ {
+			if j.hosts[i].durable {
+				continue
+			}
+			j.hosts[i].durable = true
+			c.sendPlanned(j, c.machines[j.hosts[i].machine])
+		}
+	case finTag:
+		j := c.jobs[t.job]
+		for _, n := range t.tasks {
+			if j.tasks != nil && j.tasks[n].state == taskDone {
+				j.tasks[n].state = taskDurable
+			}
+		}
+	case fateTag:
+		c.fateIsDurable(c.jobs[t.job])
+	case hireTag:
+		c.hireDurable(t.name)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/fleet.go
@@ -0,0 +1,519 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"leadproxy/internal/fleet"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/slowfit"
+	"leadproxy/internal/wire"
+)
+
+// The times of the fleet's routine.
+const (
+	typesEvery   = 30 * time.Second
+	listEvery    = 4 * time.Second
+	planEvery    = 500 * time.Millisecond
+	refusedFirst = 8 * time.Second
+	refusedMost  = 30 * time.Second
+	leastRental  = 60 * time.Second // a machine is charged for this long at least
+	maxOpenHires = 6
+)
+
+// fleetState is what the leader knows of the cloud and of its own demand.
+type fleetState struct {
+	offers    map[fleet.Offer]*offerState
+	hires     map[string]*hire
+	hireCount uint64
+	nextList  time.Duration
+	nextTypes time.Duration
+	nextPlan  time.Duration
+	listing   bool
+	typing    bool
+	demand    fleet.Demand
+	ratios    map[int32]float64
+	typical   slowfit.Size // the size that most of the demand has
+	weights   map[slowfit.Size]float64
+}
+
+type offerState struct {
+	blockedUntil time.Duration
+	backoff      time.Duration
+}
+
+type hire struct {
+	record ledger.HireRecord
+	offer  fleet.Offer
+	unseen map[string]bool
+	open   bool // the cloud's answer is still wanted
+	sent   bool
+	retry  time.Duration
+}
+
+func (f *fleetState) begin() {
+	f.offers = map[fleet.Offer]*offerState{}
+	f.hires = map[string]*hire{}
+	f.ratios = map[int32]float64{}
+	f.weights = map[slowfit.Size]float64{}
+}
+
+// arrived learns from a job that has just come in.
+func (c *Core) arrived(j *job) {
+	w := j.size.CPUs * float64(j.total) * j.spec.EstimateS
+	f := &c.fleet
+	for s := range f.weights {
+		f.weights[s] *= 0.98
+	}
+	f.weights[j.size] += w
+	best := -1.0
+	for s, w := range f.weights {
+		if w > best || w == best && s.CPUs > f.typical.CPUs {
+			best, f.typical = w, s
+		}
+	}
+}
+
+func (f *fleetState) learnRatio(class int32, ratio float64) {
+	ratio = min(max(ratio, 0.1), 10)
+	if old, ok := f.ratios[class]; ok {
+		f.ratios[class] = old + (ratio-old)/16
+	} else {
+		f.ratios[class] = ratio
+	}
+}
+
+func (f *fleetState) ratio(class int32) float64 {
+	if r, ok := f.ratios[class]; ok {
+		return r
+	}
+	return 1
+}
+
+func (f *fleetState) offer(o fleet.Offer) *offerState {
+	if f.offers[o] == nil {
+		f.offers[o] = &offerState{}
+	}
+	return f.offers[o]
+}
+
+// fleetTick runs the routine: reading the cloud, returning, hiring.
+func (c *Core) fleetTick() {
+	f := &c.fleet
+	if !f.typing && c.now >= f.nextTypes {
+		f.typing = true
+		c.emit(CallCloud{fleet.Call{Types: true}})
+	}
+	if !f.listing && c.now >= f.nextList {
+		f.listing = true
+		c.emit(CallCloud{fleet.Call{List: true}})
+	}
+	for _, h := range f.hires {
+		if h.open && !h.sent && h.retry > 0 && c.now >= h.retry {
+			c.sendHire(h)
+		}
+	}
+	if c.now < f.nextPlan || len(c.types) == 0 {
+		return
+	}
+	f.nextPlan = c.now + planEvery
+	c.learnDemand()
+	c.returnMachines()
+	c.hireMachines()
+}
+
+// learnDemand samples the cores that are in use or waited for.
+func (c *Core) learnDemand() {
+	cores := 0.0
+	for _, j := range c.active {
+		if !j.over() && j.tasks != nil {
+			cores += j.size.CPUs * float64(j.booked+len(j.waiting))
+		}
+	}
+	c.fleet.demand.Sample(cores, planEvery)
+}
+
+// counts tells whether a machine is part of the capacity to plan with.
+func (c *Core) counts(m *machine) bool {
+	switch m.state {
+	case machineBooting:
+		return m.typ >= 0
+	case machineUp:
+		return m.typ >= 0 && !m.quarantine && m.noticeAt == 0 && c.now-m.heard < c.silentAfter()
+	}
+	return false
+}
+
+// targets are the cores to keep: the first with cheap spot machines, the second
+// worth ordinary ones.
+func (c *Core) targets() (spot, ordinary float64) {
+	mean, deviation := c.fleet.demand.Learned()
+	return mean + c.cfg.Operator.WarmSpread*deviation, mean * 0.9
+}
+
+// hireMachines asks for what waiting tasks need and what is to be kept warm.
+func (c *Core) hireMachines() {
+	plan := c.plan()
+	for _, w := range fleet.Plan(plan) {
+		if len(c.openHires()) >= maxOpenHires {
+			return
+		}
+		c.startHire(w)
+	}
+}
+
+func (c *Core) openHires() []*hire {
+	var out []*hire
+	for _, h := range c.fleet.hires {
+		if h.open {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (c *Core) plan() fleet.Situation {
+	s := fleet.Situation{MaxMachines: c.cfg.Operator.MaxMachines, Typical: c.fleet.typical}
+	s.Spot, s.Ordinary = c.targets()
+	for i := range c.types {
+		t := &c.types[i]
+		s.Types = append(s.Types, fleet.Type{Total: t.total, Boot: t.boot})
+		for _, z := range t.zones {
+			for _, spot := range []bool{true, false} {
+				o := fleet.Offer{Type: int32(i), Zone: z, Spot: spot}
+				if st := c.fleet.offers[o]; st != nil && c.now < st.blockedUntil {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				s.Offers = append(s.Offers, fleet.Priced{Offer: o, Price: price})
+			}
+		}
+	}
+	for _, m := range c.live {
+		if m.state != machineGone {
+			s.Machines++
+		}
+		if !c.counts(m) {
+			continue
+		}
+		s.Cores += m.total.CPUs
+		if m.state == machineBooting || !m.known(c.term) {
+			s.Coming = append(s.Coming, fleet.Coming{Offer: fleet.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot}, Room: m.free})
+		}
+	}
+	for _, h := range c.openHires() {
+		if h.offer.Type < 0 {
+			continue
+		}
+		for range h.record.Hire.Count {
+			total := c.types[h.offer.Type].total
+			s.Coming = append(s.Coming, fleet.Coming{Offer: h.offer, Room: total})
+			s.Cores += total.CPUs
+			s.Machines++
+		}
+	}
+	for _, j := range c.queue() {
+		c.resolveTypes(j)
+		n := len(j.waiting)
+		if t := c.teams[j.team]; t.limit.cpus > 0 || t.limit.gpus > 0 {
+			n = min(n, c.roomInLimit(j))
+		}
+		if j.suspect() {
+			n = min(n, 1)
+		}
+		if n > 0 {
+			s.Waiting = append(s.Waiting, fleet.Group{Size: j.size, Count: n, Run: c.expectedRun(j),
+				Allows: func(o fleet.Offer) bool { return j.allows(o.Type, o.Zone, o.Spot) }})
+		}
+	}
+	return s
+}
+
+// roomInLimit is how many more tasks of a job its team's limit lets run.
+func (c *Core) roomInLimit(j *job) int {
+	t := c.teams[j.team]
+	need := unitsOf(j.size)
+	n := math.MaxInt32
+	if t.limit.cpus > 0 && need.cpus > 0 {
+		n = min(n, int((t.limit.cpus-t.booked.cpus)/need.cpus))
+	}
+	if t.limit.gpus > 0 && need.gpus > 0 {
+		n = min(n, int((t.limit.gpus-t.booked.gpus)/need.gpus))
+	}
+	return max(n, 0)
+}
+
+// --- hires ---
+
+func (c *Core) startHire(w fleet.Wish) {
+	c.fleet.hireCount++
+	// The name embeds the term, so that no other leader ever uses it.
+	name := fmt.Sprintf("h%d-%d", c.term, c.fleet.hireCount)
+	t := c.types[w.Offer.Type]
+	h := &hire{offer: w.Offer, open: true, record: ledger.HireRecord{Hire: wire.Hire{
+		Request: name, Type: t.Name, Zone: c.zones.list[w.Offer.Zone], Spot: w.Offer.Spot, Count: min(w.Count, fleet.MaxHire)}}}
+	c.fleet.hires[name] = h
+	c.log.Info("hiring", "request", name, "type", t.Name, "zone", h.record.Hire.Zone, "spot", w.Offer.Spot, "count", h.record.Hire.Count, "why", w.Why)
+	c.put(ledger.Write{Key: ledger.HireKey(name), Value: h.record, Urgent: true, Tag: hireTag{name}})
+}
+
+func (c *Core) hireDurable(name string) {
+	if h := c.fleet.hires[name]; h != nil && h.open && !h.sent {
+		c.sendHire(h)
+	}
+}
+
+func (c *Core) sendHire(h *hire) {
+	h.sent = true
+	order := h.record.Hire
+	c.emit(CallCloud{fleet.Call{Hire: &order}})
+}
+
+// restoreHire takes an earlier leader's hire over. One whose answer is not on
+// record is repeated under its own name, to learn its machines.
+func (c *Core) restoreHire(r ledger.HireRecord) {
+	h := &hire{record: r, offer: fleet.Offer{Type: -1, Zone: c.zones.of(r.Hire.Zone), Spot: r.Hire.Spot}}
+	c.fleet.hires[r.Hire.Request] = h
+	if r.Machines == nil {
+		h.open = true
+		c.sendHire(h)
+		return
+	}
+	c.hired(h, r.Machines)
+}
+
+// hired notes the machines of a hire.
+func (c *Core) hired(h *hire, machines []string) {
+	h.open = false
+	h.unseen = map[string]bool{}
+	for _, name := range machines {
+		m := c.machineNamed(name)
+		m.hireName = h.record.Hire.Request
+		if m.state == machineBooting {
+			c.describe(m, h.record.Hire.Type, h.record.Hire.Zone, h.record.Hire.Spot, "")
+		}
+		if m.state == machineBooting && !m.listed {
+			h.unseen[name] = true
+		}
+	}
+	c.closeHire(h)
+}
+
+// hireSeen notes that a machine is known from the list or from itself, so that
+// its hire need not be remembered for it.
+func (c *Core) hireSeen(m *machine) {
+	if h := c.fleet.hires[m.hireName]; h != nil && h.unseen != nil {
+		delete(h.unseen, m.name)
+		c.closeHire(h)
+	}
+}
+
+func (c *Core) closeHire(h *hire) {
+	if len(h.unseen) == 0 {
+		c.dropHire(h)
+	}
+}
+
+func (c *Core) dropHire(h *hire) {
+	delete(c.fleet.hires, h.record.Hire.Request)
+	c.put(ledger.Write{Key: ledger.HireKey(h.record.Hire.Request)})
+}
+
+func (c *Core) cloudBack(r fleet.Result) {
+	switch {
+	case r.Call.Hire != nil:
+		c.hireBack(r)
+	case r.Call.Delete != nil:
+		for _, name := range r.Call.Delete {
+			if m := c.machineNamed(name); r.Err == nil {
+				c.gone(m, "deleted")
+			}
+		}
+	case r.Call.Types:
+		c.fleet.typing = false
+		c.fleet.nextTypes = c.now + typesEvery
+		if r.Err != nil {
+			c.log.Debug("machine types not read", "error", r.Err)
+			c.fleet.nextTypes = c.now + time.Second
+			return
+		}
+		c.typesRead(r.Types)
+	case r.Call.List:
+		c.fleet.listing = false
+		c.fleet.nextList = c.now + listEvery
+		if r.Err != nil {
+			c.log.Debug("machines not listed", "error", r.Err)
+			return
+		}
+		c.listRead(r.List)
+	}
+}
+
+func (c *Core) hireBack(r fleet.Result) {
+	h := c.fleet.hires[r.Call.Hire.Request]
+	if h == nil || !h.open {
+		return
+	}
+	h.sent = false
+	st := c.fleet.offer(h.offer)
+	block := func() {
+		st.backoff = min(max(st.backoff*2, refusedFirst), refusedMost)
+		st.blockedUntil = c.now + st.backoff
+	}
+	switch {
+	case r.Err == nil:
+		c.log.Info("hired", "request", h.record.Hire.Request, "machines", r.Machines, "wanted", h.record.Hire.Count)
+		if len(r.Machines) < h.record.Hire.Count {
+			block()
+		} else {
+			st.backoff = 0
+		}
+		h.record.Machines = r.Machines
+		if len(r.Machines) == 0 {
+			c.dropHire(h)
+			return
+		}
+		c.put(ledger.Write{Key: ledger.HireKey(h.record.Hire.Request), Value: h.record})
+		c.hired(h, r.Machines)
+	case errors.Is(r.Err, fleet.ErrNoCapacity):
+		c.log.Info("hire refused: no capacity", "request", h.record.Hire.Request, "type", h.record.Hire.Type, "zone", h.record.Hire.Zone, "spot", h.record.Hire.Spot)
+		block()
+		h.open = false
+		c.dropHire(h)
+	default:
+		// It may have been carried out. Only the same name is safe to repeat.
+		c.log.Info("hire unanswered", "request", h.record.Hire.Request, "error", r.Err)
+		h.retry = c.now + time.Second
+	}
+}
+
+func (c *Core) typesRead(types []wire.MachineType) {
+	for _, t := range types {
+		i, ok := c.typeAt[t.Name]
+		if !ok {
+			i = int32(len(c.types))
+			c.typeAt[t.Name] = i
+			c.types = append(c.types, machineType{boot: settings.Seconds(t.BootS)})
+		}
+		mt := &c.types[i]
+		mt.MachineType = t
+		mt.total = slowfit.Size{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}
+		mt.zones = mt.zones[:0]
+		for _, z := range t.Zones {
+			mt.zones = append(mt.zones, c.zones.of(z))
+		}
+		if !ok {
+			for _, m := range c.live {
+				if m.typeName == t.Name {
+					c.describe(m, t.Name, c.zones.list[m.zone], m.spot, "")
+				}
+			}
+			for _, j := range c.active {
+				j.types = nil
+			}
+			c.dirty = true
+		}
+	}
+}
+
+func (c *Core) listRead(list []wire.ListedMachine) {
+	for i := range list {
+		l := &list[i]
+		m := c.machineNamed(l.Name)
+		if m.state == machineGone {
+			continue
+		}
+		if !m.listed {
+			m.listed = true
+			m.hired = c.now - settings.Seconds(l.AgeS)
+			c.hireSeen(m)
+		}
+		if m.typeName == "" {
+			c.describe(m, l.Type, l.Zone, l.Spot, l.Address)
+		}
+		m.listedUp = l.Status == wire.MachineUp
+		if l.Status == wire.MachineFailed {
+			// It has stopped on its own, and all on it with it.
+			c.askDelete(m, "failed")
+			c.gone(m, "listed as failed")
+		}
+	}
+}
+
+// --- returning ---
+
+func (c *Core) askDelete(m *machine, why string) {
+	if m.state == machineDeleting && c.now-m.asked < 10*time.Second {
+		return
+	}
+	c.log.Info("returning machine", "machine", m.name, "why", why, "bookings", len(m.bookings), "age", (c.now - m.hired).Seconds())
+	m.state, m.asked = machineDeleting, c.now
+	c.emit(CallCloud{fleet.Call{Delete: []string{m.name}}})
+}
+
+// returnMachines gives back what is broken, lost, or not needed any more.
+func (c *Core) returnMachines() {
+	var cores float64
+	up, silent := 0, 0
+	for _, m := range c.live {
+		if c.counts(m) {
+			cores += m.total.CPUs
+		}
+		if m.state == machineUp {
+			up++
+			if c.now-m.heard >= c.silentAfter() {
+				silent++
+			}
+		}
+	}
+	spotTarget, ordinaryTarget := c.targets()
+	backlog := len(c.queue()) > 0
+	// Many silent at once is rather a network's trouble, or ours, than theirs.
+	fewSilent := silent <= max(1, up/4)
+	for _, m := range c.live {
+		quiet := c.now - max(m.heard, m.answered, c.began)
+		switch {
+		case m.state == machineGone:
+		case m.state == machineDeleting:
+			c.askDelete(m, "not yet known to be gone")
+		case m.state == machineBooting:
+			if m.typ < 0 && quiet < c.leaseTime {
+				break
+			}
+			patience := 90 * time.Second
+			if m.typ >= 0 {
+				patience = time.Duration(c.cfg.Operator.BootPatience * float64(settings.Seconds(c.types[m.typ].BootS)))
+			}
+			// A machine that an earlier leader had up may be silent for a while:
+			// it has a lease's time to show itself.
+			if c.now-m.hired > patience && c.now-c.began > c.leaseTime {
+				c.askDelete(m, "did not come up")
+			}
+		case quiet > c.leaseTime+c.report:
+			c.askDelete(m, "lost")
+		case quiet > 4*c.report && fewSilent:
+			c.askDelete(m, "silent")
+		case len(m.bookings) > 0:
+		case m.noticeAt > 0:
+			c.askDelete(m, "will be taken back")
+		case m.quarantine:
+			c.askDelete(m, "faulty")
+		case c.now-m.hired < leastRental || backlog || !m.known(c.term):
+		default:
+			target, patience := spotTarget, c.cfg.Operator.IdleReturn
+			if !m.spot {
+				target, patience = ordinaryTarget, patience/3
+			}
+			if c.now-m.idleSince > patience && cores-m.total.CPUs >= target {
+				cores -= m.total.CPUs
+				c.askDelete(m, "idle")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/machines.go
@@ -0,0 +1,494 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
+)
+
+// maxOrders keeps a report's answer well below 64 KiB.
+const maxOrders = 300
+
+// machineNamed returns the machine of a name, making a place for one that we
+// hear of for the first time.
+func (c *Core) machineNamed(name string) *machine {
+	if i, ok := c.machineAt[name]; ok {
+		return c.machines[i]
+	}
+	m := &machine{index: int32(len(c.machines)), name: name, typ: -1, zone: -1, hired: c.now,
+		token: c.term << tokenBits, leaseOver: c.began + c.leaseTime,
+		pending: map[uint64]uint64{}, idleSince: c.now}
+	c.machineAt[name] = m.index
+	c.machines = append(c.machines, m)
+	c.live = append(c.live, m)
+	return m
+}
+
+// describe fills in what a report or the list tells of a machine.
+func (c *Core) describe(m *machine, typ, zone string, spot bool, address string) {
+	if address != "" {
+		m.address = address
+	}
+	m.spot = spot
+	m.zone = c.zones.of(zone)
+	m.typeName = typ
+	if t, ok := c.typeAt[typ]; ok && m.typ != t {
+		m.typ = t
+		used := m.total.Minus(m.free)
+		m.total = c.types[t].total
+		m.free = m.total.Minus(used)
+	}
+}
+
+func (c *Core) reportIn(e ReportIn) {
+	r := e.Report
+	if r.Token>>tokenBits > c.term {
+		// A newer leader has spoken to this worker: we must not.
+		c.log.Info("a worker has seen a newer term", "machine", r.Machine, "token", r.Token)
+		c.emit(AnswerReport{To: e.To})
+		return
+	}
+	m := c.machineNamed(r.Machine)
+	if m.state == machineGone {
+		c.emit(AnswerReport{To: e.To})
+		return
+	}
+	// The worker counts its lease from when it sent the report, so counting
+	// from now is late enough.
+	m.answered = c.now
+	m.leaseOver = max(m.leaseOver, c.now+c.leaseTime)
+	fresh := c.observe(m, r)
+	answer := &wire.ReportAnswer{Token: m.token, Orders: []wire.Order{}}
+	if fresh {
+		answer.Orders = c.ordersFor(m, r)
+	}
+	c.emit(AnswerReport{To: e.To, Answer: answer})
+}
+
+// observe takes in what a worker tells, in a report or in the answer to a
+// direct command. It returns false for something stale.
+func (c *Core) observe(m *machine, r *wire.Report) bool {
+	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
+		return false
+	}
+	if m.state == machineBooting {
+		m.state = machineUp
+		c.machineCameUp(m)
+	}
+	c.describe(m, r.Type, r.Zone, r.Spot, r.Address)
+	m.heard = c.now
+	if r.Session != m.session {
+		if m.session != 0 {
+			c.log.Info("worker began a new session", "machine", m.name, "session", r.Session, "bookings", len(m.bookings))
+			c.dropBookings(m, "its session ended")
+		}
+		// A start sent to the earlier session can't be executed any more.
+		clear(m.pending)
+		m.session = r.Session
+	}
+	m.seq = r.Seq
+	m.echo = max(m.echo, r.Token)
+	for attempt, fence := range m.pending {
+		if m.echo >= fence {
+			delete(m.pending, attempt)
+		}
+	}
+	if r.NoticeS != nil && m.noticeAt == 0 {
+		m.noticeAt = c.now + settings.Seconds(*r.NoticeS)
+		c.log.Info("machine will be taken back", "machine", m.name, "seconds", *r.NoticeS, "bookings", len(m.bookings))
+	}
+	c.matchTasks(m, r)
+	if m.known(c.term) && len(m.unclear) > 0 {
+		// Only now is it certain that no earlier leader's start is on its way.
+		c.clearMachine(m)
+	}
+	if m.noticeAt > 0 {
+		c.drain(m)
+	}
+	return true
+}
+
+// matchTasks brings the bookings of a machine in line with a fresh report.
+func (c *Core) matchTasks(m *machine, r *wire.Report) {
+	listed := make(map[uint64]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		listed[t.Attempt] = true
+		ref, n, ok := wire.SplitTask(t.Task)
+		at, known := c.jobIndex[ref]
+		if !ok || !known || c.jobs[at].spec != nil && n >= c.jobs[at].total {
+			continue // ordersFor stops what it can't place
+		}
+		j := c.jobs[at]
+		b := m.booking(t.Attempt)
+		if t.Status == wire.TaskEnded {
+			c.attemptEnded(m, j, int32(n), b, t)
+			continue
+		}
+		if b == nil {
+			if b = c.adopt(m, j, int32(n), t); b == nil {
+				continue
+			}
+		}
+		b.state = bookConfirmed
+		if t.Status != b.status {
+			b.status = t.Status
+			if t.Status == wire.TaskRunning {
+				b.ranSince = c.now
+				m.idleSince = c.now
+				if j.spec != nil && m.typ >= 0 {
+					m.fetched(j.image, j.spec.ImageGB, c.types[m.typ].CacheGB)
+				}
+			}
+		}
+	}
+	for k := len(m.bookings) - 1; k >= 0; k-- {
+		b := m.bookings[k]
+		if listed[b.attempt] {
+			continue
+		}
+		_, unsettled := m.pending[b.attempt]
+		switch {
+		case b.state == bookPlanned, unsettled:
+			// Not sent yet, or it may still be executed.
+		default:
+			// Either a start whose outcome was unknown and which a raised token
+			// has ruled out, or an attempt that the worker no longer knows.
+			c.log.Info("attempt is not on its machine", "machine", m.name, "task", c.taskName(b), "attempt", b.attempt, "confirmed", b.state == bookConfirmed)
+			c.free(m, b)
+			c.requeue(c.jobs[b.job], b.task)
+		}
+	}
+}
+
+func (c *Core) taskName(b *booking) string { return wire.TaskName(c.jobs[b.job].ref, int(b.task)) }
+
+func (m *machine) booking(attempt uint64) *booking {
+	for _, b := range m.bookings {
+		if b.attempt == attempt {
+			return b
+		}
+	}
+	return nil
+}
+
+// adopt books a task that an earlier leader has started, or returns nil when it
+// must not go on.
+func (c *Core) adopt(m *machine, j *job, n int32, t *wire.TaskReport) *booking {
+	if j.spec == nil || j.tasks == nil {
+		return nil // over, and forgotten here
+	}
+	ts := &j.tasks[n]
+	if j.fateDurable {
+		// It counts for its team until it is gone.
+		return c.book(m, j, n, t.Attempt, false)
+	}
+	if ts.state != taskWaiting {
+		c.log.Error("task reported where it should not be", "machine", m.name, "task", t.Task, "attempt", t.Attempt, "state", ts.state)
+		return nil
+	}
+	j.dropWaiting(n)
+	b := c.book(m, j, n, t.Attempt, true)
+	if _, ok := j.hostAt[m.index]; !ok {
+		c.addHost(j, m)
+	}
+	return b
+}
+
+// attemptEnded settles an attempt that its worker reports as ended.
+func (c *Core) attemptEnded(m *machine, j *job, n int32, b *booking, t *wire.TaskReport) {
+	if b == nil && (t.Why != wire.WhyDone || j.tasks == nil || j.over() || j.tasks[n].state != taskWaiting) {
+		return // settled before
+	}
+	if b != nil {
+		c.free(m, b)
+	}
+	switch t.Why {
+	case wire.WhyDone:
+		if b != nil && b.ranSince > 0 {
+			c.learnRun(m, j, c.now-b.ranSince)
+		}
+		clear(m.blamedFor)
+		c.taskEnded(j, n)
+	case wire.WhyError:
+		c.attemptFailed(m, j, n, t.Attempt)
+		c.requeue(j, n)
+	case wire.WhyNoSuch:
+		// The users' upload of the description is not there yet.
+		c.holdJob(j)
+		c.requeue(j, n)
+	case wire.WhyNoRoom, wire.WhyInUse:
+		c.log.Info("start refused", "machine", m.name, "task", t.Task, "attempt", t.Attempt, "why", t.Why)
+		c.holdJob(j)
+		c.requeue(j, n)
+	default:
+		c.requeue(j, n)
+	}
+}
+
+// holdJob lets a job wait a little before its next start, longer each time.
+func (c *Core) holdJob(j *job) {
+	if c.now < j.notBefore {
+		return
+	}
+	j.backoff = min(max(j.backoff*2, 500*time.Millisecond), 15*time.Second)
+	j.notBefore = c.now + j.backoff
+}
+
+// blameLimit is how many different jobs must fail on a machine, with no success
+// between, before it counts as faulty; suspectLimit on how many machines a job
+// that never succeeded must fail before it is taken for the faulty one.
+const (
+	blameLimit   = 2
+	suspectLimit = 3
+)
+
+// suspect tells that rather the job than its machines is at fault.
+func (j *job) suspect() bool { return j.done == 0 && len(j.failedOn) >= suspectLimit }
+
+// attemptFailed judges whether the machine or the job is to blame.
+func (c *Core) attemptFailed(m *machine, j *job, n int32, attempt uint64) {
+	if j.failedOn == nil {
+		j.failedOn = map[int32]bool{}
+	}
+	j.failedOn[m.index] = true
+	c.log.Info("task failed", "machine", m.name, "task", wire.TaskName(j.ref, int(n)), "attempt", attempt, "machines", len(j.failedOn))
+	if j.suspect() {
+		// It is tried again now and then until its user cancels it.
+		c.holdJob(j)
+		return
+	}
+	if m.blamedFor == nil {
+		m.blamedFor = map[int32]bool{}
+	}
+	m.blamedFor[j.index] = true
+	if len(m.blamedFor) >= blameLimit || j.done > 0 {
+		c.quarantine(m)
+	}
+}
+
+// clearOfBlame notes a success of a job: what failed before was the machines'
+// fault.
+func (c *Core) clearOfBlame(j *job) {
+	for i := range j.failedOn {
+		if m := c.machines[i]; m.blamedFor[j.index] {
+			c.quarantine(m)
+		}
+	}
+	j.backoff = 0
+}
+
+func (c *Core) quarantine(m *machine) {
+	if m.quarantine || m.state == machineGone {
+		return
+	}
+	m.quarantine = true
+	c.log.Info("machine quarantined: tasks fail on it", "machine", m.name, "jobs", len(m.blamedFor), "bookings", len(m.bookings))
+}
+
+// ordersFor lists what the answer to a fresh report must order.
+func (c *Core) ordersFor(m *machine, r *wire.Report) []wire.Order {
+	orders := []wire.Order{}
+	for i := range r.Tasks {
+		if len(orders) >= maxOrders {
+			break
+		}
+		t := &r.Tasks[i]
+		ref, n, ok := wire.SplitTask(t.Task)
+		at, known := c.jobIndex[ref]
+		if !ok || !known {
+			continue
+		}
+		j := c.jobs[at]
+		if t.Status == wire.TaskEnded {
+			if c.mayForget(m, j, n, t) {
+				orders = append(orders, wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+			}
+			continue
+		}
+		b := m.booking(t.Attempt)
+		if b == nil {
+			orders = append(orders, stopOrder(t.Task, t.Attempt, 0))
+		} else if b.stopping {
+			orders = append(orders, stopOrder(t.Task, t.Attempt, b.grace))
+		}
+	}
+	return orders
+}
+
+func stopOrder(task string, attempt uint64, grace float64) wire.Order {
+	return wire.Order{Verb: wire.Stop, Task: task, Attempt: attempt, GraceS: &grace}
+}
+
+// mayForget tells whether an ended attempt may be dropped by its worker: not
+// while a copy of its start may still arrive, since the worker would run it
+// again, and not before its end is in the ledger.
+func (c *Core) mayForget(m *machine, j *job, n int, t *wire.TaskReport) bool {
+	if _, unsettled := m.pending[t.Attempt]; unsettled || !m.known(c.term) {
+		return false
+	}
+	if t.Why != wire.WhyDone || j.fateDurable {
+		return true
+	}
+	return n < len(j.tasks) && j.tasks[n].state == taskDurable
+}
+
+// book takes room on a machine. charge is false for a task that is only waited
+// for to be gone.
+func (c *Core) book(m *machine, j *job, n int32, attempt uint64, charge bool) *booking {
+	b := &booking{job: j.index, task: n, attempt: attempt, since: c.now, share: j.size.Share(m.total)}
+	if charge {
+		j.tasks[n] = task{state: taskBooked, machine: m.index}
+	} else {
+		b.stopping = true
+	}
+	if math.IsInf(b.share, 1) {
+		b.share = 0
+	}
+	j.booked++
+	c.teams[j.team].booked = c.teams[j.team].booked.plus(unitsOf(j.size))
+	m.free = m.free.Minus(j.size)
+	if m.phase != c.goal.Phase {
+		m.phase, m.load = c.goal.Phase, 0
+	}
+	b.phase = m.phase
+	m.load += b.share
+	m.bookings = append(m.bookings, b)
+	m.idleSince = c.now
+	return b
+}
+
+// free gives a booking's room back.
+func (c *Core) free(m *machine, b *booking) {
+	for k, o := range m.bookings {
+		if o == b {
+			m.bookings = append(m.bookings[:k], m.bookings[k+1:]...)
+			break
+		}
+	}
+	j := c.jobs[b.job]
+	j.booked--
+	c.teams[j.team].booked = c.teams[j.team].booked.minus(unitsOf(j.size))
+	if len(m.bookings) == 0 {
+		m.free, m.load = m.total, 0
+	} else {
+		m.free = m.free.Plus(j.size)
+		if b.phase == m.phase {
+			m.load = max(0, m.load-b.share)
+		}
+	}
+	m.idleSince = c.now
+	c.dirty = true
+	c.settleJob(j)
+}
+
+// dropBookings frees all of a machine whose tasks are certainly gone.
+func (c *Core) dropBookings(m *machine, why string) {
+	for len(m.bookings) > 0 {
+		b := m.bookings[len(m.bookings)-1]
+		c.log.Debug("task lost with its machine", "machine", m.name, "task", c.taskName(b), "why", why)
+		c.free(m, b)
+		c.requeue(c.jobs[b.job], b.task)
+	}
+	m.outbox = nil
+}
+
+// stopBooking has an attempt stopped. What was never sent is simply freed.
+func (c *Core) stopBooking(m *machine, b *booking, grace float64) {
+	if b.state == bookPlanned {
+		c.free(m, b)
+		c.requeue(c.jobs[b.job], b.task)
+		return
+	}
+	b.stopping, b.grace = true, grace
+	m.outbox = append(m.outbox, stopOrder(c.taskName(b), b.attempt, grace))
+}
+
+// gone notes that a machine and all on it is no more.
+func (c *Core) gone(m *machine, why string) {
+	if m.state == machineGone {
+		return
+	}
+	c.log.Info("machine is gone", "machine", m.name, "why", why, "bookings", len(m.bookings))
+	m.state = machineGone
+	c.dropBookings(m, why)
+	clear(m.pending)
+	c.clearMachine(m)
+	c.hireSeen(m)
+	c.dirty = true
+}
+
+// silentAfter is when a machine that said nothing gets no more work.
+func (c *Core) silentAfter() time.Duration { return c.report*2 + time.Second }
+
+// checkMachine does what time alone does to a machine.
+func (c *Core) checkMachine(m *machine) {
+	if m.state == machineGone || c.now < m.leaseOver || c.now < m.answered+c.leaseTime {
+		return
+	}
+	// Its worker has had no answer for a whole lease: whatever it ran is over.
+	if len(m.unclear) > 0 {
+		c.clearMachine(m)
+	}
+	if m.state == machineUp && len(m.bookings) > 0 {
+		c.log.Info("machine lost: its lease is over", "machine", m.name, "bookings", len(m.bookings))
+		c.dropBookings(m, "its lease is over")
+	}
+	// Starts of that session are refused from now on.
+	clear(m.pending)
+}
+
+// drain stops what can save its progress on a machine that is to be taken.
+func (c *Core) drain(m *machine) {
+	left := m.noticeAt - c.now
+	for k := len(m.bookings) - 1; k >= 0; k-- {
+		b := m.bookings[k]
+		j := c.jobs[b.job]
+		if b.stopping || j.spec == nil {
+			continue
+		}
+		if b.state == bookPlanned {
+			c.stopBooking(m, b, 0)
+			continue
+		}
+		save := settings.Seconds(j.spec.SaveS)
+		if j.spec.CheckpointS > 0 && save < left {
+			c.stopBooking(m, b, max(left.Seconds(), j.spec.SaveS))
+			continue
+		}
+		// It can't save. Let it go on only if it may well end in time.
+		if ran := c.now - b.ranSince; b.status == wire.TaskRunning && c.expectedRun(j)-ran < left {
+			continue
+		}
+		c.stopBooking(m, b, 0)
+	}
+}
+
+// machineCameUp learns from a machine's first word.
+func (c *Core) machineCameUp(m *machine) {
+	c.log.Info("machine is up", "machine", m.name, "seconds", (c.now - m.hired).Seconds())
+	if m.typ >= 0 && m.hireName != "" {
+		t := &c.types[m.typ]
+		t.boot += (c.now - m.hired - t.boot) / 4
+	}
+	c.hireSeen(m)
+	c.dirty = true
+}
+
+// addHost notes, durably before the first start, that a job's tasks may be on a
+// machine.
+func (c *Core) addHost(j *job, m *machine) {
+	n := len(j.hosts)
+	j.hostAt[m.index] = n
+	j.hosts = append(j.hosts, host{machine: m.index})
+	all := make([]string, len(j.hosts))
+	for i, h := range j.hosts {
+		all[i] = c.machines[h.machine].name
+	}
+	chunk := ledger.HostChunk(all, n)
+	from := n - len(chunk) + 1
+	c.put(ledger.Write{Key: ledger.HostKey(j.ref, n), Value: chunk, Urgent: true, Tag: hostTag{j.index, from, n + 1}})
+}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,303 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"leadproxy/internal/slowfit"
+	"leadproxy/internal/wire"
+)
+
+// place starts what can be started: jobs by priority, then by the time left to
+// their deadline; each task where SLOW-FIT puts it.
+func (c *Core) place() {
+	queue := c.queue()
+	if len(queue) == 0 {
+		return
+	}
+	c.viewOf = c.viewOf[:0]
+	for _, m := range c.live {
+		if c.open(m) {
+			c.viewOf = append(c.viewOf, m)
+		}
+	}
+	if len(c.viewOf) == 0 {
+		return
+	}
+	uncertain := c.uncertainUse()
+	for _, j := range queue {
+		c.placeJob(j, uncertain)
+	}
+}
+
+// open tells whether a machine takes new tasks at all.
+func (c *Core) open(m *machine) bool {
+	return m.known(c.term) && m.typ >= 0 && !m.quarantine && m.noticeAt == 0 && c.now-m.heard < c.silentAfter()
+}
+
+// queue returns the jobs with tasks to place, in order.
+func (c *Core) queue() []*job {
+	var queue []*job
+	demand := make([]units, len(c.teams))
+	for _, j := range c.active {
+		if !j.over() {
+			demand[j.team] = demand[j.team].plus(unitsOf(j.size).times(j.total - j.done))
+		}
+		if j.placeable(c.now) {
+			queue = append(queue, j)
+		}
+	}
+	// A team whose unfinished jobs all fit within its guarantee need not wait
+	// for other teams.
+	sheltered := func(j *job) bool {
+		g := c.teams[j.team].guarantee
+		d := demand[j.team]
+		return (g.cpus > 0 || g.gpus > 0) && d.cpus <= g.cpus && d.gpus <= g.gpus
+	}
+	slices.SortStableFunc(queue, func(a, b *job) int {
+		if sa, sb := sheltered(a), sheltered(b); sa != sb {
+			if sa {
+				return -1
+			}
+			return 1
+		}
+		if a.rank != b.rank {
+			return a.rank - b.rank
+		}
+		if sa, sb := a.slack(c.now), b.slack(c.now); sa != sb {
+			if sa < sb {
+				return -1
+			}
+			return 1
+		}
+		return int(a.index) - int(b.index)
+	})
+	return queue
+}
+
+// uncertainUse is what each team's tasks may use on machines that have not been
+// heard of in this term.
+func (c *Core) uncertainUse() []units {
+	use := make([]units, len(c.teams))
+	for _, j := range c.active {
+		if len(j.unclear) > 0 && j.fate != wire.Done {
+			n := j.total - j.done - j.booked
+			use[j.team] = use[j.team].plus(unitsOf(j.size).times(max(n, 0)))
+		}
+	}
+	return use
+}
+
+// allows tells whether a job's rules let its tasks run on a machine, leaving
+// together and spread aside.
+func (j *job) allows(typ, zone int32, spot bool) bool {
+	return (j.types == nil || slices.Contains(j.types, typ)) && (j.zone < 0 || j.zone == zone) && (j.spec.Spot || !spot)
+}
+
+func (c *Core) placeJob(j *job, uncertain []units) {
+	c.resolveTypes(j)
+	t := &c.teams[j.team]
+	need := unitsOf(j.size)
+	zones := c.zoneUse(j)
+	only := int32(-1)
+	if j.spec.OneZone {
+		only = c.oneZone(j, zones)
+	}
+	most := (j.total + 1) / 2
+	for len(j.waiting) > 0 {
+		if j.suspect() && j.booked > 0 {
+			return // one try at a time
+		}
+		if !t.booked.plus(uncertain[j.team]).plus(need).within(t.limit) {
+			return
+		}
+		c.view = c.view[:0]
+		for _, m := range c.viewOf {
+			ok := j.allows(m.typ, m.zone, m.spot) && !j.failedOn[m.index]
+			if j.suspect() {
+				ok = j.allows(m.typ, m.zone, m.spot)
+			}
+			if only >= 0 && m.zone != only || j.spec.Spread && zones[m.zone] >= most {
+				ok = false
+			}
+			load := m.load
+			if m.phase != c.goal.Phase {
+				load = 0
+			}
+			c.view = append(c.view, slowfit.Machine{Total: m.total, Free: m.free, Index: int(m.index), Allowed: ok, HasImage: m.has(j.image), Load: load})
+		}
+		at := c.goal.Place(c.view, j.size)
+		if at < 0 {
+			return
+		}
+		m := c.viewOf[at]
+		n := j.waiting[len(j.waiting)-1]
+		j.waiting = j.waiting[:len(j.waiting)-1]
+		c.attempts++
+		b := c.book(m, j, n, c.term<<tokenBits|c.attempts, true)
+		zones[m.zone]++
+		if only < 0 && j.spec.OneZone {
+			only = m.zone
+		}
+		c.log.Debug("task placed", "task", c.taskName(b), "attempt", b.attempt, "machine", m.name, "goal", c.goal.L, "share", b.share, "load", m.load, "image", c.view[at].HasImage)
+		if _, ok := j.hostAt[m.index]; !ok {
+			c.addHost(j, m)
+		}
+		if j.hosts[j.hostAt[m.index]].durable {
+			c.sendStart(j, m, b)
+		}
+	}
+}
+
+// zoneUse counts a job's present tasks by zone.
+func (c *Core) zoneUse(j *job) map[int32]int {
+	use := map[int32]int{}
+	if !j.spec.OneZone && !j.spec.Spread {
+		return use
+	}
+	for _, h := range j.hosts {
+		m := c.machines[h.machine]
+		for _, b := range m.bookings {
+			if b.job == j.index {
+				use[m.zone]++
+			}
+		}
+	}
+	return use
+}
+
+// oneZone chooses the zone for a job that must stay in one: where it is, or
+// else where the most of it fits now.
+func (c *Core) oneZone(j *job, use map[int32]int) int32 {
+	for z := range use {
+		return z
+	}
+	slots := make([]int, len(c.zones.list))
+	best := int32(-1)
+	for _, m := range c.viewOf {
+		if j.allows(m.typ, m.zone, m.spot) {
+			slots[m.zone] += j.size.Slots(m.free)
+			if best < 0 || slots[m.zone] > slots[best] {
+				best = m.zone
+			}
+		}
+	}
+	return best
+}
+
+// resolveTypes maps the type names that a job allows, once types are known.
+func (c *Core) resolveTypes(j *job) {
+	if j.spec.Types == nil || j.types != nil {
+		return
+	}
+	j.types = []int32{}
+	for _, name := range j.spec.Types {
+		if t, ok := c.typeAt[name]; ok {
+			j.types = append(j.types, t)
+		}
+	}
+}
+
+// sendPlanned sends the starts that waited for their host to be durable.
+func (c *Core) sendPlanned(j *job, m *machine) {
+	for _, b := range slices.Clone(m.bookings) {
+		switch {
+		case b.job != j.index || b.state != bookPlanned:
+		case c.open(m) && !j.over():
+			c.sendStart(j, m, b)
+		default:
+			c.stopBooking(m, b, 0)
+		}
+	}
+}
+
+func (c *Core) sendStart(j *job, m *machine, b *booking) {
+	b.state = bookSent
+	// Until the direct command's outcome is known, or a raised token rules it
+	// out, this start may act at any time.
+	m.pending[b.attempt] = math.MaxUint64
+	m.outbox = append(m.outbox, wire.Order{Verb: wire.Start, Task: c.taskName(b), Attempt: b.attempt})
+}
+
+// flush turns the orders gathered in a step into direct commands.
+func (c *Core) flush() {
+	for _, m := range c.live {
+		if len(m.outbox) == 0 {
+			continue
+		}
+		orders := m.outbox
+		m.outbox = nil
+		call := &directCall{machine: m, session: m.session, token: m.token}
+		for _, o := range orders {
+			if o.Verb == wire.Start {
+				call.attempts = append(call.attempts, o.Attempt)
+			}
+		}
+		c.callID++
+		c.calls[c.callID] = call
+		c.emit(Direct{Call: c.callID, Machine: m.name, Address: m.address,
+			Commands: wire.Commands{Token: m.token, Session: m.session, Orders: orders}})
+	}
+}
+
+func (c *Core) directBack(e DirectBack) {
+	call := c.calls[e.Call]
+	delete(c.calls, e.Call)
+	if call == nil || call.machine.state == machineGone {
+		return
+	}
+	m := call.machine
+	switch e.Outcome {
+	case DirectUnknown:
+		if m.session != call.session {
+			return // it can only be refused
+		}
+		// Raise the token: once the worker has echoed it, the command can't be
+		// executed any more, and what is not there then will never be.
+		if m.token == call.token {
+			m.token++
+		}
+		for _, a := range call.attempts {
+			if _, ok := m.pending[a]; ok {
+				m.pending[a] = call.token + 1
+			}
+		}
+		c.log.Debug("direct command unanswered", "machine", m.name, "starts", len(call.attempts), "token", m.token)
+		return
+	case DirectNotSent, DirectRefused:
+		for _, a := range call.attempts {
+			delete(m.pending, a)
+			if b := m.booking(a); b != nil && b.state == bookSent {
+				c.free(m, b)
+				c.requeue(c.jobs[b.job], b.task)
+			}
+		}
+		if e.Outcome == DirectRefused {
+			c.log.Info("direct command refused", "machine", m.name, "token", call.token, "session", call.session)
+		}
+	case DirectDone:
+		for _, a := range call.attempts {
+			delete(m.pending, a)
+			if b := m.booking(a); b != nil && b.state == bookSent {
+				b.state = bookConfirmed
+			}
+		}
+	}
+	if e.Report != nil && e.Report.Machine == m.name && e.Report.Token>>tokenBits <= c.term {
+		c.observe(m, e.Report)
+	}
+}
+
+// learnRun learns how true the owners' estimates of a class are.
+func (c *Core) learnRun(m *machine, j *job, took time.Duration) {
+	if j.spec == nil || j.spec.EstimateS <= 0 {
+		return
+	}
+	c.fleet.learnRatio(j.class, took.Seconds()/j.spec.EstimateS)
+}
+
+// expectedRun is how long a task of a job is expected to run.
+func (c *Core) expectedRun(j *job) time.Duration {
+	return time.Duration(j.spec.EstimateS * c.fleet.ratio(j.class) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,412 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"leadproxy/internal/election"
+	"leadproxy/internal/fleet"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// ErrNotLeading: this node does not run a term.
+var ErrNotLeading = errors.New("this node does not lead")
+
+// Desk is where the rest of a node speaks to its dispatcher. It runs one core
+// for each term that this node leads and refuses everything in between.
+type Desk struct {
+	platform *settings.Platform
+	operator settings.Operator
+	elector  *election.Elector
+	store    *state.Client
+	log      *slog.Logger
+	started  time.Time
+	workers  *http.Client
+
+	// The mailboxes, by rank: reports of workers first, then what decisions
+	// need, then users. Each is bounded; who finds one full is turned away.
+	reports chan ask
+	inner   chan any
+	users   chan ask
+}
+
+type ask struct {
+	event any
+	reply chan any
+}
+
+// NewDesk makes a desk; Run starts it.
+func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, log *slog.Logger) *Desk {
+	return &Desk{
+		platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
+		workers: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: 2,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
+	}
+}
+
+func (d *Desk) ask(ctx context.Context, box chan ask, event func(reply chan any) any) (any, error) {
+	reply := make(chan any, 1)
+	select {
+	case box <- ask{event(reply), reply}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case a := <-reply:
+		if err, ok := a.(error); ok {
+			return nil, err
+		}
+		return a, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Report has a worker's report answered.
+func (d *Desk) Report(ctx context.Context, r *wire.Report) (*wire.ReportAnswer, error) {
+	a, err := d.ask(ctx, d.reports, func(reply chan any) any { return ReportIn{Report: r, To: reply} })
+	if err != nil {
+		return nil, err
+	}
+	if answer := a.(AnswerReport).Answer; answer != nil {
+		return answer, nil
+	}
+	return nil, ErrNotLeading
+}
+
+// Status asks for a job's state.
+func (d *Desk) Status(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
+	return d.user(ctx, func(reply chan any) any { return StatusAsked{Ref: ref, To: reply} })
+}
+
+// Cancel has a job cancelled and waits until that is durable.
+func (d *Desk) Cancel(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
+	return d.user(ctx, func(reply chan any) any { return CancelAsked{Ref: ref, To: reply} })
+}
+
+func (d *Desk) user(ctx context.Context, event func(reply chan any) any) (wire.JobStatus, bool, error) {
+	a, err := d.ask(ctx, d.users, event)
+	if err != nil {
+		return wire.JobStatus{}, false, err
+	}
+	u := a.(AnswerUser)
+	return u.Status, u.Known, nil
+}
+
+// Tell tells of a job record. It is only a short cut for the watch, so it is
+// dropped rather than waited for.
+func (d *Desk) Tell(j JobSeen) {
+	select {
+	case d.inner <- j:
+	default:
+	}
+}
+
+// Run serves terms until ctx ends.
+func (d *Desk) Run(ctx context.Context) {
+	var stop context.CancelFunc
+	var ended chan struct{}
+	var current uint64
+	end := func() {
+		if stop != nil {
+			stop()
+			<-ended
+			stop, current = nil, 0
+		}
+	}
+	defer end()
+	for {
+		// Without a term the mailboxes are emptied here.
+		var reports, users chan ask
+		var inner chan any
+		if stop == nil {
+			reports, users, inner = d.reports, d.users, d.inner
+		}
+		select {
+		case v := <-d.elector.Changes():
+			if v.Mine && v.Term == current && stop != nil {
+				break
+			}
+			end()
+			if v.Mine {
+				d.store.SetShare(leaderShare(d.platform.Facts.Nodes))
+				tctx, cancel := context.WithCancel(ctx)
+				stop, current, ended = cancel, v.Term, make(chan struct{})
+				go func(done chan struct{}, term uint64) {
+					defer close(done)
+					d.term(tctx, term)
+				}(ended, v.Term)
+			} else {
+				d.store.SetShare(FollowerShare(d.platform.Facts.Nodes))
+			}
+		case a := <-reports:
+			a.reply <- ErrNotLeading
+		case a := <-users:
+			a.reply <- ErrNotLeading
+		case <-inner:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// FollowerShare is the part of the state service's rate for a node that does
+// not lead, and leaderShare for the leader: all together stay below the whole,
+// also while a new leader reads the ledger.
+func FollowerShare(nodes int) float64 { return 0.35 / float64(max(nodes-1, 1)) }
+
+func leaderShare(nodes int) float64 {
+	if nodes <= 1 {
+		return 0.9
+	}
+	return 0.55
+}
+
+// term leads for one term.
+func (d *Desk) term(ctx context.Context, term uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := d.platform.Facts
+	limits := ledger.Limits{Ops: min(f.State.TxnOps, int(f.State.WriteRPS*leaderShare(f.Nodes))), Bytes: 48 << 10}
+	book := ledger.New(term, d.store, limits, d.log)
+	var snapshot ledger.Snapshot
+	for {
+		var err error
+		if snapshot, err = book.Load(ctx); err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		d.log.Info("ledger not read yet", "term", term, "error", err)
+		select {
+		case <-time.After(200 * time.Millisecond):
+		case <-ctx.Done():
+			return
+		}
+	}
+	d.log.Info("ledger read", "term", term, "jobs", len(snapshot.Jobs), "hires", len(snapshot.Hires))
+	go func() {
+		if err := book.Run(ctx); err != nil && ctx.Err() == nil {
+			d.log.Info("ledger closed", "term", term, "error", err)
+			cancel()
+		}
+	}()
+	cloud := fleet.NewClient(d.platform.Services.Cloud, f.Cloud.RPS*0.7, d.log)
+	go cloud.Run(ctx)
+	go d.watchJobs(ctx, snapshot.Revision)
+
+	core := NewCore(Config{Term: term, Platform: d.platform, Operator: d.operator}, snapshot, time.Since(d.started), time.Now().UnixMilli(), d.log)
+	d.carryOut(ctx, term, core.TakeStart(), book, cloud)
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		event, ok := d.next(ctx, book, cloud, tick)
+		if !ok {
+			// Whoever asks from here on gets no answer from this term.
+			return
+		}
+		d.carryOut(ctx, term, core.Step(event, time.Since(d.started), time.Now().UnixMilli()), book, cloud)
+	}
+}
+
+// next takes the next event, by rank.
+func (d *Desk) next(ctx context.Context, book *ledger.Ledger, cloud *fleet.Client, tick *time.Ticker) (any, bool) {
+	if ctx.Err() != nil {
+		return nil, false
+	}
+	select {
+	case a := <-d.reports:
+		return a.event, true
+	default:
+	}
+	select {
+	case a := <-d.reports:
+		return a.event, true
+	case tags := <-book.Durable:
+		return NowDurable{tags}, true
+	case r := <-cloud.Results:
+		return CloudBack{r}, true
+	case e := <-d.inner:
+		return e, true
+	case <-tick.C:
+		return Tick{}, true
+	default:
+	}
+	select {
+	case a := <-d.reports:
+		return a.event, true
+	case tags := <-book.Durable:
+		return NowDurable{tags}, true
+	case r := <-cloud.Results:
+		return CloudBack{r}, true
+	case e := <-d.inner:
+		return e, true
+	case <-tick.C:
+		return Tick{}, true
+	case a := <-d.users:
+		return a.event, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
+// carryOut turns effects into deeds.
+func (d *Desk) carryOut(ctx context.Context, term uint64, effects []any, book *ledger.Ledger, cloud *fleet.Client) {
+	var writes []ledger.Write
+	for _, e := range effects {
+		switch e := e.(type) {
+		case AnswerReport:
+			e.To.(chan any) <- e
+		case AnswerUser:
+			e.To.(chan any) <- e
+		case Put:
+			writes = append(writes, e.Writes...)
+		case CallCloud:
+			cloud.Put(ctx, e.Call)
+		case Direct:
+			go d.direct(ctx, term, e)
+		}
+	}
+	if len(writes) > 0 {
+		book.Put(ctx, writes)
+	}
+}
+
+// directTimeout bounds a direct command. What is slower is settled through the
+// worker's reports.
+const directTimeout = 2 * time.Second
+
+// direct sends a command to a worker and brings its outcome back.
+func (d *Desk) direct(ctx context.Context, term uint64, e Direct) {
+	back := DirectBack{Call: e.Call}
+	back.Outcome, back.Report = d.command(ctx, term, e)
+	select {
+	case d.inner <- back:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Desk) command(ctx context.Context, term uint64, e Direct) (DirectOutcome, *wire.Report) {
+	payload, err := json.Marshal(e.Commands)
+	if err != nil {
+		d.log.Error("command not encoded", "machine", e.Machine, "error", err)
+		return DirectNotSent, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+"/commands", bytes.NewReader(payload))
+	if err != nil {
+		d.log.Error("command not sent", "machine", e.Machine, "error", err)
+		return DirectNotSent, nil
+	}
+	req.Header.Set("Content-Type", "application/json")
+	// Past the lease another leader may act: no order leaves here.
+	if !d.elector.InTerm(term) {
+		return DirectNotSent, nil
+	}
+	resp, err := d.workers.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return DirectNotSent, nil // an attempt to connect that was given up never completes
+		}
+		return DirectUnknown, nil
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return DirectUnknown, nil
+	}
+	outcome := DirectUnknown
+	switch resp.StatusCode {
+	case http.StatusOK:
+		outcome = DirectDone
+	case http.StatusConflict, http.StatusBadRequest:
+		outcome = DirectRefused
+	default:
+		return DirectUnknown, nil
+	}
+	report, err := wire.ParseReport(answer)
+	if err != nil {
+		return outcome, nil
+	}
+	return outcome, report
+}
+
+// watchJobs tells the core of job records as nodes create them.
+func (d *Desk) watchJobs(ctx context.Context, after uint64) {
+	for ctx.Err() == nil {
+		news, err := d.store.Watch(ctx, ledger.JobPrefix, after, 20*time.Second)
+		if errors.Is(err, state.ErrTooOld) {
+			after = d.reread(ctx)
+			continue
+		}
+		if err != nil {
+			select {
+			case <-time.After(200 * time.Millisecond):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		for _, e := range news.Events {
+			if e.Set != "" {
+				d.tellRecord(ctx, e.Set, e.Value, e.Version)
+			}
+		}
+		after = max(after, news.Revision)
+	}
+}
+
+// reread goes through all job records when the watch has fallen too far behind.
+func (d *Desk) reread(ctx context.Context) uint64 {
+	revision, after := uint64(0), ""
+	for ctx.Err() == nil {
+		page, err := d.store.List(ctx, ledger.JobPrefix, after, 1000)
+		if err != nil {
+			select {
+			case <-time.After(200 * time.Millisecond):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if revision == 0 {
+			revision = page.Revision
+		}
+		for _, e := range page.Items {
+			d.tellRecord(ctx, e.Key, e.Value, e.Version)
+			after = e.Key
+		}
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+	}
+	return revision
+}
+
+func (d *Desk) tellRecord(ctx context.Context, key string, value json.RawMessage, version uint64) {
+	var rec ledger.JobRecord
+	if err := json.Unmarshal(value, &rec); err != nil {
+		d.log.Error("job record can't be read", "key", key, "error", err)
+		return
+	}
+	select {
+	case d.inner <- JobSeen{Ref: key[len(ledger.JobPrefix):], Record: rec, Version: version}:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/dispatch/types.go
@@ -0,0 +1,342 @@
+// Package dispatch is the leader's mind: which machines there are, what runs on
+// them, what waits, and which orders follow. Its core is a deterministic step
+// from a state, an event and a time to effects, without I/O; the actor around
+// it (run.go) carries the effects out.
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"leadproxy/internal/fleet"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/slowfit"
+	"leadproxy/internal/wire"
+)
+
+// Config is what the core is told at its start.
+type Config struct {
+	Term     uint64
+	Platform *settings.Platform
+	Operator settings.Operator
+}
+
+// tokenBits is the room that a token and an attempt leave for the counter
+// within one term.
+const tokenBits = 24
+
+// The events that the core is stepped with.
+type (
+	// JobSeen tells of a job record, from a node that accepted it or from the
+	// watch.
+	JobSeen struct {
+		Ref     string
+		Record  ledger.JobRecord
+		Version uint64
+	}
+	// ReportIn is a worker's report that wants an answer.
+	ReportIn struct {
+		Report *wire.Report
+		To     any
+	}
+	// DirectBack is the outcome of a direct command.
+	DirectBack struct {
+		Call    uint64
+		Outcome DirectOutcome
+		Report  *wire.Report // with DirectDone and DirectRefused
+	}
+	// CancelAsked is a user's wish to cancel a job.
+	CancelAsked struct {
+		Ref string
+		To  any
+	}
+	// StatusAsked is a user's question.
+	StatusAsked struct {
+		Ref string
+		To  any
+	}
+	// NowDurable tells tags of writes that are durable.
+	NowDurable struct{ Tags []any }
+	// CloudBack is the outcome of a cloud call.
+	CloudBack struct{ Result fleet.Result }
+	// Tick comes a few times a second.
+	Tick struct{}
+)
+
+// DirectOutcome is what became of a direct command.
+type DirectOutcome int
+
+// The outcomes of a direct command.
+const (
+	DirectUnknown DirectOutcome = iota // it may act now or much later
+	DirectDone                         // executed
+	DirectRefused                      // nothing executed
+	DirectNotSent                      // never left this process
+)
+
+// The effects of a step.
+type (
+	// AnswerReport answers a worker.
+	AnswerReport struct {
+		To     any
+		Answer *wire.ReportAnswer // nil: this node can't answer for the controllers
+	}
+	// Direct is a command to be sent straight to a worker.
+	Direct struct {
+		Call     uint64
+		Machine  string
+		Address  string
+		Commands wire.Commands
+	}
+	// Put writes to the ledger.
+	Put struct{ Writes []ledger.Write }
+	// AnswerUser answers a question or a cancellation.
+	AnswerUser struct {
+		To     any
+		Known  bool
+		Status wire.JobStatus
+	}
+	// CallCloud makes a call to the cloud.
+	CallCloud struct{ Call fleet.Call }
+)
+
+// The states of a task.
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota
+	taskBooked
+	taskDone    // its end is known here
+	taskDurable // its end is in the ledger
+)
+
+type task struct {
+	state   taskState
+	machine int32
+}
+
+type host struct {
+	machine int32
+	durable bool
+}
+
+// job is a job in the leader's memory. Once it is over, tasks is nil.
+type job struct {
+	index   int32
+	ref     string
+	spec    *wire.Job
+	version uint64
+	accept  int64 // acceptedMS of the record
+	arrived time.Duration
+	due     time.Duration // math.MaxInt64 without a deadline
+	rank    int
+	size    slowfit.Size
+	team    int32
+	class   int32
+	image   int32
+	zone    int32 // -1: any
+	types   []int32
+
+	tasks   []task
+	waiting []int32 // indices of waiting tasks, the last one goes first
+	total   int
+	done    int
+	booked  int
+
+	hosts   []host
+	hostAt  map[int32]int
+	unclear map[int32]bool // machines that may run unseen tasks of it
+
+	fate        string // decided, being written or durable
+	fateDurable bool
+	settled     bool // all that a terminal state requires is done
+	waiters     []any
+
+	notBefore time.Duration
+	backoff   time.Duration
+	failedOn  map[int32]bool
+}
+
+func (j *job) over() bool { return j.fate != "" }
+
+// placeable tells whether waiting tasks may be started now.
+func (j *job) placeable(now time.Duration) bool {
+	return !j.over() && len(j.waiting) > 0 && len(j.unclear) == 0 && now >= j.notBefore
+}
+
+// slack is the time left until the deadline beyond the estimated run.
+func (j *job) slack(now time.Duration) time.Duration {
+	if j.due == math.MaxInt64 {
+		return math.MaxInt64
+	}
+	return j.due - now - settings.Seconds(j.spec.EstimateS)
+}
+
+// The states of a booking.
+type bookState uint8
+
+const (
+	bookPlanned   bookState = iota // nothing sent yet
+	bookSent                       // a direct start is on its way, or its outcome is unknown
+	bookConfirmed                  // the worker has executed the start, or reported the task
+)
+
+// booking is room taken on a machine for one attempt of a task.
+type booking struct {
+	job, task int32
+	attempt   uint64
+	state     bookState
+	status    string // as last reported
+	share     float64
+	phase     uint32
+	since     time.Duration // when it was booked
+	ranSince  time.Duration // when it was first seen running
+	stopping  bool
+	grace     float64
+	savePoint bool
+}
+
+// The states of a machine.
+type machineState uint8
+
+const (
+	machineBooting  machineState = iota // hired or listed, not heard of
+	machineUp                           // reports
+	machineDeleting                     // a deletion is asked for
+	machineGone
+)
+
+type machine struct {
+	index    int32
+	name     string
+	address  string
+	typ      int32 // -1 while unknown
+	typeName string
+	zone     int32
+	spot     bool
+	state    machineState
+	hired    time.Duration // when its rental began, as far as known
+	total    slowfit.Size
+	free     slowfit.Size
+
+	session, seq uint64
+	token        uint64 // the token of our orders to it
+	echo         uint64 // the highest token that it has reported
+	heard        time.Duration
+	answered     time.Duration // last report answered in this term
+	leaseOver    time.Duration // when an unseen task on it must be over
+	listed       bool
+	listedUp     bool
+
+	bookings []*booking
+	pending  map[uint64]uint64 // starts that may yet act: attempt -> fence
+	load     float64
+	phase    uint32
+	outbox   []wire.Order
+	unclear  []int32 // jobs that wait for word of it
+
+	noticeAt   time.Duration // when the cloud takes it away; 0: no notice
+	quarantine bool
+	idleSince  time.Duration
+	images     []imageSlot
+	blamedFor  map[int32]bool
+	hireName   string
+	asked      time.Duration // last delete call
+}
+
+type imageSlot struct {
+	image int32
+	gb    float64
+}
+
+func (m *machine) known(term uint64) bool {
+	return m.state == machineUp && m.echo>>tokenBits == term
+}
+
+func (m *machine) has(image int32) bool {
+	for _, s := range m.images {
+		if s.image == image {
+			return true
+		}
+	}
+	return false
+}
+
+// fetched notes that the machine holds an image, dropping the least recently
+// used ones beyond its cache.
+func (m *machine) fetched(image int32, gb, cache float64) {
+	for i, s := range m.images {
+		if s.image == image {
+			copy(m.images[i:], m.images[i+1:])
+			m.images[len(m.images)-1] = s
+			return
+		}
+	}
+	m.images = append(m.images, imageSlot{image, gb})
+	sum := 0.0
+	for _, s := range m.images {
+		sum += s.gb
+	}
+	for len(m.images) > 1 && sum > cache {
+		sum -= m.images[0].gb
+		m.images = m.images[1:]
+	}
+}
+
+// names maps names to dense indices.
+type names struct {
+	index map[string]int32
+	list  []string
+}
+
+func (n *names) of(name string) int32 {
+	if i, ok := n.index[name]; ok {
+		return i
+	}
+	if n.index == nil {
+		n.index = map[string]int32{}
+	}
+	i := int32(len(n.list))
+	n.index[name] = i
+	n.list = append(n.list, name)
+	return i
+}
+
+// units counts a team's resources exactly.
+type units struct{ cpus, gpus int64 }
+
+const perUnit = 1e6
+
+func unitsOf(s slowfit.Size) units {
+	return units{int64(math.Ceil(s.CPUs*perUnit - 1e-3)), int64(math.Ceil(s.GPUs*perUnit - 1e-3))}
+}
+
+func (u units) plus(o units) units        { return units{u.cpus + o.cpus, u.gpus + o.gpus} }
+func (u units) times(n int) units         { return units{u.cpus * int64(n), u.gpus * int64(n)} }
+func (u units) minus(o units) units       { return units{u.cpus - o.cpus, u.gpus - o.gpus} }
+func limitUnits(cpus, gpus float64) units { return units{int64(cpus * perUnit), int64(gpus * perUnit)} }
+
+// within tells whether u keeps to a limit; a zero in the limit sets none.
+func (u units) within(limit units) bool {
+	return (limit.cpus == 0 || u.cpus <= limit.cpus) && (limit.gpus == 0 || u.gpus <= limit.gpus)
+}
+
+type team struct {
+	guarantee, limit units
+	booked           units // all bookings, whatever their state
+}
+
+// The tags of ledger writes.
+type (
+	hostTag struct {
+		job      int32
+		from, to int
+	}
+	finTag struct {
+		job   int32
+		tasks []int32
+	}
+	fateTag struct{ job int32 }
+	hireTag struct{ name string }
+)
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,212 @@
+// Package election decides which controller leads. The leader is the node whose
+// name stands in one key of the state service, attached to a lease that it
+// renews; the key's version is its term. A leader counts its lease from the
+// moment the renewal was sent, less clock drift and a margin, so that it stops
+// acting before anybody else can begin.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"leadproxy/internal/settings"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// Key is where the leader's name stands.
+const Key = "leader"
+
+// holder is the value of Key.
+type holder struct {
+	Node string `json:"node"`
+	Boot uint64 `json:"boot"`
+}
+
+// View is what a node knows of the leadership at one moment. It is never
+// changed once published.
+type View struct {
+	Leader string // "" when unknown
+	Term   uint64 // the leader's term
+	Mine   bool   // this node holds the key
+	Until  time.Time
+}
+
+// InTerm tells whether this node may act as the leader at a moment.
+func (v *View) InTerm(now time.Time) bool { return v.Mine && now.Before(v.Until) }
+
+// Store is the part of the state service that an election needs.
+type Store interface {
+	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, uint64, error)
+	Txn(ctx context.Context, p state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error)
+	NewLease(ctx context.Context, ttl time.Duration) (uint64, error)
+	Renew(ctx context.Context, lease uint64) error
+	EndLease(ctx context.Context, lease uint64) error
+	Watch(ctx context.Context, under string, after uint64, wait time.Duration) (wire.News, error)
+}
+
+// Elector takes part in elections for one node.
+type Elector struct {
+	node   string
+	boot   uint64
+	ttl    time.Duration
+	margin time.Duration
+	store  Store
+	log    *slog.Logger
+	view   atomic.Pointer[View]
+	// changes tells of every change of leader or of this node's role. Its
+	// reader must keep up; a view that was not read is replaced.
+	changes chan *View
+}
+
+// New makes an elector; Run starts it.
+func New(node string, op settings.Operator, store Store, log *slog.Logger) *Elector {
+	e := &Elector{
+		node: node, boot: rand.Uint64(), ttl: op.LeaderLease, margin: op.LeaseMargin,
+		store: store, log: log, changes: make(chan *View, 1),
+	}
+	e.view.Store(&View{})
+	return e
+}
+
+// View returns the latest view.
+func (e *Elector) View() *View { return e.view.Load() }
+
+// InTerm tells whether this node may act as the leader of the given term now.
+func (e *Elector) InTerm(term uint64) bool {
+	v := e.view.Load()
+	return v.Term == term && v.InTerm(time.Now())
+}
+
+// Changes is where changes of leader or role are told, the newest only.
+func (e *Elector) Changes() <-chan *View { return e.changes }
+
+func (e *Elector) publish(v *View) {
+	old := e.view.Swap(v)
+	if old.Mine == v.Mine && old.Term == v.Term && old.Leader == v.Leader {
+		return
+	}
+	select {
+	case <-e.changes:
+	default:
+	}
+	e.changes <- v
+}
+
+// validUntil is the end of a lease whose renewal was sent at a moment. The
+// service's clock may run faster than ours.
+func (e *Elector) validUntil(sent time.Time) time.Time {
+	return sent.Add(e.ttl - time.Duration(float64(e.ttl)*2*settings.Drift) - e.margin)
+}
+
+// Run takes part in elections until ctx ends.
+func (e *Elector) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := e.round(ctx); err != nil && ctx.Err() == nil {
+			e.log.Debug("election round failed", "error", err)
+			pause(ctx, 150*time.Millisecond+rand.N(100*time.Millisecond))
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (e *Elector) round(ctx context.Context) error {
+	entry, found, rev, err := e.store.Get(ctx, state.Lease, Key)
+	if err != nil {
+		return err
+	}
+	if !found {
+		e.publish(&View{})
+		return e.stand(ctx)
+	}
+	var h holder
+	if err := json.Unmarshal(entry.Value, &h); err != nil {
+		e.log.Error("leader key can't be read", "error", err)
+	}
+	if h.Node == e.node {
+		// Either an earlier incarnation of this node, which is gone, or a
+		// candidacy of ours whose outcome we did not learn and on which we
+		// never acted. Nobody acts on this term: end it at once rather than
+		// wait for its lease.
+		e.log.Info("ending the lease of an earlier incarnation", "term", entry.Version)
+		return e.store.EndLease(ctx, entry.Lease)
+	}
+	e.publish(&View{Leader: h.Node, Term: entry.Version})
+	_, err = e.store.Watch(ctx, Key, rev, 20*time.Second)
+	if errors.Is(err, state.ErrTooOld) {
+		return nil
+	}
+	return err
+}
+
+func (e *Elector) stand(ctx context.Context) error {
+	sent := time.Now()
+	lease, err := e.store.NewLease(ctx, e.ttl)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(holder{Node: e.node, Boot: e.boot})
+	if err != nil {
+		return err
+	}
+	ok, answer, err := e.store.Txn(ctx, state.Lease, wire.Txn{
+		If:   []wire.Condition{{Key: Key}},
+		Then: []wire.Change{{Set: Key, Value: value, Lease: lease}},
+	})
+	if err != nil || !ok {
+		// Whatever became of the candidacy, without its lease it is void.
+		if end := e.store.EndLease(ctx, lease); end != nil {
+			e.log.Debug("candidate's lease not ended", "error", end)
+		}
+		return err
+	}
+	e.lead(ctx, answer.Revision, lease, sent)
+	return nil
+}
+
+// lead renews the lease until it is lost. While renewals fail the published
+// view lapses by itself; if one succeeds again, the term resumes.
+func (e *Elector) lead(ctx context.Context, term, lease uint64, sent time.Time) {
+	e.log.Info("leading", "term", term)
+	until := e.validUntil(sent)
+	e.publish(&View{Leader: e.node, Term: term, Mine: true, Until: until})
+	lapsed := false
+	for ctx.Err() == nil {
+		wait := e.ttl / 4
+		if lapsed || time.Until(until) < e.ttl/2 {
+			wait = 150 * time.Millisecond
+		}
+		pause(ctx, wait)
+		sent := time.Now()
+		err := e.store.Renew(ctx, lease)
+		if errors.Is(err, state.ErrNoLease) {
+			e.log.Info("leadership lost: the lease has ended", "term", term)
+			e.publish(&View{})
+			return
+		}
+		if err != nil {
+			if !lapsed && !time.Now().Before(until) {
+				lapsed = true
+				e.log.Info("leadership suspended: the lease can't be renewed", "term", term, "error", err)
+			}
+			continue
+		}
+		if lapsed {
+			lapsed = false
+			e.log.Info("leadership resumed", "term", term)
+		}
+		until = e.validUntil(sent)
+		e.publish(&View{Leader: e.node, Term: term, Mine: true, Until: until})
+	}
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"leadproxy/internal/slowfit"
+)
+
+// Offer is one way to hire: a type, in a zone, spot or ordinary. Types and
+// zones are the caller's indices.
+type Offer struct {
+	Type, Zone int32
+	Spot       bool
+}
+
+// Priced is an offer at its present price per hour.
+type Priced struct {
+	Offer
+	Price float64
+}
+
+// Type is a machine type as planning sees it.
+type Type struct {
+	Total slowfit.Size
+	Boot  time.Duration
+}
+
+// Coming is a machine that is hired but not yet up.
+type Coming struct {
+	Offer
+	Room slowfit.Size
+}
+
+// Group is a number of equal tasks that no present machine has room for.
+type Group struct {
+	Size   slowfit.Size
+	Count  int
+	Run    time.Duration
+	Allows func(Offer) bool
+}
+
+// Situation is what a plan is made from.
+type Situation struct {
+	Types       []Type
+	Offers      []Priced
+	Coming      []Coming
+	Waiting     []Group // in the order of the queue
+	Cores       float64 // of all machines that are up or coming
+	Machines    int
+	MaxMachines int     // 0: no bound
+	Spot        float64 // cores worth keeping with spot machines
+	Ordinary    float64 // cores worth keeping with ordinary ones
+	Typical     slowfit.Size
+}
+
+// Wish is a decision to hire.
+type Wish struct {
+	Offer Offer
+	Count int
+	Why   string
+}
+
+// Plan decides what to hire: for each waiting group the offer with the least
+// price per task, as far as machines that are coming don't serve it; then the
+// cheapest cores up to the learned demand.
+func Plan(s Situation) []Wish {
+	wishes := map[Offer]*Wish{}
+	var order []Offer
+	budget := math.MaxInt32
+	if s.MaxMachines > 0 {
+		budget = max(0, s.MaxMachines-s.Machines)
+	}
+	add := func(o Offer, n int, why string) {
+		if wishes[o] == nil {
+			wishes[o] = &Wish{Offer: o, Why: why}
+			order = append(order, o)
+		}
+		wishes[o].Count += n
+		budget -= n
+		s.Cores += float64(n) * s.Types[o.Type].Total.CPUs
+	}
+	for _, g := range s.Waiting {
+		left := g.Count
+		for i := range s.Coming {
+			c := &s.Coming[i]
+			if left == 0 {
+				break
+			}
+			if !g.Allows(c.Offer) {
+				continue
+			}
+			n := min(left, g.Size.Slots(c.Room))
+			c.Room = c.Room.Minus(g.Size.Times(float64(n)))
+			left -= n
+		}
+		if left == 0 {
+			continue
+		}
+		best, ok := cheapest(s, g.Size, left, g.Allows)
+		if !ok {
+			continue
+		}
+		// Tasks shorter than a boot are mostly served by turnover before a new
+		// machine is up.
+		t := s.Types[best.Type]
+		if f := g.Run.Seconds() / max(t.Boot.Seconds(), 1); f < 1 {
+			left = int(math.Ceil(float64(left) * f))
+		}
+		per := g.Size.Slots(t.Total)
+		n := min((left+per-1)/per, budget, MaxHire)
+		if n <= 0 {
+			continue
+		}
+		add(best.Offer, n, fmt.Sprintf("%d tasks wait", g.Count))
+		for k := 0; k < n; k++ {
+			m := min(left, per)
+			left -= m
+			s.Coming = append(s.Coming, Coming{Offer: best.Offer, Room: t.Total.Minus(g.Size.Times(float64(m)))})
+		}
+	}
+	// One warm offer a round: how much of it there is shows in the answer.
+	if lack := s.Spot - s.Cores; lack > 0 && budget > 0 && s.Typical.CPUs > 0 {
+		best, ok := cheapest(s, s.Typical, int(math.Ceil(lack/s.Typical.CPUs)), func(o Offer) bool {
+			return o.Spot || s.Cores < s.Ordinary
+		})
+		if ok {
+			n := int(lack/s.Types[best.Type].Total.CPUs + 0.5)
+			if !best.Spot {
+				n = min(n, 1)
+			}
+			if n = min(n, budget, MaxHire); n > 0 {
+				add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", s.Spot))
+			}
+		}
+	}
+	out := make([]Wish, 0, len(order))
+	for _, o := range order {
+		out = append(out, *wishes[o])
+	}
+	return out
+}
+
+// cheapest finds the offer with the least price per task slot. Slots beyond
+// the number of tasks count for nothing.
+func cheapest(s Situation, size slowfit.Size, count int, allows func(Offer) bool) (Priced, bool) {
+	type candidate struct {
+		Priced
+		cost float64
+	}
+	var all []candidate
+	for _, o := range s.Offers {
+		per := size.Slots(s.Types[o.Type].Total)
+		if per == 0 || !allows(o.Offer) {
+			continue
+		}
+		all = append(all, candidate{o, o.Price / float64(min(per, max(count, 1)))})
+	}
+	if len(all) == 0 {
+		return Priced{}, false
+	}
+	best := all[0]
+	for _, c := range all[1:] {
+		if c.cost < best.cost {
+			best = c
+		}
+	}
+	return best.Priced, true
+}
+
+// Demand learns the mean and the spread of the cores in demand, the recent past
+// counting most.
+type Demand struct {
+	seconds  float64
+	mean     float64
+	variance float64
+}
+
+// memory is how far back demand is remembered, in seconds.
+const memory = 120
+
+// Sample takes in what was in demand during a time.
+func (d *Demand) Sample(cores float64, over time.Duration) {
+	// At first all that was seen counts alike.
+	d.seconds += over.Seconds()
+	a := over.Seconds() / min(d.seconds, memory)
+	diff := cores - d.mean
+	d.mean += a * diff
+	d.variance = (1 - a) * (d.variance + a*diff*diff)
+}
+
+// Learned returns the mean and the standard deviation.
+func (d *Demand) Learned() (mean, deviation float64) { return d.mean, math.Sqrt(d.variance) }
--- /dev/null
+++ b/internal/intake/clerk.go
@@ -0,0 +1,142 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// Store is the part of the state service that intake needs.
+type Store interface {
+	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, uint64, error)
+	Txn(ctx context.Context, p state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error)
+}
+
+// accept is one job that wants its record created.
+type accept struct {
+	key    string
+	value  json.RawMessage
+	result chan accepted
+}
+
+// accepted is the outcome of an accept.
+type accepted struct {
+	version uint64 // of the record that was created
+	known   bool   // a record was there already
+	err     error
+}
+
+// clerk creates job records, those that wait at the same time in one
+// transaction.
+type clerk struct {
+	store  Store
+	ops    int
+	wishes chan *accept
+}
+
+// maxBytes keeps a transaction below the service's 64 KiB.
+const maxBytes = 48 << 10
+
+func newClerk(store Store, ops int) *clerk {
+	return &clerk{store: store, ops: ops, wishes: make(chan *accept, 256)}
+}
+
+var errFull = errors.New("too many submissions are waiting")
+
+// create has a job record created unless there is one.
+func (c *clerk) create(ctx context.Context, ref string, rec ledger.JobRecord) (accepted, error) {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return accepted{}, err
+	}
+	a := &accept{key: ledger.JobKey(ref), value: value, result: make(chan accepted, 1)}
+	select {
+	case c.wishes <- a:
+	default:
+		return accepted{}, errFull
+	}
+	select {
+	case r := <-a.result:
+		return r, r.err
+	case <-ctx.Done():
+		return accepted{}, ctx.Err()
+	}
+}
+
+func (c *clerk) run(ctx context.Context) {
+	for {
+		var batch []*accept
+		size := 0
+		select {
+		case a := <-c.wishes:
+			batch, size = append(batch, a), len(a.value)
+		case <-ctx.Done():
+			return
+		}
+	gather:
+		for len(batch) < c.ops && size < maxBytes-(4<<10) {
+			select {
+			case a := <-c.wishes:
+				batch = append(batch, a)
+				size += len(a.value) + 2*len(a.key) + 100
+			default:
+				break gather
+			}
+		}
+		go c.commit(ctx, batch)
+	}
+}
+
+// commit creates a batch of records. Those that exist already are told so and
+// the rest is tried once more without them.
+func (c *clerk) commit(ctx context.Context, batch []*accept) {
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	for len(batch) > 0 {
+		var txn wire.Txn
+		seen := map[string]bool{}
+		var round, again []*accept
+		for _, a := range batch {
+			if seen[a.key] {
+				// The same job twice in one batch: the second finds the first.
+				again = append(again, a)
+				continue
+			}
+			seen[a.key] = true
+			round = append(round, a)
+			txn.If = append(txn.If, wire.Condition{Key: a.key})
+			txn.Then = append(txn.Then, wire.Change{Set: a.key, Value: a.value})
+		}
+		ok, answer, err := c.store.Txn(ctx, state.Accept, txn)
+		if errors.Is(err, state.ErrUnknown) && ctx.Err() == nil {
+			// Creating is safe to repeat: what was carried out is then known.
+			continue
+		}
+		if err != nil {
+			for _, a := range batch {
+				a.result <- accepted{err: err}
+			}
+			return
+		}
+		failed := map[string]bool{}
+		for _, key := range answer.Failed {
+			failed[key] = true
+		}
+		for _, a := range round {
+			switch {
+			case ok:
+				a.result <- accepted{version: answer.Revision}
+			case failed[a.key]:
+				a.result <- accepted{known: true}
+			default:
+				again = append(again, a)
+			}
+		}
+		batch = again
+	}
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,351 @@
+// Package intake is the users' side of a node: submissions, questions and
+// cancellations. Every node serves them. Nothing is told that is older than
+// what any node may have told before: terminal states come from the leader in
+// its term or from a fresh read of the state service.
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"leadproxy/internal/dispatch"
+	"leadproxy/internal/election"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// Answer is what a user gets.
+type Answer struct {
+	Status     int
+	Body       []byte
+	RetryAfter int // seconds; 0: none
+}
+
+// Kind is what a user asks for.
+type Kind int
+
+// The kinds of requests that nodes pass on to one another.
+const (
+	Submit Kind = iota + 1
+	Status
+	Cancel
+)
+
+// Peers passes requests on to other nodes.
+type Peers interface {
+	// Ask has a node answer. An error means that it did not.
+	Ask(ctx context.Context, node string, k Kind, ref string, body []byte) (Answer, error)
+	// Names lists the other nodes.
+	Names() []string
+}
+
+// Desk is the node's dispatcher.
+type Desk interface {
+	Status(ctx context.Context, ref string) (wire.JobStatus, bool, error)
+	Cancel(ctx context.Context, ref string) (wire.JobStatus, bool, error)
+	Tell(j dispatch.JobSeen)
+}
+
+// Types tells the machine types, and whether they are known yet.
+type Types func() ([]wire.MachineType, bool)
+
+// Service answers users.
+type Service struct {
+	node    string
+	facts   settings.Facts
+	teams   map[string]settings.Team
+	elector *election.Elector
+	store   Store
+	desk    Desk
+	peers   Peers
+	types   Types
+	clerk   *clerk
+	log     *slog.Logger
+}
+
+// New makes the service and starts its clerk, which runs until ctx ends.
+func New(ctx context.Context, p *settings.Platform, e *election.Elector, store Store, desk Desk, peers Peers, types Types, share float64, log *slog.Logger) *Service {
+	s := &Service{node: p.Node, facts: p.Facts, teams: map[string]settings.Team{}, elector: e, store: store, desk: desk,
+		peers: peers, types: types, log: log}
+	for _, t := range p.Facts.Teams {
+		s.teams[t.Name] = t
+	}
+	s.clerk = newClerk(store, max(1, min(p.Facts.State.TxnOps, int(p.Facts.State.WriteRPS*share))))
+	go s.clerk.run(ctx)
+	return s
+}
+
+func jsonAnswer(status int, body any) Answer {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return Answer{Status: http.StatusInternalServerError}
+	}
+	return Answer{Status: status, Body: b}
+}
+
+func problem(status int, format string, args ...any) Answer {
+	return jsonAnswer(status, wire.Problem{Error: fmt.Sprintf(format, args...)})
+}
+
+// later tells a user to come again.
+func later(status, seconds int, why string) Answer {
+	a := problem(status, "%s", why)
+	a.RetryAfter = seconds
+	return a
+}
+
+var noState = later(http.StatusServiceUnavailable, 2, "the state service can't be reached at the moment")
+
+// Handle answers a request. local is set for one that another node has passed
+// on: it goes no further.
+func (s *Service) Handle(ctx context.Context, k Kind, ref string, body []byte, local bool) Answer {
+	switch k {
+	case Submit:
+		return s.submit(ctx, body, local)
+	case Status:
+		return s.status(ctx, ref, local)
+	case Cancel:
+		return s.cancel(ctx, ref, local)
+	}
+	return problem(http.StatusBadRequest, "unknown kind of request")
+}
+
+// --- submissions ---
+
+func (s *Service) submit(ctx context.Context, body []byte, local bool) Answer {
+	job, ref, err := wire.ParseJob(body)
+	if ref == "" {
+		return problem(http.StatusBadRequest, "%s", err)
+	}
+	refusal := Answer{}
+	if err != nil {
+		refusal = problem(http.StatusBadRequest, "%s", err)
+	} else {
+		refusal = s.judge(job)
+	}
+	if refusal.Status != 0 {
+		// A job accepted before stays accepted, whatever we would say now.
+		rec, found, err := s.record(ctx, ref)
+		switch {
+		case err != nil && refusal.Status == http.StatusServiceUnavailable:
+			return refusal
+		case err != nil:
+			return s.elsewhere(ctx, Submit, ref, body, local, noState)
+		case found:
+			return s.known(ctx, ref, rec)
+		}
+		return refusal
+	}
+	rec := ledger.JobRecord{Job: job, AcceptedMS: time.Now().UnixMilli()}
+	a, err := s.clerk.create(ctx, ref, rec)
+	switch {
+	case errors.Is(err, errFull), errors.Is(err, state.ErrBusy):
+		return later(http.StatusTooManyRequests, 2, "more submissions are coming than can be recorded")
+	case err != nil:
+		s.log.Info("submission not recorded", "job", ref, "error", err)
+		return s.elsewhere(ctx, Submit, ref, body, local, noState)
+	case a.known:
+		rec, found, err := s.record(ctx, ref)
+		if err != nil || !found {
+			return s.elsewhere(ctx, Submit, ref, body, local, noState)
+		}
+		return s.known(ctx, ref, rec)
+	}
+	s.log.Debug("submission recorded", "job", ref, "class", job.Class, "tasks", job.Tasks)
+	s.desk.Tell(dispatch.JobSeen{Ref: ref, Record: rec, Version: a.version})
+	return jsonAnswer(http.StatusCreated, wire.Accepted{Ref: ref, Status: wire.Queued})
+}
+
+// known answers the repetition of an accepted job.
+func (s *Service) known(ctx context.Context, ref string, rec ledger.JobRecord) Answer {
+	status := rec.Fate
+	if status == "" {
+		status = wire.Queued
+		if st, found, err := s.fromDesk(ctx, ref); err == nil && found {
+			status = st.Status
+		}
+	}
+	return jsonAnswer(http.StatusOK, wire.Accepted{Ref: ref, Status: status})
+}
+
+// judge tells why a job can never run, or that this can't be told yet. A zero
+// answer is none.
+func (s *Service) judge(j *wire.Job) Answer {
+	team, ok := s.teams[j.Team]
+	if !ok {
+		return problem(http.StatusUnprocessableEntity, "team %q is not known", j.Team)
+	}
+	if team.CPUsMax > 0 && j.CPUs > team.CPUsMax || team.GPUsMax > 0 && j.GPUs > team.GPUsMax {
+		return problem(http.StatusUnprocessableEntity, "one task needs more than the limit of team %q", j.Team)
+	}
+	types, ok := s.types()
+	if !ok {
+		return later(http.StatusServiceUnavailable, 1, "the machine types are not known yet")
+	}
+	for _, t := range types {
+		if j.CPUs <= t.CPUs && j.GPUs <= t.GPUs && j.MemGB <= t.MemGB && allowed(j, &t) {
+			return Answer{}
+		}
+	}
+	return problem(http.StatusUnprocessableEntity, "a task fits no machine type that the job allows")
+}
+
+func allowed(j *wire.Job, t *wire.MachineType) bool {
+	if j.Types != nil && !has(j.Types, t.Name) {
+		return false
+	}
+	return j.Zone == nil || has(t.Zones, *j.Zone)
+}
+
+func has(list []string, name string) bool {
+	for _, n := range list {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// --- questions ---
+
+// record reads a job's record from the state service.
+func (s *Service) record(ctx context.Context, ref string) (rec ledger.JobRecord, found bool, err error) {
+	e, found, _, err := s.store.Get(ctx, state.Read, ledger.JobKey(ref))
+	if err != nil || !found {
+		return rec, false, err
+	}
+	return rec, true, json.Unmarshal(e.Value, &rec)
+}
+
+var errNotHere = errors.New("not leading here")
+
+// fromDesk asks this node's dispatcher, if it leads. The answer counts only
+// while the term does.
+func (s *Service) fromDesk(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
+	v := s.elector.View()
+	if !v.InTerm(time.Now()) {
+		return wire.JobStatus{}, false, errNotHere
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	st, found, err := s.desk.Status(ctx, ref)
+	if err == nil && !s.elector.InTerm(v.Term) {
+		err = errNotHere
+	}
+	return st, found, err
+}
+
+func (s *Service) status(ctx context.Context, ref string, local bool) Answer {
+	if !wire.ValidRef(ref) {
+		return problem(http.StatusNotFound, "there is no such job")
+	}
+	if st, found, err := s.fromDesk(ctx, ref); err == nil && found {
+		return jsonAnswer(http.StatusOK, st)
+	}
+	if v := s.elector.View(); !local && v.Leader != "" && v.Leader != s.node {
+		if a, err := s.ask(ctx, 700*time.Millisecond, v.Leader, Status, ref, nil); err == nil && a.Status == http.StatusOK {
+			return a
+		}
+	}
+	rec, found, err := s.record(ctx, ref)
+	switch {
+	case err != nil:
+		return s.elsewhere(ctx, Status, ref, nil, local, noState)
+	case !found:
+		return problem(http.StatusNotFound, "there is no such job")
+	}
+	st := wire.JobStatus{Ref: ref, Status: rec.Fate, Done: rec.Done}
+	if rec.Fate == "" {
+		st.Status = wire.Queued
+	}
+	return jsonAnswer(http.StatusOK, st)
+}
+
+// --- cancellations ---
+
+func (s *Service) cancel(ctx context.Context, ref string, local bool) Answer {
+	if !wire.ValidRef(ref) {
+		return problem(http.StatusNotFound, "there is no such job")
+	}
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	v := s.elector.View()
+	if !v.InTerm(time.Now()) {
+		if !local && v.Leader != "" && v.Leader != s.node {
+			if a, err := s.ask(ctx, 4*time.Second, v.Leader, Cancel, ref, nil); err == nil {
+				return a
+			}
+		}
+		// Without a leader, what is over already can still be told.
+		if rec, found, err := s.record(ctx, ref); err == nil && (!found || rec.Fate != "") {
+			if !found {
+				return problem(http.StatusNotFound, "there is no such job")
+			}
+			return jsonAnswer(http.StatusOK, wire.Accepted{Ref: ref, Status: rec.Fate})
+		}
+		return later(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
+	}
+	st, found, err := s.desk.Cancel(ctx, ref)
+	if err == nil && !found {
+		// It may be so new that the leader has not seen it.
+		e, there, _, err := s.store.Get(ctx, state.Read, ledger.JobKey(ref))
+		var rec ledger.JobRecord
+		switch {
+		case err != nil:
+			return noState
+		case !there:
+			return problem(http.StatusNotFound, "there is no such job")
+		case json.Unmarshal(e.Value, &rec) != nil:
+			return problem(http.StatusInternalServerError, "the job's record can't be read")
+		}
+		s.desk.Tell(dispatch.JobSeen{Ref: ref, Record: rec, Version: e.Version})
+		st, found, err = s.desk.Cancel(ctx, ref)
+		if err != nil || !found {
+			return later(http.StatusServiceUnavailable, 1, "the job is not yet known to the leader")
+		}
+	}
+	if err != nil {
+		return later(http.StatusServiceUnavailable, 1, "the cancellation could not be recorded")
+	}
+	// The state that the dispatcher tells here is durable.
+	return jsonAnswer(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
+}
+
+// --- other nodes ---
+
+func (s *Service) ask(ctx context.Context, limit time.Duration, node string, k Kind, ref string, body []byte) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return s.peers.Ask(ctx, node, k, ref, body)
+}
+
+// elsewhere lets another node answer what this one can't, as when the state
+// service refuses this node alone.
+func (s *Service) elsewhere(ctx context.Context, k Kind, ref string, body []byte, local bool, otherwise Answer) Answer {
+	if local {
+		return otherwise
+	}
+	names := s.peers.Names()
+	if l := s.elector.View().Leader; l != s.node && has(names, l) {
+		// The leader first: it is the one that surely reached the service.
+		names = append([]string{l}, names...)
+	}
+	asked := map[string]bool{}
+	for _, n := range names {
+		if asked[n] || ctx.Err() != nil {
+			continue
+		}
+		asked[n] = true
+		if a, err := s.ask(ctx, 800*time.Millisecond, n, k, ref, body); err == nil && a.Status < 500 && a.Status != http.StatusTooManyRequests {
+			return a
+		}
+	}
+	return otherwise
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,307 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"leadproxy/internal/election"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// Store is the part of the state service that the ledger needs.
+type Store interface {
+	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, uint64, error)
+	List(ctx context.Context, under, after string, limit int) (wire.Entries, error)
+	Txn(ctx context.Context, p state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error)
+}
+
+// ErrDeposed ends a ledger whose term is over.
+var ErrDeposed = errors.New("another term has begun")
+
+// Write is one wish to change a key.
+type Write struct {
+	Key    string
+	Value  any // nil deletes the key
+	Urgent bool
+	// Version is the key's version as the caller saw it, for keys that
+	// another node has created; 0 when the ledger knows better.
+	Version uint64
+	// Tag is handed back once the key holds this value or a later one.
+	Tag any
+}
+
+// Ledger writes for one term of leadership. It owns the versions of all keys
+// that the leader writes, commits waiting writes together, and has one
+// transaction on its way at a time, so that a late copy of an old transaction
+// always fails its conditions.
+type Ledger struct {
+	term   uint64
+	store  Store
+	limits Limits
+	log    *slog.Logger
+	wishes chan []Write
+	// Durable tells the tags of writes that are now durable.
+	Durable chan []any
+
+	versions map[string]uint64
+	pending  map[string]*pendingWrite
+	urgent   []string
+	ordinary []string
+}
+
+// Limits bounds one transaction.
+type Limits struct {
+	Ops   int
+	Bytes int
+}
+
+type pendingWrite struct {
+	value  json.RawMessage // nil deletes
+	tags   []any
+	urgent bool
+}
+
+// New makes the ledger of a term; Load, then Run.
+func New(term uint64, store Store, limits Limits, log *slog.Logger) *Ledger {
+	return &Ledger{
+		term: term, store: store, limits: limits, log: log,
+		wishes: make(chan []Write, 64), Durable: make(chan []any, 64),
+		versions: map[string]uint64{}, pending: map[string]*pendingWrite{},
+	}
+}
+
+// Load reads the whole ledger.
+func (l *Ledger) Load(ctx context.Context) (Snapshot, error) {
+	var entries []wire.Entry
+	var revision uint64
+	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix} {
+		after := ""
+		for {
+			page, err := l.store.List(ctx, prefix, after, 1000)
+			if err != nil {
+				return Snapshot{}, fmt.Errorf("reading %s: %w", prefix, err)
+			}
+			if revision == 0 {
+				revision = page.Revision
+			}
+			for _, e := range page.Items {
+				l.versions[e.Key] = e.Version
+				after = e.Key
+			}
+			entries = append(entries, page.Items...)
+			if !page.More || len(page.Items) == 0 {
+				break
+			}
+		}
+	}
+	s, err := collect(entries)
+	s.Revision = revision
+	return s, err
+}
+
+// Put hands writes to the ledger. It gives up only with ctx.
+func (l *Ledger) Put(ctx context.Context, writes []Write) {
+	select {
+	case l.wishes <- writes:
+	case <-ctx.Done():
+	}
+}
+
+type outcome struct {
+	keys   []string
+	writes []*pendingWrite
+	ok     bool
+	answer wire.TxnAnswer
+	err    error
+	// reread holds the versions of keys whose condition failed.
+	reread map[string]uint64
+}
+
+// Run commits until ctx ends or the term is over.
+func (l *Ledger) Run(ctx context.Context) error {
+	results := make(chan outcome, 1)
+	flying := false
+	var told []any
+	for {
+		if !flying && len(l.pending) > 0 {
+			keys, writes, txn := l.batch()
+			flying = true
+			go func() {
+				o := l.commit(ctx, txn)
+				o.keys, o.writes = keys, writes
+				results <- o
+			}()
+		}
+		var durable chan []any
+		if len(told) > 0 {
+			durable = l.Durable
+		}
+		select {
+		case ws := <-l.wishes:
+			for _, w := range ws {
+				if err := l.enqueue(w); err != nil {
+					return err
+				}
+			}
+		case r := <-results:
+			flying = false
+			tags, err := l.settle(r)
+			if err != nil {
+				return err
+			}
+			told = append(told, tags...)
+		case durable <- told:
+			told = nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// commit carries out one transaction and, where it fails, does the waiting
+// that must not hold up the ledger's mailbox.
+func (l *Ledger) commit(ctx context.Context, txn wire.Txn) outcome {
+	var o outcome
+	o.ok, o.answer, o.err = l.store.Txn(ctx, state.Leader, txn)
+	if o.err != nil {
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+		}
+		return o
+	}
+	if o.ok {
+		return o
+	}
+	// An earlier try whose outcome we did not learn was carried out, or a job
+	// record was written by another node. Learn the versions anew.
+	o.reread = map[string]uint64{}
+	for _, key := range o.answer.Failed {
+		if key == election.Key {
+			o.err = ErrDeposed
+			return o
+		}
+		e, _, _, err := l.store.Get(ctx, state.Leader, key)
+		if err != nil {
+			l.log.Debug("ledger key not reread", "key", key, "error", err)
+			continue
+		}
+		o.reread[key] = e.Version
+	}
+	return o
+}
+
+func (l *Ledger) enqueue(w Write) error {
+	var value json.RawMessage
+	if w.Value != nil {
+		var err error
+		if value, err = json.Marshal(w.Value); err != nil {
+			return fmt.Errorf("ledger key %s: %w", w.Key, err)
+		}
+	}
+	p := l.pending[w.Key]
+	if p == nil {
+		p = &pendingWrite{urgent: w.Urgent}
+		l.pending[w.Key] = p
+		if w.Urgent {
+			l.urgent = append(l.urgent, w.Key)
+		} else {
+			l.ordinary = append(l.ordinary, w.Key)
+		}
+	} else if w.Urgent && !p.urgent {
+		// The key moves to the urgent queue; batch skips the place it leaves.
+		p.urgent = true
+		l.urgent = append(l.urgent, w.Key)
+	}
+	p.value = value
+	if _, ok := l.versions[w.Key]; !ok && w.Version > 0 {
+		l.versions[w.Key] = w.Version
+	}
+	if w.Tag != nil {
+		p.tags = append(p.tags, w.Tag)
+	}
+	return nil
+}
+
+// batch takes as many pending writes as one transaction may carry.
+func (l *Ledger) batch() ([]string, []*pendingWrite, wire.Txn) {
+	txn := wire.Txn{If: []wire.Condition{{Key: election.Key, Version: l.term}}}
+	var keys []string
+	var writes []*pendingWrite
+	size := 200
+	take := func(queue *[]string) {
+		for len(*queue) > 0 && len(keys) < l.limits.Ops {
+			key := (*queue)[0]
+			p := l.pending[key]
+			if p == nil {
+				*queue = (*queue)[1:]
+				continue
+			}
+			cost := len(p.value) + 2*len(key) + 100
+			if len(keys) > 0 && size+cost > l.limits.Bytes {
+				return
+			}
+			size += cost
+			*queue = (*queue)[1:]
+			delete(l.pending, key)
+			keys = append(keys, key)
+			writes = append(writes, p)
+			txn.If = append(txn.If, wire.Condition{Key: key, Version: l.versions[key]})
+			if p.value == nil {
+				txn.Then = append(txn.Then, wire.Change{Delete: key})
+			} else {
+				txn.Then = append(txn.Then, wire.Change{Set: key, Value: p.value})
+			}
+		}
+	}
+	take(&l.urgent)
+	take(&l.ordinary)
+	return keys, writes, txn
+}
+
+// settle takes the outcome of a transaction and returns the tags of what is
+// durable now. What is not goes back unless a later wish has replaced it.
+func (l *Ledger) settle(r outcome) ([]any, error) {
+	if r.err == nil && r.ok {
+		var tags []any
+		for i, key := range r.keys {
+			if r.writes[i].value == nil {
+				delete(l.versions, key)
+			} else {
+				l.versions[key] = r.answer.Revision
+			}
+			tags = append(tags, r.writes[i].tags...)
+		}
+		return tags, nil
+	}
+	switch {
+	case errors.Is(r.err, ErrDeposed):
+		return nil, r.err
+	case errors.Is(r.err, state.ErrBad):
+		l.log.Error("ledger write rejected", "keys", r.keys, "error", r.err)
+	case r.err != nil:
+		l.log.Debug("ledger write failed", "keys", len(r.keys), "error", r.err)
+	}
+	for key, version := range r.reread {
+		l.versions[key] = version
+	}
+	for i, key := range r.keys {
+		old := r.writes[i]
+		if p := l.pending[key]; p != nil {
+			p.tags = append(old.tags, p.tags...)
+			continue
+		}
+		l.pending[key] = old
+		if old.urgent {
+			l.urgent = append(l.urgent, key)
+		} else {
+			l.ordinary = append(l.ordinary, key)
+		}
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/ledger/records.go
@@ -0,0 +1,195 @@
+// Package ledger keeps what must outlive every controller: job records,
+// finished tasks, the machines a job's tasks may be on, and open hires. Any
+// node creates job records; everything else is written by the leader, under
+// its term.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"leadproxy/internal/wire"
+)
+
+// The prefixes of the keys.
+const (
+	JobPrefix  = "job/"
+	finPrefix  = "fin/"
+	hostPrefix = "host/"
+	hirePrefix = "hire/"
+)
+
+// JobRecord is a job as accepted, with its terminal state once it has one.
+type JobRecord struct {
+	Job *wire.Job `json:"job,omitempty"`
+	// AcceptedMS is the time of day of the acceptance.
+	AcceptedMS int64 `json:"accepted_ms"`
+	// Fate is empty, wire.Done or wire.Aborted. A record is never deleted;
+	// with a fate it shrinks to what queries need.
+	Fate  string `json:"fate,omitempty"`
+	Tasks int    `json:"tasks,omitempty"`
+	Done  int    `json:"done,omitempty"`
+}
+
+// JobKey is the key of a job's record.
+func JobKey(ref string) string { return JobPrefix + ref }
+
+// HireRecord is a hire that was, or may have been, sent to the cloud.
+type HireRecord struct {
+	Hire wire.Hire `json:"hire"`
+	// Machines is known once the cloud has answered.
+	Machines []string `json:"machines,omitempty"`
+}
+
+// HireKey is the key of a hire's record.
+func HireKey(name string) string { return hirePrefix + name }
+
+// ChunkTasks is how many tasks one key of finished ranges covers. The worst
+// case, every other task done, stays well below the least value limit.
+const ChunkTasks = 1024
+
+// FinKey is the key of one chunk of a job's finished tasks.
+func FinKey(ref string, chunk int) string { return fmt.Sprintf("%s%s/%d", finPrefix, ref, chunk) }
+
+// Ranges are finished tasks as pairs of first and last, relative to the chunk.
+type Ranges []int
+
+// EncodeRanges lists the runs of true in done.
+func EncodeRanges(done func(i int) bool, n int) Ranges {
+	var out Ranges
+	for i := 0; i < n; i++ {
+		if !done(i) {
+			continue
+		}
+		first := i
+		for i+1 < n && done(i+1) {
+			i++
+		}
+		out = append(out, first, i)
+	}
+	return out
+}
+
+// Each calls f for every task in the ranges.
+func (r Ranges) Each(f func(i int)) {
+	for k := 0; k+1 < len(r); k += 2 {
+		for i := max(r[k], 0); i <= r[k+1] && i < ChunkTasks; i++ {
+			f(i)
+		}
+	}
+}
+
+// chunkHosts is how many machine names one host key holds.
+const chunkHosts = 200
+
+// HostKey is the key that holds the n-th machine a job's tasks may be on.
+func HostKey(ref string, n int) string {
+	return fmt.Sprintf("%s%s/%d", hostPrefix, ref, n/chunkHosts)
+}
+
+// HostChunk returns the names that share the key of the n-th one.
+func HostChunk(hosts []string, n int) []string {
+	from := n / chunkHosts * chunkHosts
+	return hosts[from:min(from+chunkHosts, len(hosts))]
+}
+
+// HostKeys are all keys that a job's hosts take.
+func HostKeys(ref string, hosts int) []string {
+	var out []string
+	for n := 0; n < hosts; n += chunkHosts {
+		out = append(out, HostKey(ref, n))
+	}
+	return out
+}
+
+// SavedJob is a job as the ledger holds it.
+type SavedJob struct {
+	Ref      string
+	Version  uint64
+	Record   JobRecord
+	Finished map[int]Ranges
+	Hosts    []string
+}
+
+// Snapshot is the whole ledger, read at the start of a term.
+type Snapshot struct {
+	Jobs  []SavedJob
+	Hires []HireRecord
+	// Revision is where a watch for further job records starts.
+	Revision uint64
+}
+
+// collect turns entries of the ledger's prefixes into a snapshot.
+func collect(entries []wire.Entry) (Snapshot, error) {
+	var s Snapshot
+	jobs := map[string]*SavedJob{}
+	hosts := map[string]map[int][]string{}
+	job := func(ref string) *SavedJob {
+		if jobs[ref] == nil {
+			jobs[ref] = &SavedJob{Ref: ref, Finished: map[int]Ranges{}}
+		}
+		return jobs[ref]
+	}
+	for _, e := range entries {
+		var err error
+		switch {
+		case strings.HasPrefix(e.Key, JobPrefix):
+			j := job(strings.TrimPrefix(e.Key, JobPrefix))
+			j.Version = e.Version
+			err = json.Unmarshal(e.Value, &j.Record)
+		case strings.HasPrefix(e.Key, finPrefix):
+			ref, chunk, ok := numbered(e.Key, finPrefix)
+			var r Ranges
+			if err = json.Unmarshal(e.Value, &r); err == nil && ok {
+				job(ref).Finished[chunk] = r
+			}
+		case strings.HasPrefix(e.Key, hostPrefix):
+			ref, chunk, ok := numbered(e.Key, hostPrefix)
+			var names []string
+			if err = json.Unmarshal(e.Value, &names); err == nil && ok {
+				if hosts[ref] == nil {
+					hosts[ref] = map[int][]string{}
+				}
+				hosts[ref][chunk] = names
+			}
+		case strings.HasPrefix(e.Key, hirePrefix):
+			var h HireRecord
+			if err = json.Unmarshal(e.Value, &h); err == nil {
+				s.Hires = append(s.Hires, h)
+			}
+		}
+		if err != nil {
+			return s, fmt.Errorf("ledger key %s: %w", e.Key, err)
+		}
+	}
+	for ref, chunks := range hosts {
+		j := job(ref)
+		for i := 0; i < len(chunks); i++ {
+			j.Hosts = append(j.Hosts, chunks[i]...)
+		}
+	}
+	for _, j := range jobs {
+		s.Jobs = append(s.Jobs, *j)
+	}
+	// One order everywhere, so that a replay decides the same.
+	sort.Slice(s.Jobs, func(a, b int) bool {
+		ja, jb := &s.Jobs[a], &s.Jobs[b]
+		if ja.Record.AcceptedMS != jb.Record.AcceptedMS {
+			return ja.Record.AcceptedMS < jb.Record.AcceptedMS
+		}
+		return ja.Ref < jb.Ref
+	})
+	return s, nil
+}
+
+func numbered(key, prefix string) (ref string, n int, ok bool) {
+	ref, num, ok := strings.Cut(strings.TrimPrefix(key, prefix), "/")
+	if !ok {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(num)
+	return ref, n, err == nil && n >= 0
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,160 @@
+// Package node puts the slices of one controller together and serves its
+// addresses.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"golang.org/x/net/netutil"
+
+	"leadproxy/internal/dispatch"
+	"leadproxy/internal/election"
+	"leadproxy/internal/fleet"
+	"leadproxy/internal/intake"
+	"leadproxy/internal/peers"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// Run runs a controller until ctx ends or an address can't be served.
+func Run(ctx context.Context, p *settings.Platform, op settings.Operator, log *slog.Logger) error {
+	f := p.Facts
+	// The runtime should collect harder rather than have the process killed.
+	debug.SetMemoryLimit(int64(f.Resources.RAMMB * 0.7 * (1 << 20)))
+
+	public, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return fmt.Errorf("public_addr %s: %w", p.Listen, err)
+	}
+	defer public.Close()
+	back, err := net.Listen("tcp", p.Back)
+	if err != nil {
+		return fmt.Errorf("back %s: %w", p.Back, err)
+	}
+	defer back.Close()
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	share := dispatch.FollowerShare(f.Nodes)
+	store := state.New(ctx, p.Services.State, f.State.RPS, f.State.WriteRPS, share)
+	elector := election.New(p.Node, op, store, log)
+	desk := dispatch.NewDesk(p, op, elector, store, log)
+	others, err := peers.Dial(p.Peers)
+	if err != nil {
+		return err
+	}
+	types := watchTypes(ctx, fleet.NewClient(p.Services.Cloud, f.Cloud.RPS, log), log)
+	in := intake.New(ctx, p, elector, store, desk, others, types, share, log)
+
+	router := httprouter.New()
+	in.Routes(router)
+	router.POST("/v1/report", reports(p.Node, elector, desk, log))
+
+	log.Info("serving", "node", p.Node, "zone", p.Zone, "public", p.Listen, "back", p.Back, "others", len(p.Peers))
+	go elector.Run(ctx)
+	go desk.Run(ctx)
+	failed := make(chan error, 2)
+	grpcServer := peers.NewServer(in)
+	go func() { failed <- grpcServer.Serve(back) }()
+	web := &http.Server{Handler: router, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	// Connections of users and workers leave room for those that we open.
+	go func() { failed <- web.Serve(netutil.LimitListener(public, max(8, f.Resources.Sockets*2/3))) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving: %w", err)
+	case <-ctx.Done():
+		grpcServer.Stop()
+		if err := web.Close(); err != nil {
+			log.Debug("closing", "error", err)
+		}
+		return nil
+	}
+}
+
+// watchTypes reads the machine types until they are known, and now and then
+// after that, as types may come.
+func watchTypes(ctx context.Context, cloud *fleet.Client, log *slog.Logger) intake.Types {
+	var known atomic.Pointer[[]wire.MachineType]
+	go func() {
+		for ctx.Err() == nil {
+			wait := 2 * time.Minute
+			types, err := cloud.Types(ctx)
+			if err == nil && len(types) > 0 {
+				known.Store(&types)
+			} else {
+				log.Debug("machine types not read", "error", err)
+				wait = time.Second
+			}
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return func() ([]wire.MachineType, bool) {
+		t := known.Load()
+		if t == nil {
+			return nil, false
+		}
+		return *t, true
+	}
+}
+
+// reportLimit is how long a report may wait for its answer; the worker gives up
+// after 4 s.
+const reportLimit = 3 * time.Second
+
+// reports answers the workers, in the leader's term only.
+func reports(node string, elector *election.Elector, desk *dispatch.Desk, log *slog.Logger) httprouter.Handle {
+	elsewhere := func(w http.ResponseWriter) {
+		v := elector.View()
+		hint := wire.Elsewhere{}
+		if v.Leader != node {
+			hint.Leader = v.Leader
+		}
+		intake.WriteJSON(w, http.StatusMisdirectedRequest, hint)
+	}
+	return func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
+		body, err := intake.ReadBody(w, req)
+		if err != nil {
+			intake.WriteJSON(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+			return
+		}
+		report, err := wire.ParseReport(body)
+		if err != nil {
+			log.Info("malformed report", "error", err)
+			intake.WriteJSON(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+			return
+		}
+		v := elector.View()
+		if !v.InTerm(time.Now()) {
+			elsewhere(w)
+			return
+		}
+		ctx, cancel := context.WithTimeout(req.Context(), reportLimit)
+		defer cancel()
+		answer, err := desk.Report(ctx, report)
+		// The term is checked again as the answer is written: past its end
+		// another leader may have begun, and a 200 would keep the worker here.
+		if err == nil && elector.InTerm(v.Term) {
+			intake.WriteJSON(w, http.StatusOK, answer)
+			return
+		}
+		if err != nil && !errors.Is(err, dispatch.ErrNotLeading) {
+			intake.WriteJSON(w, http.StatusServiceUnavailable, wire.Problem{Error: "the leader is not ready"})
+			return
+		}
+		elsewhere(w)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,76 @@
+// Package peers carries requests between controllers, over gRPC.
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"leadproxy/internal/intake"
+	"leadproxy/internal/peers/peerpb"
+	"leadproxy/internal/settings"
+)
+
+// Peers holds the connections to the other controllers.
+type Peers struct {
+	names   []string
+	clients map[string]peerpb.PeerClient // filled once, then only read
+}
+
+// Dial prepares a connection to each of the other controllers. Nothing is sent
+// until the first request.
+func Dial(others []settings.Peer) (*Peers, error) {
+	p := &Peers{clients: map[string]peerpb.PeerClient{}}
+	for _, o := range others {
+		conn, err := grpc.NewClient("passthrough:///"+o.Addr,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: reconnect.MaxDelay}),
+			grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+				var d net.Dialer
+				return d.DialContext(ctx, "tcp", addr)
+			}))
+		if err != nil {
+			return nil, fmt.Errorf("peer %s: %w", o.Node, err)
+		}
+		p.names = append(p.names, o.Node)
+		p.clients[o.Node] = peerpb.NewPeerClient(conn)
+	}
+	return p, nil
+}
+
+// Names lists the other controllers.
+func (p *Peers) Names() []string { return p.names }
+
+// Ask passes a user's request on to a node.
+func (p *Peers) Ask(ctx context.Context, node string, k intake.Kind, ref string, body []byte) (intake.Answer, error) {
+	c := p.clients[node]
+	if c == nil {
+		return intake.Answer{}, fmt.Errorf("node %q is not one of the others", node)
+	}
+	r, err := c.Ask(ctx, &peerpb.AskRequest{Kind: peerpb.AskRequest_Kind(k), Ref: ref, Body: body})
+	if err != nil {
+		return intake.Answer{}, fmt.Errorf("node %s: %w", node, err)
+	}
+	return intake.Answer{Status: int(r.Status), Body: r.Body, RetryAfter: int(r.RetryAfterS)}, nil
+}
+
+// server answers the other controllers.
+type server struct {
+	peerpb.UnimplementedPeerServer
+	intake *intake.Service
+}
+
+func (s *server) Ask(ctx context.Context, r *peerpb.AskRequest) (*peerpb.AskReply, error) {
+	a := s.intake.Handle(ctx, intake.Kind(r.Kind), r.Ref, r.Body, true)
+	return &peerpb.AskReply{Status: int32(a.Status), Body: a.Body, RetryAfterS: int32(a.RetryAfter)}, nil
+}
+
+// NewServer makes the server for the other controllers.
+func NewServer(in *intake.Service) *grpc.Server {
+	g := grpc.NewServer()
+	peerpb.RegisterPeerServer(g, &server{intake: in})
+	return g
+}
--- /dev/null
+++ b/internal/state/client.go
@@ -0,0 +1,253 @@
+// Package state is the client of the state service. One pacer per process owns
+// the node's share of the service's rate limits and grants requests by
+// priority; the rest is plain requests and their outcomes.
+package state
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"leadproxy/internal/wire"
+)
+
+// The outcomes besides success that callers tell apart.
+var (
+	// ErrRefused: the request was not carried out (503, or no connection).
+	ErrRefused = errors.New("state service refused the request")
+	// ErrUnknown: no response; it may have been, or may yet be, carried out.
+	ErrUnknown = errors.New("outcome of the state request is unknown")
+	// ErrNoLease: the lease has ended.
+	ErrNoLease = errors.New("no such lease")
+	// ErrTooOld: the watch's revision is no longer kept.
+	ErrTooOld = errors.New("revision is no longer kept")
+	// ErrBusy: this node's share of the rate is used up and the queue is full.
+	ErrBusy = errors.New("too many state requests are waiting")
+	// ErrBad: the service found the request malformed.
+	ErrBad = errors.New("state service rejected the request")
+)
+
+// Priority ranks requests when the rate is short.
+type Priority int
+
+// The priorities, the most urgent first.
+const (
+	Lease Priority = iota
+	Leader
+	Accept
+	Read
+	priorities
+)
+
+// Client speaks to the state service.
+type Client struct {
+	base  string
+	http  *http.Client
+	pacer *pacer
+}
+
+// timeout bounds one ordinary request.
+const timeout = 1500 * time.Millisecond
+
+// New makes a client whose pacer runs until ctx ends. rps and wps are the
+// service's limits, of which share is this node's at the start.
+func New(ctx context.Context, addr string, rps, wps, share float64) *Client {
+	c := &Client{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: 16,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+		pacer: newPacer(rps, wps, share),
+	}
+	go c.pacer.run(ctx)
+	return c
+}
+
+// SetShare changes this node's part of the service's rate.
+func (c *Client) SetShare(share float64) { c.pacer.shares <- share }
+
+func (c *Client) do(ctx context.Context, p Priority, writes int, limit time.Duration, method, path string, body any) (int, []byte, error) {
+	var payload []byte
+	if body != nil {
+		var err error
+		if payload, err = json.Marshal(body); err != nil {
+			return 0, nil, fmt.Errorf("encode %s: %w", path, err)
+		}
+	}
+	for {
+		if err := c.pacer.wait(ctx, p, writes); err != nil {
+			return 0, nil, err
+		}
+		status, answer, err := c.once(ctx, limit, method, path, payload)
+		if err == nil && status == http.StatusTooManyRequests {
+			// Another node uses more than its share at the moment: step back.
+			c.pacer.penalise()
+			continue
+		}
+		if err == nil && status == http.StatusServiceUnavailable {
+			return status, nil, ErrRefused
+		}
+		return status, answer, err
+	}
+}
+
+func (c *Client) once(ctx context.Context, limit time.Duration, method, path string, payload []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(payload))
+	if err != nil {
+		return 0, nil, fmt.Errorf("request %s: %w", path, err)
+	}
+	if payload != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return 0, nil, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return resp.StatusCode, answer, nil
+}
+
+func decode(answer []byte, into any) error {
+	if err := json.Unmarshal(answer, into); err != nil {
+		return fmt.Errorf("%w: answer can't be read: %w", ErrUnknown, err)
+	}
+	return nil
+}
+
+func unexpected(status int, answer []byte) error {
+	if len(answer) > 200 {
+		answer = answer[:200]
+	}
+	return fmt.Errorf("%w: status %d: %s", ErrBad, status, answer)
+}
+
+// Get reads a key; found is false when it does not exist. The revision is the
+// entry's version or, for a missing key, the service's revision.
+func (c *Client) Get(ctx context.Context, p Priority, key string) (e wire.Entry, found bool, revision uint64, err error) {
+	status, answer, err := c.do(ctx, p, 0, timeout, http.MethodGet, "/store/"+key, nil)
+	if err != nil {
+		return e, false, 0, err
+	}
+	switch status {
+	case http.StatusOK:
+		err = decode(answer, &e)
+		return e, err == nil, e.Version, err
+	case http.StatusNotFound:
+		var n wire.News
+		err = decode(answer, &n)
+		return e, false, n.Revision, err
+	}
+	return e, false, 0, unexpected(status, answer)
+}
+
+// List reads one page of the keys under a prefix.
+func (c *Client) List(ctx context.Context, under, after string, limit int) (page wire.Entries, err error) {
+	q := url.Values{"under": {under}, "limit": {strconv.Itoa(limit)}}
+	if after != "" {
+		q.Set("from", after)
+	}
+	status, answer, err := c.do(ctx, Leader, 0, 2*timeout, http.MethodGet, "/store?"+q.Encode(), nil)
+	if err != nil {
+		return page, err
+	}
+	if status != http.StatusOK {
+		return page, unexpected(status, answer)
+	}
+	return page, decode(answer, &page)
+}
+
+// Txn carries out a transaction. ok is false when a condition failed.
+func (c *Client) Txn(ctx context.Context, p Priority, t wire.Txn) (ok bool, a wire.TxnAnswer, err error) {
+	if t.Then == nil {
+		t.Then = []wire.Change{}
+	}
+	status, answer, err := c.do(ctx, p, len(t.Then), timeout, http.MethodPost, "/txn", t)
+	if err != nil {
+		return false, a, err
+	}
+	switch status {
+	case http.StatusOK, http.StatusConflict:
+		err = decode(answer, &a)
+		return err == nil && status == http.StatusOK, a, err
+	}
+	if bytes.Contains(answer, []byte("no such lease")) {
+		return false, a, ErrNoLease
+	}
+	return false, a, unexpected(status, answer)
+}
+
+// NewLease obtains a lease.
+func (c *Client) NewLease(ctx context.Context, ttl time.Duration) (uint64, error) {
+	status, answer, err := c.do(ctx, Lease, 0, timeout, http.MethodPost, "/leases", wire.LeaseTerms{TTLMS: ttl.Milliseconds()})
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, unexpected(status, answer)
+	}
+	var a wire.LeaseAnswer
+	return a.Lease, decode(answer, &a)
+}
+
+// Renew renews a lease.
+func (c *Client) Renew(ctx context.Context, lease uint64) error {
+	status, answer, err := c.do(ctx, Lease, 0, time.Second, http.MethodPost, "/leases/"+strconv.FormatUint(lease, 10)+"/renew", struct{}{})
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNoLease
+	}
+	return unexpected(status, answer)
+}
+
+// EndLease ends a lease at once, with the keys attached to it.
+func (c *Client) EndLease(ctx context.Context, lease uint64) error {
+	status, answer, err := c.do(ctx, Lease, 0, timeout, http.MethodDelete, "/leases/"+strconv.FormatUint(lease, 10), nil)
+	if err != nil {
+		return err
+	}
+	if status/100 != 2 && status != http.StatusNotFound {
+		return unexpected(status, answer)
+	}
+	return nil
+}
+
+// Watch waits until a key under the prefix has changed after a revision.
+func (c *Client) Watch(ctx context.Context, under string, after uint64, wait time.Duration) (n wire.News, err error) {
+	q := url.Values{"under": {under}, "from": {strconv.FormatUint(after, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	status, answer, err := c.do(ctx, Leader, 0, wait+2*time.Second, http.MethodGet, "/changes?"+q.Encode(), nil)
+	if err != nil {
+		return n, err
+	}
+	switch status {
+	case http.StatusOK:
+		return n, decode(answer, &n)
+	case http.StatusGone:
+		return n, ErrTooOld
+	}
+	return n, unexpected(status, answer)
+}
--- /dev/null
+++ b/internal/state/pacer.go
@@ -0,0 +1,122 @@
+package state
+
+import (
+	"context"
+	"time"
+)
+
+// maxWaiting bounds the requests of one priority that wait for their grant.
+const maxWaiting = 400
+
+// grant is one request's wish to be sent.
+type grant struct {
+	priority Priority
+	writes   int
+	ready    chan error
+	ctx      context.Context
+}
+
+// pacer owns this node's share of the state service's rates. All wishes come
+// to it as messages; the most urgent that fits is granted first.
+type pacer struct {
+	wishes    chan *grant
+	shares    chan float64
+	penalties chan struct{}
+
+	rps, wps, share float64
+	requests        bucket
+	writes          bucket
+	queues          [priorities][]*grant
+}
+
+// bucket is a token bucket that holds at most one second's worth.
+type bucket struct {
+	level float64
+}
+
+func (b *bucket) refill(rate float64, d time.Duration) {
+	b.level = min(b.level+rate*d.Seconds(), rate)
+}
+
+func newPacer(rps, wps, share float64) *pacer {
+	return &pacer{
+		wishes: make(chan *grant), shares: make(chan float64), penalties: make(chan struct{}),
+		rps: rps, wps: wps, share: share,
+	}
+}
+
+func (p *pacer) wait(ctx context.Context, pr Priority, writes int) error {
+	g := &grant{priority: pr, writes: writes, ready: make(chan error, 1), ctx: ctx}
+	select {
+	case p.wishes <- g:
+	case <-ctx.Done():
+		return ErrBusy
+	}
+	select {
+	case err := <-g.ready:
+		return err
+	case <-ctx.Done():
+		return ErrBusy
+	}
+}
+
+func (p *pacer) penalise() { p.penalties <- struct{}{} }
+
+func (p *pacer) run(ctx context.Context) {
+	last := time.Now()
+	// The buckets start with a part of a second only: a node that was just
+	// restarted does not know what it used a moment ago.
+	p.requests.level, p.writes.level = p.rps*p.share/4, p.wps*p.share/4
+	timer := time.NewTimer(time.Hour)
+	for {
+		select {
+		case g := <-p.wishes:
+			if len(p.queues[g.priority]) >= maxWaiting {
+				g.ready <- ErrBusy
+				break
+			}
+			p.queues[g.priority] = append(p.queues[g.priority], g)
+		case s := <-p.shares:
+			p.share = s
+		case <-p.penalties:
+			p.requests.level, p.writes.level = 0, 0
+			last = time.Now()
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		p.requests.refill(p.rps*p.share, now.Sub(last))
+		p.writes.refill(p.wps*p.share, now.Sub(last))
+		last = now
+		if d := p.serve(); d > 0 {
+			timer.Reset(d)
+		}
+	}
+}
+
+// serve grants what fits and tells how long until the next could.
+func (p *pacer) serve() time.Duration {
+	for i := range p.queues {
+		for len(p.queues[i]) > 0 {
+			g := p.queues[i][0]
+			if g.ctx.Err() != nil {
+				p.queues[i] = p.queues[i][1:]
+				continue
+			}
+			// A transaction larger than the bucket waits for a full one and
+			// then leaves it in debt.
+			needW := min(float64(g.writes), p.wps*p.share)
+			// Lease traffic may borrow: a lost lease costs more than a 429.
+			if g.priority != Lease && (p.requests.level < 1 || p.writes.level < needW) {
+				lack := max((1-p.requests.level)/(p.rps*p.share), (needW-p.writes.level)/(p.wps*p.share))
+				return time.Duration(lack*float64(time.Second)) + time.Millisecond
+			}
+			p.requests.level--
+			p.writes.level -= float64(g.writes)
+			p.queues[i] = p.queues[i][1:]
+			g.ready <- nil
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/wire/job.go
@@ -0,0 +1,221 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// MaxBody is the largest request body that is taken.
+const MaxBody = 64 << 10
+
+// MaxTasks is the largest number of tasks of a job.
+const MaxTasks = 100000
+
+// Priorities, the most urgent first.
+var priorities = []string{"critical", "high", "standard", "idle"}
+
+// Job is a job as its user submits it.
+type Job struct {
+	Ref         string   `json:"ref"`
+	Class       string   `json:"lane"`
+	Team        string   `json:"owner"`
+	Kind        string   `json:"shape"`
+	Priority    string   `json:"urgency"`
+	Tasks       int      `json:"pieces"`
+	CPUs        float64  `json:"vcpus"`
+	GPUs        float64  `json:"gpus"`
+	MemGB       float64  `json:"mem_gb"`
+	Image       string   `json:"bundle"`
+	ImageGB     float64  `json:"size_gb"`
+	Types       []string `json:"flavors"`
+	Zone        *string  `json:"room"`
+	OneZone     bool     `json:"together"`
+	Spread      bool     `json:"spread"`
+	Spot        bool     `json:"loaners"`
+	EstimateS   float64  `json:"guess_s"`
+	CheckpointS float64  `json:"snapshot_s"`
+	SaveS       float64  `json:"flush_s"`
+	DeadlineS   *float64 `json:"due_s"`
+}
+
+// Rank is the job's priority as a number, 0 the most urgent.
+func (j *Job) Rank() int {
+	for i, p := range priorities {
+		if p == j.Priority {
+			return i
+		}
+	}
+	return len(priorities)
+}
+
+// ValidRef tells whether s has the form of a job id.
+func ValidRef(s string) bool {
+	digits, ok := strings.CutPrefix(s, "job-")
+	if !ok || len(digits) == 0 || len(digits) > 32 {
+		return false
+	}
+	for _, r := range digits {
+		if r < '0' || r > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// SplitTask takes a task's name apart.
+func SplitTask(name string) (ref string, n int, ok bool) {
+	ref, num, ok := strings.Cut(name, "/")
+	if !ok || !ValidRef(ref) {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(num)
+	return ref, n, err == nil && n >= 0 && n < MaxTasks && strconv.Itoa(n) == num
+}
+
+// TaskName is the name of task n of a job.
+func TaskName(ref string, n int) string { return ref + "/" + strconv.Itoa(n) }
+
+// ParseJob reads a submission. When the body is an object with a well-formed
+// ref, that ref is returned even with an error, so that a job accepted before
+// can be recognised.
+func ParseJob(body []byte) (*Job, string, error) {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	var fields map[string]json.RawMessage
+	if err := dec.Decode(&fields); err != nil || fields == nil {
+		return nil, "", fmt.Errorf("the body must be one JSON object")
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, "", fmt.Errorf("the body must end after its JSON object")
+	}
+	r := reader{fields: fields}
+	j := &Job{}
+	j.Ref = r.text("ref", 200, false)
+	if r.err == nil && !ValidRef(j.Ref) {
+		r.fail("ref", "job- and digits")
+	}
+	ref := ""
+	if r.err == nil {
+		ref = j.Ref
+	}
+	j.Class = r.text("lane", 200, false)
+	j.Team = r.text("owner", 200, false)
+	j.Kind = r.text("shape", 40, false)
+	if r.err == nil && j.Kind != "batch" {
+		r.fail("shape", "\"batch\"")
+	}
+	j.Priority = r.text("urgency", 40, false)
+	if r.err == nil && j.Rank() == len(priorities) {
+		r.fail("urgency", "one of "+strings.Join(priorities, ", "))
+	}
+	j.Tasks = int(r.number("pieces", 1, MaxTasks, true))
+	j.CPUs = r.number("vcpus", 0, 1e6, false)
+	j.GPUs = r.number("gpus", 0, 1e6, false)
+	j.MemGB = r.number("mem_gb", 0, 1e9, false)
+	j.Image = r.text("bundle", 1000, false)
+	j.ImageGB = r.number("size_gb", 0, 1e9, false)
+	r.optional("flavors", &j.Types, "a list of machine types, or null")
+	if r.err == nil && j.Types != nil && len(j.Types) == 0 {
+		r.fail("flavors", "a list of at least one machine type, or null")
+	}
+	r.optional("room", &j.Zone, "a zone's name, or null")
+	j.OneZone = r.flag("together")
+	j.Spread = r.flag("spread")
+	j.Spot = r.flag("loaners")
+	j.EstimateS = r.number("guess_s", 0, 1e9, false)
+	j.CheckpointS = r.number("snapshot_s", 0, 1e9, false)
+	j.SaveS = r.number("flush_s", 0, 1e9, false)
+	if r.present("due_s") {
+		v := r.number("due_s", 0, 1e9, false)
+		j.DeadlineS = &v
+	}
+	if r.err != nil {
+		return nil, ref, r.err
+	}
+	return j, ref, nil
+}
+
+// reader takes fields one by one and keeps the first fault.
+type reader struct {
+	fields map[string]json.RawMessage
+	err    error
+}
+
+func (r *reader) fail(key, want string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("%s must be %s", key, want)
+	}
+}
+
+func (r *reader) present(key string) bool {
+	raw, ok := r.fields[key]
+	return ok && string(raw) != "null"
+}
+
+func (r *reader) text(key string, most int, empty bool) string {
+	var s string
+	if !r.present(key) || json.Unmarshal(r.fields[key], &s) != nil || len(s) > most || s == "" && !empty {
+		r.fail(key, "a text")
+	}
+	return s
+}
+
+func (r *reader) flag(key string) bool {
+	var b bool
+	if !r.present(key) || json.Unmarshal(r.fields[key], &b) != nil {
+		r.fail(key, "true or false")
+	}
+	return b
+}
+
+func (r *reader) number(key string, least, most float64, whole bool) float64 {
+	var v float64
+	want := fmt.Sprintf("a number from %v to %v", least, most)
+	if whole {
+		want = fmt.Sprintf("a whole number from %v to %v", least, most)
+	}
+	if !r.present(key) || json.Unmarshal(r.fields[key], &v) != nil ||
+		v < least || v > most || whole && v != math.Trunc(v) {
+		r.fail(key, want)
+	}
+	return v
+}
+
+func (r *reader) optional(key string, into any, want string) {
+	if r.present(key) && json.Unmarshal(r.fields[key], into) != nil {
+		r.fail(key, want)
+	}
+}
+
+// ParseReport reads a worker's report.
+func ParseReport(body []byte) (*Report, error) {
+	var r Report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, fmt.Errorf("the report is not as the protocol has it: %w", err)
+	}
+	switch {
+	case r.Machine == "" || len(r.Machine) > 200:
+		return nil, fmt.Errorf("host must name the machine")
+	case r.Type == "" || r.Zone == "":
+		return nil, fmt.Errorf("flavor and room must be given")
+	case r.Session == 0:
+		return nil, fmt.Errorf("tenure must be 1 or more")
+	case r.NoticeS != nil && (*r.NoticeS < 0 || math.IsNaN(*r.NoticeS)):
+		return nil, fmt.Errorf("warning_s must be null, or 0 or more")
+	}
+	for _, t := range r.Tasks {
+		if _, _, ok := SplitTask(t.Task); !ok {
+			return nil, fmt.Errorf("piece %q is not a task's name", t.Task)
+		}
+		// A state that we don't know yet still occupies its machine, so it is
+		// taken as it is; refusing the report would cost the worker its lease.
+		if t.Status == "" {
+			return nil, fmt.Errorf("piece %q has no status", t.Task)
+		}
+	}
+	return &r, nil
+}
