--- /dev/null
+++ b/internal/fleet/plan_test.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"leadproxy/internal/slowfit"
+)
+
+func TestPlan(t *testing.T) {
+	types := []Type{
+		{Total: slowfit.Size{CPUs: 4, MemGB: 16}, Boot: 40 * time.Second},
+		{Total: slowfit.Size{CPUs: 16, MemGB: 64}, Boot: 40 * time.Second},
+	}
+	small, large := Offer{Type: 0, Spot: true}, Offer{Type: 1, Spot: true}
+	ordinary := Offer{Type: 0}
+	offers := []Priced{{small, 1}, {large, 3}, {ordinary, 3}}
+	any := func(Offer) bool { return true }
+	four := slowfit.Size{CPUs: 4, MemGB: 4}
+	cases := []struct {
+		name string
+		s    Situation
+		want []Wish
+	}{
+		{"nothing waits", Situation{}, nil},
+		{"one task takes the cheapest machine that holds it", Situation{
+			Waiting: []Group{{Size: four, Count: 1, Run: time.Minute, Allows: any}}}, []Wish{{Offer: small, Count: 1}}},
+		{"many tasks take the cheapest slots", Situation{
+			Waiting: []Group{{Size: four, Count: 8, Run: time.Minute, Allows: any}}}, []Wish{{Offer: large, Count: 2}}},
+		{"what is coming serves first", Situation{
+			Coming:  []Coming{{Offer: large, Room: types[1].Total}},
+			Waiting: []Group{{Size: four, Count: 5, Run: time.Minute, Allows: any}}}, []Wish{{Offer: small, Count: 1}}},
+		{"a coming machine that the job may not use does not serve", Situation{
+			Coming:  []Coming{{Offer: small, Room: types[0].Total}},
+			Waiting: []Group{{Size: four, Count: 1, Run: time.Minute, Allows: func(o Offer) bool { return !o.Spot }}}}, []Wish{{Offer: ordinary, Count: 1}}},
+		{"short tasks are partly left to turnover", Situation{
+			Waiting: []Group{{Size: four, Count: 8, Run: 10 * time.Second, Allows: any}}}, []Wish{{Offer: large, Count: 1}}},
+		{"the bound on machines holds", Situation{MaxMachines: 3, Machines: 2,
+			Waiting: []Group{{Size: four, Count: 80, Run: time.Minute, Allows: any}}}, []Wish{{Offer: large, Count: 1}}},
+		{"warm cores up to the learned demand", Situation{Cores: 4, Spot: 12, Typical: four}, []Wish{{Offer: small, Count: 2}}},
+		{"enough is warm", Situation{Cores: 12, Spot: 12, Typical: four}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.s.Types, c.s.Offers = types, offers
+			got := Plan(c.s)
+			if len(got) != len(c.want) {
+				t.Fatalf("wishes %v, want %v", got, c.want)
+			}
+			for i := range got {
+				if got[i].Offer != c.want[i].Offer || got[i].Count != c.want[i].Count {
+					t.Errorf("wish %v, want %v", got[i], c.want[i])
+				}
+			}
+		})
+	}
+}
