--- /dev/null
+++ b/internal/dispatch/core_test.go
@@ -0,0 +1,496 @@
+package dispatch
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"testing"
+	"time"
+
+	"leadproxy/internal/fleet"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
+)
+
+// stage drives a core by hand: a fake clock, and effects kept until looked at.
+type stage struct {
+	t     *testing.T
+	c     *Core
+	now   time.Duration
+	seq   map[string]uint64
+	start []Direct // commands not yet settled
+	out   []any
+	// held, while set, keeps ledger writes from becoming durable.
+	held    bool
+	pending []any
+	hires   []wire.Hire
+	deleted []string
+}
+
+const testTerm = 7
+
+func newStage(t *testing.T, s ledger.Snapshot, teams ...settings.Team) *stage {
+	if len(teams) == 0 {
+		teams = []settings.Team{{Name: "t"}}
+	}
+	p := &settings.Platform{Facts: settings.Facts{Nodes: 3, Teams: teams,
+		Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}}}
+	g := &stage{t: t, seq: map[string]uint64{}}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	g.c = NewCore(Config{Term: testTerm, Platform: p, Operator: settings.Defaults()}, s, 0, 0, log)
+	g.take(g.c.TakeStart())
+	g.step(CloudBack{fleet.Result{Call: fleet.Call{Types: true}, Types: []wire.MachineType{
+		{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, Price: 1, SpotPrice: 0.5, BootS: 40, Zones: []string{"a", "b"}}}}})
+	return g
+}
+
+func (g *stage) step(e any) { g.take(g.c.Step(e, g.now, g.now.Milliseconds())) }
+
+func (g *stage) take(effects []any) {
+	var tags []any
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Put:
+			for _, w := range e.Writes {
+				if w.Tag != nil {
+					tags = append(tags, w.Tag)
+				}
+			}
+		case Direct:
+			g.start = append(g.start, e)
+		case CallCloud:
+			if e.Call.Hire != nil {
+				g.hires = append(g.hires, *e.Call.Hire)
+			}
+			g.deleted = append(g.deleted, e.Call.Delete...)
+		default:
+			g.out = append(g.out, e)
+		}
+	}
+	if g.held {
+		g.pending = append(g.pending, tags...)
+	} else if len(tags) > 0 {
+		g.step(NowDurable{tags})
+	}
+}
+
+// release makes the held writes durable.
+func (g *stage) release() {
+	g.held = false
+	tags := g.pending
+	g.pending = nil
+	g.step(NowDurable{tags})
+}
+
+// wait lets time pass, a tick at a time.
+func (g *stage) wait(d time.Duration) {
+	for end := g.now + d; g.now < end; {
+		g.now += 250 * time.Millisecond
+		g.step(Tick{})
+	}
+}
+
+func (g *stage) reportOf(name string, token uint64, tasks ...wire.TaskReport) *wire.Report {
+	g.seq[name]++
+	return &wire.Report{Machine: name, Address: "10.1.0.1:9000", Type: "m4", Zone: "a", Spot: true, Session: 1, Seq: g.seq[name], Token: token, Tasks: tasks}
+}
+
+// report sends a report and returns the answer.
+func (g *stage) report(r *wire.Report) *wire.ReportAnswer {
+	g.out = nil
+	g.step(ReportIn{Report: r, To: "w"})
+	for _, e := range g.out {
+		if a, ok := e.(AnswerReport); ok {
+			return a.Answer
+		}
+	}
+	g.t.Fatal("the report was not answered")
+	return nil
+}
+
+const ours = testTerm << tokenBits
+
+// up brings a machine up to where it may be used.
+func (g *stage) up(name string) { g.report(g.reportOf(name, 0)); g.report(g.reportOf(name, ours)) }
+
+func newTestJob(ref string, tasks int, cpus float64) *wire.Job {
+	return &wire.Job{Ref: ref, Class: "c", Team: "t", Kind: "batch", Priority: "standard", Tasks: tasks, CPUs: cpus, MemGB: 1, Image: "i", Spot: true, EstimateS: 10}
+}
+
+func (g *stage) submit(j *wire.Job) {
+	g.step(JobSeen{Ref: j.Ref, Record: ledger.JobRecord{Job: j, AcceptedMS: g.now.Milliseconds()}, Version: 3})
+}
+
+// starts counts the starts in unsettled commands.
+func (g *stage) starts() (orders []wire.Order) {
+	for _, d := range g.start {
+		for _, o := range d.Commands.Orders {
+			if o.Verb == wire.Start {
+				orders = append(orders, o)
+			}
+		}
+	}
+	return orders
+}
+
+// settle ends all commands that are on their way.
+func (g *stage) settle(outcome DirectOutcome) {
+	calls := g.start
+	g.start = nil
+	for _, d := range calls {
+		g.step(DirectBack{Call: d.Call, Outcome: outcome})
+	}
+}
+
+func taskIn(o wire.Order, status, why string) wire.TaskReport {
+	return wire.TaskReport{Task: o.Task, Attempt: o.Attempt, Status: status, Why: why}
+}
+
+func verbs(a *wire.ReportAnswer) string {
+	s := ""
+	for _, o := range a.Orders {
+		s += o.Verb + " "
+	}
+	return s
+}
+
+func (g *stage) want(what string, got, want any) {
+	g.t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		g.t.Errorf("%s: %v, want %v", what, got, want)
+	}
+}
+
+// jobStatus asks for a job's state.
+func (g *stage) jobStatus(ref string) string {
+	g.out = nil
+	g.step(StatusAsked{Ref: ref, To: "u"})
+	return g.out[0].(AnswerUser).Status.Status
+}
+
+func TestMachineIsUsedOnlyOnceItEchoesOurToken(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.submit(newTestJob("job-1", 1, 1))
+	// Its token may be an earlier leader's, whose commands can still arrive.
+	g.want("token told", g.report(g.reportOf("vm-1", 6<<tokenBits)).Token, uint64(ours))
+	g.want("starts before the echo", len(g.starts()), 0)
+	g.report(g.reportOf("vm-1", ours))
+	g.want("starts after the echo", len(g.starts()), 1)
+}
+
+func TestHostIsDurableBeforeTheFirstStart(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.held = true
+	g.submit(newTestJob("job-1", 2, 1))
+	g.want("starts while the host is not durable", len(g.starts()), 0)
+	g.release()
+	g.want("starts once it is", len(g.starts()), 2)
+}
+
+func TestStartOfUnknownOutcome(t *testing.T) {
+	cases := []struct {
+		name  string
+		act   func(g *stage, o wire.Order)
+		again int // further starts
+	}{
+		{"stays booked while the token is not echoed", func(g *stage, o wire.Order) {
+			g.report(g.reportOf("vm-1", ours))
+		}, 0},
+		{"is given up once a raised token is echoed without it", func(g *stage, o wire.Order) {
+			g.report(g.reportOf("vm-1", ours+1))
+		}, 1},
+		{"stands when the echo shows it", func(g *stage, o wire.Order) {
+			g.report(g.reportOf("vm-1", ours+1, taskIn(o, wire.TaskRunning, "")))
+		}, 0},
+		{"is given up with the session", func(g *stage, o wire.Order) {
+			r := g.reportOf("vm-1", ours)
+			r.Session = 2
+			g.report(r)
+		}, 1},
+		{"is not given up for a silent machine within its lease", func(g *stage, o wire.Order) {
+			g.up("vm-2")
+			g.wait(6 * time.Second)
+		}, 0},
+		{"is given up when the machine is deleted", func(g *stage, o wire.Order) {
+			g.up("vm-2")
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}}})
+		}, 1},
+		{"is kept when the deletion's outcome is unknown", func(g *stage, o wire.Order) {
+			g.up("vm-2")
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}, Err: fleet.ErrUnknown}})
+		}, 0},
+		{"is given up when the machine is listed as failed", func(g *stage, o wire.Order) {
+			g.up("vm-2")
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{List: true}, List: []wire.ListedMachine{{Name: "vm-1", Type: "m4", Zone: "a", Status: wire.MachineFailed}}}})
+		}, 1},
+		{"absence from the list proves nothing", func(g *stage, o wire.Order) {
+			g.up("vm-2")
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{List: true}}})
+		}, 0},
+		{"a stale report proves nothing", func(g *stage, o wire.Order) {
+			r := g.reportOf("vm-1", ours+1)
+			r.Seq = 1
+			g.report(r)
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			g.up("vm-1")
+			g.submit(newTestJob("job-1", 1, 1))
+			first := g.starts()[0]
+			g.settle(DirectUnknown)
+			g.want("token", g.report(g.reportOf("vm-1", ours)).Token, uint64(ours+1))
+			c.act(g, first)
+			again := g.starts()
+			g.want("further starts", len(again), c.again)
+			if len(again) > 0 && again[0].Attempt == first.Attempt {
+				t.Error("an attempt was used again")
+			}
+		})
+	}
+}
+
+func TestForget(t *testing.T) {
+	cases := []struct {
+		name    string
+		outcome DirectOutcome
+		token   uint64
+		why     string
+		durable bool
+		want    string
+	}{
+		{"an end in the ledger", DirectDone, ours, wire.WhyDone, true, "forget "},
+		{"an end not yet in the ledger", DirectDone, ours, wire.WhyDone, false, ""},
+		{"while the start may still be repeated", DirectUnknown, ours, wire.WhyDone, true, ""},
+		{"once the raised token is echoed", DirectUnknown, ours + 1, wire.WhyDone, true, "forget "},
+		{"a failure", DirectDone, ours, wire.WhyError, true, "forget "},
+		{"a failure whose start may still be repeated", DirectUnknown, ours, wire.WhyError, true, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			g.up("vm-1")
+			g.submit(newTestJob("job-1", 2, 4))
+			o := g.starts()[0]
+			g.settle(c.outcome)
+			g.held = !c.durable
+			g.report(g.reportOf("vm-1", c.token, taskIn(o, wire.TaskEnded, c.why)))
+			g.want("orders", verbs(g.report(g.reportOf("vm-1", c.token, taskIn(o, wire.TaskEnded, c.why)))), c.want)
+		})
+	}
+}
+
+func TestTakeover(t *testing.T) {
+	saved := func(hosts ...string) ledger.Snapshot {
+		return ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 2, 1)},
+			Hosts: hosts, Finished: map[int]ledger.Ranges{0: {0, 0}}}}}
+	}
+	old := wire.Order{Task: "job-1/1", Attempt: 6<<tokenBits | 1}
+	cases := []struct {
+		name   string
+		ledger ledger.Snapshot
+		act    func(g *stage)
+		starts int
+	}{
+		{"what never had hosts is placed at once", saved(), func(g *stage) {}, 1},
+		{"an unseen task waits for its host", saved("vm-1"), func(g *stage) {}, 0},
+		{"a report without our token clears nothing", saved("vm-1"), func(g *stage) {
+			g.report(g.reportOf("vm-1", 6<<tokenBits))
+		}, 0},
+		{"an echo without the task clears it", saved("vm-1"), func(g *stage) { g.up("vm-1") }, 1},
+		{"an echo with the task adopts it", saved("vm-1"), func(g *stage) {
+			g.report(g.reportOf("vm-1", ours, taskIn(old, wire.TaskRunning, "")))
+		}, 0},
+		{"every host must be cleared", saved("vm-1", "vm-2"), func(g *stage) { g.up("vm-1") }, 0},
+		{"a deletion clears it", saved("vm-1"), func(g *stage) {
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}}})
+		}, 1},
+		{"not before the lease must be over", saved("vm-1"), func(g *stage) {
+			g.wait(30 * time.Second)
+			g.up("vm-9")
+		}, 0},
+		{"the end of the lease clears it", saved("vm-1"), func(g *stage) {
+			g.wait(30500 * time.Millisecond)
+			g.up("vm-9")
+		}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, c.ledger)
+			g.up("vm-9")
+			c.act(g)
+			g.want("starts", len(g.starts()), c.starts)
+			g.want("state", g.jobStatus("job-1") == wire.Done, false)
+		})
+	}
+}
+
+func TestCancelIsToldOnlyWhenDurableAndLateStartsAreStopped(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	o := g.starts()[0]
+	g.settle(DirectUnknown)
+	g.held, g.out = true, nil
+	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.want("answers before it is durable", len(g.out), 0)
+	g.want("state before it is durable", g.jobStatus("job-1") == wire.Aborted, false)
+	g.out = nil
+	g.release()
+	g.want("the answer", g.out[0].(AnswerUser).Status.Status, wire.Aborted)
+	// The start command arrives late, after the cancellation.
+	g.want("orders", verbs(g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")))), "stop ")
+	g.report(g.reportOf("vm-1", ours+1, taskIn(o, wire.TaskEnded, wire.WhyStopped)))
+	g.want("state", g.jobStatus("job-1"), wire.Aborted)
+	g.want("bookings left", g.c.jobs[0].booked, 0)
+}
+
+func TestCancelOfADoneJobSaysDone(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	o := g.starts()[0]
+	g.settle(DirectDone)
+	g.held = true
+	g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskEnded, wire.WhyDone)))
+	g.want("told before it is durable", g.jobStatus("job-1") == wire.Done, false)
+	g.out = nil
+	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.release()
+	g.want("the answer", g.out[0].(AnswerUser).Status.Status, wire.Done)
+}
+
+func TestReportOfANewerTermIsRefused(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	if a := g.report(g.reportOf("vm-1", (testTerm+1)<<tokenBits)); a != nil {
+		t.Errorf("answered with %v", a)
+	}
+}
+
+func TestLimits(t *testing.T) {
+	unseen := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-9", Record: ledger.JobRecord{Job: newTestJob("job-9", 1, 1)}, Hosts: []string{"vm-7"}}}}
+	cases := []struct {
+		name   string
+		saved  ledger.Snapshot
+		team   settings.Team
+		change func(j *wire.Job)
+		starts int
+	}{
+		{"no limit", ledger.Snapshot{}, settings.Team{Name: "t"}, nil, 4},
+		{"the team's limit", ledger.Snapshot{}, settings.Team{Name: "t", CPUsMax: 2}, nil, 2},
+		{"tasks that an earlier leader may have started count", unseen, settings.Team{Name: "t", CPUsMax: 2}, nil, 1},
+		{"a type that is not there", ledger.Snapshot{}, settings.Team{Name: "t"}, func(j *wire.Job) { j.Types = []string{"m8"} }, 0},
+		{"another zone", ledger.Snapshot{}, settings.Team{Name: "t"}, func(j *wire.Job) { z := "b"; j.Zone = &z }, 0},
+		{"no spot machine", ledger.Snapshot{}, settings.Team{Name: "t"}, func(j *wire.Job) { j.Spot = false }, 0},
+		{"half of the tasks in one zone", ledger.Snapshot{}, settings.Team{Name: "t"}, func(j *wire.Job) { j.Spread = true }, 2},
+		{"all in one zone", ledger.Snapshot{}, settings.Team{Name: "t"}, func(j *wire.Job) { j.OneZone = true }, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, c.saved, c.team)
+			g.up("vm-1")
+			j := newTestJob("job-1", 4, 1)
+			if c.change != nil {
+				c.change(j)
+			}
+			g.submit(j)
+			g.want("starts", len(g.starts()), c.starts)
+		})
+	}
+}
+
+func TestBlame(t *testing.T) {
+	cases := []struct {
+		name       string
+		ends       []string // how the starts of one job end on vm-1, vm-2, ...
+		quarantine int
+	}{
+		{"one failure alone blames nobody", []string{wire.WhyError}, 0},
+		{"a success elsewhere blames the machine", []string{wire.WhyError, wire.WhyDone}, 1},
+		{"a job that fails everywhere blames no machine", []string{wire.WhyError, wire.WhyError, wire.WhyError}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			for i := range c.ends {
+				g.up(fmt.Sprintf("vm-%d", i+1))
+			}
+			g.submit(newTestJob("job-1", 2, 3)) // two tasks, one fits on each machine
+			for len(c.ends) > 0 {
+				d := g.start[0]
+				g.start = g.start[1:]
+				g.step(DirectBack{Call: d.Call, Outcome: DirectDone})
+				g.report(g.reportOf(d.Machine, ours, taskIn(d.Commands.Orders[0], wire.TaskEnded, c.ends[0])))
+				c.ends = c.ends[1:]
+			}
+			n := 0
+			for _, m := range g.c.machines {
+				if m.quarantine {
+					n++
+				}
+			}
+			g.want("machines quarantined", n, c.quarantine)
+		})
+	}
+}
+
+func TestHireOfAnEarlierLeaderIsRepeatedUnderItsName(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{Hires: []ledger.HireRecord{
+		{Hire: wire.Hire{Request: "h6-1", Type: "m4", Zone: "a", Count: 2}},
+		{Hire: wire.Hire{Request: "h6-2", Type: "m4", Zone: "a", Count: 1}, Machines: []string{"vm-3"}},
+	}})
+	if len(g.hires) != 1 || g.hires[0].Request != "h6-1" {
+		t.Fatalf("repeated %v, want h6-1 only", g.hires)
+	}
+	g.step(CloudBack{fleet.Result{Call: fleet.Call{Hire: &g.hires[0]}, Machines: []string{"vm-1", "vm-2"}}})
+	g.want("machines known", len(g.c.live), 3)
+}
+
+func TestHireIsDurableBeforeItIsSent(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.held = true
+	g.submit(newTestJob("job-1", 1, 1))
+	g.wait(2 * time.Second)
+	g.want("hires before", len(g.hires), 0)
+	g.release()
+	g.want("hires after", len(g.hires) > 0, true)
+	for _, h := range g.hires {
+		if h.Request[:3] != fmt.Sprintf("h%d-", testTerm) {
+			t.Errorf("the name %s does not embed the term", h.Request)
+		}
+	}
+}
+
+func TestSilentMachine(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 4))
+	g.settle(DirectDone)
+	g.wait(14 * time.Second)
+	g.want("asked to delete", g.deleted, []string{"vm-1"})
+	g.up("vm-2")
+	g.want("starts before it is surely gone", len(g.starts()), 0)
+	g.wait(17 * time.Second) // its lease is over
+	g.up("vm-2")
+	g.want("starts after", len(g.starts()), 1)
+}
+
+func TestOrderOfTheQueue(t *testing.T) {
+	due := func(j *wire.Job, s float64) *wire.Job { j.DeadlineS = &s; return j }
+	high := newTestJob("job-3", 1, 4)
+	high.Priority = "high"
+	g := newStage(t, ledger.Snapshot{})
+	for _, j := range []*wire.Job{newTestJob("job-1", 1, 4), due(newTestJob("job-2", 1, 4), 500), high, due(newTestJob("job-4", 1, 4), 100)} {
+		g.submit(j)
+	}
+	var order []string
+	for _, j := range g.c.queue() {
+		order = append(order, j.ref)
+	}
+	g.want("order", order, []string{"job-3", "job-4", "job-2", "job-1"})
+	g.want("slack without a deadline", g.c.jobs[0].slack(0) == math.MaxInt64, true)
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -74,6 +74,9 @@
 	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
 		return false
 	}
+	// A machine that opens to work, at its first echo or after a silence, may
+	// be what waiting tasks wait for.
+	wasOpen := c.open(m)
 	if m.state == machineBooting {
 		m.state = machineUp
 		c.machineCameUp(m)
@@ -108,6 +111,9 @@
 	if m.noticeAt > 0 {
 		c.drain(m)
 	}
+	if !wasOpen && c.open(m) {
+		c.dirty = true
+	}
 	return true
 }
 
