--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -311,11 +311,11 @@
 		}, 1},
 		{"not before the lease must be over", saved("vm-1"), func(g *stage) {
 			g.wait(30 * time.Second)
-			g.up("vm-9")
+			g.up("vm-8")
 		}, 0},
 		{"the end of the lease clears it", saved("vm-1"), func(g *stage) {
 			g.wait(30500 * time.Millisecond)
-			g.up("vm-9")
+			g.up("vm-8")
 		}, 1},
 	}
 	for _, c := range cases {
@@ -475,7 +475,7 @@
 	g.up("vm-2")
 	g.want("starts before it is surely gone", len(g.starts()), 0)
 	g.wait(17 * time.Second) // its lease is over
-	g.up("vm-2")
+	g.up("vm-3")
 	g.want("starts after", len(g.starts()), 1)
 }
 
