Give up a silent machine's tasks at its lease's end also while its deletion is unanswered

Found by a table: with the cloud not answering, tasks of a machine that was being deleted stayed booked for ever. Adds tables for the ledger and elections on a fake clock.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -439,7 +439,8 @@
 	if len(m.unclear) > 0 {
 		c.clearMachine(m)
 	}
-	if m.state == machineUp && len(m.bookings) > 0 {
+	// This holds as well while a deletion is asked for and not answered.
+	if len(m.bookings) > 0 {
 		c.log.Info("machine lost: its lease is over", "machine", m.name, "bookings", len(m.bookings))
 		c.dropBookings(m, "its lease is over")
 	}
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,172 @@
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"leadproxy/internal/settings"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// fakeStore is a state service with one key and leases, on the fake clock of
+// the test.
+type fakeStore struct {
+	revision uint64
+	entry    *wire.Entry
+	ends     map[uint64]time.Time
+	ttl      time.Duration
+	down     bool
+	ended    []uint64
+	standing int // transactions that set the key
+}
+
+func (f *fakeStore) expire() {
+	if f.entry != nil && !f.down && time.Now().After(f.ends[f.entry.Lease]) {
+		f.entry = nil
+		f.revision++
+	}
+}
+
+func (f *fakeStore) Get(context.Context, state.Priority, string) (wire.Entry, bool, uint64, error) {
+	f.expire()
+	if f.down {
+		return wire.Entry{}, false, 0, state.ErrRefused
+	}
+	if f.entry == nil {
+		return wire.Entry{}, false, f.revision, nil
+	}
+	return *f.entry, true, f.entry.Version, nil
+}
+
+func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
+	f.expire()
+	if f.down {
+		return false, wire.TxnAnswer{}, state.ErrRefused
+	}
+	if f.entry != nil {
+		return false, wire.TxnAnswer{Failed: []string{Key}}, nil
+	}
+	f.revision++
+	f.standing++
+	f.entry = &wire.Entry{Key: Key, Value: t.Then[0].Value, Version: f.revision, Lease: t.Then[0].Lease}
+	return true, wire.TxnAnswer{Revision: f.revision}, nil
+}
+
+func (f *fakeStore) NewLease(_ context.Context, ttl time.Duration) (uint64, error) {
+	if f.down {
+		return 0, state.ErrRefused
+	}
+	id := uint64(len(f.ends) + 1)
+	f.ttl = ttl
+	f.ends[id] = time.Now().Add(ttl)
+	return id, nil
+}
+
+func (f *fakeStore) Renew(_ context.Context, id uint64) error {
+	f.expire()
+	if f.down {
+		return state.ErrRefused
+	}
+	if f.entry == nil || f.entry.Lease != id {
+		return state.ErrNoLease
+	}
+	f.ends[id] = time.Now().Add(f.ttl)
+	return nil
+}
+
+func (f *fakeStore) EndLease(_ context.Context, id uint64) error {
+	f.ended = append(f.ended, id)
+	if f.entry != nil && f.entry.Lease == id {
+		f.entry = nil
+	}
+	return nil
+}
+
+func (f *fakeStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (wire.News, error) {
+	pause(ctx, 100*time.Millisecond)
+	return wire.News{}, ctx.Err()
+}
+
+func start(t *testing.T, f *fakeStore) *Elector {
+	e := New("n1", settings.Operator{LeaderLease: 6 * time.Second, LeaseMargin: 200 * time.Millisecond}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go e.Run(t.Context())
+	return e
+}
+
+func holderOf(t *testing.T, node string, lease uint64) *wire.Entry {
+	v, err := json.Marshal(holder{Node: node, Boot: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &wire.Entry{Key: Key, Value: v, Version: 3, Lease: lease}
+}
+
+func TestLeaseIsCountedFromTheSendingAndLapsesBeforeTheService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{ends: map[uint64]time.Time{}}
+		e := start(t, f)
+		time.Sleep(20 * time.Second)
+		v := e.View()
+		if !v.InTerm(time.Now()) || v.Term != 1 {
+			t.Fatalf("not leading: %+v", v)
+		}
+		f.down = true
+		end := f.ends[1]
+		time.Sleep(time.Until(end) - 150*time.Millisecond)
+		if e.View().InTerm(time.Now()) {
+			t.Error("still in term within the margin of the lease's end")
+		}
+		// The outage ends and the lease has lived on: the same term resumes.
+		f.down, f.ends[1] = false, time.Now().Add(6*time.Second)
+		time.Sleep(time.Second)
+		if v := e.View(); !v.InTerm(time.Now()) || v.Term != 1 {
+			t.Errorf("the term did not resume: %+v", v)
+		}
+	})
+}
+
+func TestLostLeaseEndsTheTermAndALaterOneIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{ends: map[uint64]time.Time{}}
+		e := start(t, f)
+		time.Sleep(time.Second)
+		f.entry = holderOf(t, "n2", 90)
+		f.ends[90] = time.Now().Add(5 * time.Second)
+		time.Sleep(3 * time.Second)
+		if v := e.View(); v.Mine || v.Leader != "n2" {
+			t.Errorf("view after the loss: %+v", v)
+		}
+		time.Sleep(10 * time.Second)
+		if v := e.View(); !v.InTerm(time.Now()) || v.Term == 1 {
+			t.Errorf("view after the other's lease: %+v", v)
+		}
+	})
+}
+
+func TestEarlierIncarnationIsEndedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{ends: map[uint64]time.Time{90: time.Now().Add(time.Hour)}, entry: holderOf(t, "n1", 90), revision: 3}
+		e := start(t, f)
+		time.Sleep(time.Second)
+		if len(f.ended) != 1 || f.ended[0] != 90 || !e.View().InTerm(time.Now()) {
+			t.Errorf("ended %v, view %+v", f.ended, e.View())
+		}
+	})
+}
+
+func TestAnotherNodesLeaseIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{ends: map[uint64]time.Time{90: time.Now().Add(time.Hour)}, entry: holderOf(t, "n2", 90), revision: 3}
+		e := start(t, f)
+		time.Sleep(time.Minute)
+		if len(f.ended) != 0 || f.standing != 0 || e.View().Leader != "n2" {
+			t.Errorf("ended %v, stood %d times, view %+v", f.ended, f.standing, e.View())
+		}
+	})
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,163 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"reflect"
+	"testing"
+	"testing/synctest"
+
+	"leadproxy/internal/election"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+func TestRanges(t *testing.T) {
+	cases := []struct {
+		done string
+		want Ranges
+	}{
+		{"", nil}, {"....", nil}, {"x", Ranges{0, 0}}, {"xxxx", Ranges{0, 3}},
+		{".xx.x", Ranges{1, 2, 4, 4}}, {"x.x.x", Ranges{0, 0, 2, 2, 4, 4}},
+	}
+	for _, c := range cases {
+		got := EncodeRanges(func(i int) bool { return c.done[i] == 'x' }, len(c.done))
+		if !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%q gives %v, want %v", c.done, got, c.want)
+		}
+		back := []byte(c.done)
+		for i := range back {
+			back[i] = '.'
+		}
+		got.Each(func(i int) { back[i] = 'x' })
+		if string(back) != c.done {
+			t.Errorf("%v gives back %q, want %q", got, back, c.done)
+		}
+	}
+	// The worst chunk must stay below the least value limit of 16 KiB.
+	worst, err := json.Marshal(EncodeRanges(func(i int) bool { return i%2 == 0 }, ChunkTasks))
+	if err != nil || len(worst) > 12<<10 {
+		t.Errorf("the worst chunk takes %d bytes", len(worst))
+	}
+}
+
+// fakeStore is a state service whose transactions can be lost on either way or
+// come late.
+type fakeStore struct {
+	revision uint64
+	keys     map[string]uint64
+	values   map[string]string
+	// fate of the coming transactions, one letter each: c carried out, l lost
+	// before, r its answer lost, h held back and carried out by release.
+	fate string
+	held []wire.Txn
+}
+
+func (f *fakeStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
+	v, ok := f.keys[key]
+	return wire.Entry{Key: key, Version: v}, ok, v, nil
+}
+
+func (f *fakeStore) List(context.Context, string, string, int) (wire.Entries, error) {
+	return wire.Entries{Revision: f.revision}, nil
+}
+
+func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
+	fate := byte('c')
+	if f.fate != "" {
+		fate, f.fate = f.fate[0], f.fate[1:]
+	}
+	switch fate {
+	case 'l':
+		return false, wire.TxnAnswer{}, state.ErrUnknown
+	case 'h':
+		f.held = append(f.held, t)
+		return false, wire.TxnAnswer{}, state.ErrUnknown
+	}
+	ok, a := f.apply(t)
+	if fate == 'r' {
+		return false, wire.TxnAnswer{}, state.ErrUnknown
+	}
+	return ok, a, nil
+}
+
+func (f *fakeStore) apply(t wire.Txn) (bool, wire.TxnAnswer) {
+	var failed []string
+	for _, c := range t.If {
+		if f.keys[c.Key] != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return false, wire.TxnAnswer{Failed: failed}
+	}
+	f.revision++
+	for _, c := range t.Then {
+		f.keys[c.Set], f.values[c.Set] = f.revision, string(c.Value)
+	}
+	return true, wire.TxnAnswer{Revision: f.revision}
+}
+
+func TestWritesThroughLossAndDelay(t *testing.T) {
+	for _, fate := range []string{"c", "lc", "rc", "hc", "lrhc", "hhrlc"} {
+		t.Run(fate, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeStore{revision: 9, keys: map[string]uint64{election.Key: 5, "job/j": 3}, values: map[string]string{}, fate: fate}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				l := New(5, f, Limits{Ops: 4, Bytes: 1 << 14}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				go func() { _ = l.Run(ctx) }()
+				l.Put(ctx, []Write{{Key: "job/j", Value: "old", Version: 3, Tag: 1}})
+				if tags := <-l.Durable; !reflect.DeepEqual(tags, []any{1}) {
+					t.Errorf("durable: %v", tags)
+				}
+				l.Put(ctx, []Write{{Key: "job/j", Value: "new", Tag: 2}})
+				<-l.Durable
+				// A copy that comes now must not bring the old value back.
+				for _, txn := range f.held {
+					f.apply(txn)
+				}
+				if f.values["job/j"] != `"new"` {
+					t.Errorf("the key holds %s", f.values["job/j"])
+				}
+				// Once another leader's key stands, nothing is written.
+				f.keys[election.Key] = 77
+				l.Put(ctx, []Write{{Key: "job/j", Value: "late", Tag: 3}})
+				synctest.Wait()
+				if f.values["job/j"] != `"new"` {
+					t.Errorf("written after the term: %s", f.values["job/j"])
+				}
+			})
+		})
+	}
+}
+
+func TestDeposedLedgerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{keys: map[string]uint64{election.Key: 6}, values: map[string]string{}}
+		l := New(5, f, Limits{Ops: 4, Bytes: 1 << 14}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		go l.Put(t.Context(), []Write{{Key: "a", Value: 1}})
+		if err := l.Run(t.Context()); !errors.Is(err, ErrDeposed) {
+			t.Errorf("ended with %v", err)
+		}
+	})
+}
+
+func TestBatchKeepsToTheLimits(t *testing.T) {
+	l := New(5, nil, Limits{Ops: 3, Bytes: 1000}, nil)
+	for _, w := range []Write{{Key: "a", Value: 1}, {Key: "b", Value: 1}, {Key: "a", Value: 2}, {Key: "c", Value: 1, Urgent: true}, {Key: "d", Value: 1}} {
+		if err := l.enqueue(w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	keys, writes, txn := l.batch()
+	if !reflect.DeepEqual(keys, []string{"c", "a", "b"}) || string(writes[1].value) != "2" || len(txn.If) != 4 {
+		t.Errorf("batch %v, value of a %s, %d conditions", keys, writes[1].value, len(txn.If))
+	}
+	if keys, _, _ := l.batch(); !reflect.DeepEqual(keys, []string{"d"}) {
+		t.Errorf("second batch %v", keys)
+	}
+}
