--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,262 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"leadproxy/internal/wire"
+)
+
+// State stands in for the state service.
+type State struct {
+	actor
+	server   *httptest.Server
+	revision uint64
+	keys     map[string]wire.Entry
+	leases   map[uint64]*lease
+	history  []wire.Event
+	waiters  []chan struct{}
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// NewState starts a state service that lives as long as the test.
+func NewState(t *testing.T, trouble func(r *http.Request) Trouble) *State {
+	s := &State{actor: newActor(t.Context().Done()), keys: map[string]wire.Entry{}, leases: map[uint64]*lease{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /store/{key...}", s.get)
+	mux.HandleFunc("GET /store", s.list)
+	mux.HandleFunc("POST /txn", s.txn)
+	mux.HandleFunc("POST /leases", s.newLease)
+	mux.HandleFunc("POST /leases/{id}/renew", s.renew)
+	mux.HandleFunc("DELETE /leases/{id}", s.endLease)
+	mux.HandleFunc("GET /changes", s.changes)
+	s.server = httptest.NewServer(troubled(mux, trouble))
+	t.Cleanup(func() { s.server.CloseClientConnections(); s.server.Close() })
+	go func() {
+		tick := time.NewTicker(20 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				s.do(s.expire)
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	return s
+}
+
+// Addr is where it listens.
+func (s *State) Addr() string { return s.server.Listener.Addr().String() }
+
+// Count is how many keys there are under a prefix.
+func (s *State) Count(prefix string) (n int) {
+	s.do(func() {
+		for k := range s.keys {
+			if strings.HasPrefix(k, prefix) {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+func (s *State) expire() {
+	for id, l := range s.leases {
+		if time.Now().After(l.end) {
+			s.dropLease(id)
+		}
+	}
+}
+
+func (s *State) dropLease(id uint64) {
+	delete(s.leases, id)
+	var changes []wire.Change
+	for k, e := range s.keys {
+		if e.Lease == id {
+			changes = append(changes, wire.Change{Delete: k})
+		}
+	}
+	if len(changes) > 0 {
+		s.apply(changes)
+	}
+}
+
+func (s *State) apply(changes []wire.Change) {
+	s.revision++
+	for _, c := range changes {
+		if c.Set != "" {
+			s.keys[c.Set] = wire.Entry{Key: c.Set, Value: c.Value, Version: s.revision, Lease: c.Lease}
+			s.history = append(s.history, wire.Event{Set: c.Set, Value: c.Value, Version: s.revision})
+		} else {
+			delete(s.keys, c.Delete)
+			s.history = append(s.history, wire.Event{Delete: c.Delete, Version: s.revision})
+		}
+	}
+	for _, w := range s.waiters {
+		close(w)
+	}
+	s.waiters = nil
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		return // the caller has gone
+	}
+}
+
+func (s *State) get(w http.ResponseWriter, r *http.Request) {
+	var e wire.Entry
+	var found bool
+	var rev uint64
+	s.do(func() { e, found = s.keys[r.PathValue("key")]; rev = s.revision })
+	if !found {
+		answer(w, http.StatusNotFound, wire.TxnAnswer{Revision: rev})
+		return
+	}
+	answer(w, http.StatusOK, e)
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	limit, err := strconv.Atoi(r.FormValue("limit"))
+	if err != nil {
+		limit = 1000
+	}
+	page := wire.Entries{Items: []wire.Entry{}}
+	s.do(func() {
+		page.Revision = s.revision
+		for k, e := range s.keys {
+			if strings.HasPrefix(k, r.FormValue("under")) && k > r.FormValue("from") {
+				page.Items = append(page.Items, e)
+			}
+		}
+	})
+	sort.Slice(page.Items, func(a, b int) bool { return page.Items[a].Key < page.Items[b].Key })
+	if len(page.Items) > limit {
+		page.Items, page.More = page.Items[:limit], true
+	}
+	answer(w, http.StatusOK, page)
+}
+
+func (s *State) txn(w http.ResponseWriter, r *http.Request) {
+	var t wire.Txn
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		answer(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+		return
+	}
+	status, body := http.StatusOK, any(nil)
+	s.do(func() {
+		for _, c := range t.Then {
+			if c.Lease != 0 && s.leases[c.Lease] == nil {
+				status, body = http.StatusBadRequest, wire.Problem{Error: "no such lease"}
+				return
+			}
+		}
+		var failed []string
+		for _, c := range t.If {
+			if s.keys[c.Key].Version != c.Version {
+				failed = append(failed, c.Key)
+			}
+		}
+		if failed != nil {
+			status, body = http.StatusConflict, wire.TxnAnswer{Failed: failed, Revision: s.revision}
+			return
+		}
+		if len(t.Then) > 0 {
+			s.apply(t.Then)
+		}
+		body = wire.TxnAnswer{Revision: s.revision}
+	})
+	answer(w, status, body)
+}
+
+func (s *State) newLease(w http.ResponseWriter, r *http.Request) {
+	var terms wire.LeaseTerms
+	if err := json.NewDecoder(r.Body).Decode(&terms); err != nil {
+		answer(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+		return
+	}
+	var id uint64
+	s.do(func() {
+		s.revision++
+		id = s.revision
+		ttl := time.Duration(terms.TTLMS) * time.Millisecond
+		s.leases[id] = &lease{ttl, time.Now().Add(ttl)}
+	})
+	answer(w, http.StatusOK, wire.LeaseAnswer{Lease: id})
+}
+
+// onLease runs f on a lease, or answers 404.
+func (s *State) onLease(w http.ResponseWriter, r *http.Request, f func(id uint64, l *lease)) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	found := false
+	s.do(func() {
+		s.expire()
+		if l := s.leases[id]; err == nil && l != nil {
+			found = true
+			f(id, l)
+		}
+	})
+	if !found {
+		answer(w, http.StatusNotFound, wire.Problem{Error: "no such lease"})
+		return
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
+
+func (s *State) renew(w http.ResponseWriter, r *http.Request) {
+	s.onLease(w, r, func(_ uint64, l *lease) { l.end = time.Now().Add(l.ttl) })
+}
+
+func (s *State) endLease(w http.ResponseWriter, r *http.Request) {
+	s.onLease(w, r, func(id uint64, _ *lease) { s.dropLease(id) })
+}
+
+func (s *State) changes(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	wait, err2 := strconv.Atoi(r.FormValue("wait_ms"))
+	if err != nil || err2 != nil {
+		answer(w, http.StatusBadRequest, wire.Problem{Error: "from and wait_ms must be numbers"})
+		return
+	}
+	over := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		news := wire.News{Events: []wire.Event{}}
+		changed := make(chan struct{})
+		s.do(func() {
+			news.Revision = s.revision
+			for _, e := range s.history {
+				if e.Version > from && strings.HasPrefix(e.Set+e.Delete, r.FormValue("under")) {
+					news.Events = append(news.Events, e)
+				}
+			}
+			if len(news.Events) == 0 {
+				s.waiters = append(s.waiters, changed)
+			}
+		})
+		if len(news.Events) > 0 {
+			answer(w, http.StatusOK, news)
+			return
+		}
+		select {
+		case <-changed:
+		case <-over:
+			answer(w, http.StatusOK, news)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
