--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -99,6 +99,12 @@
 	return e
 }
 
+// pass lets time pass and everything that is due settle.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 func holderOf(t *testing.T, node string, lease uint64) *wire.Entry {
 	v, err := json.Marshal(holder{Node: node, Boot: 1})
 	if err != nil {
@@ -111,20 +117,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{ends: map[uint64]time.Time{}}
 		e := start(t, f)
-		time.Sleep(20 * time.Second)
+		pass(20 * time.Second)
 		v := e.View()
 		if !v.InTerm(time.Now()) || v.Term != 1 {
 			t.Fatalf("not leading: %+v", v)
 		}
 		f.down = true
 		end := f.ends[1]
-		time.Sleep(time.Until(end) - 150*time.Millisecond)
+		pass(time.Until(end) - 150*time.Millisecond)
 		if e.View().InTerm(time.Now()) {
 			t.Error("still in term within the margin of the lease's end")
 		}
 		// The outage ends and the lease has lived on: the same term resumes.
 		f.down, f.ends[1] = false, time.Now().Add(6*time.Second)
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if v := e.View(); !v.InTerm(time.Now()) || v.Term != 1 {
 			t.Errorf("the term did not resume: %+v", v)
 		}
@@ -135,14 +141,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{ends: map[uint64]time.Time{}}
 		e := start(t, f)
-		time.Sleep(time.Second)
+		pass(time.Second)
 		f.entry = holderOf(t, "n2", 90)
 		f.ends[90] = time.Now().Add(5 * time.Second)
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		if v := e.View(); v.Mine || v.Leader != "n2" {
 			t.Errorf("view after the loss: %+v", v)
 		}
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		if v := e.View(); !v.InTerm(time.Now()) || v.Term == 1 {
 			t.Errorf("view after the other's lease: %+v", v)
 		}
@@ -153,7 +159,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{ends: map[uint64]time.Time{90: time.Now().Add(time.Hour)}, entry: holderOf(t, "n1", 90), revision: 3}
 		e := start(t, f)
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if len(f.ended) != 1 || f.ended[0] != 90 || !e.View().InTerm(time.Now()) {
 			t.Errorf("ended %v, view %+v", f.ended, e.View())
 		}
@@ -164,7 +170,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{ends: map[uint64]time.Time{90: time.Now().Add(time.Hour)}, entry: holderOf(t, "n2", 90), revision: 3}
 		e := start(t, f)
-		time.Sleep(time.Minute)
+		pass(time.Minute)
 		if len(f.ended) != 0 || f.standing != 0 || e.View().Leader != "n2" {
 			t.Errorf("ended %v, stood %d times, view %+v", f.ended, f.standing, e.View())
 		}
