--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -275,6 +275,8 @@
 		c.settleJob(j)
 	case j.done == j.total:
 		c.finish(j, wire.Done)
+	default:
+		c.arrived(j)
 	}
 	c.dirty = true
 }
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -34,7 +34,7 @@
 	nextPlan  time.Duration
 	listing   bool
 	typing    bool
-	demand    fleet.Demand
+	streams   []fleet.Stream // by class
 	ratios    map[int32]float64
 	typical   slowfit.Size // the size that most of the demand has
 	weights   map[slowfit.Size]float64
@@ -63,8 +63,13 @@
 
 // arrived learns from a job that has just come in.
 func (c *Core) arrived(j *job) {
-	w := j.size.CPUs * float64(j.total) * j.spec.EstimateS
 	f := &c.fleet
+	for int(j.class) >= len(f.streams) {
+		f.streams = append(f.streams, fleet.Stream{})
+	}
+	cores := j.size.CPUs * float64(j.total)
+	f.streams[j.class].Arrived(j.arrived, cores, c.expectedRun(j).Seconds())
+	w := cores * j.spec.EstimateS
 	for s := range f.weights {
 		f.weights[s] *= 0.98
 	}
@@ -120,22 +125,10 @@
 		return
 	}
 	f.nextPlan = c.now + planEvery
-	c.learnDemand()
 	c.returnMachines()
 	c.hireMachines()
 }
 
-// learnDemand samples the cores that are in use or waited for.
-func (c *Core) learnDemand() {
-	cores := 0.0
-	for _, j := range c.active {
-		if !j.over() && j.tasks != nil {
-			cores += j.size.CPUs * float64(j.booked+len(j.waiting))
-		}
-	}
-	c.fleet.demand.Sample(cores, planEvery)
-}
-
 // counts tells whether a machine is part of the capacity to plan with.
 func (c *Core) counts(m *machine) bool {
 	switch m.state {
@@ -150,7 +143,7 @@
 // targets are the cores to keep: the first with cheap spot machines, the second
 // worth ordinary ones.
 func (c *Core) targets() (spot, ordinary float64) {
-	mean, deviation := c.fleet.demand.Learned()
+	mean, deviation := fleet.Demand(c.now, c.fleet.streams)
 	return mean + c.cfg.Operator.WarmSpread*deviation, mean * 0.9
 }
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -168,27 +168,3 @@
 	}
 	return best.Priced, true
 }
-
-// Demand learns the mean and the spread of the cores in demand, the recent past
-// counting most.
-type Demand struct {
-	seconds  float64
-	mean     float64
-	variance float64
-}
-
-// memory is how far back demand is remembered, in seconds.
-const memory = 120
-
-// Sample takes in what was in demand during a time.
-func (d *Demand) Sample(cores float64, over time.Duration) {
-	// At first all that was seen counts alike.
-	d.seconds += over.Seconds()
-	a := over.Seconds() / min(d.seconds, memory)
-	diff := cores - d.mean
-	d.mean += a * diff
-	d.variance = (1 - a) * (d.variance + a*diff*diff)
-}
-
-// Learned returns the mean and the standard deviation.
-func (d *Demand) Learned() (mean, deviation float64) { return d.mean, math.Sqrt(d.variance) }
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -40,7 +40,7 @@
 		LeaderLease:  6 * time.Second,
 		LeaseMargin:  200 * time.Millisecond,
 		SlowFitC:     5,
-		IdleReturn:   75 * time.Second,
+		IdleReturn:   40 * time.Second,
 		BootPatience: 3,
 		WarmSpread:   0.5,
 	}
