--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -196,7 +196,9 @@
 			continue
 		}
 		s.Cores += m.total.CPUs
-		if m.state == machineBooting || !m.known(c.term) {
+		if m.known(c.term) {
+			s.Up = append(s.Up, fleet.Present{Offer: fleet.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot}, Busy: c.busy(m)})
+		} else {
 			s.Coming = append(s.Coming, fleet.Coming{Offer: fleet.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot}, Room: m.free})
 		}
 	}
@@ -221,13 +223,31 @@
 			n = min(n, 1)
 		}
 		if n > 0 {
-			s.Waiting = append(s.Waiting, fleet.Group{Size: j.size, Count: n, Run: c.expectedRun(j),
+			s.Waiting = append(s.Waiting, fleet.Group{Size: j.size, Count: n, Run: c.expectedRun(j), Slack: j.slack(c.now),
 				Allows: func(o fleet.Offer) bool { return j.allows(o.Type, o.Zone, o.Spot) }})
 		}
 	}
 	return s
 }
 
+// busy is the core-seconds that are expected to be left of a machine's tasks.
+func (c *Core) busy(m *machine) float64 {
+	sum := 0.0
+	for _, b := range m.bookings {
+		j := c.jobs[b.job]
+		if j.spec == nil {
+			continue
+		}
+		left := c.expectedRun(j)
+		if b.ranSince > 0 {
+			// One that has outrun its estimate goes on for some time more.
+			left = max(left-(c.now-b.ranSince), left/4)
+		}
+		sum += j.size.CPUs * left.Seconds()
+	}
+	return sum
+}
+
 // roomInLimit is how many more tasks of a job its team's limit lets run.
 func (c *Core) roomInLimit(j *job) int {
 	t := c.teams[j.team]
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -33,11 +33,19 @@
 	Room slowfit.Size
 }
 
+// Present is a machine that is up.
+type Present struct {
+	Offer
+	// Busy is the core-seconds that are left of what runs there.
+	Busy float64
+}
+
 // Group is a number of equal tasks that no present machine has room for.
 type Group struct {
 	Size   slowfit.Size
 	Count  int
 	Run    time.Duration
+	Slack  time.Duration // how long it may wait and still end in time
 	Allows func(Offer) bool
 }
 
@@ -45,6 +53,7 @@
 type Situation struct {
 	Types       []Type
 	Offers      []Priced
+	Up          []Present
 	Coming      []Coming
 	Waiting     []Group // in the order of the queue
 	Cores       float64 // of all machines that are up or coming
@@ -81,8 +90,10 @@
 		budget -= n
 		s.Cores += float64(n) * s.Types[o.Type].Total.CPUs
 	}
+	ahead := 0.0 // core-seconds of the groups so far
 	for _, g := range s.Waiting {
 		left := g.Count
+		ahead += float64(g.Count) * g.Size.CPUs * g.Run.Seconds()
 		for i := range s.Coming {
 			c := &s.Coming[i]
 			if left == 0 {
@@ -98,9 +109,21 @@
 		if left == 0 {
 			continue
 		}
-		best, ok := cheapest(s, g.Size, left, g.Allows)
+		best, ok := cheapest(s, g.Size, left, func(o Offer) bool { return g.Allows(o) && (o.Spot || !g.Allows(spotOf(o))) })
 		if !ok {
-			continue
+			// Ordinary machines cost a multiple. They are hired when those that
+			// are there or coming would not get through in time, and as many as
+			// make up for that.
+			if best, ok = cheapest(s, g.Size, left, g.Allows); !ok {
+				continue
+			}
+			t := s.Types[best.Type]
+			within := max(g.Slack, t.Boot).Seconds()
+			lack := ahead/within - s.capacity(g, within)
+			if lack <= 0 {
+				continue
+			}
+			left = min(left, int(math.Ceil(lack/max(g.Size.CPUs, 1e-3))))
 		}
 		// Tasks shorter than a boot are mostly served by turnover before a new
 		// machine is up.
@@ -142,6 +165,25 @@
 	return out
 }
 
+func spotOf(o Offer) Offer { return Offer{o.Type, o.Zone, true} }
+
+// capacity is how many cores the machines that suit a group have for it, on the
+// mean, within a time.
+func (s *Situation) capacity(g Group, within float64) float64 {
+	cores := 0.0
+	for _, u := range s.Up {
+		if t := s.Types[u.Type].Total; g.Allows(u.Offer) && g.Size.Slots(t) > 0 {
+			cores += max(0, t.CPUs-u.Busy/within)
+		}
+	}
+	for _, c := range s.Coming {
+		if t := s.Types[c.Type].Total; g.Allows(c.Offer) && g.Size.Slots(t) > 0 {
+			cores += t.CPUs * max(0.2, 1-s.Types[c.Type].Boot.Seconds()/2/within)
+		}
+	}
+	return cores
+}
+
 // cheapest finds the offer with the least price per task slot. Slots beyond
 // the number of tasks count for nothing.
 func cheapest(s Situation, size slowfit.Size, count int, allows func(Offer) bool) (Priced, bool) {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -33,6 +33,10 @@
 		{"a coming machine that the job may not use does not serve", Situation{
 			Coming:  []Coming{{Offer: small, Room: types[0].Total}},
 			Waiting: []Group{{Size: four, Count: 1, Run: time.Minute, Allows: func(o Offer) bool { return !o.Spot }}}}, []Wish{{Offer: ordinary, Count: 1}}},
+		{"ordinary machines wait while those that are up will do", Situation{Up: []Present{{Offer: large}}, Offers: offers[2:],
+			Waiting: []Group{{Size: four, Count: 8, Run: time.Minute, Slack: 3 * time.Minute, Allows: any}}}, nil},
+		{"ordinary machines make up for what would be late", Situation{Up: []Present{{Offer: large}}, Offers: offers[2:],
+			Waiting: []Group{{Size: four, Count: 8, Run: time.Minute, Slack: time.Minute, Allows: any}}}, []Wish{{Offer: ordinary, Count: 4}}},
 		{"short tasks are partly left to turnover", Situation{
 			Waiting: []Group{{Size: four, Count: 8, Run: 10 * time.Second, Allows: any}}}, []Wish{{Offer: large, Count: 1}}},
 		{"the bound on machines holds", Situation{MaxMachines: 3, Machines: 2,
@@ -42,7 +46,10 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			c.s.Types, c.s.Offers = types, offers
+			c.s.Types = types
+			if c.s.Offers == nil {
+				c.s.Offers = offers
+			}
 			got := Plan(c.s)
 			if len(got) != len(c.want) {
 				t.Fatalf("wishes %v, want %v", got, c.want)
