--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -184,6 +184,10 @@
 	return cores
 }
 
+// usualStay is how long a machine is assumed to be of use once it is up, for
+// weighing its boot time.
+const usualStay = 3 * time.Minute
+
 // cheapest finds the offer with the least price per task slot. Slots beyond
 // the number of tasks count for nothing.
 func cheapest(s Situation, size slowfit.Size, count int, allows func(Offer) bool) (Priced, bool) {
@@ -197,7 +201,9 @@
 		if per == 0 || !allows(o.Offer) {
 			continue
 		}
-		all = append(all, candidate{o, o.Price / float64(min(per, max(count, 1)))})
+		// Booting is paid for as well: a type that is up sooner is worth more.
+		boot := 1 + s.Types[o.Type].Boot.Seconds()/usualStay.Seconds()
+		all = append(all, candidate{o, o.Price * boot / float64(min(per, max(count, 1)))})
 	}
 	if len(all) == 0 {
 		return Priced{}, false
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -42,7 +42,7 @@
 		SlowFitC:     5,
 		IdleReturn:   40 * time.Second,
 		BootPatience: 3,
-		WarmSpread:   0.5,
+		WarmSpread:   1,
 	}
 }
 
