--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -140,11 +140,10 @@
 	return false
 }
 
-// targets are the cores to keep: the first with cheap spot machines, the second
-// worth ordinary ones.
-func (c *Core) targets() (spot, ordinary float64) {
+// warmCores are the cores that the learned demand makes worth keeping.
+func (c *Core) warmCores() float64 {
 	mean, deviation := fleet.Demand(c.now, c.fleet.streams)
-	return mean + c.cfg.Operator.WarmSpread*deviation, mean * 0.9
+	return mean + c.cfg.Operator.WarmSpread*deviation
 }
 
 // hireMachines asks for what waiting tasks need and what is to be kept warm.
@@ -169,8 +168,7 @@
 }
 
 func (c *Core) plan() fleet.Situation {
-	s := fleet.Situation{MaxMachines: c.cfg.Operator.MaxMachines, Typical: c.fleet.typical}
-	s.Spot, s.Ordinary = c.targets()
+	s := fleet.Situation{MaxMachines: c.cfg.Operator.MaxMachines, Typical: c.fleet.typical, Warm: c.warmCores()}
 	for i := range c.types {
 		t := &c.types[i]
 		s.Types = append(s.Types, fleet.Type{Total: t.total, Boot: t.boot})
@@ -485,7 +483,7 @@
 			}
 		}
 	}
-	spotTarget, ordinaryTarget := c.targets()
+	warm := c.warmCores()
 	backlog := len(c.queue()) > 0
 	// Many silent at once is rather a network's trouble, or ours, than theirs.
 	fewSilent := silent <= max(1, up/4)
@@ -519,9 +517,10 @@
 			c.askDelete(m, "faulty")
 		case c.now-m.hired < leastRental || backlog || !m.known(c.term):
 		default:
-			target, patience := spotTarget, c.cfg.Operator.IdleReturn
+			// Ordinary machines cost a multiple and are not kept for what may come.
+			target, patience := warm, c.cfg.Operator.IdleReturn
 			if !m.spot {
-				target, patience = ordinaryTarget, patience/3
+				target, patience = 0, patience/4
 			}
 			if c.now-m.idleSince > patience && cores-m.total.CPUs >= target {
 				cores -= m.total.CPUs
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -59,8 +59,7 @@
 	Cores       float64 // of all machines that are up or coming
 	Machines    int
 	MaxMachines int     // 0: no bound
-	Spot        float64 // cores worth keeping with spot machines
-	Ordinary    float64 // cores worth keeping with ordinary ones
+	Warm        float64 // cores worth keeping, with spot machines
 	Typical     slowfit.Size
 }
 
@@ -144,17 +143,12 @@
 		}
 	}
 	// One warm offer a round: how much of it there is shows in the answer.
-	if lack := s.Spot - s.Cores; lack > 0 && budget > 0 && s.Typical.CPUs > 0 {
-		best, ok := cheapest(s, s.Typical, int(math.Ceil(lack/s.Typical.CPUs)), func(o Offer) bool {
-			return o.Spot || s.Cores < s.Ordinary
-		})
+	if lack := s.Warm - s.Cores; lack > 0 && budget > 0 && s.Typical.CPUs > 0 {
+		best, ok := cheapest(s, s.Typical, int(math.Ceil(lack/s.Typical.CPUs)), func(o Offer) bool { return o.Spot })
 		if ok {
 			n := int(lack/s.Types[best.Type].Total.CPUs + 0.5)
-			if !best.Spot {
-				n = min(n, 1)
-			}
 			if n = min(n, budget, MaxHire); n > 0 {
-				add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", s.Spot))
+				add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", s.Warm))
 			}
 		}
 	}
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -41,8 +41,8 @@
 			Waiting: []Group{{Size: four, Count: 8, Run: 10 * time.Second, Allows: any}}}, []Wish{{Offer: large, Count: 1}}},
 		{"the bound on machines holds", Situation{MaxMachines: 3, Machines: 2,
 			Waiting: []Group{{Size: four, Count: 80, Run: time.Minute, Allows: any}}}, []Wish{{Offer: large, Count: 1}}},
-		{"warm cores up to the learned demand", Situation{Cores: 4, Spot: 12, Typical: four}, []Wish{{Offer: small, Count: 2}}},
-		{"enough is warm", Situation{Cores: 12, Spot: 12, Typical: four}, nil},
+		{"warm cores up to the learned demand", Situation{Cores: 4, Warm: 12, Typical: four}, []Wish{{Offer: small, Count: 2}}},
+		{"enough is warm", Situation{Cores: 12, Warm: 12, Typical: four}, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
