--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -117,7 +117,12 @@
 				continue
 			}
 			t := s.Types[best.Type]
-			within := max(g.Slack, t.Boot).Seconds()
+			within := g.Slack.Seconds()
+			if g.Slack < t.Boot {
+				// No new machine brings these in on time. They still should not
+				// wait without end.
+				within = 4 * t.Boot.Seconds()
+			}
 			lack := ahead/within - s.capacity(g, within)
 			if lack <= 0 {
 				continue
