--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"leadproxy/internal/fleet"
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/slowfit"
@@ -31,6 +32,7 @@
 	zones     names
 	images    names
 	classes   names
+	aims      []classAims // by class
 	types     []machineType
 	typeAt    map[string]int32
 	teams     []team
@@ -192,7 +194,7 @@
 	}
 	j.rank = s.Rank()
 	j.size = slowfit.Size{CPUs: s.CPUs, GPUs: s.GPUs, MemGB: s.MemGB}
-	j.class = c.classes.of(s.Class)
+	j.class = c.classOf(s.Class)
 	j.image = c.images.of(s.Image)
 	if s.Zone != nil {
 		j.zone = c.zones.of(*s.Zone)
@@ -208,6 +210,27 @@
 	return j
 }
 
+// classAims is what the settings ask for a class.
+type classAims struct {
+	wait  time.Duration // its tasks should have started by then; 0: no aim
+	share float64       // of its tasks
+}
+
+// classOf returns a class's index and makes room for what is kept by class.
+func (c *Core) classOf(name string) int32 {
+	i := c.classes.of(name)
+	for int(i) >= len(c.aims) {
+		c.aims = append(c.aims, classAims{})
+		c.fleet.streams = append(c.fleet.streams, fleet.Stream{})
+		for _, o := range c.cfg.Platform.Facts.Objectives {
+			if o.Kind == "wait" && o.Class == name {
+				c.aims[i] = classAims{settings.Seconds(o.WithinS), o.Share}
+			}
+		}
+	}
+	return i
+}
+
 // fillWaiting lists the waiting tasks, the lowest number to go first.
 func (j *job) fillWaiting() {
 	j.waiting = make([]int32, 0, len(j.tasks)-j.done)
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -64,9 +64,6 @@
 // arrived learns from a job that has just come in.
 func (c *Core) arrived(j *job) {
 	f := &c.fleet
-	for int(j.class) >= len(f.streams) {
-		f.streams = append(f.streams, fleet.Stream{})
-	}
 	cores := j.size.CPUs * float64(j.total)
 	f.streams[j.class].Arrived(j.arrived, cores, c.expectedRun(j).Seconds())
 	w := cores * j.spec.EstimateS
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -125,7 +125,7 @@
 			if m.phase != c.goal.Phase {
 				load = 0
 			}
-			c.view = append(c.view, slowfit.Machine{Total: m.total, Free: m.free, Index: int(m.index), Allowed: ok, HasImage: m.has(j.image), Load: load})
+			c.view = append(c.view, slowfit.Machine{Total: m.total, Free: m.free, Index: int(m.index), Allowed: ok, Merit: c.merit(j, m), Load: load})
 		}
 		at := c.goal.Place(c.view, j.size)
 		if at < 0 {
@@ -140,7 +140,7 @@
 		if only < 0 && j.spec.OneZone {
 			only = m.zone
 		}
-		c.log.Debug("task placed", "task", c.taskName(b), "attempt", b.attempt, "machine", m.name, "goal", c.goal.L, "share", b.share, "load", m.load, "image", c.view[at].HasImage)
+		c.log.Debug("task placed", "task", c.taskName(b), "attempt", b.attempt, "machine", m.name, "goal", c.goal.L, "share", b.share, "load", m.load, "image", m.has(j.image))
 		if _, ok := j.hostAt[m.index]; !ok {
 			c.addHost(j, m)
 		}
@@ -150,6 +150,23 @@
 	}
 }
 
+// merit tells equally slow machines apart. A class with an aim on waiting goes
+// first where its image is, since a fetch counts as waiting; other work goes
+// first to spot machines, so that dearer ones run empty and can go back.
+func (c *Core) merit(j *job, m *machine) int {
+	image, cheap := 0, 0
+	if m.has(j.image) {
+		image = 1
+	}
+	if m.spot {
+		cheap = 1
+	}
+	if c.aims[j.class].wait > 0 {
+		return 2*image + cheap
+	}
+	return image + 2*cheap
+}
+
 // zoneUse counts a job's present tasks by zone.
 func (c *Core) zoneUse(j *job) map[int32]int {
 	use := map[int32]int{}
--- a/internal/slowfit/slowfit.go
+++ b/internal/slowfit/slowfit.go
@@ -66,8 +66,8 @@
 	Index int
 	// Allowed is false when the task's job may not use the machine now.
 	Allowed bool
-	// HasImage breaks ties between equally slow machines.
-	HasImage bool
+	// Merit breaks ties between equally slow machines, before the index does.
+	Merit int
 	// Load is the load that counts towards the goal, as told by Account.
 	Load float64
 }
@@ -144,7 +144,7 @@
 }
 
 // pick returns the slowest allowed machine that passes, among equally slow
-// ones first those that have the image.
+// ones the one of most merit.
 func pick(machines []Machine, passes func(*Machine) bool) int {
 	best := -1
 	for i := range machines {
@@ -158,8 +158,8 @@
 		}
 		b := &machines[best]
 		switch {
-		case alike(m, b) && m.HasImage != b.HasImage:
-			if m.HasImage {
+		case alike(m, b) && m.Merit != b.Merit:
+			if m.Merit > b.Merit {
 				best = i
 			}
 		case Slower(m, b):
--- a/internal/slowfit/slowfit_test.go
+++ b/internal/slowfit/slowfit_test.go
@@ -13,7 +13,7 @@
 
 // The cases are worked out by hand from section 4 of the paper.
 func TestPlace(t *testing.T) {
-	image := func(m Machine) Machine { m.HasImage = true; return m }
+	better := func(m Machine) Machine { m.Merit = 1; return m }
 	barred := func(m Machine) Machine { m.Allowed = false; return m }
 	cases := []struct {
 		name     string
@@ -32,10 +32,10 @@
 			[]Machine{mach(0, 16, 16, 0), mach(1, 8, 8, 0), mach(2, 4, 4, 0)}, cpu(4), 1, 0.5, 0},
 		{"among equals the lowest index", Goal{C: 5, L: 1},
 			[]Machine{mach(7, 8, 8, 0), mach(3, 8, 8, 0)}, cpu(4), 1, 1, 0},
-		{"among equals one with the image", Goal{C: 5, L: 1},
-			[]Machine{image(mach(7, 8, 8, 0)), mach(3, 8, 8, 0)}, cpu(4), 0, 1, 0},
-		{"the image does not outweigh speed", Goal{C: 5, L: 1},
-			[]Machine{image(mach(0, 16, 16, 0)), mach(1, 8, 8, 0)}, cpu(4), 1, 1, 0},
+		{"among equals one of more merit", Goal{C: 5, L: 1},
+			[]Machine{better(mach(7, 8, 8, 0)), mach(3, 8, 8, 0)}, cpu(4), 0, 1, 0},
+		{"merit does not outweigh speed", Goal{C: 5, L: 1},
+			[]Machine{better(mach(0, 16, 16, 0)), mach(1, 8, 8, 0)}, cpu(4), 1, 1, 0},
 		{"a machine at c times L is passed over", Goal{C: 5, L: 0.125},
 			[]Machine{mach(0, 8, 3, 0.625), mach(1, 8, 8, 0)}, cpu(1), 1, 0.125, 0},
 		{"room but no goal: L doubles until one passes and old load counts as nothing", Goal{C: 5, L: 0.125},
