--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -324,7 +324,10 @@
 }
 
 // clearMachine ends the doubt about what an earlier leader started on m.
-func (c *Core) clearMachine(m *machine) {
+func (c *Core) clearMachine(m *machine, why string) {
+	if len(m.unclear) > 0 {
+		c.log.Info("earlier starts on a machine are settled", "machine", m.name, "why", why, "jobs", len(m.unclear), "after", (c.now - c.began).Seconds())
+	}
 	for _, i := range m.unclear {
 		j := c.jobs[i]
 		delete(j.unclear, m.index)
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -106,7 +106,7 @@
 	c.matchTasks(m, r)
 	if m.known(c.term) && len(m.unclear) > 0 {
 		// Only now is it certain that no earlier leader's start is on its way.
-		c.clearMachine(m)
+		c.clearMachine(m, "it has echoed our token")
 	}
 	if m.noticeAt > 0 {
 		c.drain(m)
@@ -422,7 +422,7 @@
 	m.state = machineGone
 	c.dropBookings(m, why)
 	clear(m.pending)
-	c.clearMachine(m)
+	c.clearMachine(m, why)
 	c.hireSeen(m)
 	c.dirty = true
 }
@@ -437,7 +437,7 @@
 	}
 	// Its worker has had no answer for a whole lease: whatever it ran is over.
 	if len(m.unclear) > 0 {
-		c.clearMachine(m)
+		c.clearMachine(m, "its lease is over")
 	}
 	// This holds as well while a deletion is asked for and not answered.
 	if len(m.bookings) > 0 {
