Note gone machines in the ledger; delete silent hosts after a takeover

Cause: each new leader waited a whole lease for machines that were long deleted, and for silent ones that it did not dare to delete before the lease ended. Ruled out: slow echoes, which settle within 1.5 s.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -86,6 +86,10 @@
 	c.spareTeam = int32(len(c.teams))
 	c.teams = append(c.teams, team{})
 	c.fleet.begin()
+	for _, name := range s.Gone {
+		m := c.machineNamed(name)
+		m.state, m.goneNoted = machineGone, true
+	}
 	for i := range s.Jobs {
 		c.restore(&s.Jobs[i])
 	}
@@ -168,14 +172,27 @@
 	c.active = keep
 	live := c.live[:0]
 	for _, m := range c.live {
-		if m.state != machineGone {
+		if m.state != machineGone || m.goneNoted && c.hostOfAny(m) {
 			live = append(live, m)
+		} else if m.goneNoted {
+			m.goneNoted = false
+			c.put(ledger.Write{Key: ledger.GoneKey(m.name)})
 		}
 	}
 	clear(c.live[len(live):])
 	c.live = live
 }
 
+// hostOfAny tells whether an unfinished job names the machine as a host.
+func (c *Core) hostOfAny(m *machine) bool {
+	for _, j := range c.active {
+		if _, ok := j.hostAt[m.index]; ok && !j.settled {
+			return true
+		}
+	}
+	return false
+}
+
 // --- jobs ---
 
 func (c *Core) newJob(ref string, rec ledger.JobRecord, version uint64) *job {
@@ -315,6 +332,9 @@
 		}
 		j.hostAt[m.index] = len(j.hosts)
 		j.hosts = append(j.hosts, host{machine: m.index, durable: true})
+		if m.state == machineGone {
+			continue
+		}
 		if j.unclear == nil {
 			j.unclear = map[int32]bool{}
 		}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -290,12 +290,15 @@
 			Hosts: hosts, Finished: map[int]ledger.Ranges{0: {0, 0}}}}}
 	}
 	old := wire.Order{Task: "job-1/1", Attempt: 6<<tokenBits | 1}
+	gone := saved("vm-1")
+	gone.Gone = []string{"vm-1"}
 	cases := []struct {
 		name   string
 		ledger ledger.Snapshot
 		act    func(g *stage)
 		starts int
 	}{
+		{"a host that the ledger says is gone needs no waiting", gone, func(g *stage) {}, 1},
 		{"what never had hosts is placed at once", saved(), func(g *stage) {}, 1},
 		{"an unseen task waits for its host", saved("vm-1"), func(g *stage) {}, 0},
 		{"a report without our token clears nothing", saved("vm-1"), func(g *stage) {
@@ -479,6 +482,26 @@
 	g.want("starts after", len(g.starts()), 1)
 }
 
+func TestGoneMachinesAreNotedWhileAJobNamesThem(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.up("vm-2")
+	g.submit(newTestJob("job-1", 2, 4))
+	g.settle(DirectDone)
+	g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}}})
+	g.want("noted", g.c.machines[0].goneNoted, true)
+	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.report(g.reportOf("vm-2", ours))
+	g.wait(time.Second)
+	g.want("noted after the job is over", g.c.machines[0].goneNoted, false)
+}
+
+func TestUnheardHostAfterATakeoverIsDeleted(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}})
+	g.wait(13 * time.Second)
+	g.want("asked to delete", g.deleted, []string{"vm-1"})
+}
+
 func TestOrderOfTheQueue(t *testing.T) {
 	due := func(j *wire.Job, s float64) *wire.Job { j.DeadlineS = &s; return j }
 	high := newTestJob("job-3", 1, 4)
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -431,6 +431,11 @@
 }
 
 func (c *Core) listRead(list []wire.ListedMachine) {
+	for _, m := range c.live {
+		if m.listed {
+			m.missing++
+		}
+	}
 	for i := range list {
 		l := &list[i]
 		m := c.machineNamed(l.Name)
@@ -445,7 +450,7 @@
 		if m.typeName == "" {
 			c.describe(m, l.Type, l.Zone, l.Spot, l.Address)
 		}
-		m.listedUp = l.Status == wire.MachineUp
+		m.missing = 0
 		if l.Status == wire.MachineFailed {
 			// It has stopped on its own, and all on it with it.
 			c.askDelete(m, "failed")
@@ -465,6 +470,15 @@
 	c.emit(CallCloud{fleet.Call{Delete: []string{m.name}}})
 }
 
+// quiet is how long a machine has said nothing to this leader.
+func (c *Core) quiet(m *machine) time.Duration { return c.now - max(m.heard, m.answered, c.began) }
+
+// expected tells whether a machine should be reporting: it has, or an earlier
+// leader has started something on it.
+func (c *Core) expected(m *machine) bool {
+	return m.state == machineUp || m.state == machineBooting && len(m.unclear) > 0
+}
+
 // returnMachines gives back what is broken, lost, or not needed any more.
 func (c *Core) returnMachines() {
 	var cores float64
@@ -473,9 +487,9 @@
 		if c.counts(m) {
 			cores += m.total.CPUs
 		}
-		if m.state == machineUp {
+		if c.expected(m) {
 			up++
-			if c.now-m.heard >= c.silentAfter() {
+			if c.quiet(m) >= c.silentAfter() && m.missing < 2 {
 				silent++
 			}
 		}
@@ -485,11 +499,16 @@
 	// Many silent at once is rather a network's trouble, or ours, than theirs.
 	fewSilent := silent <= max(1, up/4)
 	for _, m := range c.live {
-		quiet := c.now - max(m.heard, m.answered, c.began)
+		quiet := c.quiet(m)
 		switch {
 		case m.state == machineGone:
 		case m.state == machineDeleting:
 			c.askDelete(m, "not yet known to be gone")
+		case c.expected(m) && quiet > c.silentAfter() && m.missing >= 2:
+			// Absence from the list proves nothing, but its deletion will.
+			c.askDelete(m, "silent and not listed any more")
+		case c.expected(m) && quiet > 4*c.report && fewSilent:
+			c.askDelete(m, "silent")
 		case m.state == machineBooting:
 			if m.typ < 0 && quiet < c.leaseTime {
 				break
@@ -505,8 +524,6 @@
 			}
 		case quiet > c.leaseTime+c.report:
 			c.askDelete(m, "lost")
-		case quiet > 4*c.report && fewSilent:
-			c.askDelete(m, "silent")
 		case len(m.bookings) > 0:
 		case m.noticeAt > 0:
 			c.askDelete(m, "will be taken back")
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -424,6 +424,10 @@
 	clear(m.pending)
 	c.clearMachine(m, why)
 	c.hireSeen(m)
+	if c.hostOfAny(m) {
+		m.goneNoted = true
+		c.put(ledger.Write{Key: ledger.GoneKey(m.name), Value: true})
+	}
 	c.dirty = true
 }
 
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -227,7 +227,8 @@
 	answered     time.Duration // last report answered in this term
 	leaseOver    time.Duration // when an unseen task on it must be over
 	listed       bool
-	listedUp     bool
+	missing      int  // lists in a row that lack it though it was listed before
+	goneNoted    bool // the ledger says that it is gone
 
 	bookings []*booking
 	pending  map[uint64]uint64 // starts that may yet act: attempt -> fence
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -79,7 +79,7 @@
 func (l *Ledger) Load(ctx context.Context) (Snapshot, error) {
 	var entries []wire.Entry
 	var revision uint64
-	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix} {
+	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix} {
 		after := ""
 		for {
 			page, err := l.store.List(ctx, prefix, after, 1000)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -20,6 +20,7 @@
 	finPrefix  = "fin/"
 	hostPrefix = "host/"
 	hirePrefix = "hire/"
+	gonePrefix = "gone/"
 )
 
 // JobRecord is a job as accepted, with its terminal state once it has one.
@@ -51,6 +52,11 @@
 // case, every other task done, stays well below the least value limit.
 const ChunkTasks = 1024
 
+// GoneKey is the key that marks a machine as gone for good, so that a new
+// leader need not wait for word of it. It is kept while an unfinished job names
+// the machine as a host.
+func GoneKey(machine string) string { return gonePrefix + machine }
+
 // FinKey is the key of one chunk of a job's finished tasks.
 func FinKey(ref string, chunk int) string { return fmt.Sprintf("%s%s/%d", finPrefix, ref, chunk) }
 
@@ -118,6 +124,7 @@
 type Snapshot struct {
 	Jobs  []SavedJob
 	Hires []HireRecord
+	Gone  []string
 	// Revision is where a watch for further job records starts.
 	Revision uint64
 }
@@ -155,6 +162,8 @@
 				}
 				hosts[ref][chunk] = names
 			}
+		case strings.HasPrefix(e.Key, gonePrefix):
+			s.Gone = append(s.Gone, strings.TrimPrefix(e.Key, gonePrefix))
 		case strings.HasPrefix(e.Key, hirePrefix):
 			var h HireRecord
 			if err = json.Unmarshal(e.Value, &h); err == nil {
