--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -286,6 +286,10 @@
 		return
 	}
 	j := c.newJob(s.Ref, s.Record, s.Version)
+	if s.Record.Class != "" {
+		accepted := c.now - time.Duration(c.wall-s.Record.AcceptedMS)*time.Millisecond
+		c.fleet.streams[c.classOf(s.Record.Class)].Arrived(accepted, s.Record.Cores, s.Record.RunS)
+	}
 	if j.spec == nil {
 		// It is done; an earlier leader was stopped while it tidied up.
 		var writes []ledger.Write
@@ -310,13 +314,12 @@
 	}
 	j.fillWaiting()
 	c.restoreHosts(j, s.Hosts)
+	c.arrived(j)
 	switch {
 	case j.over():
 		c.settleJob(j)
 	case j.done == j.total:
 		c.finish(j, wire.Done)
-	default:
-		c.arrived(j)
 	}
 	c.dirty = true
 }
@@ -433,6 +436,8 @@
 		// The description stays: a new leader charges the team for tasks that
 		// it has not yet seen gone.
 		rec.Job = j.spec
+	} else {
+		rec.Class, rec.Cores, rec.RunS = j.spec.Class, j.size.CPUs*float64(j.total), c.expectedRun(j).Seconds()
 	}
 	c.put(ledger.Write{Key: ledger.JobKey(j.ref), Value: rec, Urgent: true, Version: j.version, Tag: fateTag{j.index}})
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -502,6 +502,19 @@
 	g.want("asked to delete", g.deleted, []string{"vm-1"})
 }
 
+func TestANewLeaderLearnsTheDemandFromFinishedJobs(t *testing.T) {
+	var s ledger.Snapshot
+	for i := range 30 {
+		s.Jobs = append(s.Jobs, ledger.SavedJob{Ref: fmt.Sprintf("job-%d", i), Record: ledger.JobRecord{
+			AcceptedMS: int64(i-30) * 10000, Fate: wire.Done, Tasks: 1, Done: 1, Class: "c", Cores: 8, RunS: 20}})
+	}
+	g := newStage(t, s)
+	mean, _ := fleet.Demand(0, g.c.fleet.streams)
+	if mean < 13 || mean > 16 {
+		t.Errorf("mean demand %v cores, want about 16", mean)
+	}
+}
+
 func TestOrderOfTheQueue(t *testing.T) {
 	due := func(j *wire.Job, s float64) *wire.Job { j.DeadlineS = &s; return j }
 	high := newTestJob("job-3", 1, 4)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -33,6 +33,10 @@
 	Fate  string `json:"fate,omitempty"`
 	Tasks int    `json:"tasks,omitempty"`
 	Done  int    `json:"done,omitempty"`
+	// What a finished job asked for, from which a new leader learns the demand.
+	Class string  `json:"class,omitempty"`
+	Cores float64 `json:"cores,omitempty"`
+	RunS  float64 `json:"run_s,omitempty"`
 }
 
 // JobKey is the key of a job's record.
