--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -8,6 +8,13 @@
 // memory is how far back arrivals are remembered, in arrivals of a class.
 const memory = 24
 
+// burstMemory is how far back a burst is looked for, and burstDoubt how much
+// shorter than usual its gaps must be to be taken for one.
+const (
+	burstMemory = 6
+	burstDoubt  = 1.3
+)
+
 // lull is how many mean gaps without an arrival end a class's demand: with
 // arrivals at random a gap that long comes once in some four hundred.
 const lull = 6
@@ -23,6 +30,7 @@
 	first time.Duration
 	last  time.Duration
 	gap   float64 // mean seconds between arrivals
+	burst float64 // the same over the last few
 	work  float64 // mean core-seconds of a job
 	peak  float64 // mean of cores squared times seconds of a job
 }
@@ -39,8 +47,9 @@
 	s.peak += a * (cores*cores*seconds - s.peak)
 	if s.seen > 1 {
 		// Before the second arrival there is no gap to learn from.
-		a = 1 / float64(min(s.seen-1, memory))
-		s.gap += a * (max((now-s.last).Seconds(), 0.01) - s.gap)
+		gap := max((now - s.last).Seconds(), 0.01)
+		s.gap += (gap - s.gap) / float64(min(s.seen-1, memory))
+		s.burst += (gap - s.burst) / float64(min(s.seen-1, burstMemory))
 	}
 	s.last = now
 }
@@ -53,9 +62,10 @@
 		return 0, 0
 	}
 	// A gap that is already longer than the mean counts as what it is.
-	rate := 1 / max(s.gap, since/2)
-	known := (now - s.first).Seconds()
-	rate = min(rate, float64(s.seen)/(known+settling.Seconds()*min(1, memory/float64(4*s.seen))))
+	rate := 1 / max(min(s.gap, burstDoubt*s.burst), since/2)
+	if s.seen < memory {
+		rate = min(rate, float64(s.seen)/(now-s.first+settling).Seconds())
+	}
 	return rate * s.work, rate * s.peak
 }
 
