--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -37,8 +37,8 @@
 // Defaults returns the settings of an operator who has none of their own.
 func Defaults() Operator {
 	return Operator{
-		LeaderLease:  6 * time.Second,
-		LeaseMargin:  200 * time.Millisecond,
+		LeaderLease:  3 * time.Second,
+		LeaseMargin:  150 * time.Millisecond,
 		SlowFitC:     5,
 		IdleReturn:   40 * time.Second,
 		BootPatience: 3,
