--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -530,3 +530,50 @@
 	g.want("order", order, []string{"job-3", "job-4", "job-2", "job-1"})
 	g.want("slack without a deadline", g.c.jobs[0].slack(0) == math.MaxInt64, true)
 }
+
+func TestPreemption(t *testing.T) {
+	cases := []struct {
+		name       string
+		checkpoint float64
+		ran        time.Duration
+		priority   string
+		class      string
+		stops      int
+	}{
+		{"just saved, for a class that must not wait", 20, 41 * time.Second, "high", "quick", 1},
+		{"much unsaved work", 20, 55 * time.Second, "high", "quick", 0},
+		{"work that never saves", 0, 41 * time.Second, "high", "quick", 0},
+		{"not yet saved at all", 20, 2 * time.Second, "high", "quick", 0},
+		{"equal priority", 20, 41 * time.Second, "standard", "quick", 0},
+		{"a class without an aim on waiting", 20, 41 * time.Second, "high", "c", 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			g.c.cfg.Platform.Facts.Objectives = []settings.Objective{{Kind: "wait", Class: "quick", WithinS: 5, Share: 0.9}}
+			g.up("vm-1")
+			low := newTestJob("job-1", 1, 4)
+			low.CheckpointS, low.SaveS = c.checkpoint, 6
+			g.submit(low)
+			o := g.starts()[0]
+			g.settle(DirectDone)
+			g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")))
+			for end := g.now + c.ran; g.now < end; {
+				g.wait(time.Second)
+				g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")))
+			}
+			high := newTestJob("job-2", 1, 1)
+			high.Priority, high.Class = c.priority, c.class
+			g.submit(high)
+			stops := 0
+			for _, d := range g.start {
+				for _, o := range d.Commands.Orders {
+					if o.Verb == wire.Stop {
+						stops++
+					}
+				}
+			}
+			g.want("stops", stops, c.stops)
+		})
+	}
+}
