--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -29,7 +29,6 @@
 	for _, j := range queue {
 		c.placeJob(j, uncertain)
 	}
-	c.preempt(queue)
 }
 
 // open tells whether a machine takes new tasks at all.
