--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"leadproxy/internal/fleet"
@@ -36,8 +38,7 @@
 	typing    bool
 	streams   []fleet.Stream // by class
 	ratios    map[int32]float64
-	typical   slowfit.Size // the size that most of the demand has
-	weights   map[slowfit.Size]float64
+	sizes     []sized // of the demand, the one with most core-seconds first
 }
 
 type offerState struct {
@@ -58,7 +59,6 @@
 	f.offers = map[fleet.Offer]*offerState{}
 	f.hires = map[string]*hire{}
 	f.ratios = map[int32]float64{}
-	f.weights = map[slowfit.Size]float64{}
 }
 
 // arrived learns from a job that has just come in.
@@ -66,17 +66,47 @@
 	f := &c.fleet
 	cores := j.size.CPUs * float64(j.total)
 	f.streams[j.class].Arrived(j.arrived, cores, c.expectedRun(j).Seconds())
-	w := cores * j.spec.EstimateS
-	for s := range f.weights {
-		f.weights[s] *= 0.98
+	f.addSize(j.size, cores*j.spec.EstimateS, c.aims[j.class].wait > 0)
+}
+
+// sized is a task size with its share of the recent demand.
+type sized struct {
+	size   slowfit.Size
+	weight float64
+	wait   bool // some class of that size has an aim on waiting
+}
+
+// mostSizes bounds the sizes that are remembered.
+const mostSizes = 16
+
+func (f *fleetState) addSize(size slowfit.Size, weight float64, wait bool) {
+	at := -1
+	for i := range f.sizes {
+		f.sizes[i].weight *= 0.98
+		if f.sizes[i].size == size {
+			at = i
+		}
+	}
+	if at < 0 {
+		at = len(f.sizes)
+		f.sizes = append(f.sizes, sized{size: size})
 	}
-	f.weights[j.size] += w
-	best := -1.0
-	for s, w := range f.weights {
-		if w > best || w == best && s.CPUs > f.typical.CPUs {
-			best, f.typical = w, s
+	f.sizes[at].weight += weight
+	f.sizes[at].wait = f.sizes[at].wait || wait
+	slices.SortStableFunc(f.sizes, func(a, b sized) int { return cmp.Compare(b.weight, a.weight) })
+	f.sizes = f.sizes[:min(len(f.sizes), mostSizes)]
+}
+
+// warmSizes are the sizes that warm machines should hold: the heaviest of the
+// demand, then those of classes that must not wait.
+func (c *Core) warmSizes() []slowfit.Size {
+	var out []slowfit.Size
+	for i, s := range c.fleet.sizes {
+		if i == 0 || s.wait {
+			out = append(out, s.size)
 		}
 	}
+	return out
 }
 
 func (f *fleetState) learnRatio(class int32, ratio float64) {
@@ -165,7 +195,7 @@
 }
 
 func (c *Core) plan() fleet.Situation {
-	s := fleet.Situation{MaxMachines: c.cfg.Operator.MaxMachines, Typical: c.fleet.typical, Warm: c.warmCores()}
+	s := fleet.Situation{MaxMachines: c.cfg.Operator.MaxMachines, Sizes: c.warmSizes(), Warm: c.warmCores()}
 	for i := range c.types {
 		t := &c.types[i]
 		s.Types = append(s.Types, fleet.Type{Total: t.total, Boot: t.boot})
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"leadproxy/internal/settings"
 	"leadproxy/internal/slowfit"
 	"leadproxy/internal/wire"
 )
@@ -104,7 +105,6 @@
 	if j.spec.OneZone {
 		only = c.oneZone(j, zones)
 	}
-	most := (j.total + 1) / 2
 	for len(j.waiting) > 0 {
 		if j.suspect() && j.booked > 0 {
 			return // one try at a time
@@ -112,22 +112,7 @@
 		if !t.booked.plus(uncertain[j.team]).plus(need).within(t.limit) {
 			return
 		}
-		c.view = c.view[:0]
-		for _, m := range c.viewOf {
-			ok := j.allows(m.typ, m.zone, m.spot) && !j.failedOn[m.index]
-			if j.suspect() {
-				ok = j.allows(m.typ, m.zone, m.spot)
-			}
-			if only >= 0 && m.zone != only || j.spec.Spread && zones[m.zone] >= most {
-				ok = false
-			}
-			load := m.load
-			if m.phase != c.goal.Phase {
-				load = 0
-			}
-			c.view = append(c.view, slowfit.Machine{Total: m.total, Free: m.free, Index: int(m.index), Allowed: ok, Merit: c.merit(j, m), Load: load})
-		}
-		at := c.goal.Place(c.view, j.size)
+		at := c.choose(j, zones, only)
 		if at < 0 {
 			return
 		}
@@ -150,6 +135,57 @@
 	}
 }
 
+// choose has SLOW-FIT choose the machine for a job's next task. A class with an
+// aim on waiting is first offered only machines on which its image would be
+// ready in time, if one of those has room: a slower machine that must fetch
+// the image first would break the aim by that alone.
+func (c *Core) choose(j *job, zones map[int32]int, only int32) int {
+	if aim := c.aims[j.class].wait; aim > 0 {
+		at := c.goal.Place(c.viewFor(j, zones, only, aim), j.size)
+		if at >= 0 {
+			return at
+		}
+	}
+	return c.goal.Place(c.viewFor(j, zones, only, math.MaxInt64), j.size)
+}
+
+// viewFor is how SLOW-FIT sees the open machines for a job's next task. Those
+// that need longer than within for the image are not allowed.
+func (c *Core) viewFor(j *job, zones map[int32]int, only int32, within time.Duration) []slowfit.Machine {
+	most := (j.total + 1) / 2
+	c.view = c.view[:0]
+	for _, m := range c.viewOf {
+		ok := j.allows(m.typ, m.zone, m.spot) && (j.suspect() || !j.failedOn[m.index])
+		if only >= 0 && m.zone != only || j.spec.Spread && zones[m.zone] >= most {
+			ok = false
+		}
+		ok = ok && c.fetchTime(j, m) <= within
+		load := m.load
+		if m.phase != c.goal.Phase {
+			load = 0
+		}
+		c.view = append(c.view, slowfit.Machine{Total: m.total, Free: m.free, Index: int(m.index), Allowed: ok, Merit: c.merit(j, m), Load: load})
+	}
+	return c.view
+}
+
+// fetchTime is how long a machine will need for a job's image.
+func (c *Core) fetchTime(j *job, m *machine) time.Duration {
+	rate := c.types[m.typ].FetchGBPerS
+	if m.has(j.image) || rate <= 0 {
+		return 0
+	}
+	// Images that are fetched at the same time share the rate.
+	fetching := 1
+	for _, b := range m.bookings {
+		if o := c.jobs[b.job]; b.status != wire.TaskRunning && o.image != j.image && !m.has(o.image) {
+			fetching++
+			break
+		}
+	}
+	return settings.Seconds(float64(fetching) * j.spec.ImageGB / rate)
+}
+
 // merit tells equally slow machines apart. A class with an aim on waiting goes
 // first where its image is, since a fetch counts as waiting; other work goes
 // first to spot machines, so that dearer ones run empty and can go back.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -60,7 +60,9 @@
 	Machines    int
 	MaxMachines int     // 0: no bound
 	Warm        float64 // cores worth keeping, with spot machines
-	Typical     slowfit.Size
+	// Sizes are what warm machines should hold, the most wanted first. A later
+	// one counts only when no offer suits those before.
+	Sizes []slowfit.Size
 }
 
 // Wish is a decision to hire.
@@ -148,14 +150,19 @@
 		}
 	}
 	// One warm offer a round: how much of it there is shows in the answer.
-	if lack := s.Warm - s.Cores; lack > 0 && budget > 0 && s.Typical.CPUs > 0 {
-		best, ok := cheapest(s, s.Typical, int(math.Ceil(lack/s.Typical.CPUs)), func(o Offer) bool { return o.Spot })
-		if ok {
-			n := int(lack/s.Types[best.Type].Total.CPUs + 0.5)
-			if n = min(n, budget, MaxHire); n > 0 {
-				add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", s.Warm))
-			}
+	lack := s.Warm - s.Cores
+	for _, size := range s.Sizes {
+		if lack <= 0 || budget <= 0 || size.CPUs <= 0 {
+			continue
+		}
+		best, ok := cheapest(s, size, int(math.Ceil(lack/size.CPUs)), func(o Offer) bool { return o.Spot })
+		if !ok {
+			continue
+		}
+		if n := min(int(lack/s.Types[best.Type].Total.CPUs+0.5), budget, MaxHire); n > 0 {
+			add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", s.Warm))
 		}
+		break
 	}
 	out := make([]Wish, 0, len(order))
 	for _, o := range order {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -41,8 +41,9 @@
 			Waiting: []Group{{Size: four, Count: 8, Run: 10 * time.Second, Allows: any}}}, []Wish{{Offer: large, Count: 1}}},
 		{"the bound on machines holds", Situation{MaxMachines: 3, Machines: 2,
 			Waiting: []Group{{Size: four, Count: 80, Run: time.Minute, Allows: any}}}, []Wish{{Offer: large, Count: 1}}},
-		{"warm cores up to the learned demand", Situation{Cores: 4, Warm: 12, Typical: four}, []Wish{{Offer: small, Count: 2}}},
-		{"enough is warm", Situation{Cores: 12, Warm: 12, Typical: four}, nil},
+		{"warm cores up to the learned demand", Situation{Cores: 4, Warm: 12, Sizes: []slowfit.Size{four}}, []Wish{{Offer: small, Count: 2}}},
+		{"a size that nothing on offer holds leaves the next to choose", Situation{Warm: 4, Sizes: []slowfit.Size{{CPUs: 99}, four}}, []Wish{{Offer: small, Count: 1}}},
+		{"enough is warm", Situation{Cores: 12, Warm: 12, Sizes: []slowfit.Size{four}}, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
