--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -186,12 +186,22 @@
 	return settings.Seconds(float64(fetching) * j.spec.ImageGB / rate)
 }
 
+// fetching tells whether a machine is about to fetch an image for some task.
+func (c *Core) fetching(m *machine, image int32) bool {
+	for _, b := range m.bookings {
+		if b.status != wire.TaskRunning && c.jobs[b.job].image == image {
+			return true
+		}
+	}
+	return false
+}
+
 // merit tells equally slow machines apart. A class with an aim on waiting goes
 // first where its image is, since a fetch counts as waiting; other work goes
 // first to spot machines, so that dearer ones run empty and can go back.
 func (c *Core) merit(j *job, m *machine) int {
 	image, cheap := 0, 0
-	if m.has(j.image) {
+	if m.has(j.image) || c.fetching(m, j.image) {
 		image = 1
 	}
 	if m.spot {
