Silent machines by zone; one log line an outage; Retry-After 1 s in outages

Cause, from two incidents: four silent machines of many were left alone because they were more than a quarter, and an outage filled the log with a line per submission.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -482,6 +482,38 @@
 	g.want("starts after", len(g.starts()), 1)
 }
 
+func TestWhichSilentMachinesAreDeleted(t *testing.T) {
+	cases := []struct {
+		name    string
+		zones   map[string]string // of the machines that fall silent
+		talking map[string]string // of the others
+		deleted int
+	}{
+		{"some of a zone", map[string]string{"vm-1": "a", "vm-2": "b"}, map[string]string{"vm-3": "a", "vm-4": "b", "vm-5": "a"}, 2},
+		{"a whole zone may be cut off", map[string]string{"vm-1": "a", "vm-2": "a"}, map[string]string{"vm-3": "b", "vm-4": "b", "vm-5": "b"}, 0},
+		{"most machines: rather we are cut off", map[string]string{"vm-1": "a", "vm-2": "b", "vm-3": "a"}, map[string]string{"vm-4": "b", "vm-5": "a"}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			tell := func(zones map[string]string) {
+				for name, zone := range zones {
+					r := g.reportOf(name, ours)
+					r.Zone = zone
+					g.report(r)
+				}
+			}
+			tell(c.zones)
+			tell(c.talking)
+			for range 14 {
+				g.wait(time.Second)
+				tell(c.talking)
+			}
+			g.want("deleted", len(g.deleted), c.deleted)
+		})
+	}
+}
+
 func TestGoneMachinesAreNotedWhileAJobNamesThem(t *testing.T) {
 	g := newStage(t, ledger.Snapshot{})
 	g.up("vm-1")
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -512,22 +512,28 @@
 // returnMachines gives back what is broken, lost, or not needed any more.
 func (c *Core) returnMachines() {
 	var cores float64
-	up, silent := 0, 0
+	up, silent := make([]int, len(c.zones.list)), make([]int, len(c.zones.list))
+	allUp, allSilent := 0, 0
 	for _, m := range c.live {
 		if c.counts(m) {
 			cores += m.total.CPUs
 		}
-		if c.expected(m) {
-			up++
+		if c.expected(m) && m.zone >= 0 {
+			up[m.zone]++
+			allUp++
 			if c.quiet(m) >= c.silentAfter() && m.missing < 2 {
-				silent++
+				silent[m.zone]++
+				allSilent++
 			}
 		}
 	}
 	warm := c.warmCores()
 	backlog := len(c.queue()) > 0
-	// Many silent at once is rather a network's trouble, or ours, than theirs.
-	fewSilent := silent <= max(1, up/4)
+	// A whole zone silent at once, or most machines, is rather a cut between us
+	// and them: there they work on, and deleting them would lose that.
+	cutOff := func(m *machine) bool {
+		return 2*allSilent > max(allUp, 2) || m.zone >= 0 && up[m.zone] > 1 && silent[m.zone] == up[m.zone]
+	}
 	for _, m := range c.live {
 		quiet := c.quiet(m)
 		switch {
@@ -537,7 +543,7 @@
 		case c.expected(m) && quiet > c.silentAfter() && m.missing >= 2:
 			// Absence from the list proves nothing, but its deletion will.
 			c.askDelete(m, "silent and not listed any more")
-		case c.expected(m) && quiet > 4*c.report && fewSilent:
+		case c.expected(m) && quiet > 4*c.report && !cutOff(m):
 			c.askDelete(m, "silent")
 		case m.state == machineBooting:
 			if m.typ < 0 && quiet < c.leaseTime {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -101,7 +101,7 @@
 	return a
 }
 
-var noState = later(http.StatusServiceUnavailable, 2, "the state service can't be reached at the moment")
+var noState = later(http.StatusServiceUnavailable, 1, "the state service can't be reached at the moment")
 
 // Handle answers a request. local is set for one that another node has passed
 // on: it goes no further.
@@ -149,7 +149,7 @@
 	case errors.Is(err, errFull), errors.Is(err, state.ErrBusy):
 		return later(http.StatusTooManyRequests, 2, "more submissions are coming than can be recorded")
 	case err != nil:
-		s.log.Info("submission not recorded", "job", ref, "error", err)
+		s.log.Debug("submission not recorded", "job", ref, "error", err)
 		return s.elsewhere(ctx, Submit, ref, body, local, noState)
 	case a.known:
 		rec, found, err := s.record(ctx, ref)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	share := dispatch.FollowerShare(f.Nodes)
-	store := state.New(ctx, p.Services.State, f.State.RPS, f.State.WriteRPS, share)
+	store := state.New(ctx, p.Services.State, f.State.RPS, f.State.WriteRPS, share, log)
 	elector := election.New(p.Node, op, store, log)
 	desk := dispatch.NewDesk(p, op, elector, store, log)
 	others, err := peers.Dial(p.Peers)
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -59,7 +60,7 @@
 
 // New makes a client whose pacer runs until ctx ends. rps and wps are the
 // service's limits, of which share is this node's at the start.
-func New(ctx context.Context, addr string, rps, wps, share float64) *Client {
+func New(ctx context.Context, addr string, rps, wps, share float64, log *slog.Logger) *Client {
 	c := &Client{
 		base: "http://" + addr,
 		http: &http.Client{Transport: &http.Transport{
@@ -68,7 +69,7 @@
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
 		}},
-		pacer: newPacer(rps, wps, share),
+		pacer: newPacer(rps, wps, share, log),
 	}
 	go c.pacer.run(ctx)
 	return c
@@ -95,7 +96,11 @@
 			c.pacer.penalise()
 			continue
 		}
-		if err == nil && status == http.StatusServiceUnavailable {
+		refused := err == nil && status == http.StatusServiceUnavailable
+		if err == nil || errors.Is(err, ErrRefused) {
+			c.pacer.note(err == nil && !refused)
+		}
+		if refused {
 			return status, nil, ErrRefused
 		}
 		return status, answer, err
--- a/internal/state/pacer.go
+++ b/internal/state/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 )
 
@@ -22,7 +23,10 @@
 	wishes    chan *grant
 	shares    chan float64
 	penalties chan struct{}
+	outcomes  chan bool // whether a request was served
+	log       *slog.Logger
 
+	downSince       time.Time // zero while the service serves us
 	rps, wps, share float64
 	requests        bucket
 	writes          bucket
@@ -38,9 +42,10 @@
 	b.level = min(b.level+rate*d.Seconds(), rate)
 }
 
-func newPacer(rps, wps, share float64) *pacer {
+func newPacer(rps, wps, share float64, log *slog.Logger) *pacer {
 	return &pacer{
 		wishes: make(chan *grant), shares: make(chan float64), penalties: make(chan struct{}),
+		outcomes: make(chan bool, 64), log: log,
 		rps: rps, wps: wps, share: share,
 	}
 }
@@ -62,6 +67,26 @@
 
 func (p *pacer) penalise() { p.penalties <- struct{}{} }
 
+// note tells whether a request was served. Word of it may be dropped.
+func (p *pacer) note(served bool) {
+	select {
+	case p.outcomes <- served:
+	default:
+	}
+}
+
+// judge logs the begin and the end of a time without service, once each.
+func (p *pacer) judge(served bool, now time.Time) {
+	switch {
+	case !served && p.downSince.IsZero():
+		p.downSince = now
+		p.log.Info("the state service does not serve this node")
+	case served && !p.downSince.IsZero():
+		p.log.Info("the state service serves this node again", "seconds", now.Sub(p.downSince).Seconds())
+		p.downSince = time.Time{}
+	}
+}
+
 func (p *pacer) run(ctx context.Context) {
 	last := time.Now()
 	// The buckets start with a part of a second only: a node that was just
@@ -81,6 +106,9 @@
 		case <-p.penalties:
 			p.requests.level, p.writes.level = 0, 0
 			last = time.Now()
+		case served := <-p.outcomes:
+			p.judge(served, time.Now())
+			continue
 		case <-timer.C:
 		case <-ctx.Done():
 			return
