--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -21,6 +21,8 @@
 	wall int64 // time of day in ms at now
 
 	began     time.Duration
+	ticked    time.Duration // last tick
+	awake     time.Duration // since when ticks have come without a break
 	leaseTime time.Duration // a worker's lease, stretched by drift and margin
 	report    time.Duration
 
@@ -71,7 +73,7 @@
 func NewCore(cfg Config, s ledger.Snapshot, now time.Duration, wall int64, log *slog.Logger) *Core {
 	w := cfg.Platform.Facts.Workers
 	c := &Core{
-		cfg: cfg, log: log, term: cfg.Term, now: now, wall: wall, began: now,
+		cfg: cfg, log: log, term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now,
 		leaseTime: settings.Stretch(settings.Seconds(w.LeaseS)) + 250*time.Millisecond,
 		report:    settings.Seconds(w.ReportS),
 		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
@@ -145,10 +147,23 @@
 
 func (c *Core) put(w ledger.Write) { c.emit(Put{Writes: []ledger.Write{w}}) }
 
+// longestTick is how far apart two ticks can be while we are well.
+const longestTick = 2 * time.Second
+
 // tick does what time alone brings.
 func (c *Core) tick() {
+	if c.now-c.ticked > longestTick {
+		// We were suspended, or starved. Nobody was heard through no fault of
+		// theirs.
+		c.awake = c.now
+	}
+	c.ticked = c.now
 	for _, m := range c.live {
 		c.checkMachine(m)
+		if m.shunned > 0 && c.now >= m.shunned {
+			m.shunned = 0
+			c.dirty = true
+		}
 	}
 	for _, j := range c.active {
 		if j.notBefore > 0 && c.now >= j.notBefore {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -245,6 +245,7 @@
 			g.settle(DirectUnknown)
 			g.want("token", g.report(g.reportOf("vm-1", ours)).Token, uint64(ours+1))
 			c.act(g, first)
+			g.wait(shunFor + time.Second/2)
 			again := g.starts()
 			g.want("further starts", len(again), c.again)
 			if len(again) > 0 && again[0].Attempt == first.Attempt {
@@ -514,6 +515,29 @@
 	}
 }
 
+func TestSilenceDuringASuspensionCountsForNothing(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.up("vm-2")
+	g.up("vm-3")
+	g.now += 20 * time.Second // no ticks: the leader was suspended
+	g.step(Tick{})
+	g.up("vm-2")
+	g.up("vm-3")
+	g.wait(time.Second)
+	g.want("deleted", len(g.deleted), 0)
+}
+
+func TestMachineThatCommandsDoNotReachIsLeftAloneForAWhile(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	g.settle(DirectNotSent)
+	g.want("starts at once", len(g.starts()), 0)
+	g.wait(5 * time.Second)
+	g.want("starts later", len(g.starts()), 1)
+}
+
 func TestGoneMachinesAreNotedWhileAJobNamesThem(t *testing.T) {
 	g := newStage(t, ledger.Snapshot{})
 	g.up("vm-1")
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -501,7 +501,7 @@
 }
 
 // quiet is how long a machine has said nothing to this leader.
-func (c *Core) quiet(m *machine) time.Duration { return c.now - max(m.heard, m.answered, c.began) }
+func (c *Core) quiet(m *machine) time.Duration { return c.now - max(m.heard, m.answered, c.awake) }
 
 // expected tells whether a machine should be reporting: it has, or an earlier
 // leader has started something on it.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -34,7 +34,7 @@
 
 // open tells whether a machine takes new tasks at all.
 func (c *Core) open(m *machine) bool {
-	return m.known(c.term) && m.typ >= 0 && !m.quarantine && m.noticeAt == 0 && c.now-m.heard < c.silentAfter()
+	return m.known(c.term) && m.typ >= 0 && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && c.now-m.heard < c.silentAfter()
 }
 
 // queue returns the jobs with tasks to place, in order.
@@ -304,6 +304,9 @@
 	}
 }
 
+// shunFor is how long a machine that commands don't reach gets no new tasks.
+const shunFor = 4 * time.Second
+
 func (c *Core) directBack(e DirectBack) {
 	call := c.calls[e.Call]
 	delete(c.calls, e.Call)
@@ -311,6 +314,11 @@
 		return
 	}
 	m := call.machine
+	if e.Outcome == DirectUnknown || e.Outcome == DirectNotSent {
+		// Its reports may still come, but starts don't arrive: leave it alone
+		// for a while rather than book the same tasks there again and again.
+		m.shunned = c.now + shunFor
+	}
 	switch e.Outcome {
 	case DirectUnknown:
 		if m.session != call.session {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -221,6 +221,11 @@
 			// Whoever asks from here on gets no answer from this term.
 			return
 		}
+		if _, tick := event.(Tick); tick && !d.elector.InTerm(term) {
+			// Suspended: another leader may have begun. What time alone would
+			// bring, such as giving up silent machines, is not ours to do now.
+			continue
+		}
 		d.carryOut(ctx, term, core.Step(event, time.Since(d.started), time.Now().UnixMilli()), book, cloud)
 	}
 }
@@ -278,6 +283,18 @@
 		case Put:
 			writes = append(writes, e.Writes...)
 		case CallCloud:
+			if !d.elector.InTerm(term) {
+				// A suspended leader that deletes machines takes them from the
+				// next one. The core tries again later.
+				refused := CloudBack{fleet.Result{Call: e.Call, Err: fleet.ErrRefused}}
+				go func() {
+					select {
+					case d.inner <- refused:
+					case <-ctx.Done():
+					}
+				}()
+				continue
+			}
 			cloud.Put(ctx, e.Call)
 		case Direct:
 			go d.direct(ctx, term, e)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -235,7 +235,8 @@
 	load     float64
 	phase    uint32
 	outbox   []wire.Order
-	unclear  []int32 // jobs that wait for word of it
+	shunned  time.Duration // until then nothing is started: commands don't get there
+	unclear  []int32       // jobs that wait for word of it
 
 	noticeAt   time.Duration // when the cloud takes it away; 0: no notice
 	quarantine bool
