--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -67,9 +67,6 @@
 	return body, nil
 }
 
-// WriteJSON sends a value as an answer.
-func WriteJSON(w http.ResponseWriter, status int, body any) { Write(w, jsonAnswer(status, body)) }
-
 // Write sends an answer.
 func Write(w http.ResponseWriter, a Answer) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -82,7 +82,8 @@
 	return s
 }
 
-func jsonAnswer(status int, body any) Answer {
+// JSON makes an answer of a value.
+func JSON(status int, body any) Answer {
 	b, err := json.Marshal(body)
 	if err != nil {
 		return Answer{Status: http.StatusInternalServerError}
@@ -91,7 +92,7 @@
 }
 
 func problem(status int, format string, args ...any) Answer {
-	return jsonAnswer(status, wire.Problem{Error: fmt.Sprintf(format, args...)})
+	return JSON(status, wire.Problem{Error: fmt.Sprintf(format, args...)})
 }
 
 // later tells a user to come again.
@@ -160,7 +161,7 @@
 	}
 	s.log.Debug("submission recorded", "job", ref, "class", job.Class, "tasks", job.Tasks)
 	s.desk.Tell(dispatch.JobSeen{Ref: ref, Record: rec, Version: a.version})
-	return jsonAnswer(http.StatusCreated, wire.Accepted{Ref: ref, Status: wire.Queued})
+	return JSON(http.StatusCreated, wire.Accepted{Ref: ref, Status: wire.Queued})
 }
 
 // known answers the repetition of an accepted job.
@@ -172,7 +173,7 @@
 			status = st.Status
 		}
 	}
-	return jsonAnswer(http.StatusOK, wire.Accepted{Ref: ref, Status: status})
+	return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: status})
 }
 
 // judge tells why a job can never run, or that this can't be told yet. A zero
@@ -247,7 +248,7 @@
 		return problem(http.StatusNotFound, "there is no such job")
 	}
 	if st, found, err := s.fromDesk(ctx, ref); err == nil && found {
-		return jsonAnswer(http.StatusOK, st)
+		return JSON(http.StatusOK, st)
 	}
 	if v := s.elector.View(); !local && v.Leader != "" && v.Leader != s.node {
 		if a, err := s.ask(ctx, 700*time.Millisecond, v.Leader, Status, ref, nil); err == nil && a.Status == http.StatusOK {
@@ -265,7 +266,7 @@
 	if rec.Fate == "" {
 		st.Status = wire.Queued
 	}
-	return jsonAnswer(http.StatusOK, st)
+	return JSON(http.StatusOK, st)
 }
 
 // --- cancellations ---
@@ -288,7 +289,7 @@
 			if !found {
 				return problem(http.StatusNotFound, "there is no such job")
 			}
-			return jsonAnswer(http.StatusOK, wire.Accepted{Ref: ref, Status: rec.Fate})
+			return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: rec.Fate})
 		}
 		return later(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
 	}
@@ -315,7 +316,7 @@
 		return later(http.StatusServiceUnavailable, 1, "the cancellation could not be recorded")
 	}
 	// The state that the dispatcher tells here is durable.
-	return jsonAnswer(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
+	return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
 }
 
 // --- other nodes ---
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -58,13 +57,14 @@
 
 	router := httprouter.New()
 	in.Routes(router)
-	router.POST("/v1/report", reports(p.Node, elector, desk, log))
+	gate := newGate(ctx, p.Node, elector, desk, others, log)
+	router.POST("/v1/report", gate.serve)
 
 	log.Info("serving", "node", p.Node, "zone", p.Zone, "public", p.Listen, "back", p.Back, "others", len(p.Peers))
 	go elector.Run(ctx)
 	go desk.Run(ctx)
 	failed := make(chan error, 2)
-	grpcServer := peers.NewServer(in)
+	grpcServer := peers.NewServer(in, gate.answer)
 	go func() { failed <- grpcServer.Serve(back) }()
 	web := &http.Server{Handler: router, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
@@ -110,51 +110,3 @@
 		return *t, true
 	}
 }
-
-// reportLimit is how long a report may wait for its answer; the worker gives up
-// after 4 s.
-const reportLimit = 3 * time.Second
-
-// reports answers the workers, in the leader's term only.
-func reports(node string, elector *election.Elector, desk *dispatch.Desk, log *slog.Logger) httprouter.Handle {
-	elsewhere := func(w http.ResponseWriter) {
-		v := elector.View()
-		hint := wire.Elsewhere{}
-		if v.Leader != node {
-			hint.Leader = v.Leader
-		}
-		intake.WriteJSON(w, http.StatusMisdirectedRequest, hint)
-	}
-	return func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
-		body, err := intake.ReadBody(w, req)
-		if err != nil {
-			intake.WriteJSON(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
-			return
-		}
-		report, err := wire.ParseReport(body)
-		if err != nil {
-			log.Info("malformed report", "error", err)
-			intake.WriteJSON(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
-			return
-		}
-		v := elector.View()
-		if !v.InTerm(time.Now()) {
-			elsewhere(w)
-			return
-		}
-		ctx, cancel := context.WithTimeout(req.Context(), reportLimit)
-		defer cancel()
-		answer, err := desk.Report(ctx, report)
-		// The term is checked again as the answer is written: past its end
-		// another leader may have begun, and a 200 would keep the worker here.
-		if err == nil && elector.InTerm(v.Term) {
-			intake.WriteJSON(w, http.StatusOK, answer)
-			return
-		}
-		if err != nil && !errors.Is(err, dispatch.ErrNotLeading) {
-			intake.WriteJSON(w, http.StatusServiceUnavailable, wire.Problem{Error: "the leader is not ready"})
-			return
-		}
-		elsewhere(w)
-	}
-}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -57,10 +57,29 @@
 	return intake.Answer{Status: int(r.Status), Body: r.Body, RetryAfter: int(r.RetryAfterS)}, nil
 }
 
+// Report passes a worker's report on to a node.
+func (p *Peers) Report(ctx context.Context, node string, body []byte) (intake.Answer, error) {
+	c := p.clients[node]
+	if c == nil {
+		return intake.Answer{}, fmt.Errorf("node %q is not one of the others", node)
+	}
+	r, err := c.Report(ctx, &peerpb.ReportRequest{Body: body})
+	if err != nil {
+		return intake.Answer{}, fmt.Errorf("node %s: %w", node, err)
+	}
+	return intake.Answer{Status: int(r.Status), Body: r.Body}, nil
+}
+
 // server answers the other controllers.
 type server struct {
 	peerpb.UnimplementedPeerServer
-	intake *intake.Service
+	intake  *intake.Service
+	reports func(ctx context.Context, body []byte) intake.Answer
+}
+
+func (s *server) Report(ctx context.Context, r *peerpb.ReportRequest) (*peerpb.AskReply, error) {
+	a := s.reports(ctx, r.Body)
+	return &peerpb.AskReply{Status: int32(a.Status), Body: a.Body}, nil
 }
 
 func (s *server) Ask(ctx context.Context, r *peerpb.AskRequest) (*peerpb.AskReply, error) {
@@ -68,9 +87,10 @@
 	return &peerpb.AskReply{Status: int32(a.Status), Body: a.Body, RetryAfterS: int32(a.RetryAfter)}, nil
 }
 
-// NewServer makes the server for the other controllers.
-func NewServer(in *intake.Service) *grpc.Server {
+// NewServer makes the server for the other controllers. reports answers a
+// worker's report if this node leads.
+func NewServer(in *intake.Service, reports func(ctx context.Context, body []byte) intake.Answer) *grpc.Server {
 	g := grpc.NewServer()
-	peerpb.RegisterPeerServer(g, &server{intake: in})
+	peerpb.RegisterPeerServer(g, &server{intake: in, reports: reports})
 	return g
 }
