Let the goal fall again after a burst

Cause: after the first burst L stood at 0.25 or more, where c*L exceeds any machine, for the rest of the term.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -41,15 +41,16 @@
 	teamAt    map[string]int32
 	spareTeam int32 // for jobs of teams that the settings no longer name
 
-	active   []*job // jobs that are not settled
-	goal     slowfit.Goal
-	view     []slowfit.Machine // reused by placement
-	viewOf   []*machine
-	attempts uint64
-	calls    map[uint64]*directCall
-	callID   uint64
-	dirty    bool
-	fleet    fleetState
+	active    []*job // jobs that are not settled
+	goal      slowfit.Goal
+	calmSince time.Duration
+	view      []slowfit.Machine // reused by placement
+	viewOf    []*machine
+	attempts  uint64
+	calls     map[uint64]*directCall
+	callID    uint64
+	dirty     bool
+	fleet     fleetState
 
 	out []any
 }
@@ -173,6 +174,42 @@
 	}
 	c.sweep()
 	c.fleetTick()
+	c.lowerGoal()
+}
+
+// calmFor is how long nothing must have waited before the goal falls.
+const calmFor = 5 * time.Second
+
+// lowerGoal lets the goal fall after a burst, since in the paper it never
+// does and would stop limiting anything. The mean load of the machines stands
+// for the optimum: no placement brings the busiest one below that.
+func (c *Core) lowerGoal() {
+	for _, j := range c.active {
+		if j.placeable(c.now) {
+			c.calmSince = c.now
+			return
+		}
+	}
+	if c.now-c.calmSince < calmFor {
+		return
+	}
+	c.calmSince = c.now
+	load, n := 0.0, 0
+	for _, m := range c.live {
+		if c.open(m) {
+			n++
+			for _, b := range m.bookings {
+				load += b.share
+			}
+		}
+	}
+	if n > 0 {
+		before := c.goal.L
+		c.goal.Fall(load / float64(n))
+		if c.goal.L != before {
+			c.log.Debug("goal lowered", "from", before, "to", c.goal.L, "mean_load", load/float64(n))
+		}
+	}
 }
 
 // sweep forgets jobs and machines that need no more attention.
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -586,3 +586,23 @@
 	g.want("order", order, []string{"job-3", "job-4", "job-2", "job-1"})
 	g.want("slack without a deadline", g.c.jobs[0].slack(0) == math.MaxInt64, true)
 }
+
+func TestGoalFallsAfterABurst(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 4, 1))
+	o := g.starts()
+	g.settle(DirectDone)
+	g.c.goal.L = 1 // as a burst has left it
+	tell := func(tasks ...wire.TaskReport) {
+		for range 8 {
+			g.wait(time.Second)
+			g.report(g.reportOf("vm-1", ours, tasks...))
+		}
+	}
+	tell(taskIn(o[0], wire.TaskRunning, ""), taskIn(o[1], wire.TaskRunning, ""), taskIn(o[2], wire.TaskRunning, ""), taskIn(o[3], wire.TaskRunning, ""))
+	g.want("goal while the machine is full", g.c.goal.L, 1.0)
+	tell()
+	tell()
+	g.want("goal once all is quiet", g.c.goal.L < 1, true)
+}
