--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -602,7 +602,7 @@
 	}
 	tell(taskIn(o[0], wire.TaskRunning, ""), taskIn(o[1], wire.TaskRunning, ""), taskIn(o[2], wire.TaskRunning, ""), taskIn(o[3], wire.TaskRunning, ""))
 	g.want("goal while the machine is full", g.c.goal.L, 1.0)
-	tell()
+	g.report(g.reportOf("vm-1", ours, taskIn(o[0], wire.TaskEnded, wire.WhyDone), taskIn(o[1], wire.TaskEnded, wire.WhyDone), taskIn(o[2], wire.TaskEnded, wire.WhyDone), taskIn(o[3], wire.TaskEnded, wire.WhyDone)))
 	tell()
 	g.want("goal once all is quiet", g.c.goal.L < 1, true)
 }
