--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -40,7 +40,7 @@
 		LeaderLease:  3 * time.Second,
 		LeaseMargin:  150 * time.Millisecond,
 		SlowFitC:     5,
-		IdleReturn:   40 * time.Second,
+		IdleReturn:   25 * time.Second,
 		BootPatience: 3,
 		WarmSpread:   1,
 	}
