--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -44,9 +44,6 @@
 	active    []*job // jobs that are not settled
 	goal      slowfit.Goal
 	calmSince time.Duration
-	roomLeft  float64           // free cores of open machines during a placement
-	reserve   float64           // cores kept for classes that must not wait
-	heldBack  bool              // some job left room to them
 	view      []slowfit.Machine // reused by placement
 	viewOf    []*machine
 	attempts  uint64
@@ -175,8 +172,6 @@
 			c.dirty = true
 		}
 	}
-	// A job that left room to others may use it once its deadline presses.
-	c.dirty = c.dirty || c.heldBack
 	c.sweep()
 	c.fleetTick()
 	c.lowerGoal()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -26,42 +26,12 @@
 	if len(c.viewOf) == 0 {
 		return
 	}
-	c.roomLeft = 0
-	for _, m := range c.viewOf {
-		c.roomLeft += m.free.CPUs
-	}
-	c.reserve, c.heldBack = c.reserved(), false
 	uncertain := c.uncertainUse()
 	for _, j := range queue {
 		c.placeJob(j, uncertain)
 	}
 }
 
-// reserved is the room that is kept for the next jobs of classes that must not
-// wait: one job of each, as large as they mostly are.
-func (c *Core) reserved() float64 {
-	cores := 0.0
-	for i := range c.aims {
-		if c.aims[i].wait > 0 {
-			cores += c.fleet.streams[i].Next(c.now)
-		}
-	}
-	return cores
-}
-
-// pressing is the slack below which a job may use the reserved room.
-const pressing = 15 * time.Second
-
-// mustLeaveRoom tells whether a job without an aim on waiting has to leave the
-// room that there is to those with one. It may as long as its deadline allows.
-func (c *Core) mustLeaveRoom(j *job) bool {
-	if c.aims[j.class].wait > 0 || c.roomLeft-j.size.CPUs >= c.reserve || j.slack(c.now) < pressing {
-		return false
-	}
-	c.heldBack = true
-	return true
-}
-
 // open tells whether a machine takes new tasks at all.
 func (c *Core) open(m *machine) bool {
 	return m.known(c.term) && m.typ >= 0 && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && c.now-m.heard < c.silentAfter()
@@ -142,14 +112,10 @@
 		if !t.booked.plus(uncertain[j.team]).plus(need).within(t.limit) {
 			return
 		}
-		if c.mustLeaveRoom(j) {
-			return
-		}
 		at := c.choose(j, zones, only)
 		if at < 0 {
 			return
 		}
-		c.roomLeft -= j.size.CPUs
 		m := c.viewOf[at]
 		n := j.waiting[len(j.waiting)-1]
 		j.waiting = j.waiting[:len(j.waiting)-1]
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -33,7 +33,6 @@
 	burst float64 // the same over the last few
 	work  float64 // mean core-seconds of a job
 	peak  float64 // mean of cores squared times seconds of a job
-	cores float64 // mean of cores of a job
 }
 
 // Arrived takes in a job: the cores that all its tasks take together, and how
@@ -45,7 +44,6 @@
 	s.seen++
 	a := 1 / float64(min(s.seen, memory))
 	s.work += a * (cores*seconds - s.work)
-	s.cores += a * (cores - s.cores)
 	s.peak += a * (cores*cores*seconds - s.peak)
 	if s.seen > 1 {
 		// Before the second arrival there is no gap to learn from.
@@ -71,14 +69,6 @@
 	return rate * s.work, rate * s.peak
 }
 
-// Next is how many cores the class's next job is likely to want, 0 in a lull.
-func (s *Stream) Next(now time.Duration) float64 {
-	if mean, _ := s.Cores(now); mean == 0 {
-		return 0
-	}
-	return s.cores
-}
-
 // Demand sums streams up.
 func Demand(now time.Duration, streams []Stream) (mean, deviation float64) {
 	variance := 0.0
