--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -606,3 +607,25 @@
 	tell()
 	g.want("goal once all is quiet", g.c.goal.L < 1, true)
 }
+
+func TestAJobOfMostTasks(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", wire.MaxTasks, 0.01))
+	started := 0
+	for _, d := range g.start {
+		body, err := json.Marshal(d.Commands)
+		if err != nil || len(body) > wire.MaxBody {
+			t.Errorf("a command takes %d bytes: %v", len(body), err)
+		}
+		started += len(d.Commands.Orders)
+	}
+	// 4 cores hold 400 tasks, but 16 GB only 16.
+	g.want("starts", started, 16)
+	small := newTestJob("job-2", wire.MaxTasks, 0.01)
+	small.MemGB, small.Priority = 0, "high"
+	g.start = nil
+	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.submit(small)
+	g.want("commands for many starts", len(g.start) > 1, true)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -283,25 +283,31 @@
 	m.outbox = append(m.outbox, wire.Order{Verb: wire.Start, Task: c.taskName(b), Attempt: b.attempt})
 }
 
-// flush turns the orders gathered in a step into direct commands.
+// flush turns the orders gathered in a step into direct commands, each well
+// below the protocol's bound on a body.
 func (c *Core) flush() {
 	for _, m := range c.live {
-		if len(m.outbox) == 0 {
-			continue
-		}
 		orders := m.outbox
 		m.outbox = nil
-		call := &directCall{machine: m, session: m.session, token: m.token}
-		for _, o := range orders {
-			if o.Verb == wire.Start {
-				call.attempts = append(call.attempts, o.Attempt)
-			}
+		for len(orders) > 0 {
+			n := min(len(orders), maxOrders)
+			c.command(m, orders[:n])
+			orders = orders[n:]
+		}
+	}
+}
+
+func (c *Core) command(m *machine, orders []wire.Order) {
+	call := &directCall{machine: m, session: m.session, token: m.token}
+	for _, o := range orders {
+		if o.Verb == wire.Start {
+			call.attempts = append(call.attempts, o.Attempt)
 		}
-		c.callID++
-		c.calls[c.callID] = call
-		c.emit(Direct{Call: c.callID, Machine: m.name, Address: m.address,
-			Commands: wire.Commands{Token: m.token, Session: m.session, Orders: orders}})
 	}
+	c.callID++
+	c.calls[c.callID] = call
+	c.emit(Direct{Call: c.callID, Machine: m.name, Address: m.address,
+		Commands: wire.Commands{Token: m.token, Session: m.session, Orders: orders}})
 }
 
 // shunFor is how long a machine that commands don't reach gets no new tasks.
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,153 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"leadproxy/internal/dispatch"
+	"leadproxy/internal/election"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// fakeStore holds job records; while down it refuses everything.
+type fakeStore struct {
+	records map[string]ledger.JobRecord
+	down    bool
+}
+
+func (f *fakeStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
+	if f.down {
+		return wire.Entry{}, false, 0, state.ErrRefused
+	}
+	rec, ok := f.records[key]
+	value, err := json.Marshal(rec)
+	return wire.Entry{Key: key, Value: value, Version: 3}, ok, 3, err
+}
+
+func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
+	if f.down {
+		return false, wire.TxnAnswer{}, state.ErrRefused
+	}
+	for _, c := range t.If {
+		if _, ok := f.records[c.Key]; ok {
+			return false, wire.TxnAnswer{Failed: []string{c.Key}}, nil
+		}
+	}
+	for _, c := range t.Then {
+		var rec ledger.JobRecord
+		if err := json.Unmarshal(c.Value, &rec); err != nil {
+			return false, wire.TxnAnswer{}, err
+		}
+		f.records[c.Set] = rec
+	}
+	return true, wire.TxnAnswer{Revision: 9}, nil
+}
+
+// fakePeers answers every request that is passed on with one answer, or not.
+type fakePeers struct{ answer *Answer }
+
+func (f *fakePeers) Ask(context.Context, string, Kind, string, []byte) (Answer, error) {
+	if f.answer == nil {
+		return Answer{}, errors.New("no answer")
+	}
+	return *f.answer, nil
+}
+
+func (f *fakePeers) Names() []string { return []string{"n2"} }
+
+type fakeDesk struct{}
+
+func (fakeDesk) Status(context.Context, string) (wire.JobStatus, bool, error) {
+	return wire.JobStatus{}, false, dispatch.ErrNotLeading
+}
+
+func (fakeDesk) Cancel(context.Context, string) (wire.JobStatus, bool, error) {
+	return wire.JobStatus{}, false, dispatch.ErrNotLeading
+}
+
+func (fakeDesk) Tell(dispatch.JobSeen) {}
+
+func TestUsersAPI(t *testing.T) {
+	body := func(change ...string) string {
+		s := `{"ref":"job-1","lane":"c","owner":"t","shape":"batch","urgency":"high","pieces":2,"vcpus":2,"gpus":0,"mem_gb":4,
+			"bundle":"i","size_gb":1,"flavors":null,"room":null,"together":false,"spread":false,"loaners":true,"guess_s":5,
+			"snapshot_s":0,"flush_s":0,"due_s":null}`
+		return strings.NewReplacer(change...).Replace(s)
+	}
+	elsewhere := Answer{Status: http.StatusCreated, Body: []byte(`{"ref":"job-1","status":"queued"}`)}
+	const old = `"job-1"`
+	cases := []struct {
+		name, method, path, body string
+		down, untyped            bool
+		peer                     *Answer
+		status                   int
+		says                     string
+		retry                    bool
+	}{
+		{name: "a new job", method: "POST", path: "/v2/runs", body: body(), status: 201, says: "queued"},
+		{name: "a job that is done, again", method: "POST", path: "/v2/runs", body: body(old, `"job-7"`), status: 200, says: "done"},
+		{name: "an accepted job whose team is gone", method: "POST", path: "/v2/runs", body: body(old, `"job-7"`, `"t"`, `"x"`), status: 200, says: "done"},
+		{name: "an accepted job, broken since", method: "POST", path: "/v2/runs", body: body(old, `"job-7"`, `"high"`, `"soon"`), status: 200, says: "done"},
+		{name: "not JSON", method: "POST", path: "/v2/runs", body: "{", status: 400, says: "object"},
+		{name: "a field that is wrong", method: "POST", path: "/v2/runs", body: body(`"high"`, `"soon"`), status: 400, says: "urgency"},
+		{name: "a body too long", method: "POST", path: "/v2/runs", body: body() + strings.Repeat(" ", 70000), status: 400, says: "64 KiB"},
+		{name: "an unknown team", method: "POST", path: "/v2/runs", body: body(`"t"`, `"x"`), status: 422, says: "team"},
+		{name: "a task over the team's limit", method: "POST", path: "/v2/runs", body: body(`"vcpus":2`, `"vcpus":7`), status: 422, says: "limit"},
+		{name: "a task that fits no type", method: "POST", path: "/v2/runs", body: body(`"mem_gb":4`, `"mem_gb":400`), status: 422, says: "fits"},
+		{name: "a type that is not there", method: "POST", path: "/v2/runs", body: body(`"flavors":null`, `"flavors":["z9"]`), status: 422, says: "fits"},
+		{name: "a zone that no type has", method: "POST", path: "/v2/runs", body: body(`"room":null`, `"room":"z"`), status: 422, says: "fits"},
+		{name: "types not known yet", method: "POST", path: "/v2/runs", body: body(), untyped: true, status: 503, says: "types", retry: true},
+		{name: "no state service anywhere", method: "POST", path: "/v2/runs", body: body(), down: true, status: 503, says: "state service", retry: true},
+		{name: "no state service here alone", method: "POST", path: "/v2/runs", body: body(), down: true, peer: &elsewhere, status: 201, says: "queued"},
+		{name: "a job that is done", method: "GET", path: "/v2/runs/job-7", status: 200, says: `"done":2`},
+		{name: "a job that nobody submitted", method: "GET", path: "/v2/runs/job-99", status: 404},
+		{name: "an id of another form", method: "GET", path: "/v2/runs/seven", status: 404},
+		{name: "a question without the state service", method: "GET", path: "/v2/runs/job-7", down: true, status: 503, retry: true},
+		{name: "cancelling what is done", method: "POST", path: "/v2/runs/job-7/cancel", status: 200, says: "done"},
+		{name: "cancelling what nobody submitted", method: "POST", path: "/v2/runs/job-99/cancel", status: 404},
+		{name: "cancelling without a leader", method: "POST", path: "/v2/runs/job-8/cancel", status: 503, retry: true},
+		{name: "a wrong path", method: "GET", path: "/v2/walks", status: 404, says: "path"},
+		{name: "a wrong method", method: "DELETE", path: "/v2/runs/job-7", status: 405, says: "DELETE"},
+		{name: "health", method: "GET", path: "/healthz", status: 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			log := slog.New(slog.NewTextHandler(io.Discard, nil))
+			store := &fakeStore{down: c.down, records: map[string]ledger.JobRecord{
+				"job/job-7": {Fate: wire.Done, Tasks: 2, Done: 2}, "job/job-8": {Job: &wire.Job{Ref: "job-8", Tasks: 1}}}}
+			p := &settings.Platform{Node: "n1", Facts: settings.Facts{Teams: []settings.Team{{Name: "t", CPUsMax: 6}},
+				State: settings.StateLimits{WriteRPS: 40, TxnOps: 8}}}
+			types := func() ([]wire.MachineType, bool) {
+				return []wire.MachineType{{Name: "m", CPUs: 8, MemGB: 32, Zones: []string{"a"}}}, !c.untyped
+			}
+			e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, log)
+			s := New(t.Context(), p, e, store, fakeDesk{}, &fakePeers{c.peer}, types, 0.5, log)
+			router := httprouter.New()
+			s.Routes(router)
+			w := httptest.NewRecorder()
+			router.ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+			if w.Code != c.status || !strings.Contains(w.Body.String(), c.says) {
+				t.Errorf("answered %d %s, want %d with %q", w.Code, w.Body, c.status, c.says)
+			}
+			if got := w.Header().Get("Retry-After") != ""; got != c.retry {
+				t.Errorf("Retry-After given: %v, want %v", got, c.retry)
+			}
+			if c.status >= 400 && !json.Valid(w.Body.Bytes()) {
+				t.Errorf("the error is not JSON: %s", w.Body)
+			}
+		})
+	}
+}
