--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -24,6 +24,18 @@
 	down     bool
 	ended    []uint64
 	standing int // transactions that set the key
+	// turn is held by whoever looks at or changes the rest.
+	turn chan struct{}
+}
+
+func newStore() *fakeStore {
+	return &fakeStore{ends: map[uint64]time.Time{}, turn: make(chan struct{}, 1)}
+}
+
+// take waits for the turn; the result gives it back.
+func (f *fakeStore) take() func() {
+	f.turn <- struct{}{}
+	return func() { <-f.turn }
 }
 
 func (f *fakeStore) expire() {
@@ -34,6 +46,7 @@
 }
 
 func (f *fakeStore) Get(context.Context, state.Priority, string) (wire.Entry, bool, uint64, error) {
+	defer f.take()()
 	f.expire()
 	if f.down {
 		return wire.Entry{}, false, 0, state.ErrRefused
@@ -45,6 +58,7 @@
 }
 
 func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
+	defer f.take()()
 	f.expire()
 	if f.down {
 		return false, wire.TxnAnswer{}, state.ErrRefused
@@ -59,6 +73,7 @@
 }
 
 func (f *fakeStore) NewLease(_ context.Context, ttl time.Duration) (uint64, error) {
+	defer f.take()()
 	if f.down {
 		return 0, state.ErrRefused
 	}
@@ -69,6 +84,7 @@
 }
 
 func (f *fakeStore) Renew(_ context.Context, id uint64) error {
+	defer f.take()()
 	f.expire()
 	if f.down {
 		return state.ErrRefused
@@ -81,6 +97,7 @@
 }
 
 func (f *fakeStore) EndLease(_ context.Context, id uint64) error {
+	defer f.take()()
 	f.ended = append(f.ended, id)
 	if f.entry != nil && f.entry.Lease == id {
 		f.entry = nil
@@ -115,21 +132,25 @@
 
 func TestLeaseIsCountedFromTheSendingAndLapsesBeforeTheService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeStore{ends: map[uint64]time.Time{}}
+		f := newStore()
 		e := start(t, f)
 		pass(20 * time.Second)
 		v := e.View()
 		if !v.InTerm(time.Now()) || v.Term != 1 {
 			t.Fatalf("not leading: %+v", v)
 		}
+		give := f.take()
 		f.down = true
 		end := f.ends[1]
+		give()
 		pass(time.Until(end) - 150*time.Millisecond)
 		if e.View().InTerm(time.Now()) {
 			t.Error("still in term within the margin of the lease's end")
 		}
 		// The outage ends and the lease has lived on: the same term resumes.
+		give = f.take()
 		f.down, f.ends[1] = false, time.Now().Add(6*time.Second)
+		give()
 		pass(time.Second)
 		if v := e.View(); !v.InTerm(time.Now()) || v.Term != 1 {
 			t.Errorf("the term did not resume: %+v", v)
@@ -139,11 +160,13 @@
 
 func TestLostLeaseEndsTheTermAndALaterOneIsNew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeStore{ends: map[uint64]time.Time{}}
+		f := newStore()
 		e := start(t, f)
 		pass(time.Second)
+		give := f.take()
 		f.entry = holderOf(t, "n2", 90)
 		f.ends[90] = time.Now().Add(5 * time.Second)
+		give()
 		pass(3 * time.Second)
 		if v := e.View(); v.Mine || v.Leader != "n2" {
 			t.Errorf("view after the loss: %+v", v)
@@ -157,9 +180,11 @@
 
 func TestEarlierIncarnationIsEndedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeStore{ends: map[uint64]time.Time{90: time.Now().Add(time.Hour)}, entry: holderOf(t, "n1", 90), revision: 3}
+		f := newStore()
+		f.ends[90], f.entry, f.revision = time.Now().Add(time.Hour), holderOf(t, "n1", 90), 3
 		e := start(t, f)
 		pass(time.Second)
+		defer f.take()()
 		if len(f.ended) != 1 || f.ended[0] != 90 || !e.View().InTerm(time.Now()) {
 			t.Errorf("ended %v, view %+v", f.ended, e.View())
 		}
@@ -168,9 +193,11 @@
 
 func TestAnotherNodesLeaseIsLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeStore{ends: map[uint64]time.Time{90: time.Now().Add(time.Hour)}, entry: holderOf(t, "n2", 90), revision: 3}
+		f := newStore()
+		f.ends[90], f.entry, f.revision = time.Now().Add(time.Hour), holderOf(t, "n2", 90), 3
 		e := start(t, f)
 		pass(time.Minute)
+		defer f.take()()
 		if len(f.ended) != 0 || f.standing != 0 || e.View().Leader != "n2" {
 			t.Errorf("ended %v, stood %d times, view %+v", f.ended, f.standing, e.View())
 		}
--- /dev/null
+++ b/internal/state/pacer_test.go
@@ -0,0 +1,95 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func startPacer(t *testing.T, rps, wps, share float64) *pacer {
+	p := newPacer(rps, wps, share, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go p.run(t.Context())
+	return p
+}
+
+func TestRateIsKept(t *testing.T) {
+	cases := []struct {
+		name            string
+		rps, wps, share float64
+		writes          int
+		most            int // granted in 10 s: what the share allows, and the first burst
+	}{
+		{"requests", 100, 1000, 0.5, 0, 500 + 50},
+		{"writes", 1000, 40, 0.5, 1, 200 + 20},
+		{"transactions larger than the burst", 1000, 40, 0.5, 30, 7 + 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := startPacer(t, c.rps, c.wps, c.share)
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				granted := 0
+				for ctx.Err() == nil {
+					if p.wait(ctx, Leader, c.writes) == nil {
+						granted++
+					}
+				}
+				if granted > c.most || granted < c.most*8/10 {
+					t.Errorf("%d granted, want up to %d", granted, c.most)
+				}
+			})
+		})
+	}
+}
+
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPacer(t, 10, 10, 1)
+		for p.wait(t.Context(), Read, 0) == nil {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			err := p.wait(ctx, Read, 0)
+			cancel()
+			if err != nil {
+				break // the budget is used up
+			}
+		}
+		order := make(chan Priority, 3)
+		for _, pr := range []Priority{Read, Accept, Leader} {
+			go func() {
+				if p.wait(t.Context(), pr, 0) == nil {
+					order <- pr
+				}
+			}()
+			synctest.Wait()
+		}
+		if a, b, c := <-order, <-order, <-order; a != Leader || b != Accept || c != Read {
+			t.Errorf("granted in the order %v %v %v", a, b, c)
+		}
+		// A lease is renewed even when the budget is used up.
+		before := time.Now()
+		if err := p.wait(t.Context(), Lease, 0); err != nil || time.Since(before) > 0 {
+			t.Errorf("a renewal waited %v: %v", time.Since(before), err)
+		}
+	})
+}
+
+func TestFullQueueTurnsAwayAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPacer(t, 0.01, 1, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for range maxWaiting {
+			go func() { _ = p.wait(ctx, Accept, 0) }()
+		}
+		synctest.Wait()
+		before := time.Now()
+		if err := p.wait(ctx, Accept, 0); !errors.Is(err, ErrBusy) || time.Since(before) > 0 {
+			t.Errorf("turned away after %v: %v", time.Since(before), err)
+		}
+	})
+}
