--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -66,12 +66,6 @@
 		if a.rank != b.rank {
 			return a.rank - b.rank
 		}
-		if ha, hb := a.hopeless(c.now), b.hopeless(c.now); ha != hb {
-			if hb {
-				return -1
-			}
-			return 1
-		}
 		if sa, sb := a.slack(c.now), b.slack(c.now); sa != sb {
 			if sa < sb {
 				return -1
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -173,17 +173,6 @@
 	return j.due - now - settings.Seconds(j.spec.EstimateS)
 }
 
-// hopeless tells whether a job will surely miss its deadline. It then gives way
-// to those of its priority that can still meet theirs: serving the most overdue
-// first would make one late job after the other. It does so for a time only.
-func (j *job) hopeless(now time.Duration) bool {
-	if j.due == math.MaxInt64 {
-		return false
-	}
-	doubt := settings.Seconds(j.spec.EstimateS) * 3 / 10 // estimates are often off
-	return j.slack(now) < -doubt && now < j.due+2*(j.due-j.arrived)
-}
-
 // The states of a booking.
 type bookState uint8
 
