Keep three deviations of the learned demand warm

Cause: with types that hold only short tasks now part of the warm room, the spread decides how much of the spot capacity is up; at 1 the fleet shrank in each pause and new machines came without images. Ruled out before: the goal, c, order of asking, lease length.

--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -42,7 +42,7 @@
 		SlowFitC:     5,
 		IdleReturn:   25 * time.Second,
 		BootPatience: 3,
-		WarmSpread:   1,
+		WarmSpread:   3,
 	}
 }
 
