--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -21,9 +21,10 @@
 	wall int64 // time of day in ms at now
 
 	began     time.Duration
-	ticked    time.Duration // last tick
-	awake     time.Duration // since when ticks have come without a break
-	leaseTime time.Duration // a worker's lease, stretched by drift and margin
+	ticked    time.Duration   // last tick
+	cutAt     []time.Duration // by zone: when it last seemed to be cut off
+	awake     time.Duration   // since when ticks have come without a break
+	leaseTime time.Duration   // a worker's lease, stretched by drift and margin
 	report    time.Duration
 
 	jobs      []*job
@@ -401,7 +402,7 @@
 // clearMachine ends the doubt about what an earlier leader started on m.
 func (c *Core) clearMachine(m *machine, why string) {
 	if len(m.unclear) > 0 {
-		c.log.Info("earlier starts on a machine are settled", "machine", m.name, "why", why, "jobs", len(m.unclear), "after", (c.now - c.began).Seconds())
+		c.log.Debug("earlier starts on a machine are settled", "machine", m.name, "why", why, "jobs", len(m.unclear), "after", (c.now - c.began).Seconds())
 	}
 	for _, i := range m.unclear {
 		j := c.jobs[i]
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -516,6 +516,20 @@
 	}
 }
 
+func TestMachinesThatComeBackOneByOneAfterACutAreNotDeleted(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	machines := []string{"vm-1", "vm-2", "vm-3", "vm-4"}
+	for _, name := range machines {
+		g.up(name)
+	}
+	g.wait(14 * time.Second) // all are silent: we are cut off
+	for _, name := range machines {
+		g.up(name)
+		g.wait(time.Second)
+	}
+	g.want("deleted", len(g.deleted), 0)
+}
+
 func TestSilenceDuringASuspensionCountsForNothing(t *testing.T) {
 	g := newStage(t, ledger.Snapshot{})
 	g.up("vm-1")
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -530,10 +530,17 @@
 	warm := c.warmCores()
 	backlog := len(c.queue()) > 0
 	// A whole zone silent at once, or most machines, is rather a cut between us
-	// and them: there they work on, and deleting them would lose that.
-	cutOff := func(m *machine) bool {
-		return 2*allSilent > max(allUp, 2) || m.zone >= 0 && up[m.zone] > 1 && silent[m.zone] == up[m.zone]
+	// and them: there they work on, and deleting them would lose that. When it
+	// ends, or their reports come by another way, they come back one by one.
+	for len(c.cutAt) < len(up) {
+		c.cutAt = append(c.cutAt, math.MinInt64/2)
 	}
+	for z := range up {
+		if 2*allSilent > max(allUp, 2) || up[z] > 1 && silent[z] == up[z] {
+			c.cutAt[z] = c.now
+		}
+	}
+	cutOff := func(m *machine) bool { return m.zone >= 0 && c.now-c.cutAt[m.zone] < 4*c.report }
 	for _, m := range c.live {
 		quiet := c.quiet(m)
 		switch {
