--- a/internal/intake/clerk.go
+++ b/internal/intake/clerk.go
@@ -36,17 +36,21 @@
 type clerk struct {
 	store  Store
 	ops    int
+	bytes  int // most bytes of one record
 	wishes chan *accept
 }
 
 // maxBytes keeps a transaction below the service's 64 KiB.
 const maxBytes = 48 << 10
 
-func newClerk(store Store, ops int) *clerk {
-	return &clerk{store: store, ops: ops, wishes: make(chan *accept, 256)}
+func newClerk(store Store, ops, bytes int) *clerk {
+	return &clerk{store: store, ops: ops, bytes: bytes, wishes: make(chan *accept, 256)}
 }
 
-var errFull = errors.New("too many submissions are waiting")
+var (
+	errFull = errors.New("too many submissions are waiting")
+	errLong = errors.New("the job's description is longer than can be recorded")
+)
 
 // create has a job record created unless there is one.
 func (c *clerk) create(ctx context.Context, ref string, rec ledger.JobRecord) (accepted, error) {
@@ -54,6 +58,9 @@
 	if err != nil {
 		return accepted{}, err
 	}
+	if len(value) > c.bytes {
+		return accepted{}, errLong
+	}
 	a := &accept{key: ledger.JobKey(ref), value: value, result: make(chan accepted, 1)}
 	select {
 	case c.wishes <- a:
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -77,7 +77,7 @@
 	for _, t := range p.Facts.Teams {
 		s.teams[t.Name] = t
 	}
-	s.clerk = newClerk(store, max(1, min(p.Facts.State.TxnOps, int(p.Facts.State.WriteRPS*share))))
+	s.clerk = newClerk(store, max(1, min(p.Facts.State.TxnOps, int(p.Facts.State.WriteRPS*share))), int(p.Facts.State.ValueKB*1024))
 	go s.clerk.run(ctx)
 	return s
 }
@@ -147,6 +147,8 @@
 	rec := ledger.JobRecord{Job: job, AcceptedMS: time.Now().UnixMilli()}
 	a, err := s.clerk.create(ctx, ref, rec)
 	switch {
+	case errors.Is(err, errLong):
+		return problem(http.StatusBadRequest, "%s", err)
 	case errors.Is(err, errFull), errors.Is(err, state.ErrBusy):
 		return later(http.StatusTooManyRequests, 2, "more submissions are coming than can be recorded")
 	case err != nil:
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -109,6 +109,7 @@
 		{name: "a task that fits no type", method: "POST", path: "/v2/runs", body: body(`"mem_gb":4`, `"mem_gb":400`), status: 422, says: "fits"},
 		{name: "a type that is not there", method: "POST", path: "/v2/runs", body: body(`"flavors":null`, `"flavors":["z9"]`), status: 422, says: "fits"},
 		{name: "a zone that no type has", method: "POST", path: "/v2/runs", body: body(`"room":null`, `"room":"z"`), status: 422, says: "fits"},
+		{name: "more than a record may hold", method: "POST", path: "/v2/runs", body: body(`"flavors":null`, `"flavors":["m"`+strings.Repeat(`,"nnnnnnnnnnnnnnnnnnnnnnnnnnnnnn"`, 600)+`]`), status: 400, says: "longer"},
 		{name: "types not known yet", method: "POST", path: "/v2/runs", body: body(), untyped: true, status: 503, says: "types", retry: true},
 		{name: "no state service anywhere", method: "POST", path: "/v2/runs", body: body(), down: true, status: 503, says: "state service", retry: true},
 		{name: "no state service here alone", method: "POST", path: "/v2/runs", body: body(), down: true, peer: &elsewhere, status: 201, says: "queued"},
@@ -129,7 +130,7 @@
 			store := &fakeStore{down: c.down, records: map[string]ledger.JobRecord{
 				"job/job-7": {Fate: wire.Done, Tasks: 2, Done: 2}, "job/job-8": {Job: &wire.Job{Ref: "job-8", Tasks: 1}}}}
 			p := &settings.Platform{Node: "n1", Facts: settings.Facts{Teams: []settings.Team{{Name: "t", CPUsMax: 6}},
-				State: settings.StateLimits{WriteRPS: 40, TxnOps: 8}}}
+				State: settings.StateLimits{WriteRPS: 40, TxnOps: 8, ValueKB: 16}}}
 			types := func() ([]wire.MachineType, bool) {
 				return []wire.MachineType{{Name: "m", CPUs: 8, MemGB: 32, Zones: []string{"a"}}}, !c.untyped
 			}
