One piece for what stood several times; drop what nothing reads

Read over, no change of behaviour: HTTP clients, the check that a call was never sent, and waiting stood three to seven times and are in internal/outbound; free-then-requeue, deleting a finished job's keys and asking whether anything waits are one function each; a report is parsed once on its way through the gate; the queue is no longer sorted to see whether it is empty. Gone: fields and a constant that nothing read (a booking's time and save point, a task's machine, an aim's share, the largest deletion).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -2,7 +2,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"leadproxy/internal/fleet"
@@ -178,6 +180,11 @@
 	c.lowerGoal()
 }
 
+// anyWaiting tells whether some task could be placed if there were room.
+func (c *Core) anyWaiting() bool {
+	return slices.ContainsFunc(c.active, func(j *job) bool { return j.placeable(c.now) })
+}
+
 // calmFor is how long nothing must have waited before the goal falls.
 const calmFor = 5 * time.Second
 
@@ -185,11 +192,9 @@
 // does and would stop limiting anything. The mean load of the machines stands
 // for the optimum: no placement brings the busiest one below that.
 func (c *Core) lowerGoal() {
-	for _, j := range c.active {
-		if j.placeable(c.now) {
-			c.calmSince = c.now
-			return
-		}
+	if c.anyWaiting() {
+		c.calmSince = c.now
+		return
 	}
 	if c.now-c.calmSince < calmFor {
 		return
@@ -282,8 +287,7 @@
 
 // classAims is what the settings ask for a class.
 type classAims struct {
-	wait  time.Duration // its tasks should have started by then; 0: no aim
-	share float64       // of its tasks
+	wait time.Duration // its tasks should have started by then; 0: no aim
 }
 
 // classOf returns a class's index and makes room for what is kept by class.
@@ -294,7 +298,7 @@
 		c.fleet.streams = append(c.fleet.streams, fleet.Stream{})
 		for _, o := range c.cfg.Platform.Facts.Objectives {
 			if o.Kind == "wait" && o.Class == name {
-				c.aims[i] = classAims{settings.Seconds(o.WithinS), o.Share}
+				c.aims[i] = classAims{wait: settings.Seconds(o.WithinS)}
 			}
 		}
 	}
@@ -345,16 +349,7 @@
 	}
 	if j.spec == nil {
 		// It is done; an earlier leader was stopped while it tidied up.
-		var writes []ledger.Write
-		for _, key := range ledger.HostKeys(s.Ref, len(s.Hosts)) {
-			writes = append(writes, ledger.Write{Key: key})
-		}
-		for chunk := range s.Finished {
-			writes = append(writes, ledger.Write{Key: ledger.FinKey(s.Ref, chunk)})
-		}
-		if len(writes) > 0 {
-			c.emit(Put{Writes: writes})
-		}
+		c.dropKeys(s.Ref, len(s.Hosts), slices.Collect(maps.Keys(s.Finished)))
 		return
 	}
 	for chunk, ranges := range s.Finished {
@@ -523,23 +518,32 @@
 		return
 	}
 	j.settled = true
-	var writes []ledger.Write
-	for _, key := range ledger.HostKeys(j.ref, len(j.hosts)) {
-		writes = append(writes, ledger.Write{Key: key})
-	}
+	var chunks []int
 	for chunk := 0; chunk*ledger.ChunkTasks < j.total; chunk++ {
 		used := false
 		for n := chunk * ledger.ChunkTasks; n < min(j.total, (chunk+1)*ledger.ChunkTasks) && n < len(j.tasks); n++ {
 			used = used || j.tasks[n].state >= taskDone
 		}
 		if used {
-			writes = append(writes, ledger.Write{Key: ledger.FinKey(j.ref, chunk)})
+			chunks = append(chunks, chunk)
 		}
 	}
+	c.dropKeys(j.ref, len(j.hosts), chunks)
+	j.tasks, j.hosts, j.hostAt, j.failedOn = nil, nil, nil, nil
+}
+
+// dropKeys deletes what the ledger holds of a finished job besides its record.
+func (c *Core) dropKeys(ref string, hosts int, chunks []int) {
+	var writes []ledger.Write
+	for _, key := range ledger.HostKeys(ref, hosts) {
+		writes = append(writes, ledger.Write{Key: key})
+	}
+	for _, chunk := range chunks {
+		writes = append(writes, ledger.Write{Key: ledger.FinKey(ref, chunk)})
+	}
 	if len(writes) > 0 {
 		c.emit(Put{Writes: writes})
 	}
-	j.tasks, j.hosts, j.hostAt, j.failedOn = nil, nil, nil, nil
 }
 
 // taskEnded notes that a task has completed.
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -175,12 +175,13 @@
 
 // hireMachines asks for what waiting tasks need and what is to be kept warm.
 func (c *Core) hireMachines() {
-	plan := c.plan()
-	for _, w := range fleet.Plan(plan) {
-		if len(c.openHires()) >= maxOpenHires {
+	open := len(c.openHires())
+	for _, w := range fleet.Plan(c.plan()) {
+		if open >= maxOpenHires {
 			return
 		}
 		c.startHire(w)
+		open++
 	}
 }
 
@@ -528,7 +529,7 @@
 		}
 	}
 	warm := c.warmCores()
-	backlog := len(c.queue()) > 0
+	backlog := c.anyWaiting()
 	// A whole zone silent at once, or most machines, is rather a cut between us
 	// and them: there they work on, and deleting them would lose that. When it
 	// ends, or their reports come by another way, they come back one by one.
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -164,8 +164,7 @@
 			// Either a start whose outcome was unknown and which a raised token
 			// has ruled out, or an attempt that the worker no longer knows.
 			c.log.Info("attempt is not on its machine", "machine", m.name, "task", c.taskName(b), "attempt", b.attempt, "confirmed", b.state == bookConfirmed)
-			c.free(m, b)
-			c.requeue(c.jobs[b.job], b.task)
+			c.release(m, b)
 		}
 	}
 }
@@ -215,7 +214,7 @@
 	switch t.Why {
 	case wire.WhyDone:
 		if b != nil && b.ranSince > 0 {
-			c.learnRun(m, j, c.now-b.ranSince)
+			c.learnRun(j, c.now-b.ranSince)
 		}
 		clear(m.blamedFor)
 		c.taskEnded(j, n)
@@ -345,9 +344,9 @@
 // book takes room on a machine. charge is false for a task that is only waited
 // for to be gone.
 func (c *Core) book(m *machine, j *job, n int32, attempt uint64, charge bool) *booking {
-	b := &booking{job: j.index, task: n, attempt: attempt, since: c.now, share: j.size.Share(m.total)}
+	b := &booking{job: j.index, task: n, attempt: attempt, share: j.size.Share(m.total)}
 	if charge {
-		j.tasks[n] = task{state: taskBooked, machine: m.index}
+		j.tasks[n].state = taskBooked
 	} else {
 		b.stopping = true
 	}
@@ -391,13 +390,18 @@
 	c.settleJob(j)
 }
 
+// release gives a booking's room back and has its task wait again.
+func (c *Core) release(m *machine, b *booking) {
+	c.free(m, b)
+	c.requeue(c.jobs[b.job], b.task)
+}
+
 // dropBookings frees all of a machine whose tasks are certainly gone.
 func (c *Core) dropBookings(m *machine, why string) {
 	for len(m.bookings) > 0 {
 		b := m.bookings[len(m.bookings)-1]
 		c.log.Debug("task lost with its machine", "machine", m.name, "task", c.taskName(b), "why", why)
-		c.free(m, b)
-		c.requeue(c.jobs[b.job], b.task)
+		c.release(m, b)
 	}
 	m.outbox = nil
 }
@@ -405,8 +409,7 @@
 // stopBooking has an attempt stopped. What was never sent is simply freed.
 func (c *Core) stopBooking(m *machine, b *booking, grace float64) {
 	if b.state == bookPlanned {
-		c.free(m, b)
-		c.requeue(c.jobs[b.job], b.task)
+		c.release(m, b)
 		return
 	}
 	b.stopping, b.grace = true, grace
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -346,8 +346,7 @@
 		for _, a := range call.attempts {
 			delete(m.pending, a)
 			if b := m.booking(a); b != nil && b.state == bookSent {
-				c.free(m, b)
-				c.requeue(c.jobs[b.job], b.task)
+				c.release(m, b)
 			}
 		}
 		if e.Outcome == DirectRefused {
@@ -367,7 +366,7 @@
 }
 
 // learnRun learns how true the owners' estimates of a class are.
-func (c *Core) learnRun(m *machine, j *job, took time.Duration) {
+func (c *Core) learnRun(j *job, took time.Duration) {
 	if j.spec == nil || j.spec.EstimateS <= 0 {
 		return
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -7,13 +7,13 @@
 	"errors"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
 	"leadproxy/internal/election"
 	"leadproxy/internal/fleet"
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/state"
 	"leadproxy/internal/wire"
@@ -49,12 +49,7 @@
 func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, log *slog.Logger) *Desk {
 	return &Desk{
 		platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
-		workers: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxIdleConnsPerHost: 2,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		}},
+		workers: outbound.NewClient(2),
 		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
 	}
 }
@@ -194,11 +189,7 @@
 			return
 		}
 		d.log.Info("ledger not read yet", "term", term, "error", err)
-		select {
-		case <-time.After(200 * time.Millisecond):
-		case <-ctx.Done():
-			return
-		}
+		outbound.Pause(ctx, 200*time.Millisecond)
 	}
 	d.log.Info("ledger read", "term", term, "jobs", len(snapshot.Jobs), "hires", len(snapshot.Hires))
 	go func() {
@@ -207,7 +198,7 @@
 			cancel()
 		}
 	}()
-	cloud := fleet.NewClient(d.platform.Services.Cloud, f.Cloud.RPS*0.7, d.log)
+	cloud := fleet.NewClient(d.platform.Services.Cloud, f.Cloud.RPS*0.7)
 	go cloud.Run(ctx)
 	go d.watchJobs(ctx, snapshot.Revision)
 
@@ -339,9 +330,8 @@
 	}
 	resp, err := d.workers.Do(req)
 	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
-			return DirectNotSent, nil // an attempt to connect that was given up never completes
+		if outbound.NeverSent(err) {
+			return DirectNotSent, nil
 		}
 		return DirectUnknown, nil
 	}
@@ -350,7 +340,7 @@
 	if err != nil {
 		return DirectUnknown, nil
 	}
-	outcome := DirectUnknown
+	var outcome DirectOutcome
 	switch resp.StatusCode {
 	case http.StatusOK:
 		outcome = DirectDone
@@ -375,10 +365,7 @@
 			continue
 		}
 		if err != nil {
-			select {
-			case <-time.After(200 * time.Millisecond):
-			case <-ctx.Done():
-			}
+			outbound.Pause(ctx, 200*time.Millisecond)
 			continue
 		}
 		for _, e := range news.Events {
@@ -396,10 +383,7 @@
 	for ctx.Err() == nil {
 		page, err := d.store.List(ctx, ledger.JobPrefix, after, 1000)
 		if err != nil {
-			select {
-			case <-time.After(200 * time.Millisecond):
-			case <-ctx.Done():
-			}
+			outbound.Pause(ctx, 200*time.Millisecond)
 			continue
 		}
 		if revision == 0 {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -111,10 +111,7 @@
 	taskDurable // its end is in the ledger
 )
 
-type task struct {
-	state   taskState
-	machine int32
-}
+type task struct{ state taskState }
 
 type host struct {
 	machine int32
@@ -190,11 +187,9 @@
 	status    string // as last reported
 	share     float64
 	phase     uint32
-	since     time.Duration // when it was booked
 	ranSince  time.Duration // when it was first seen running
 	stopping  bool
 	grace     float64
-	savePoint bool
 }
 
 // The states of a machine.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/state"
 	"leadproxy/internal/wire"
@@ -109,18 +110,11 @@
 	for ctx.Err() == nil {
 		if err := e.round(ctx); err != nil && ctx.Err() == nil {
 			e.log.Debug("election round failed", "error", err)
-			pause(ctx, 150*time.Millisecond+rand.N(100*time.Millisecond))
+			outbound.Pause(ctx, 150*time.Millisecond+rand.N(100*time.Millisecond))
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (e *Elector) round(ctx context.Context) error {
 	entry, found, rev, err := e.store.Get(ctx, state.Lease, Key)
 	if err != nil {
@@ -187,7 +181,7 @@
 		if lapsed || time.Until(until) < e.ttl/2 {
 			wait = 150 * time.Millisecond
 		}
-		pause(ctx, wait)
+		outbound.Pause(ctx, wait)
 		sent := time.Now()
 		err := e.store.Renew(ctx, lease)
 		if errors.Is(err, state.ErrNoLease) {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/state"
 	"leadproxy/internal/wire"
@@ -106,7 +107,7 @@
 }
 
 func (f *fakeStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (wire.News, error) {
-	pause(ctx, 100*time.Millisecond)
+	outbound.Pause(ctx, 100*time.Millisecond)
 	return wire.News{}, ctx.Err()
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,12 +10,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
 
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/wire"
 )
 
@@ -45,9 +44,8 @@
 
 // The protocol's bounds on one call.
 const (
-	MaxHire   = 50
-	MaxDelete = 100
-	maxList   = 500
+	MaxHire = 50
+	maxList = 500
 )
 
 const timeout = 5 * time.Second
@@ -58,22 +56,16 @@
 	base    string
 	http    *http.Client
 	rate    float64
-	log     *slog.Logger
 	calls   chan Call
 	Results chan Result
 }
 
 // NewClient makes a client with a share of the cloud's rate; Run starts it.
-func NewClient(addr string, rate float64, log *slog.Logger) *Client {
+func NewClient(addr string, rate float64) *Client {
 	return &Client{
-		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		}},
-		rate: rate, log: log,
+		base:  "http://" + addr,
+		http:  outbound.NewClient(8),
+		rate:  rate,
 		calls: make(chan Call, 256), Results: make(chan Result, 64),
 	}
 }
@@ -168,11 +160,7 @@
 		}
 		after = page.Machines[len(page.Machines)-1].Name
 		// Further pages count against the rate as well.
-		select {
-		case <-time.After(time.Duration(float64(time.Second) / c.rate)):
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
+		outbound.Pause(ctx, time.Duration(float64(time.Second)/c.rate))
 	}
 }
 
@@ -199,8 +187,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
+		if outbound.NeverSent(err) {
 			return fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 		return fmt.Errorf("%w: %w", ErrUnknown, err)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -197,11 +197,8 @@
 // cheapest finds the offer with the least price per task slot. Slots beyond
 // the number of tasks count for nothing.
 func cheapest(s Situation, size slowfit.Size, count int, allows func(Offer) bool) (Priced, bool) {
-	type candidate struct {
-		Priced
-		cost float64
-	}
-	var all []candidate
+	var best Priced
+	least := math.Inf(1)
 	for _, o := range s.Offers {
 		per := size.Slots(s.Types[o.Type].Total)
 		if per == 0 || !allows(o.Offer) {
@@ -209,16 +206,9 @@
 		}
 		// Booting is paid for as well: a type that is up sooner is worth more.
 		boot := 1 + s.Types[o.Type].Boot.Seconds()/usualStay.Seconds()
-		all = append(all, candidate{o, o.Price * boot / float64(min(per, max(count, 1)))})
-	}
-	if len(all) == 0 {
-		return Priced{}, false
-	}
-	best := all[0]
-	for _, c := range all[1:] {
-		if c.cost < best.cost {
-			best = c
+		if cost := o.Price * boot / float64(min(per, max(count, 1))); cost < least {
+			best, least = o, cost
 		}
 	}
-	return best.Priced, true
+	return best, !math.IsInf(least, 1)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"leadproxy/internal/dispatch"
@@ -59,7 +60,6 @@
 // Service answers users.
 type Service struct {
 	node    string
-	facts   settings.Facts
 	teams   map[string]settings.Team
 	elector *election.Elector
 	store   Store
@@ -72,7 +72,7 @@
 
 // New makes the service and starts its clerk, which runs until ctx ends.
 func New(ctx context.Context, p *settings.Platform, e *election.Elector, store Store, desk Desk, peers Peers, types Types, share float64, log *slog.Logger) *Service {
-	s := &Service{node: p.Node, facts: p.Facts, teams: map[string]settings.Team{}, elector: e, store: store, desk: desk,
+	s := &Service{node: p.Node, teams: map[string]settings.Team{}, elector: e, store: store, desk: desk,
 		peers: peers, types: types, log: log}
 	for _, t := range p.Facts.Teams {
 		s.teams[t.Name] = t
@@ -201,19 +201,10 @@
 }
 
 func allowed(j *wire.Job, t *wire.MachineType) bool {
-	if j.Types != nil && !has(j.Types, t.Name) {
+	if j.Types != nil && !slices.Contains(j.Types, t.Name) {
 		return false
 	}
-	return j.Zone == nil || has(t.Zones, *j.Zone)
-}
-
-func has(list []string, name string) bool {
-	for _, n := range list {
-		if n == name {
-			return true
-		}
-	}
-	return false
+	return j.Zone == nil || slices.Contains(t.Zones, *j.Zone)
 }
 
 // --- questions ---
@@ -336,7 +327,7 @@
 		return otherwise
 	}
 	names := s.peers.Names()
-	if l := s.elector.View().Leader; l != s.node && has(names, l) {
+	if l := s.elector.View().Leader; l != s.node && slices.Contains(names, l) {
 		// The leader first: it is the one that surely reached the service.
 		names = append([]string{l}, names...)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"leadproxy/internal/election"
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/state"
 	"leadproxy/internal/wire"
 )
@@ -169,10 +170,7 @@
 	var o outcome
 	o.ok, o.answer, o.err = l.store.Txn(ctx, state.Leader, txn)
 	if o.err != nil {
-		select {
-		case <-time.After(100 * time.Millisecond):
-		case <-ctx.Done():
-		}
+		outbound.Pause(ctx, 100*time.Millisecond)
 		return o
 	}
 	if o.ok {
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -129,13 +129,23 @@
 	return intake.JSON(http.StatusMisdirectedRequest, hint)
 }
 
-// answer answers a report if this node leads, and else sends it elsewhere.
-func (g *gate) answer(ctx context.Context, body []byte) intake.Answer {
+// malformed answers what is no report.
+func (g *gate) malformed(err error) intake.Answer {
+	g.log.Info("malformed report", "error", err)
+	return problem(http.StatusBadRequest, err.Error())
+}
+
+// relayedHere answers a report that another node has passed on.
+func (g *gate) relayedHere(ctx context.Context, body []byte) intake.Answer {
 	report, err := wire.ParseReport(body)
 	if err != nil {
-		g.log.Info("malformed report", "error", err)
-		return problem(http.StatusBadRequest, err.Error())
+		return g.malformed(err)
 	}
+	return g.answer(ctx, report)
+}
+
+// answer answers a report if this node leads, and else sends it elsewhere.
+func (g *gate) answer(ctx context.Context, report *wire.Report) intake.Answer {
 	v := g.elector.View()
 	if !v.InTerm(time.Now()) {
 		return g.elsewhere()
@@ -162,18 +172,22 @@
 		intake.Write(w, problem(http.StatusBadRequest, err.Error()))
 		return
 	}
-	a := g.answer(req.Context(), body)
+	report, err := wire.ParseReport(body)
+	if err != nil {
+		intake.Write(w, g.malformed(err))
+		return
+	}
+	a := g.answer(req.Context(), report)
 	if leader := g.elector.View().Leader; a.Status == http.StatusMisdirectedRequest && leader != "" && leader != g.node {
-		a = g.relayed(req.Context(), leader, body, a)
+		a = g.relayed(req.Context(), leader, report.Machine, body, a)
 	}
 	intake.Write(w, a)
 }
 
 // relayed has the leader answer the report of a worker that was sent to it and
 // came back.
-func (g *gate) relayed(ctx context.Context, leader string, body []byte, otherwise intake.Answer) intake.Answer {
-	report, err := wire.ParseReport(body)
-	if err != nil || !g.mayRelay(ctx, report.Machine, leader) {
+func (g *gate) relayed(ctx context.Context, leader, machine string, body []byte, otherwise intake.Answer) intake.Answer {
+	if !g.mayRelay(ctx, machine, leader) {
 		return otherwise
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayLimit)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"leadproxy/internal/election"
 	"leadproxy/internal/fleet"
 	"leadproxy/internal/intake"
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/peers"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/state"
@@ -52,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	types := watchTypes(ctx, fleet.NewClient(p.Services.Cloud, f.Cloud.RPS, log), log)
+	types := watchTypes(ctx, fleet.NewClient(p.Services.Cloud, f.Cloud.RPS), log)
 	in := intake.New(ctx, p, elector, store, desk, others, types, share, log)
 
 	router := httprouter.New()
@@ -64,7 +65,7 @@
 	go elector.Run(ctx)
 	go desk.Run(ctx)
 	failed := make(chan error, 2)
-	grpcServer := peers.NewServer(in, gate.answer)
+	grpcServer := peers.NewServer(in, gate.relayedHere)
 	go func() { failed <- grpcServer.Serve(back) }()
 	web := &http.Server{Handler: router, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
@@ -96,10 +97,7 @@
 				log.Debug("machine types not read", "error", err)
 				wait = time.Second
 			}
-			select {
-			case <-time.After(wait):
-			case <-ctx.Done():
-			}
+			outbound.Pause(ctx, wait)
 		}
 	}()
 	return func() ([]wire.MachineType, bool) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/wire"
 )
 
@@ -245,25 +246,18 @@
 					at = i
 				}
 			}
-			sleep(ctx, 100*time.Millisecond)
+			outbound.Pause(ctx, 100*time.Millisecond)
 			continue
 		}
 		select {
 		case <-w.changed:
-			sleep(ctx, 50*time.Millisecond)
+			outbound.Pause(ctx, 50*time.Millisecond)
 		case <-time.After(w.config.Report):
 		case <-ctx.Done():
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (w *Worker) tell(ctx context.Context, client *http.Client, addr string, report wire.Report, sent time.Time) (next string, ok bool) {
 	body, err := json.Marshal(report)
 	if err != nil {
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -11,12 +11,12 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/wire"
 )
 
@@ -62,13 +62,8 @@
 // service's limits, of which share is this node's at the start.
 func New(ctx context.Context, addr string, rps, wps, share float64, log *slog.Logger) *Client {
 	c := &Client{
-		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxIdleConnsPerHost: 16,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		}},
+		base:  "http://" + addr,
+		http:  outbound.NewClient(16),
 		pacer: newPacer(rps, wps, share, log),
 	}
 	go c.pacer.run(ctx)
@@ -119,8 +114,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
+		if outbound.NeverSent(err) {
 			return 0, nil, fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
