Cost per event no longer grows with the cluster

Each event scanned all machines several times for each waiting task.

- Events that wait together share one placement.
- Starts decided while a report is being answered travel in the answer.
Only a later report, not the answer to a direct command, tells that one was lost.
- Deletions are asked for together; the garbage is collected less often.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -47,9 +47,14 @@
 	active    []*job // jobs that are not settled
 	goal      slowfit.Goal
 	calmSince time.Duration
-	view      []slowfit.Machine // reused by placement
-	viewOf    []*machine
+	index     slowfit.Index
+	pools     []poolKey // by the index's numbers
+	poolAt    map[poolKey]int32
+	stale     []*machine // to be brought up to date in the index
 	attempts  uint64
+	looks     uint64       // reports looked at
+	answers   []openAnswer // of this step
+	outboxes  []*machine   // with orders of this step
 	calls     map[uint64]*directCall
 	callID    uint64
 	dirty     bool
@@ -83,7 +88,7 @@
 		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
 		typeAt: map[string]int32{}, teamAt: map[string]int32{},
 		goal:  slowfit.Goal{C: cfg.Operator.SlowFitC},
-		calls: map[uint64]*directCall{},
+		calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
 	}
 	for _, t := range cfg.Platform.Facts.Teams {
 		c.teamAt[t.Name] = int32(len(c.teams))
@@ -106,9 +111,9 @@
 	return c
 }
 
-// Step takes one event and returns what must be done. The result is valid until
-// the next step.
-func (c *Core) Step(event any, now time.Duration, wall int64) []any {
+// Step takes one event. What follows from it, and from others that came with
+// it, is told by Settle.
+func (c *Core) Step(event any, now time.Duration, wall int64) {
 	c.now, c.wall = now, wall
 	switch e := event.(type) {
 	case JobSeen:
@@ -130,6 +135,11 @@
 	case Tick:
 		c.tick()
 	}
+}
+
+// Settle places what can be placed after one or more steps and returns all that
+// must be done. Under load many events share one placement.
+func (c *Core) Settle() []any {
 	if c.dirty {
 		c.dirty = false
 		c.place()
@@ -164,8 +174,9 @@
 	c.ticked = c.now
 	for _, m := range c.live {
 		c.checkMachine(m)
-		if m.shunned > 0 && c.now >= m.shunned {
-			m.shunned = 0
+		if m.isOpen != c.open(m) {
+			// It has fallen silent, or is no longer shunned.
+			c.touch(m)
 			c.dirty = true
 		}
 	}
@@ -213,6 +224,7 @@
 		before := c.goal.L
 		c.goal.Fall(load / float64(n))
 		if c.goal.L != before {
+			c.index.ClearLoads()
 			c.log.Debug("goal lowered", "from", before, "to", c.goal.L, "mean_load", load/float64(n))
 		}
 	}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -38,7 +38,8 @@
 	typing    bool
 	streams   []fleet.Stream // by class
 	ratios    map[int32]float64
-	sizes     []sized // of the demand, the one with most core-seconds first
+	deletes   []string // to be asked for at the end of the step
+	sizes     []sized  // of the demand, the one with most core-seconds first
 }
 
 type offerState struct {
@@ -498,7 +499,19 @@
 	}
 	c.log.Info("returning machine", "machine", m.name, "why", why, "bookings", len(m.bookings), "age", (c.now - m.hired).Seconds())
 	m.state, m.asked = machineDeleting, c.now
-	c.emit(CallCloud{fleet.Call{Delete: []string{m.name}}})
+	c.touch(m)
+	c.fleet.deletes = append(c.fleet.deletes, m.name)
+}
+
+// flushDeletes asks for the deletions of a step together, since the cloud takes
+// few calls.
+func (c *Core) flushDeletes() {
+	for names := c.fleet.deletes; len(names) > 0; {
+		n := min(len(names), fleet.MaxDelete)
+		c.emit(CallCloud{fleet.Call{Delete: slices.Clone(names[:n])}})
+		names = names[n:]
+	}
+	c.fleet.deletes = c.fleet.deletes[:0]
 }
 
 // quiet is how long a machine has said nothing to this leader.
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -19,7 +19,7 @@
 		return c.machines[i]
 	}
 	m := &machine{index: int32(len(c.machines)), name: name, typ: -1, zone: -1, hired: c.now,
-		token: c.term << tokenBits, leaseOver: c.began + c.leaseTime,
+		token: c.term << tokenBits, leaseOver: c.began + c.leaseTime, pool: -1,
 		pending: map[uint64]uint64{}, idleSince: c.now}
 	c.machineAt[name] = m.index
 	c.machines = append(c.machines, m)
@@ -41,6 +41,7 @@
 		m.total = c.types[t].total
 		m.free = m.total.Minus(used)
 	}
+	c.touch(m)
 }
 
 func (c *Core) reportIn(e ReportIn) {
@@ -60,17 +61,69 @@
 	// from now is late enough.
 	m.answered = c.now
 	m.leaseOver = max(m.leaseOver, c.now+c.leaseTime)
-	fresh := c.observe(m, r)
-	answer := &wire.ReportAnswer{Token: m.token, Orders: []wire.Order{}}
-	if fresh {
-		answer.Orders = c.ordersFor(m, r)
+	a := openAnswer{to: e.To, machine: m}
+	if c.observe(m, r, true) {
+		a.report = r
+		m.asking = len(c.answers) + 1
 	}
-	c.emit(AnswerReport{To: e.To, Answer: answer})
+	c.answers = append(c.answers, a)
+}
+
+// openAnswer is a report's answer, which is given at the end of the step so
+// that starts decided in it travel along.
+type openAnswer struct {
+	to      any
+	machine *machine
+	report  *wire.Report // nil for a stale one
+}
+
+// giveAnswers answers the reports of this step. Only the newest report of a
+// machine gets orders.
+func (c *Core) giveAnswers() {
+	for i, a := range c.answers {
+		m := a.machine
+		if m.state == machineGone {
+			c.emit(AnswerReport{To: a.to})
+			continue
+		}
+		answer := &wire.ReportAnswer{Token: m.token, Orders: []wire.Order{}}
+		if a.report != nil && m.asking == i+1 {
+			answer.Orders = c.withOutbox(m, a.report, c.ordersFor(m, a.report))
+		}
+		if m.asking == i+1 {
+			m.asking = 0
+		}
+		c.emit(AnswerReport{To: a.to, Answer: answer})
+	}
+	clear(c.answers)
+	c.answers = c.answers[:0]
+}
+
+// withOutbox adds a machine's waiting orders to the answer of its report, as
+// far as they go in. Unlike a direct command, an answer is never executed late:
+// the worker's next report shows what became of it.
+func (c *Core) withOutbox(m *machine, r *wire.Report, orders []wire.Order) []wire.Order {
+	if r.Session != m.session {
+		return orders
+	}
+	for len(m.outbox) > 0 && len(orders) < maxOrders {
+		o := m.outbox[0]
+		m.outbox = m.outbox[1:]
+		if o.Verb == wire.Start {
+			b := m.booking(o.Attempt)
+			if b == nil {
+				continue // released since
+			}
+			b.state, b.answered = bookSent, r.Seq
+		}
+		orders = append(orders, o)
+	}
+	return orders
 }
 
 // observe takes in what a worker tells, in a report or in the answer to a
 // direct command. It returns false for something stale.
-func (c *Core) observe(m *machine, r *wire.Report) bool {
+func (c *Core) observe(m *machine, r *wire.Report, reported bool) bool {
 	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
 		return false
 	}
@@ -93,6 +146,7 @@
 		m.session = r.Session
 	}
 	m.seq = r.Seq
+	c.touch(m)
 	m.echo = max(m.echo, r.Token)
 	for attempt, fence := range m.pending {
 		if m.echo >= fence {
@@ -103,7 +157,7 @@
 		m.noticeAt = c.now + settings.Seconds(*r.NoticeS)
 		c.log.Info("machine will be taken back", "machine", m.name, "seconds", *r.NoticeS, "bookings", len(m.bookings))
 	}
-	c.matchTasks(m, r)
+	c.matchTasks(m, r, reported)
 	if m.known(c.term) && len(m.unclear) > 0 {
 		// Only now is it certain that no earlier leader's start is on its way.
 		c.clearMachine(m, "it has echoed our token")
@@ -117,29 +171,40 @@
 	return true
 }
 
-// matchTasks brings the bookings of a machine in line with a fresh report.
-func (c *Core) matchTasks(m *machine, r *wire.Report) {
-	listed := make(map[uint64]bool, len(r.Tasks))
+// taskOf finds what a line of a report speaks of. The booking is nil when we
+// have none for it.
+func (c *Core) taskOf(m *machine, t *wire.TaskReport) (j *job, n int32, b *booking) {
+	if b := m.booking(t.Attempt); b != nil {
+		return c.jobs[b.job], b.task, b
+	}
+	ref, k, ok := wire.SplitTask(t.Task)
+	at, known := c.jobIndex[ref]
+	if !ok || !known || c.jobs[at].spec != nil && k >= c.jobs[at].total {
+		return nil, 0, nil
+	}
+	return c.jobs[at], int32(k), nil
+}
+
+// matchTasks brings the bookings of a machine in line with a fresh report, or
+// with the answer to a direct command.
+func (c *Core) matchTasks(m *machine, r *wire.Report, reported bool) {
+	c.looks++
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
-		listed[t.Attempt] = true
-		ref, n, ok := wire.SplitTask(t.Task)
-		at, known := c.jobIndex[ref]
-		if !ok || !known || c.jobs[at].spec != nil && n >= c.jobs[at].total {
+		j, n, b := c.taskOf(m, t)
+		if j == nil {
 			continue // ordersFor stops what it can't place
 		}
-		j := c.jobs[at]
-		b := m.booking(t.Attempt)
 		if t.Status == wire.TaskEnded {
-			c.attemptEnded(m, j, int32(n), b, t)
+			c.attemptEnded(m, j, n, b, t)
 			continue
 		}
 		if b == nil {
-			if b = c.adopt(m, j, int32(n), t); b == nil {
+			if b = c.adopt(m, j, n, t); b == nil {
 				continue
 			}
 		}
-		b.state = bookConfirmed
+		b.state, b.seen = bookConfirmed, c.looks
 		if t.Status != b.status {
 			b.status = t.Status
 			if t.Status == wire.TaskRunning {
@@ -153,13 +218,17 @@
 	}
 	for k := len(m.bookings) - 1; k >= 0; k-- {
 		b := m.bookings[k]
-		if listed[b.attempt] {
+		if b.seen == c.looks {
 			continue
 		}
 		_, unsettled := m.pending[b.attempt]
 		switch {
-		case b.state == bookPlanned, unsettled:
+		case b.state <= bookQueued, unsettled:
 			// Not sent yet, or it may still be executed.
+		case b.state == bookSent && b.answered > 0 && (!reported || r.Seq <= b.answered):
+			// The answer that carries its start may still be on its way: the
+			// worker's next report is sent only after it, or after it is given
+			// up.
 		default:
 			// Either a start whose outcome was unknown and which a raised token
 			// has ruled out, or an attempt that the worker no longer knows.
@@ -291,6 +360,7 @@
 		return
 	}
 	m.quarantine = true
+	c.touch(m)
 	c.log.Info("machine quarantined: tasks fail on it", "machine", m.name, "jobs", len(m.blamedFor), "bookings", len(m.bookings))
 }
 
@@ -302,19 +372,16 @@
 			break
 		}
 		t := &r.Tasks[i]
-		ref, n, ok := wire.SplitTask(t.Task)
-		at, known := c.jobIndex[ref]
-		if !ok || !known {
+		j, n, b := c.taskOf(m, t)
+		if j == nil {
 			continue
 		}
-		j := c.jobs[at]
 		if t.Status == wire.TaskEnded {
-			if c.mayForget(m, j, n, t) {
+			if c.mayForget(m, j, int(n), t) {
 				orders = append(orders, wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt})
 			}
 			continue
 		}
-		b := m.booking(t.Attempt)
 		if b == nil {
 			orders = append(orders, stopOrder(t.Task, t.Attempt, 0))
 		} else if b.stopping {
@@ -363,6 +430,7 @@
 	m.load += b.share
 	m.bookings = append(m.bookings, b)
 	m.idleSince = c.now
+	c.touch(m)
 	return b
 }
 
@@ -386,6 +454,7 @@
 		}
 	}
 	m.idleSince = c.now
+	c.touch(m)
 	c.dirty = true
 	c.settleJob(j)
 }
@@ -408,12 +477,12 @@
 
 // stopBooking has an attempt stopped. What was never sent is simply freed.
 func (c *Core) stopBooking(m *machine, b *booking, grace float64) {
-	if b.state == bookPlanned {
+	if b.state <= bookQueued {
 		c.release(m, b)
 		return
 	}
 	b.stopping, b.grace = true, grace
-	m.outbox = append(m.outbox, stopOrder(c.taskName(b), b.attempt, grace))
+	c.order(m, stopOrder(c.taskName(b), b.attempt, grace))
 }
 
 // gone notes that a machine and all on it is no more.
@@ -426,6 +495,7 @@
 	c.dropBookings(m, why)
 	clear(m.pending)
 	c.clearMachine(m, why)
+	c.index.Leave(m.index)
 	c.hireSeen(m)
 	if c.hostOfAny(m) {
 		m.goneNoted = true
@@ -464,7 +534,7 @@
 		if b.stopping || j.spec == nil {
 			continue
 		}
-		if b.state == bookPlanned {
+		if b.state <= bookQueued {
 			c.stopBooking(m, b, 0)
 			continue
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -17,15 +17,10 @@
 	if len(queue) == 0 {
 		return
 	}
-	c.viewOf = c.viewOf[:0]
-	for _, m := range c.live {
-		if c.open(m) {
-			c.viewOf = append(c.viewOf, m)
-		}
-	}
-	if len(c.viewOf) == 0 {
-		return
+	for _, m := range c.stale {
+		c.refresh(m)
 	}
+	c.stale = c.stale[:0]
 	uncertain := c.uncertainUse()
 	for _, j := range queue {
 		c.placeJob(j, uncertain)
@@ -116,11 +111,12 @@
 		if at < 0 {
 			return
 		}
-		m := c.viewOf[at]
+		m := c.machines[at]
 		n := j.waiting[len(j.waiting)-1]
 		j.waiting = j.waiting[:len(j.waiting)-1]
 		c.attempts++
 		b := c.book(m, j, n, c.term<<tokenBits|c.attempts, true)
+		c.refresh(m)
 		zones[m.zone]++
 		if only < 0 && j.spec.OneZone {
 			only = m.zone
@@ -135,38 +131,116 @@
 	}
 }
 
+// poolKey is what machines of one pool of the index have in common.
+type poolKey struct {
+	typ, zone int32
+	spot      bool
+}
+
+// touch notes that the index may no longer show a machine as it is.
+func (c *Core) touch(m *machine) {
+	if !m.stale {
+		m.stale = true
+		c.stale = append(c.stale, m)
+	}
+}
+
+// refresh brings the index up to date for a machine.
+func (c *Core) refresh(m *machine) {
+	m.stale = false
+	m.isOpen = c.open(m)
+	if !m.isOpen {
+		c.index.Close(m.index)
+		return
+	}
+	key := poolKey{m.typ, m.zone, m.spot}
+	pool, ok := c.poolAt[key]
+	if !ok {
+		pool = int32(c.index.AddPool(m.total))
+		c.poolAt[key] = pool
+		c.pools = append(c.pools, key)
+	}
+	if m.pool != pool {
+		c.index.Join(m.index, int(pool))
+		m.pool = pool
+	}
+	load := m.load
+	if m.phase != c.goal.Phase {
+		load = 0
+	}
+	var tags uint64
+	for _, s := range m.images {
+		tags |= imageTag(s.image)
+	}
+	for _, b := range m.bookings {
+		tags |= imageTag(c.jobs[b.job].image)
+	}
+	c.index.Open(m.index, m.free, load, tags)
+}
+
+// imageTag is the index's tag of an image. Several images may share one.
+func imageTag(image int32) uint64 { return 1 << (image % 64) }
+
 // choose has SLOW-FIT choose the machine for a job's next task. A class with an
 // aim on waiting is first offered only machines on which its image would be
 // ready in time, if one of those has room: a slower machine that must fetch
 // the image first would break the aim by that alone.
-func (c *Core) choose(j *job, zones map[int32]int, only int32) int {
+func (c *Core) choose(j *job, zones map[int32]int, only int32) int32 {
+	w := c.wish(j, zones, only)
 	if aim := c.aims[j.class].wait; aim > 0 {
-		at := c.goal.Place(c.viewFor(j, zones, only, aim), j.size)
-		if at >= 0 {
+		soon := w
+		soon.Allowed = func(i int32) bool {
+			m := c.machines[i]
+			return c.fetchTime(j, m) <= aim && (w.Allowed == nil || w.Allowed(i))
+		}
+		if !c.fetchedWithin(j, aim) {
+			soon.AllowedTag = imageTag(j.image)
+		}
+		if at := c.index.Place(&c.goal, &soon); at >= 0 {
 			return at
 		}
 	}
-	return c.goal.Place(c.viewFor(j, zones, only, math.MaxInt64), j.size)
+	return c.index.Place(&c.goal, &w)
+}
+
+// fetchedWithin tells whether a job's image can be fetched within a time by
+// some type of machine.
+func (c *Core) fetchedWithin(j *job, within time.Duration) bool {
+	return slices.ContainsFunc(c.types, func(t machineType) bool {
+		return t.FetchGBPerS <= 0 || settings.Seconds(j.spec.ImageGB/t.FetchGBPerS) <= within
+	})
 }
 
-// viewFor is how SLOW-FIT sees the open machines for a job's next task. Those
-// that need longer than within for the image are not allowed.
-func (c *Core) viewFor(j *job, zones map[int32]int, only int32, within time.Duration) []slowfit.Machine {
+// wish is a job's next task as SLOW-FIT sees it. Merit tells equally slow
+// machines apart: a class with an aim on waiting goes first where its image is,
+// since a fetch counts as waiting; other work goes first to spot machines, so
+// that dearer ones run empty and can go back.
+func (c *Core) wish(j *job, zones map[int32]int, only int32) slowfit.Wish {
 	most := (j.total + 1) / 2
-	c.view = c.view[:0]
-	for _, m := range c.viewOf {
-		ok := j.allows(m.typ, m.zone, m.spot) && (j.suspect() || !j.failedOn[m.index])
-		if only >= 0 && m.zone != only || j.spec.Spread && zones[m.zone] >= most {
-			ok = false
-		}
-		ok = ok && c.fetchTime(j, m) <= within
-		load := m.load
-		if m.phase != c.goal.Phase {
-			load = 0
-		}
-		c.view = append(c.view, slowfit.Machine{Total: m.total, Free: m.free, Index: int(m.index), Allowed: ok, Merit: c.merit(j, m), Load: load})
+	cheap, image := 2, 1
+	if c.aims[j.class].wait > 0 {
+		cheap, image = 1, 2
+	}
+	w := slowfit.Wish{Task: j.size, Bonus: image, FavouredTag: imageTag(j.image),
+		Pool: func(pool int) (bool, int) {
+			k := c.pools[pool]
+			if !j.allows(k.typ, k.zone, k.spot) || only >= 0 && k.zone != only || j.spec.Spread && zones[k.zone] >= most {
+				return false, 0
+			}
+			if k.spot {
+				return true, cheap
+			}
+			return true, 0
+		},
+		Favoured: func(i int32) bool {
+			m := c.machines[i]
+			return m.has(j.image) || c.fetching(m, j.image)
+		},
+	}
+	if len(j.failedOn) > 0 && !j.suspect() {
+		w.Allowed = func(i int32) bool { return !j.failedOn[i] }
 	}
-	return c.view
+	return w
 }
 
 // fetchTime is how long a machine will need for a job's image.
@@ -196,23 +270,6 @@
 	return false
 }
 
-// merit tells equally slow machines apart. A class with an aim on waiting goes
-// first where its image is, since a fetch counts as waiting; other work goes
-// first to spot machines, so that dearer ones run empty and can go back.
-func (c *Core) merit(j *job, m *machine) int {
-	image, cheap := 0, 0
-	if m.has(j.image) || c.fetching(m, j.image) {
-		image = 1
-	}
-	if m.spot {
-		cheap = 1
-	}
-	if c.aims[j.class].wait > 0 {
-		return 2*image + cheap
-	}
-	return image + 2*cheap
-}
-
 // zoneUse counts a job's present tasks by zone.
 func (c *Core) zoneUse(j *job) map[int32]int {
 	use := map[int32]int{}
@@ -238,8 +295,8 @@
 	}
 	slots := make([]int, len(c.zones.list))
 	best := int32(-1)
-	for _, m := range c.viewOf {
-		if j.allows(m.typ, m.zone, m.spot) {
+	for _, m := range c.live {
+		if m.isOpen && j.allows(m.typ, m.zone, m.spot) {
 			slots[m.zone] += j.size.Slots(m.free)
 			if best < 0 || slots[m.zone] > slots[best] {
 				best = m.zone
@@ -276,17 +333,24 @@
 }
 
 func (c *Core) sendStart(j *job, m *machine, b *booking) {
-	b.state = bookSent
-	// Until the direct command's outcome is known, or a raised token rules it
-	// out, this start may act at any time.
-	m.pending[b.attempt] = math.MaxUint64
-	m.outbox = append(m.outbox, wire.Order{Verb: wire.Start, Task: c.taskName(b), Attempt: b.attempt})
+	b.state = bookQueued
+	c.order(m, wire.Order{Verb: wire.Start, Task: c.taskName(b), Attempt: b.attempt})
 }
 
-// flush turns the orders gathered in a step into direct commands, each well
-// below the protocol's bound on a body.
+// order has a machine told something at the end of the step.
+func (c *Core) order(m *machine, o wire.Order) {
+	if len(m.outbox) == 0 {
+		c.outboxes = append(c.outboxes, m)
+	}
+	m.outbox = append(m.outbox, o)
+}
+
+// flush gives the answers that are open and turns the orders that don't travel
+// with one into direct commands, each well below the protocol's bound on a
+// body.
 func (c *Core) flush() {
-	for _, m := range c.live {
+	c.giveAnswers()
+	for _, m := range c.outboxes {
 		orders := m.outbox
 		m.outbox = nil
 		for len(orders) > 0 {
@@ -295,19 +359,35 @@
 			orders = orders[n:]
 		}
 	}
+	clear(c.outboxes)
+	c.outboxes = c.outboxes[:0]
+	c.flushDeletes()
 }
 
 func (c *Core) command(m *machine, orders []wire.Order) {
 	call := &directCall{machine: m, session: m.session, token: m.token}
+	kept := make([]wire.Order, 0, len(orders))
 	for _, o := range orders {
 		if o.Verb == wire.Start {
+			b := m.booking(o.Attempt)
+			if b == nil {
+				continue // released since
+			}
+			b.state = bookSent
+			// Until the command's outcome is known, or a raised token rules it
+			// out, this start may act at any time.
+			m.pending[o.Attempt] = math.MaxUint64
 			call.attempts = append(call.attempts, o.Attempt)
 		}
+		kept = append(kept, o)
+	}
+	if len(kept) == 0 {
+		return
 	}
 	c.callID++
 	c.calls[c.callID] = call
 	c.emit(Direct{Call: c.callID, Machine: m.name, Address: m.address,
-		Commands: wire.Commands{Token: m.token, Session: m.session, Orders: orders}})
+		Commands: wire.Commands{Token: m.token, Session: m.session, Orders: kept}})
 }
 
 // shunFor is how long a machine that commands don't reach gets no new tasks.
@@ -324,6 +404,7 @@
 		// Its reports may still come, but starts don't arrive: leave it alone
 		// for a while rather than book the same tasks there again and again.
 		m.shunned = c.now + shunFor
+		c.touch(m)
 	}
 	switch e.Outcome {
 	case DirectUnknown:
@@ -361,7 +442,7 @@
 		}
 	}
 	if e.Report != nil && e.Report.Machine == m.name && e.Report.Token>>tokenBits <= c.term {
-		c.observe(m, e.Report)
+		c.observe(m, e.Report, false)
 	}
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -212,20 +212,28 @@
 			// Whoever asks from here on gets no answer from this term.
 			return
 		}
-		if _, tick := event.(Tick); tick && !d.elector.InTerm(term) {
-			// Suspended: another leader may have begun. What time alone would
-			// bring, such as giving up silent machines, is not ours to do now.
-			continue
+		// What waits already is taken along: under load many events share one
+		// placement, and one answer carries all that follows from them.
+		for n := 1; ok; n++ {
+			if _, tick := event.(Tick); !tick || d.elector.InTerm(term) {
+				// Suspended, another leader may have begun. What time alone would
+				// bring, such as giving up silent machines, is not ours to do then.
+				core.Step(event, time.Since(d.started), time.Now().UnixMilli())
+			}
+			if n == mostAtOnce {
+				break
+			}
+			event, ok = d.waiting(book, cloud, tick)
 		}
-		d.carryOut(ctx, term, core.Step(event, time.Since(d.started), time.Now().UnixMilli()), book, cloud)
+		d.carryOut(ctx, term, core.Settle(), book, cloud)
 	}
 }
 
-// next takes the next event, by rank.
-func (d *Desk) next(ctx context.Context, book *ledger.Ledger, cloud *fleet.Client, tick *time.Ticker) (any, bool) {
-	if ctx.Err() != nil {
-		return nil, false
-	}
+// mostAtOnce bounds the events that share a placement.
+const mostAtOnce = 64
+
+// waiting takes an event that is there already, by rank.
+func (d *Desk) waiting(book *ledger.Ledger, cloud *fleet.Client, tick *time.Ticker) (any, bool) {
 	select {
 	case a := <-d.reports:
 		return a.event, true
@@ -245,6 +253,22 @@
 	default:
 	}
 	select {
+	case a := <-d.users:
+		return a.event, true
+	default:
+	}
+	return nil, false
+}
+
+// next takes the next event, by rank.
+func (d *Desk) next(ctx context.Context, book *ledger.Ledger, cloud *fleet.Client, tick *time.Ticker) (any, bool) {
+	if ctx.Err() != nil {
+		return nil, false
+	}
+	if event, ok := d.waiting(book, cloud, tick); ok {
+		return event, true
+	}
+	select {
 	case a := <-d.reports:
 		return a.event, true
 	case tags := <-book.Durable:
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -174,8 +174,9 @@
 type bookState uint8
 
 const (
-	bookPlanned   bookState = iota // nothing sent yet
-	bookSent                       // a direct start is on its way, or its outcome is unknown
+	bookPlanned   bookState = iota // waits for its host to be durable
+	bookQueued                     // its start leaves with the end of this step
+	bookSent                       // a start is on its way, or its outcome is unknown
 	bookConfirmed                  // the worker has executed the start, or reported the task
 )
 
@@ -184,12 +185,16 @@
 	job, task int32
 	attempt   uint64
 	state     bookState
-	status    string // as last reported
-	share     float64
-	phase     uint32
-	ranSince  time.Duration // when it was first seen running
-	stopping  bool
-	grace     float64
+	// answered is the seq of the report whose answer carried the start; 0: a
+	// direct command did. Only a later report tells that it was not executed.
+	answered uint64
+	seen     uint64 // the last look at a report that listed it
+	status   string // as last reported
+	share    float64
+	phase    uint32
+	ranSince time.Duration // when it was first seen running
+	stopping bool
+	grace    float64
 }
 
 // The states of a machine.
@@ -225,6 +230,11 @@
 	missing      int  // lists in a row that lack it though it was listed before
 	goneNoted    bool // the ledger says that it is gone
 
+	pool   int32 // in the index; -1: none yet
+	isOpen bool  // as the index has it
+	stale  bool  // the index is to be brought up to date
+	asking int   // the answer that is open for it, from 1; 0: none
+
 	bookings []*booking
 	pending  map[uint64]uint64 // starts that may yet act: attempt -> fence
 	load     float64
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,8 +44,9 @@
 
 // The protocol's bounds on one call.
 const (
-	MaxHire = 50
-	maxList = 500
+	MaxHire   = 50
+	MaxDelete = 100
+	maxList   = 500
 )
 
 const timeout = 5 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,7 +29,9 @@
 // Run runs a controller until ctx ends or an address can't be served.
 func Run(ctx context.Context, p *settings.Platform, op settings.Operator, log *slog.Logger) error {
 	f := p.Facts
-	// The runtime should collect harder rather than have the process killed.
+	// Memory is there to be used, the processor is short: collect seldom, but
+	// harder near the limit rather than have the process killed.
+	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(f.Resources.RAMMB * 0.7 * (1 << 20)))
 
 	public, err := net.Listen("tcp", p.Listen)
--- a/internal/slowfit/slowfit.go
+++ b/internal/slowfit/slowfit.go
@@ -58,35 +58,6 @@
 	return share
 }
 
-// Machine is a machine as placement sees it.
-type Machine struct {
-	Total Size
-	Free  Size
-	// Index is the machine's order of appearance.
-	Index int
-	// Allowed is false when the task's job may not use the machine now.
-	Allowed bool
-	// Merit breaks ties between equally slow machines, before the index does.
-	Merit int
-	// Load is the load that counts towards the goal, as told by Account.
-	Load float64
-}
-
-// Slower orders machines: by cores, then memory, then index.
-func Slower(a, b *Machine) bool {
-	if a.Total.CPUs != b.Total.CPUs {
-		return a.Total.CPUs < b.Total.CPUs
-	}
-	if a.Total.MemGB != b.Total.MemGB {
-		return a.Total.MemGB < b.Total.MemGB
-	}
-	return a.Index < b.Index
-}
-
-func alike(a, b *Machine) bool {
-	return a.Total.CPUs == b.Total.CPUs && a.Total.MemGB == b.Total.MemGB
-}
-
 // Goal is the estimate of the optimal load, L in the paper.
 type Goal struct {
 	C float64
@@ -97,78 +68,6 @@
 	Phase uint32
 }
 
-// begin sets L to the first task's load on the fastest machine that can carry
-// it at all; the caller knows that there is one.
-func (g *Goal) begin(machines []Machine, task Size) bool {
-	fastest := -1
-	for i := range machines {
-		if !math.IsInf(task.Share(machines[i].Total), 1) && (fastest < 0 || Slower(&machines[fastest], &machines[i])) {
-			fastest = i
-		}
-	}
-	g.L = task.Share(machines[fastest].Total)
-	return g.L > 0
-}
-
-// Place names the machine for one task, or -1 when none has room. When some
-// machine has room but none passes the goal, L doubles and load booked before
-// counts as nothing, until one passes.
-func (g *Goal) Place(machines []Machine, task Size) int {
-	room := false
-	for i := range machines {
-		m := &machines[i]
-		m.Allowed = m.Allowed && task.Within(m.Free)
-		room = room || m.Allowed
-	}
-	if !room {
-		return -1
-	}
-	if g.L == 0 && !g.begin(machines, task) {
-		// A task that weighs nothing, anywhere: take the first in order.
-		return pick(machines, func(*Machine) bool { return true })
-	}
-	for {
-		at := pick(machines, func(m *Machine) bool {
-			w := task.Share(m.Total)
-			return w <= g.L+slack && m.Load+w <= g.C*g.L+slack
-		})
-		if at >= 0 {
-			return at
-		}
-		g.L *= 2
-		g.Phase++
-		for i := range machines {
-			machines[i].Load = 0
-		}
-	}
-}
-
-// pick returns the slowest allowed machine that passes, among equally slow
-// ones the one of most merit.
-func pick(machines []Machine, passes func(*Machine) bool) int {
-	best := -1
-	for i := range machines {
-		m := &machines[i]
-		if !m.Allowed || !passes(m) {
-			continue
-		}
-		if best < 0 {
-			best = i
-			continue
-		}
-		b := &machines[best]
-		switch {
-		case alike(m, b) && m.Merit != b.Merit:
-			if m.Merit > b.Merit {
-				best = i
-			}
-		case Slower(m, b):
-			best = i
-		}
-	}
-	return best
-}
-
 // Fall starts a new phase with a lower goal: our extension, since in the paper
 // L never falls and after a burst stops limiting anything. L becomes what it
 // would be had the busiest machine's present load been the optimum, and never
