Submissions keep their share of the state service's rate

Ordinary writes of the ledger get half of the leader's rate and wait for each other. An election's watch begins at the service's present revision. A node whose share is used up asks another before it says 429.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -49,7 +49,7 @@
 func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, log *slog.Logger) *Desk {
 	return &Desk{
 		platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
-		workers: outbound.NewClient(2),
+		workers: outbound.NewClient(1, p.Facts.Resources.Sockets/8),
 		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
 	}
 }
@@ -177,7 +177,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f := d.platform.Facts
-	limits := ledger.Limits{Ops: min(f.State.TxnOps, int(f.State.WriteRPS*leaderShare(f.Nodes))), Bytes: 48 << 10}
+	writes := f.State.WriteRPS * leaderShare(f.Nodes)
+	limits := ledger.Limits{Ops: min(f.State.TxnOps, int(writes)), Bytes: 48 << 10, Ordinary: writes / 2}
 	book := ledger.New(term, d.store, limits, d.log)
 	var snapshot ledger.Snapshot
 	for {
@@ -405,7 +406,7 @@
 func (d *Desk) reread(ctx context.Context) uint64 {
 	revision, after := uint64(0), ""
 	for ctx.Err() == nil {
-		page, err := d.store.List(ctx, ledger.JobPrefix, after, 1000)
+		page, err := d.store.List(ctx, state.Leader, ledger.JobPrefix, after, 1000)
 		if err != nil {
 			outbound.Pause(ctx, 200*time.Millisecond)
 			continue
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -43,7 +43,7 @@
 
 // Store is the part of the state service that an election needs.
 type Store interface {
-	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, uint64, error)
+	List(ctx context.Context, p state.Priority, under, after string, limit int) (wire.Entries, error)
 	Txn(ctx context.Context, p state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error)
 	NewLease(ctx context.Context, ttl time.Duration) (uint64, error)
 	Renew(ctx context.Context, lease uint64) error
@@ -116,14 +116,18 @@
 }
 
 func (e *Elector) round(ctx context.Context) error {
-	entry, found, rev, err := e.store.Get(ctx, state.Lease, Key)
+	// The watch must begin at the service's present revision: the key's own may
+	// be so old that the service no longer keeps what came after it, and each
+	// round would end at once.
+	page, err := e.store.List(ctx, state.Lease, Key, "", 1)
 	if err != nil {
 		return err
 	}
-	if !found {
+	if len(page.Items) == 0 || page.Items[0].Key != Key {
 		e.publish(&View{})
 		return e.stand(ctx)
 	}
+	entry := page.Items[0]
 	var h holder
 	if err := json.Unmarshal(entry.Value, &h); err != nil {
 		e.log.Error("leader key can't be read", "error", err)
@@ -137,7 +141,7 @@
 		return e.store.EndLease(ctx, entry.Lease)
 	}
 	e.publish(&View{Leader: h.Node, Term: entry.Version})
-	_, err = e.store.Watch(ctx, Key, rev, 20*time.Second)
+	_, err = e.store.Watch(ctx, Key, page.Revision, 20*time.Second)
 	if errors.Is(err, state.ErrTooOld) {
 		return nil
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -25,6 +25,8 @@
 	down     bool
 	ended    []uint64
 	standing int // transactions that set the key
+	reads    int
+	kept     uint64 // how many revisions a watch may go back; 0: all
 	// turn is held by whoever looks at or changes the rest.
 	turn chan struct{}
 }
@@ -46,16 +48,18 @@
 	}
 }
 
-func (f *fakeStore) Get(context.Context, state.Priority, string) (wire.Entry, bool, uint64, error) {
+func (f *fakeStore) List(context.Context, state.Priority, string, string, int) (wire.Entries, error) {
 	defer f.take()()
 	f.expire()
+	f.reads++
 	if f.down {
-		return wire.Entry{}, false, 0, state.ErrRefused
+		return wire.Entries{}, state.ErrRefused
 	}
-	if f.entry == nil {
-		return wire.Entry{}, false, f.revision, nil
+	page := wire.Entries{Revision: f.revision}
+	if f.entry != nil {
+		page.Items = []wire.Entry{*f.entry}
 	}
-	return *f.entry, true, f.entry.Version, nil
+	return page, nil
 }
 
 func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
@@ -106,7 +110,13 @@
 	return nil
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (wire.News, error) {
+func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) (wire.News, error) {
+	done := f.take()
+	old := f.kept > 0 && after+f.kept < f.revision
+	done()
+	if old {
+		return wire.News{}, state.ErrTooOld
+	}
 	outbound.Pause(ctx, 100*time.Millisecond)
 	return wire.News{}, ctx.Err()
 }
@@ -204,3 +214,22 @@
 		}
 	})
 }
+
+// TestAnOldLeaderKeyIsWatchedQuietly: the key of a leader that has led for long
+// is older than any revision that the service keeps. Followers must not read it
+// over and over, which used up their whole rate.
+func TestAnOldLeaderKeyIsWatchedQuietly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStore()
+		f.entry = &wire.Entry{Key: Key, Value: json.RawMessage(`{"node":"n2"}`), Version: 1, Lease: 1}
+		f.ends[1] = time.Now().Add(time.Hour)
+		f.revision, f.kept = 50000, 10000
+		start(t, f)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		defer f.take()()
+		if f.reads > 110 { // the stand-in's watches end every 100 ms
+			t.Errorf("the key was read %d times in ten seconds", f.reads)
+		}
+	})
+}
--- a/internal/intake/clerk.go
+++ b/internal/intake/clerk.go
@@ -99,10 +99,14 @@
 	}
 }
 
+// commitLimit is how long a batch is tried: the user still wants to hear in
+// time that it did not go, or another node to try.
+const commitLimit = 2 * time.Second
+
 // commit creates a batch of records. Those that exist already are told so and
 // the rest is tried once more without them.
 func (c *clerk) commit(ctx context.Context, batch []*accept) {
-	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, commitLimit)
 	defer cancel()
 	for len(batch) > 0 {
 		var txn wire.Txn
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -102,6 +102,8 @@
 	return a
 }
 
+var busy = later(http.StatusTooManyRequests, 2, "more submissions are coming than can be recorded")
+
 var noState = later(http.StatusServiceUnavailable, 1, "the state service can't be reached at the moment")
 
 // Handle answers a request. local is set for one that another node has passed
@@ -149,8 +151,11 @@
 	switch {
 	case errors.Is(err, errLong):
 		return problem(http.StatusBadRequest, "%s", err)
-	case errors.Is(err, errFull), errors.Is(err, state.ErrBusy):
-		return later(http.StatusTooManyRequests, 2, "more submissions are coming than can be recorded")
+	case errors.Is(err, errFull):
+		return busy
+	case errors.Is(err, state.ErrBusy):
+		// Another node may have some of its share of the rate left.
+		return s.elsewhere(ctx, Submit, ref, body, local, busy)
 	case err != nil:
 		s.log.Debug("submission not recorded", "job", ref, "error", err)
 		return s.elsewhere(ctx, Submit, ref, body, local, noState)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -17,7 +17,7 @@
 // Store is the part of the state service that the ledger needs.
 type Store interface {
 	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, uint64, error)
-	List(ctx context.Context, under, after string, limit int) (wire.Entries, error)
+	List(ctx context.Context, p state.Priority, under, after string, limit int) (wire.Entries, error)
 	Txn(ctx context.Context, p state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error)
 }
 
@@ -53,14 +53,25 @@
 	pending  map[string]*pendingWrite
 	urgent   []string
 	ordinary []string
+	allowed  float64 // ordinary writes that may go now
+	refilled time.Time
 }
 
-// Limits bounds one transaction.
+// Limits bounds one transaction, and the rate of those writes that can wait.
 type Limits struct {
 	Ops   int
 	Bytes int
+	// Ordinary is how many ordinary writes a second there may be; 0: as many
+	// as go. Under load there is always another finished task to write down,
+	// and together they would leave nothing of the service's rate for urgent
+	// writes and for submissions. What waits for its turn is written together
+	// with what comes after it.
+	Ordinary float64
 }
 
+// burst is how many ordinary writes may go at once.
+func (l Limits) burst() float64 { return max(1, min(l.Ordinary/2, float64(l.Ops))) }
+
 type pendingWrite struct {
 	value  json.RawMessage // nil deletes
 	tags   []any
@@ -83,7 +94,7 @@
 	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix} {
 		after := ""
 		for {
-			page, err := l.store.List(ctx, prefix, after, 1000)
+			page, err := l.store.List(ctx, state.Leader, prefix, after, 1000)
 			if err != nil {
 				return Snapshot{}, fmt.Errorf("reading %s: %w", prefix, err)
 			}
@@ -128,8 +139,12 @@
 	results := make(chan outcome, 1)
 	flying := false
 	var told []any
+	later := time.NewTimer(time.Hour)
+	defer later.Stop()
 	for {
-		if !flying && len(l.pending) > 0 {
+		if wait := l.wait(time.Now()); !flying && wait > 0 {
+			later.Reset(wait)
+		} else if !flying && len(l.pending) > 0 {
 			keys, writes, txn := l.batch()
 			flying = true
 			go func() {
@@ -158,6 +173,7 @@
 			told = append(told, tags...)
 		case durable <- told:
 			told = nil
+		case <-later.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -226,14 +242,32 @@
 	return nil
 }
 
+// wait tells how long there is nothing to be sent though something is pending:
+// no urgent write, and the ordinary ones have used up their rate.
+func (l *Ledger) wait(now time.Time) time.Duration {
+	if l.limits.Ordinary == 0 {
+		return 0
+	}
+	l.allowed = min(l.limits.burst(), l.allowed+l.limits.Ordinary*now.Sub(l.refilled).Seconds())
+	l.refilled = now
+	for len(l.urgent) > 0 && l.pending[l.urgent[0]] == nil {
+		l.urgent = l.urgent[1:]
+	}
+	need := min(l.limits.burst(), float64(len(l.pending)))
+	if len(l.urgent) > 0 || need == 0 || l.allowed >= need {
+		return 0
+	}
+	return time.Duration((need-l.allowed)/l.limits.Ordinary*float64(time.Second)) + time.Millisecond
+}
+
 // batch takes as many pending writes as one transaction may carry.
 func (l *Ledger) batch() ([]string, []*pendingWrite, wire.Txn) {
 	txn := wire.Txn{If: []wire.Condition{{Key: election.Key, Version: l.term}}}
 	var keys []string
 	var writes []*pendingWrite
 	size := 200
-	take := func(queue *[]string) {
-		for len(*queue) > 0 && len(keys) < l.limits.Ops {
+	take := func(queue *[]string, most int) {
+		for len(*queue) > 0 && len(keys) < min(most, l.limits.Ops) {
 			key := (*queue)[0]
 			p := l.pending[key]
 			if p == nil {
@@ -257,8 +291,14 @@
 			}
 		}
 	}
-	take(&l.urgent)
-	take(&l.ordinary)
+	take(&l.urgent, l.limits.Ops)
+	if l.limits.Ordinary == 0 {
+		take(&l.ordinary, l.limits.Ops)
+		return keys, writes, txn
+	}
+	urgent := len(keys)
+	take(&l.ordinary, urgent+int(l.allowed))
+	l.allowed -= float64(len(keys) - urgent)
 	return keys, writes, txn
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"reflect"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"leadproxy/internal/election"
 	"leadproxy/internal/state"
@@ -61,7 +63,7 @@
 	return wire.Entry{Key: key, Version: v}, ok, v, nil
 }
 
-func (f *fakeStore) List(context.Context, string, string, int) (wire.Entries, error) {
+func (f *fakeStore) List(context.Context, state.Priority, string, string, int) (wire.Entries, error) {
 	return wire.Entries{Revision: f.revision}, nil
 }
 
@@ -146,6 +148,47 @@
 	})
 }
 
+// TestOrdinaryWritesLeaveRoomForUrgentOnes: while finished tasks are written
+// down without end, an urgent write goes at once and the service's rate is not
+// used up.
+func TestOrdinaryWritesLeaveRoomForUrgentOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{keys: map[string]uint64{election.Key: 5}, values: map[string]string{}}
+		l := New(5, f, Limits{Ops: 40, Bytes: 1 << 14, Ordinary: 10}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = l.Run(ctx) }()
+		go func() {
+			for {
+				select {
+				case <-l.Durable:
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+		began := time.Now()
+		for i := range 200 {
+			l.Put(ctx, []Write{{Key: fmt.Sprintf("fin/%d", i), Value: i}})
+		}
+		l.Put(ctx, []Write{{Key: "job/j", Value: "over", Urgent: true}})
+		synctest.Wait()
+		if f.values["job/j"] == "" || time.Since(began) > 0 {
+			t.Errorf("the urgent write is not there after %v", time.Since(began))
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if n := len(f.values); n < 45 || n > 60 {
+			t.Errorf("%d writes in five seconds, want about 50", n)
+		}
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		if n := len(f.values); n != 201 {
+			t.Errorf("%d writes in the end, want all 201", n)
+		}
+	})
+}
+
 func TestBatchKeepsToTheLimits(t *testing.T) {
 	l := New(5, nil, Limits{Ops: 3, Bytes: 1000}, nil)
 	for _, w := range []Write{{Key: "a", Value: 1}, {Key: "b", Value: 1}, {Key: "a", Value: 2}, {Key: "c", Value: 1, Urgent: true}, {Key: "d", Value: 1}} {
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -10,11 +10,13 @@
 	"time"
 )
 
-// NewClient makes a client that keeps up to idle connections to each address.
-func NewClient(idle int) *http.Client {
+// NewClient makes a client that keeps up to idle connections to each address,
+// and up to total in all unless that is 0.
+func NewClient(idle, total int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: idle,
+		MaxIdleConns:        total,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -63,7 +63,7 @@
 func New(ctx context.Context, addr string, rps, wps, share float64, log *slog.Logger) *Client {
 	c := &Client{
 		base:  "http://" + addr,
-		http:  outbound.NewClient(16),
+		http:  outbound.NewClient(16, 0),
 		pacer: newPacer(rps, wps, share, log),
 	}
 	go c.pacer.run(ctx)
@@ -160,13 +160,13 @@
 	return e, false, 0, unexpected(status, answer)
 }
 
-// List reads one page of the keys under a prefix.
-func (c *Client) List(ctx context.Context, under, after string, limit int) (page wire.Entries, err error) {
+// List reads one page of the keys under a prefix, and the service's revision.
+func (c *Client) List(ctx context.Context, p Priority, under, after string, limit int) (page wire.Entries, err error) {
 	q := url.Values{"under": {under}, "limit": {strconv.Itoa(limit)}}
 	if after != "" {
 		q.Set("from", after)
 	}
-	status, answer, err := c.do(ctx, Leader, 0, 2*timeout, http.MethodGet, "/store?"+q.Encode(), nil)
+	status, answer, err := c.do(ctx, p, 0, 2*timeout, http.MethodGet, "/store?"+q.Encode(), nil)
 	if err != nil {
 		return page, err
 	}
