Machines are healthy by their echoes; late copies of reports change nothing

A machine's token is raised every quarter of a lease, and at every sign that it does not hear us; it gets no work until it has echoed it, and is replaced like a silent one. A report that is older than what we know renews no lease in our books, and one of a session that is certainly over is ignored. Without an echo of our term nothing that a report lists is believed. A worker that counts from 1 again is told from a late copy by asking it.

Tables for each, and for jobs that must not be forgotten.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -122,6 +122,8 @@
 		c.reportIn(e)
 	case DirectBack:
 		c.directBack(e)
+	case InspectBack:
+		c.inspectBack(e)
 	case CancelAsked:
 		c.cancelAsked(e)
 	case StatusAsked:
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -126,6 +126,14 @@
 // up brings a machine up to where it may be used.
 func (g *stage) up(name string) { g.report(g.reportOf(name, 0)); g.report(g.reportOf(name, ours)) }
 
+// echo has a worker show that it has heard our latest token.
+func (g *stage) echo(name string, tasks ...wire.TaskReport) *wire.ReportAnswer {
+	m := g.c.machineNamed(name)
+	r := g.reportOf(name, m.token, tasks...)
+	r.Session = max(m.session, 1)
+	return g.report(r)
+}
+
 func newTestJob(ref string, tasks int, cpus float64) *wire.Job {
 	return &wire.Job{Ref: ref, Class: "c", Team: "t", Kind: "batch", Priority: "standard", Tasks: tasks, CPUs: cpus, MemGB: 1, Image: "i", Spot: true, EstimateS: 10}
 }
@@ -225,6 +233,7 @@
 			r := g.reportOf("vm-1", ours)
 			r.Session = 2
 			g.report(r)
+			g.echo("vm-1")
 		}, 1},
 		{"is not given up for a silent machine within its lease", func(g *stage, o wire.Order) {
 			g.up("vm-2")
@@ -286,7 +295,11 @@
 			r.Seq = 1
 			g.report(r)
 		}, 0},
-		{"the next report without it gives it up", func(g *stage, o wire.Order) { g.report(g.reportOf("vm-1", ours)) }, 1},
+		{"the next report without it gives it up", func(g *stage, o wire.Order) {
+			g.report(g.reportOf("vm-1", ours))
+			g.want("starts before it shows that it hears us", len(g.starts()), 0)
+			g.echo("vm-1")
+		}, 1},
 		{"the next report with it confirms it", func(g *stage, o wire.Order) {
 			g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskFetching, "")))
 		}, 0},
@@ -607,6 +620,8 @@
 	g.submit(newTestJob("job-1", 1, 1))
 	g.settle(DirectNotSent)
 	g.want("starts at once", len(g.starts()), 0)
+	g.echo("vm-1")
+	g.want("starts after an echo", len(g.starts()), 0)
 	g.wait(5 * time.Second)
 	g.want("starts later", len(g.starts()), 1)
 }
@@ -701,3 +716,194 @@
 	g.submit(small)
 	g.want("commands for many starts", len(g.start) > 1, true)
 }
+
+// TestMachineThatDoesNotHear: a machine whose reports come in, but which hears
+// neither answers nor commands, gets no new work, keeps what is booked there
+// until that is surely over, and is replaced.
+func TestMachineThatDoesNotHear(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.up("vm-2")
+	g.up("vm-3")
+	g.submit(newTestJob("job-1", 1, 4))
+	first := g.starts()[0]
+	g.settle(DirectDone)
+	deaf := ours
+	tell := func(d time.Duration) {
+		for end := g.now + d; g.now < end; {
+			g.wait(time.Second)
+			r := g.reportOf("vm-1", uint64(deaf), taskIn(first, wire.TaskRunning, ""))
+			g.report(r)
+			g.echo("vm-2")
+			g.echo("vm-3")
+		}
+	}
+	tell(19 * time.Second) // a quarter of a lease until it is probed, two rounds to wait
+	g.want("deaf machine is closed", g.c.machines[0].isOpen, false)
+	g.submit(newTestJob("job-2", 2, 4))
+	for _, d := range g.start {
+		if d.Machine == "vm-1" {
+			t.Error("new work for a machine that does not hear")
+		}
+	}
+	g.want("its task stays booked", g.c.jobs[0].booked, 1)
+	tell(6 * time.Second)
+	g.want("asked to delete", g.deleted, []string{"vm-1"})
+	g.want("its task stays booked until then", g.c.jobs[0].booked, 1)
+	g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}}})
+	g.want("and waits again afterwards", len(g.c.jobs[0].waiting), 1)
+}
+
+// TestLateCopiesOfReports: a copy that comes seconds or more than a lease late
+// revives no machine, frees or doubles no booking, renews no lease in our books
+// and ends no doubt.
+func TestLateCopiesOfReports(t *testing.T) {
+	running := func(g *stage) wire.Order {
+		g.up("vm-1")
+		g.submit(newTestJob("job-1", 1, 1))
+		o := g.starts()[0]
+		g.settle(DirectDone)
+		return o
+	}
+	cases := []struct {
+		name string
+		act  func(g *stage)
+	}{
+		{"within the term: it frees nothing and renews nothing", func(g *stage) {
+			g.up("vm-1")
+			old := *g.reportOf("vm-1", ours)
+			g.report(&old)
+			o := running(g)
+			g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")))
+			over := g.c.machines[0].leaseOver
+			g.wait(8 * time.Second)
+			g.report(&old)
+			g.want("bookings", g.c.jobs[0].booked, 1)
+			g.want("the end of the lease", g.c.machines[0].leaseOver, over)
+		}},
+		{"after its lease: what it lists is over", func(g *stage) {
+			o := running(g)
+			held := *g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")) // not seen before
+			g.wait(31 * time.Second)
+			g.want("bookings once the lease is over", g.c.jobs[0].booked, 0)
+			g.report(&held)
+			g.want("bookings after the copy", g.c.jobs[0].booked, 0)
+			g.up("vm-2")
+			g.want("starts elsewhere", len(g.starts()), 1)
+		}},
+		{"after its machine was deleted", func(g *stage) {
+			o := running(g)
+			held := *g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, ""))
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}}})
+			if a := g.report(&held); a != nil {
+				t.Errorf("answered with %v", a)
+			}
+			g.want("bookings", g.c.jobs[0].booked, 0)
+			g.want("state", g.c.machines[0].state, machineGone)
+		}},
+		{"from before a takeover: it ends no doubt and books nothing", func(g *stage) {
+			saved := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}}
+			g2 := newStage(t, saved)
+			g2.up("vm-9")
+			old := wire.Order{Task: "job-1/0", Attempt: 6<<tokenBits | 1}
+			g2.report(g2.reportOf("vm-1", 6<<tokenBits, taskIn(old, wire.TaskRunning, "")))
+			g2.want("bookings", g2.c.jobs[0].booked, 0)
+			g2.want("starts", len(g2.starts()), 0)
+			g2.report(g2.reportOf("vm-1", ours))
+			g2.want("starts after an echo", len(g2.starts()), 1)
+		}},
+		{"from an earlier session", func(g *stage) {
+			o := running(g)
+			held := *g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, ""))
+			r := g.reportOf("vm-1", ours)
+			r.Session = 2
+			g.report(r)
+			g.echo("vm-1")
+			n := g.c.jobs[0].booked
+			g.report(&held)
+			g.want("bookings", g.c.jobs[0].booked, n)
+			g.want("session", g.c.machines[0].session, 2)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.act(newStage(t, ledger.Snapshot{})) })
+	}
+}
+
+// TestWorkerThatCountsFromOneAgain: a machine that is back within a moment
+// looks like a late copy until the worker is asked.
+func TestWorkerThatCountsFromOneAgain(t *testing.T) {
+	cases := []struct {
+		name   string
+		says   uint64 // the seq that the worker answers with
+		starts int
+	}{
+		{"it was a late copy", 90, 0},
+		{"it has begun anew", 2, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			g.up("vm-1")
+			g.submit(newTestJob("job-1", 1, 1))
+			o := g.starts()[0]
+			g.settle(DirectDone)
+			g.seq["vm-1"] = 40
+			g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")))
+			again := *g.reportOf("vm-1", 0)
+			again.Seq = 1
+			g.report(&again)
+			asked := 0
+			for _, e := range g.out {
+				if _, ok := e.(Inspect); ok {
+					asked++
+				}
+			}
+			g.want("asked", asked, 1)
+			now := again
+			now.Seq = c.says
+			if c.says > 40 {
+				now.Token, now.Tasks = ours, []wire.TaskReport{taskIn(o, wire.TaskRunning, "")}
+			}
+			g.step(InspectBack{Machine: "vm-1", Report: &now})
+			g.seq["vm-1"] = c.says
+			if c.says < 40 {
+				g.echo("vm-1")
+			}
+			g.want("started anew", len(g.starts()), c.starts)
+			g.want("bookings", g.c.jobs[0].booked, 1)
+		})
+	}
+}
+
+// TestNothingIsForgotten: whatever becomes of nodes and machines, an accepted
+// job is known and is taken up again.
+func TestNothingIsForgotten(t *testing.T) {
+	rec := ledger.JobRecord{Job: newTestJob("job-1", 2, 1)}
+	cases := []struct {
+		name  string
+		saved ledger.Snapshot
+		act   func(g *stage)
+	}{
+		{"its node died right after the write, before this term", ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec}}}, func(g *stage) {}},
+		{"accepted during the takeover: only the watch tells of it", ledger.Snapshot{}, func(g *stage) {
+			g.step(JobSeen{Ref: "job-1", Record: rec, Version: 3})
+		}},
+		{"all its machines are gone", ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: []string{"vm-7", "vm-8"}}}}, func(g *stage) {
+			g.wait(31 * time.Second)
+		}},
+		{"its machines were deleted by an earlier leader", ledger.Snapshot{Gone: []string{"vm-7"}, Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: []string{"vm-7"}}}}, func(g *stage) {}},
+		{"told of twice", ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec}}}, func(g *stage) {
+			g.step(JobSeen{Ref: "job-1", Record: rec, Version: 3})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, c.saved)
+			c.act(g)
+			g.want("state", g.jobStatus("job-1"), wire.Queued)
+			g.up("vm-1")
+			g.want("starts", len(g.starts()), 2)
+		})
+	}
+}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -163,7 +163,7 @@
 	case machineBooting:
 		return m.typ >= 0
 	case machineUp:
-		return m.typ >= 0 && !m.quarantine && m.noticeAt == 0 && c.now-m.heard < c.silentAfter()
+		return m.typ >= 0 && !m.quarantine && m.noticeAt == 0 && c.quiet(m) < c.silentAfter()
 	}
 	return false
 }
@@ -514,8 +514,9 @@
 	c.fleet.deletes = c.fleet.deletes[:0]
 }
 
-// quiet is how long a machine has said nothing to this leader.
-func (c *Core) quiet(m *machine) time.Duration { return c.now - max(m.heard, m.answered, c.awake) }
+// quiet is how long a machine has not shown that it hears this leader. That its
+// reports come in alone shows nothing.
+func (c *Core) quiet(m *machine) time.Duration { return c.now - max(m.echoed, m.begun, c.awake) }
 
 // expected tells whether a machine should be reporting: it has, or an earlier
 // leader has started something on it.
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -57,14 +57,20 @@
 		c.emit(AnswerReport{To: e.To})
 		return
 	}
-	// The worker counts its lease from when it sent the report, so counting
-	// from now is late enough.
-	m.answered = c.now
-	m.leaseOver = max(m.leaseOver, c.now+c.leaseTime)
 	a := openAnswer{to: e.To, machine: m}
 	if c.observe(m, r, true) {
 		a.report = r
 		m.asking = len(c.answers) + 1
+		c.probe(m)
+	} else {
+		c.staleReport(m, r)
+	}
+	if r.Session > m.over {
+		// The worker counts its lease from when it sent the report. That was
+		// before we heard of anything newer from it, so counting from the last
+		// word that we believed is late enough, also for a late copy.
+		m.answered = max(m.answered, m.heard)
+		m.leaseOver = max(m.leaseOver, m.heard+c.leaseTime)
 	}
 	c.answers = append(c.answers, a)
 }
@@ -124,14 +130,14 @@
 // observe takes in what a worker tells, in a report or in the answer to a
 // direct command. It returns false for something stale.
 func (c *Core) observe(m *machine, r *wire.Report, reported bool) bool {
-	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
+	if r.Session <= m.over || !(stamp{m.session, m.seq}).before(stamp{r.Session, r.Seq}) {
 		return false
 	}
 	// A machine that opens to work, at its first echo or after a silence, may
 	// be what waiting tasks wait for.
 	wasOpen := c.open(m)
 	if m.state == machineBooting {
-		m.state = machineUp
+		m.state, m.begun = machineUp, c.now
 		c.machineCameUp(m)
 	}
 	c.describe(m, r.Type, r.Zone, r.Spot, r.Address)
@@ -140,6 +146,8 @@
 		if m.session != 0 {
 			c.log.Info("worker began a new session", "machine", m.name, "session", r.Session, "bookings", len(m.bookings))
 			c.dropBookings(m, "its session ended")
+			// It has heard no answer for a whole lease.
+			c.unheard(m)
 		}
 		// A start sent to the earlier session can't be executed any more.
 		clear(m.pending)
@@ -157,7 +165,14 @@
 		m.noticeAt = c.now + settings.Seconds(*r.NoticeS)
 		c.log.Info("machine will be taken back", "machine", m.name, "seconds", *r.NoticeS, "bookings", len(m.bookings))
 	}
-	c.matchTasks(m, r, reported)
+	if r.Token >= m.token {
+		m.echoed = c.now
+	}
+	if m.known(c.term) {
+		// Without our token this may be a copy from before our term, as late as
+		// can be: what it lists is not believed.
+		c.matchTasks(m, r, reported)
+	}
 	if m.known(c.term) && len(m.unclear) > 0 {
 		// Only now is it certain that no earlier leader's start is on its way.
 		c.clearMachine(m, "it has echoed our token")
@@ -232,6 +247,9 @@
 		default:
 			// Either a start whose outcome was unknown and which a raised token
 			// has ruled out, or an attempt that the worker no longer knows.
+			if b.state == bookSent && b.answered > 0 {
+				c.unheard(m)
+			}
 			c.log.Info("attempt is not on its machine", "machine", m.name, "task", c.taskName(b), "attempt", b.attempt, "confirmed", b.state == bookConfirmed)
 			c.release(m, b)
 		}
@@ -521,8 +539,75 @@
 		c.log.Info("machine lost: its lease is over", "machine", m.name, "bookings", len(m.bookings))
 		c.dropBookings(m, "its lease is over")
 	}
-	// Starts of that session are refused from now on.
+	// Starts of that session are refused from now on, and whatever a late copy
+	// of its reports says is over as well.
 	clear(m.pending)
+	m.over = max(m.over, m.session)
+}
+
+// unheard notes a sign that a machine does not hear us: it gets no work until
+// it has echoed a higher token. That its reports come in shows nothing.
+func (c *Core) unheard(m *machine) {
+	m.token++
+	m.probed = c.now
+	m.echoed = math.MinInt64 / 2
+	c.touch(m)
+}
+
+// probe raises a machine's token now and then: the worker's next report echoes
+// it if the answer has arrived. Not while a command is on its way there, which
+// would then be refused.
+func (c *Core) probe(m *machine) {
+	if m.known(c.term) && m.directs == 0 && m.echo >= m.token && c.now-m.probed >= c.leaseTime/4 {
+		m.token++
+		m.probed = c.now
+	}
+}
+
+// inspectEvery is how often a worker whose reports look old is asked at most.
+const inspectEvery = 2 * time.Second
+
+// staleReport looks into a report that is older than what we know: mostly a
+// late copy, but a worker that has truly begun anew counts from 1 again, and
+// must not be taken for a copy for ever.
+func (c *Core) staleReport(m *machine, r *wire.Report) {
+	if r.Address == "" || m.inspecting || c.now-m.inspected < inspectEvery && m.inspected > 0 {
+		return
+	}
+	m.inspecting, m.inspected = true, c.now
+	m.askedAt = stamp{max(m.session, m.over), m.seq}
+	c.emit(Inspect{Machine: m.name, Address: r.Address})
+}
+
+// inspectBack takes what a worker has said of itself after we had asked. If
+// that is older than what we had from it before we asked, it has begun anew.
+func (c *Core) inspectBack(e InspectBack) {
+	m := c.machineNamed(e.Machine)
+	m.inspecting = false
+	r := e.Report
+	if r == nil || r.Machine != m.name || m.state == machineGone || r.Token>>tokenBits > c.term {
+		return
+	}
+	if (stamp{r.Session, r.Seq}).before(m.askedAt) {
+		c.log.Info("worker counts from the beginning again", "machine", m.name, "session", r.Session, "bookings", len(m.bookings))
+		there := map[uint64]bool{}
+		for _, t := range r.Tasks {
+			there[t.Attempt] = true
+		}
+		for k := len(m.bookings) - 1; k >= 0; k-- {
+			// A command on its way to the worker that was may yet be executed
+			// by the one that is.
+			if b := m.bookings[k]; m.pending[b.attempt] == 0 && !there[b.attempt] {
+				c.release(m, b)
+			}
+		}
+		m.session, m.seq, m.over, m.echo, m.begun = r.Session, 0, 0, 0, c.now
+		c.unheard(m)
+		for a := range m.pending {
+			m.pending[a] = m.token
+		}
+	}
+	c.observe(m, r, false)
 }
 
 // drain stops what can save its progress on a machine that is to be taken.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -13,14 +13,11 @@
 // place starts what can be started: jobs by priority, then by the time left to
 // their deadline; each task where SLOW-FIT puts it.
 func (c *Core) place() {
-	queue := c.queue()
-	if len(queue) == 0 {
-		return
-	}
 	for _, m := range c.stale {
 		c.refresh(m)
 	}
 	c.stale = c.stale[:0]
+	queue := c.queue()
 	uncertain := c.uncertainUse()
 	for _, j := range queue {
 		c.placeJob(j, uncertain)
@@ -29,7 +26,7 @@
 
 // open tells whether a machine takes new tasks at all.
 func (c *Core) open(m *machine) bool {
-	return m.known(c.term) && m.typ >= 0 && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && c.now-m.heard < c.silentAfter()
+	return m.known(c.term) && m.typ >= 0 && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && c.now-m.echoed < c.silentAfter()
 }
 
 // queue returns the jobs with tasks to place, in order.
@@ -385,6 +382,7 @@
 		return
 	}
 	c.callID++
+	m.directs++
 	c.calls[c.callID] = call
 	c.emit(Direct{Call: c.callID, Machine: m.name, Address: m.address,
 		Commands: wire.Commands{Token: m.token, Session: m.session, Orders: kept}})
@@ -400,22 +398,20 @@
 		return
 	}
 	m := call.machine
+	m.directs--
 	if e.Outcome == DirectUnknown || e.Outcome == DirectNotSent {
 		// Its reports may still come, but starts don't arrive: leave it alone
 		// for a while rather than book the same tasks there again and again.
 		m.shunned = c.now + shunFor
-		c.touch(m)
+		c.unheard(m)
 	}
 	switch e.Outcome {
 	case DirectUnknown:
 		if m.session != call.session {
 			return // it can only be refused
 		}
-		// Raise the token: once the worker has echoed it, the command can't be
-		// executed any more, and what is not there then will never be.
-		if m.token == call.token {
-			m.token++
-		}
+		// The token is higher now: once the worker has echoed it, the command
+		// can't be executed any more, and what is not there then will never be.
 		for _, a := range call.attempts {
 			if _, ok := m.pending[a]; ok {
 				m.pending[a] = call.token + 1
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -314,6 +314,8 @@
 			cloud.Put(ctx, e.Call)
 		case Direct:
 			go d.direct(ctx, term, e)
+		case Inspect:
+			go d.inspect(ctx, e)
 		}
 	}
 	if len(writes) > 0 {
@@ -335,6 +337,37 @@
 	}
 }
 
+// inspect asks a worker what it is now.
+func (d *Desk) inspect(ctx context.Context, e Inspect) {
+	back := InspectBack{Machine: e.Machine}
+	defer func() {
+		select {
+		case d.inner <- back:
+		case <-ctx.Done():
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/inspect", nil)
+	if err != nil {
+		d.log.Error("worker not inspected", "machine", e.Machine, "error", err)
+		return
+	}
+	resp, err := d.workers.Do(req)
+	if err != nil {
+		d.log.Debug("worker not inspected", "machine", e.Machine, "error", err)
+		return
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return
+	}
+	if back.Report, err = wire.ParseReport(answer); err != nil {
+		d.log.Info("worker's answer can't be read", "machine", e.Machine, "error", err)
+	}
+}
+
 func (d *Desk) command(ctx context.Context, term uint64, e Direct) (DirectOutcome, *wire.Report) {
 	payload, err := json.Marshal(e.Commands)
 	if err != nil {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -60,6 +60,11 @@
 	NowDurable struct{ Tags []any }
 	// CloudBack is the outcome of a cloud call.
 	CloudBack struct{ Result fleet.Result }
+	// InspectBack is what a worker says when asked what it is now.
+	InspectBack struct {
+		Machine string
+		Report  *wire.Report // nil: no answer
+	}
 	// Tick comes a few times a second.
 	Tick struct{}
 )
@@ -89,6 +94,11 @@
 		Address  string
 		Commands wire.Commands
 	}
+	// Inspect asks a worker what it is now.
+	Inspect struct {
+		Machine string
+		Address string
+	}
 	// Put writes to the ledger.
 	Put struct{ Writes []ledger.Write }
 	// AnswerUser answers a question or a cancellation.
@@ -224,7 +234,15 @@
 	token        uint64 // the token of our orders to it
 	echo         uint64 // the highest token that it has reported
 	heard        time.Duration
+	echoed       time.Duration // when it last showed that it hears us
+	begun        time.Duration // when this leader first heard of its present life
+	probed       time.Duration // when its token was last raised
+	directs      int           // commands on their way to it
 	answered     time.Duration // last report answered in this term
+	over         uint64        // sessions up to this one have certainly ended
+	inspected    time.Duration // when it was last asked what it is
+	inspecting   bool
+	askedAt      stamp         // what we had from it then
 	leaseOver    time.Duration // when an unseen task on it must be over
 	listed       bool
 	missing      int  // lists in a row that lack it though it was listed before
@@ -252,6 +270,13 @@
 	asked      time.Duration // last delete call
 }
 
+// stamp orders what one worker says.
+type stamp struct{ session, seq uint64 }
+
+func (s stamp) before(o stamp) bool {
+	return s.session < o.session || s.session == o.session && s.seq < o.seq
+}
+
 type imageSlot struct {
 	image int32
 	gb    float64
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -94,6 +94,11 @@
 		changed: make(chan struct{}, 1), known: map[uint64]bool{}, stops: map[uint64]context.CancelFunc{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /commands", func(rw http.ResponseWriter, r *http.Request) { w.commands(ctx, rw, r) })
+	mux.HandleFunc("GET /inspect", func(rw http.ResponseWriter, _ *http.Request) {
+		var report wire.Report
+		w.do(func() { report = w.report() })
+		answer(rw, http.StatusOK, report)
+	})
 	w.server = httptest.NewServer(troubled(mux, config.Trouble))
 	go w.reports(ctx)
 	return w
