A node that reaches neither state service nor controllers is not healthy

It would draw users that it can't serve. Judged from the state service's last answer to this node and, while that fails, from whether another node answers.

--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -43,6 +43,10 @@
 	r.GET("/v2/runs/:id", serve(Status, 1800*time.Millisecond))
 	r.POST("/v2/runs/:id/cancel", serve(Cancel, 4500*time.Millisecond))
 	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if s.Healthy != nil && !s.Healthy() {
+			Write(w, problem(http.StatusServiceUnavailable, "this node reaches neither the state service nor another node"))
+			return
+		}
 		Write(w, Answer{Status: http.StatusOK, Body: []byte(`{"status":"ok"}`)})
 	})
 	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -37,6 +37,8 @@
 	Submit Kind = iota + 1
 	Status
 	Cancel
+	// Ping asks only whether a node answers.
+	Ping
 )
 
 // Peers passes requests on to other nodes.
@@ -68,6 +70,8 @@
 	types   Types
 	clerk   *clerk
 	log     *slog.Logger
+	// Healthy tells whether this node can serve users at all; nil: always.
+	Healthy func() bool
 }
 
 // New makes the service and starts its clerk, which runs until ctx ends.
@@ -116,6 +120,8 @@
 		return s.status(ctx, ref, local)
 	case Cancel:
 		return s.cancel(ctx, ref, local)
+	case Ping:
+		return JSON(http.StatusOK, struct{}{})
 	}
 	return problem(http.StatusBadRequest, "unknown kind of request")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,12 +59,15 @@
 	in := intake.New(ctx, p, elector, store, desk, others, types, share, log)
 
 	router := httprouter.New()
+	fit := &health{serving: store.Serving, peers: others, log: log}
+	in.Healthy = fit.OK
 	in.Routes(router)
 	gate := newGate(ctx, p.Node, elector, desk, others, log)
 	router.POST("/v1/report", gate.serve)
 
 	log.Info("serving", "node", p.Node, "zone", p.Zone, "public", p.Listen, "back", p.Back, "others", len(p.Peers))
 	go elector.Run(ctx)
+	go fit.run(ctx)
 	go desk.Run(ctx)
 	failed := make(chan error, 2)
 	grpcServer := peers.NewServer(in, gate.relayedHere)
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -73,6 +73,10 @@
 // SetShare changes this node's part of the service's rate.
 func (c *Client) SetShare(share float64) { c.pacer.shares <- share }
 
+// Serving tells whether the service has served this node when it last answered,
+// or not at all.
+func (c *Client) Serving() bool { return c.pacer.serving.Load() }
+
 func (c *Client) do(ctx context.Context, p Priority, writes int, limit time.Duration, method, path string, body any) (int, []byte, error) {
 	var payload []byte
 	if body != nil {
@@ -94,6 +98,10 @@
 		refused := err == nil && status == http.StatusServiceUnavailable
 		if err == nil || errors.Is(err, ErrRefused) {
 			c.pacer.note(err == nil && !refused)
+		} else if limit <= 2*timeout && !errors.Is(ctx.Err(), context.Canceled) {
+			// A cut that swallows packets shows only as silence. A watch is
+			// silent by its nature.
+			c.pacer.note(false)
 		}
 		if refused {
 			return status, nil, ErrRefused
--- a/internal/state/pacer.go
+++ b/internal/state/pacer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,7 @@
 	log       *slog.Logger
 
 	downSince       time.Time // zero while the service serves us
+	serving         atomic.Bool
 	rps, wps, share float64
 	requests        bucket
 	writes          bucket
@@ -43,11 +45,13 @@
 }
 
 func newPacer(rps, wps, share float64, log *slog.Logger) *pacer {
-	return &pacer{
+	p := &pacer{
 		wishes: make(chan *grant), shares: make(chan float64), penalties: make(chan struct{}),
 		outcomes: make(chan bool, 64), log: log,
 		rps: rps, wps: wps, share: share,
 	}
+	p.serving.Store(true)
+	return p
 }
 
 func (p *pacer) wait(ctx context.Context, pr Priority, writes int) error {
@@ -77,6 +81,7 @@
 
 // judge logs the begin and the end of a time without service, once each.
 func (p *pacer) judge(served bool, now time.Time) {
+	p.serving.Store(served)
 	switch {
 	case !served && p.downSince.IsZero():
 		p.downSince = now
