Ageing and shares: nobody is starved under lasting overload

The first task of a job that has waited a minute goes first, with a machine kept free for it where it fits nowhere; classes and teams are each owed a part of the open cores. Both are bounded.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"log/slog"
 	"maps"
 	"math"
@@ -16,11 +17,13 @@
 
 // Core is the leader's state for one term. Step is its only way in.
 type Core struct {
-	cfg  Config
-	log  *slog.Logger
-	term uint64
-	now  time.Duration
-	wall int64 // time of day in ms at now
+	cfg Config
+	log *slog.Logger
+	// debug spares the cost of lines for each task that nobody reads.
+	debug bool
+	term  uint64
+	now   time.Duration
+	wall  int64 // time of day in ms at now
 
 	began     time.Duration
 	ticked    time.Duration   // last tick
@@ -51,6 +54,9 @@
 	pools     []poolKey // by the index's numbers
 	poolAt    map[poolKey]int32
 	stale     []*machine // to be brought up to date in the index
+	openCores float64    // of the machines in the index
+	classUse  []float64  // booked cores, by class
+	holders   []*job     // jobs for which a machine is kept free
 	attempts  uint64
 	looks     uint64       // reports looked at
 	answers   []openAnswer // of this step
@@ -82,7 +88,7 @@
 func NewCore(cfg Config, s ledger.Snapshot, now time.Duration, wall int64, log *slog.Logger) *Core {
 	w := cfg.Platform.Facts.Workers
 	c := &Core{
-		cfg: cfg, log: log, term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now,
+		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now,
 		leaseTime: settings.Stretch(settings.Seconds(w.LeaseS)) + 250*time.Millisecond,
 		report:    settings.Seconds(w.ReportS),
 		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
@@ -309,6 +315,7 @@
 	i := c.classes.of(name)
 	for int(i) >= len(c.aims) {
 		c.aims = append(c.aims, classAims{})
+		c.classUse = append(c.classUse, 0)
 		c.fleet.streams = append(c.fleet.streams, fleet.Stream{})
 		for _, o := range c.cfg.Platform.Facts.Objectives {
 			if o.Kind == "wait" && o.Class == name {
@@ -375,6 +382,7 @@
 		})
 	}
 	j.fillWaiting()
+	j.begun = j.done > 0 || len(s.Hosts) > 0
 	c.restoreHosts(j, s.Hosts)
 	c.arrived(j)
 	switch {
@@ -570,6 +578,7 @@
 	}
 	j.tasks[n].state = taskDone
 	j.done++
+	j.begun = true
 	c.clearOfBlame(j)
 	if j.done == j.total {
 		c.finish(j, wire.Done)
--- /dev/null
+++ b/internal/dispatch/fair.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Priority and slack alone would let a lasting overload of urgent work starve
+// the rest, and a job whose tasks are large wait for ever while small ones fill
+// every gap. Two bounded exceptions go before the order of the queue:
+//
+//   - Ageing: the first task of a job that has waited agedAfter goes first, the
+//     oldest job before others. Where it fits nowhere, the machine that will be
+//     free soonest is kept free for it. This costs one task for each such job,
+//     and never more than a heldPart of the machines.
+//   - Shares: a class, and a team, with tasks that wait is owed a part of the
+//     open cores. All classes together are owed an owedPart, and all teams.
+const (
+	beginWithin = 4 * time.Minute // when every job should have begun
+	agedAfter   = beginWithin / 4
+	heldPart    = 16
+	owedPart    = 0.25
+)
+
+// placeAged starts the first tasks of jobs that have waited too long.
+func (c *Core) placeAged(queue []*job, uncertain []units) {
+	c.placeHeld(uncertain)
+	var aged []*job
+	for _, j := range queue {
+		if !j.begun && j.booked == 0 && j.held == nil && c.now-j.arrived >= agedAfter {
+			aged = append(aged, j)
+		}
+	}
+	slices.SortStableFunc(aged, func(a, b *job) int { return cmp.Compare(a.arrived, b.arrived) })
+	for _, j := range aged {
+		if c.placeJob(j, uncertain, func(placed int) bool { return placed == 0 }) == 0 && c.withinLimit(j, uncertain) {
+			c.hold(j)
+		}
+	}
+}
+
+// hold keeps the machine free for a job's first task on which the least is left
+// to do.
+func (c *Core) hold(j *job) {
+	if len(c.holders) > 0 && len(c.holders) >= len(c.live)/heldPart || j.sought > 0 && c.now-j.sought < time.Second {
+		return
+	}
+	j.sought = c.now
+	var best *machine
+	least := 0.0
+	for _, m := range c.live {
+		if !m.isOpen || m.held || !j.allows(m.typ, m.zone, m.spot) || j.failedOn[m.index] || !j.size.Within(m.total) {
+			continue
+		}
+		if left := c.busy(m); best == nil || left < least {
+			best, least = m, left
+		}
+	}
+	if best == nil {
+		return
+	}
+	c.log.Info("machine kept free for a job that has waited long", "machine", best.name, "job", j.ref, "waited", (c.now - j.arrived).Seconds(), "core_seconds_left", least)
+	best.held, j.held = true, best
+	c.holders = append(c.holders, j)
+	c.refresh(best)
+}
+
+// placeHeld starts the jobs whose machine has become free enough, and gives up
+// what is no longer to be kept.
+func (c *Core) placeHeld(uncertain []units) {
+	c.holders = slices.DeleteFunc(c.holders, func(j *job) bool {
+		m := j.held
+		waits := !j.begun && j.booked == 0 && j.placeable(c.now)
+		if waits && m.isOpen && !j.size.Within(m.free) {
+			return false
+		}
+		m.held, j.held = false, nil
+		if waits && m.isOpen && c.withinLimit(j, uncertain) {
+			c.startOn(j, m)
+		}
+		c.refresh(m)
+		return true
+	})
+}
+
+// placeOwed starts tasks of classes and teams that have less than their share
+// of the open cores.
+func (c *Core) placeOwed(queue []*job, uncertain []units) {
+	classes, teams := map[int32]bool{}, map[int32]bool{}
+	for _, j := range c.active {
+		if !j.over() {
+			classes[j.class], teams[j.team] = true, true
+		}
+	}
+	if len(classes) < 2 && len(teams) < 2 {
+		return
+	}
+	part := owedPart * c.openCores
+	for _, j := range queue {
+		c.placeJob(j, uncertain, func(int) bool {
+			class := c.classUse[j.class]+j.size.CPUs <= part/float64(len(classes))
+			team := float64(c.teams[j.team].booked.cpus)/perUnit+j.size.CPUs <= part/float64(len(teams))
+			return class || team
+		})
+	}
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -226,6 +226,7 @@
 			b.status = t.Status
 			if t.Status == wire.TaskRunning {
 				b.ranSince = c.now
+				j.begun = true
 				m.idleSince = c.now
 				if j.spec != nil && m.typ >= 0 {
 					m.fetched(j.image, j.spec.ImageGB, c.types[m.typ].CacheGB)
@@ -441,6 +442,7 @@
 		b.share = 0
 	}
 	j.booked++
+	c.classUse[j.class] += j.size.CPUs
 	c.teams[j.team].booked = c.teams[j.team].booked.plus(unitsOf(j.size))
 	m.free = m.free.Minus(j.size)
 	if m.phase != c.goal.Phase {
@@ -464,6 +466,7 @@
 	}
 	j := c.jobs[b.job]
 	j.booked--
+	c.classUse[j.class] -= j.size.CPUs
 	c.teams[j.team].booked = c.teams[j.team].booked.minus(unitsOf(j.size))
 	if len(m.bookings) == 0 {
 		m.free, m.load = m.total, 0
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -19,8 +19,10 @@
 	c.stale = c.stale[:0]
 	queue := c.queue()
 	uncertain := c.uncertainUse()
+	c.placeAged(queue, uncertain)
+	c.placeOwed(queue, uncertain)
 	for _, j := range queue {
-		c.placeJob(j, uncertain)
+		c.placeJob(j, uncertain, nil)
 	}
 }
 
@@ -88,43 +90,58 @@
 	return (j.types == nil || slices.Contains(j.types, typ)) && (j.zone < 0 || j.zone == zone) && (j.spec.Spot || !spot)
 }
 
-func (c *Core) placeJob(j *job, uncertain []units) {
-	c.resolveTypes(j)
+// withinLimit tells whether a job's team may have one more of its tasks.
+func (c *Core) withinLimit(j *job, uncertain []units) bool {
 	t := &c.teams[j.team]
-	need := unitsOf(j.size)
+	return t.booked.plus(uncertain[j.team]).plus(unitsOf(j.size)).within(t.limit)
+}
+
+// placeJob starts what it can of a job's waiting tasks, as long as more, unless
+// nil, allows, and tells how many.
+func (c *Core) placeJob(j *job, uncertain []units, more func(placed int) bool) (placed int) {
+	if len(j.waiting) == 0 {
+		return 0
+	}
+	c.resolveTypes(j)
 	zones := c.zoneUse(j)
 	only := int32(-1)
 	if j.spec.OneZone {
 		only = c.oneZone(j, zones)
 	}
-	for len(j.waiting) > 0 {
-		if j.suspect() && j.booked > 0 {
-			return // one try at a time
-		}
-		if !t.booked.plus(uncertain[j.team]).plus(need).within(t.limit) {
-			return
+	for len(j.waiting) > 0 && (more == nil || more(placed)) {
+		if j.suspect() && j.booked > 0 || !c.withinLimit(j, uncertain) {
+			return placed // a suspect job is tried one task at a time
 		}
 		at := c.choose(j, zones, only)
 		if at < 0 {
-			return
+			return placed
 		}
 		m := c.machines[at]
-		n := j.waiting[len(j.waiting)-1]
-		j.waiting = j.waiting[:len(j.waiting)-1]
-		c.attempts++
-		b := c.book(m, j, n, c.term<<tokenBits|c.attempts, true)
-		c.refresh(m)
+		c.startOn(j, m)
+		placed++
 		zones[m.zone]++
 		if only < 0 && j.spec.OneZone {
 			only = m.zone
 		}
+	}
+	return placed
+}
+
+// startOn books a job's next task on a machine and has it started there.
+func (c *Core) startOn(j *job, m *machine) {
+	n := j.waiting[len(j.waiting)-1]
+	j.waiting = j.waiting[:len(j.waiting)-1]
+	c.attempts++
+	b := c.book(m, j, n, c.term<<tokenBits|c.attempts, true)
+	c.refresh(m)
+	if c.debug {
 		c.log.Debug("task placed", "task", c.taskName(b), "attempt", b.attempt, "machine", m.name, "goal", c.goal.L, "share", b.share, "load", m.load, "image", m.has(j.image))
-		if _, ok := j.hostAt[m.index]; !ok {
-			c.addHost(j, m)
-		}
-		if j.hosts[j.hostAt[m.index]].durable {
-			c.sendStart(j, m, b)
-		}
+	}
+	if _, ok := j.hostAt[m.index]; !ok {
+		c.addHost(j, m)
+	}
+	if j.hosts[j.hostAt[m.index]].durable {
+		c.sendStart(j, m, b)
 	}
 }
 
@@ -146,7 +163,13 @@
 func (c *Core) refresh(m *machine) {
 	m.stale = false
 	m.isOpen = c.open(m)
-	if !m.isOpen {
+	c.openCores -= m.cores
+	m.cores = 0
+	if m.isOpen {
+		m.cores = m.total.CPUs
+		c.openCores += m.cores
+	}
+	if !m.isOpen || m.held {
 		c.index.Close(m.index)
 		return
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -160,6 +160,10 @@
 	settled     bool // all that a terminal state requires is done
 	waiters     []any
 
+	begun  bool          // some task of it has been seen running, or is done
+	held   *machine      // kept free for its first task
+	sought time.Duration // when such a machine was last looked for
+
 	notBefore time.Duration
 	backoff   time.Duration
 	failedOn  map[int32]bool
@@ -248,10 +252,12 @@
 	missing      int  // lists in a row that lack it though it was listed before
 	goneNoted    bool // the ledger says that it is gone
 
-	pool   int32 // in the index; -1: none yet
-	isOpen bool  // as the index has it
-	stale  bool  // the index is to be brought up to date
-	asking int   // the answer that is open for it, from 1; 0: none
+	pool   int32   // in the index; -1: none yet
+	isOpen bool    // as the index has it
+	held   bool    // kept free for one job's first task
+	cores  float64 // of it in openCores
+	stale  bool    // the index is to be brought up to date
+	asking int     // the answer that is open for it, from 1; 0: none
 
 	bookings []*booking
 	pending  map[uint64]uint64 // starts that may yet act: attempt -> fence
