Hire several calls' worth at once, and what is up in time

An offer that was filled may be asked for more at once; what one offer may not give, the next does; offers that are up within the slack go first.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -23,7 +23,8 @@
 	refusedFirst = 8 * time.Second
 	refusedMost  = 30 * time.Second
 	leastRental  = 60 * time.Second // a machine is charged for this long at least
-	maxOpenHires = 6
+	maxOpenHires = 8
+	maxCalls     = 4 // for one offer at once
 )
 
 // fleetState is what the leader knows of the cloud and of its own demand.
@@ -45,8 +46,13 @@
 type offerState struct {
 	blockedUntil time.Duration
 	backoff      time.Duration
+	full         int // hires in a row that were filled
 }
 
+// most is how many machines of an offer may be asked for at once: one call's
+// worth at first, more once the cloud has filled some.
+func (o *offerState) most() int { return min(1+o.full, maxCalls) * fleet.MaxHire }
+
 type hire struct {
 	record ledger.HireRecord
 	offer  fleet.Offer
@@ -178,11 +184,13 @@
 func (c *Core) hireMachines() {
 	open := len(c.openHires())
 	for _, w := range fleet.Plan(c.plan()) {
-		if open >= maxOpenHires {
-			return
+		for ; w.Count > 0; w.Count -= fleet.MaxHire {
+			if open >= maxOpenHires {
+				return
+			}
+			c.startHire(w)
+			open++
 		}
-		c.startHire(w)
-		open++
 	}
 }
 
@@ -204,14 +212,15 @@
 		for _, z := range t.zones {
 			for _, spot := range []bool{true, false} {
 				o := fleet.Offer{Type: int32(i), Zone: z, Spot: spot}
-				if st := c.fleet.offers[o]; st != nil && c.now < st.blockedUntil {
+				st := c.fleet.offer(o)
+				if c.now < st.blockedUntil {
 					continue
 				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice
 				}
-				s.Offers = append(s.Offers, fleet.Priced{Offer: o, Price: price})
+				s.Offers = append(s.Offers, fleet.Priced{Offer: o, Price: price, Most: st.most()})
 			}
 		}
 	}
@@ -403,8 +412,12 @@
 	h.sent = false
 	st := c.fleet.offer(h.offer)
 	block := func() {
+		if c.now < st.blockedUntil {
+			return // several hires of one offer were on their way
+		}
 		st.backoff = min(max(st.backoff*2, refusedFirst), refusedMost)
 		st.blockedUntil = c.now + st.backoff
+		st.full = 0
 	}
 	switch {
 	case r.Err == nil:
@@ -413,6 +426,7 @@
 			block()
 		} else {
 			st.backoff = 0
+			st.full++
 		}
 		h.record.Machines = r.Machines
 		if len(r.Machines) == 0 {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -199,7 +199,7 @@
 			cancel()
 		}
 	}()
-	cloud := fleet.NewClient(d.platform.Services.Cloud, f.Cloud.RPS*0.7)
+	cloud := fleet.NewClient(d.platform.Services.Cloud, f.Cloud.RPS*0.85)
 	go cloud.Run(ctx)
 	go d.watchJobs(ctx, snapshot.Revision)
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -19,6 +19,15 @@
 type Priced struct {
 	Offer
 	Price float64
+	// Most is how many may be asked for at once; 0: one call's worth.
+	Most int
+}
+
+func (p *Priced) most() int {
+	if p.Most == 0 {
+		return MaxHire
+	}
+	return p.Most
 }
 
 // Type is a machine type as planning sees it.
@@ -82,7 +91,9 @@
 	if s.MaxMachines > 0 {
 		budget = max(0, s.MaxMachines-s.Machines)
 	}
+	asked := map[Offer]int{}
 	add := func(o Offer, n int, why string) {
+		asked[o] += n
 		if wishes[o] == nil {
 			wishes[o] = &Wish{Offer: o, Why: why}
 			order = append(order, o)
@@ -110,43 +121,21 @@
 		if left == 0 {
 			continue
 		}
-		best, ok := cheapest(s, g.Size, left, func(o Offer) bool { return g.Allows(o) && (o.Spot || !g.Allows(spotOf(o))) })
-		if !ok {
-			// Ordinary machines cost a multiple. They are hired when those that
-			// are there or coming would not get through in time, and as many as
-			// make up for that.
-			if best, ok = cheapest(s, g.Size, left, g.Allows); !ok {
-				continue
-			}
-			t := s.Types[best.Type]
-			within := g.Slack.Seconds()
-			if g.Slack < t.Boot {
-				// No new machine brings these in on time. They still should not
-				// wait without end.
-				within = 4 * t.Boot.Seconds()
+		for left > 0 {
+			o, n, serves := s.hireFor(g, left, ahead, asked)
+			n = min(n, budget)
+			if n <= 0 {
+				break
 			}
-			lack := ahead/within - s.capacity(g, within)
-			if lack <= 0 {
-				continue
+			add(o, n, fmt.Sprintf("%d tasks wait", g.Count))
+			t := s.Types[o.Type]
+			per := g.Size.Slots(t.Total)
+			for k, m := 0, left; k < n; k++ {
+				used := min(m, per)
+				m -= used
+				s.Coming = append(s.Coming, Coming{Offer: o, Room: t.Total.Minus(g.Size.Times(float64(used)))})
 			}
-			left = min(left, int(math.Ceil(lack/max(g.Size.CPUs, 1e-3))))
-		}
-		// Tasks shorter than a boot are mostly served by turnover before a new
-		// machine is up.
-		t := s.Types[best.Type]
-		if f := g.Run.Seconds() / max(t.Boot.Seconds(), 1); f < 1 {
-			left = int(math.Ceil(float64(left) * f))
-		}
-		per := g.Size.Slots(t.Total)
-		n := min((left+per-1)/per, budget, MaxHire)
-		if n <= 0 {
-			continue
-		}
-		add(best.Offer, n, fmt.Sprintf("%d tasks wait", g.Count))
-		for k := 0; k < n; k++ {
-			m := min(left, per)
-			left -= m
-			s.Coming = append(s.Coming, Coming{Offer: best.Offer, Room: t.Total.Minus(g.Size.Times(float64(m)))})
+			left -= max(serves, 1)
 		}
 	}
 	// One warm offer a round: how much of it there is shows in the answer.
@@ -155,11 +144,11 @@
 		if lack <= 0 || budget <= 0 || size.CPUs <= 0 {
 			continue
 		}
-		best, ok := cheapest(s, size, int(math.Ceil(lack/size.CPUs)), func(o Offer) bool { return o.Spot })
+		best, ok := s.cheapest(size, int(math.Ceil(lack/size.CPUs)), asked, func(o Offer) bool { return o.Spot })
 		if !ok {
 			continue
 		}
-		if n := min(int(lack/s.Types[best.Type].Total.CPUs+0.5), budget, MaxHire); n > 0 {
+		if n := min(int(lack/s.Types[best.Type].Total.CPUs+0.5), budget, best.most()-asked[best.Offer]); n > 0 {
 			add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", s.Warm))
 		}
 		break
@@ -194,14 +183,64 @@
 // weighing its boot time.
 const usualStay = 3 * time.Minute
 
+// hireFor decides what to hire for the left of a group's tasks, of which ahead
+// core-seconds are there with those before it: the offer, how many, and how
+// many of the tasks need no further thought then.
+func (s *Situation) hireFor(g Group, left int, ahead float64, asked map[Offer]int) (o Offer, n, serves int) {
+	want := left
+	best, ok := s.soonest(g, left, asked, func(o Offer) bool { return g.Allows(o) && (o.Spot || !g.Allows(spotOf(o))) })
+	if !ok {
+		// Ordinary machines cost a multiple. They are hired when those that
+		// are there or coming would not get through in time, and as many as
+		// make up for that.
+		if best, ok = s.soonest(g, left, asked, g.Allows); !ok {
+			return o, 0, 0
+		}
+		t := s.Types[best.Type]
+		within := g.Slack.Seconds()
+		if g.Slack < t.Boot {
+			// No new machine brings these in on time. They still should not
+			// wait without end.
+			within = 4 * t.Boot.Seconds()
+		}
+		lack := ahead/within - s.capacity(g, within)
+		if lack <= 0 {
+			return o, 0, 0
+		}
+		want = min(want, int(math.Ceil(lack/max(g.Size.CPUs, 1e-3))))
+	}
+	// Tasks shorter than a boot are mostly served by turnover before a new
+	// machine is up.
+	t := s.Types[best.Type]
+	f := min(1, g.Run.Seconds()/max(t.Boot.Seconds(), 1))
+	per := g.Size.Slots(t.Total)
+	need := (int(math.Ceil(float64(want)*f)) + per - 1) / per
+	n = min(need, best.most()-asked[best.Offer])
+	if n == need {
+		return best.Offer, n, left
+	}
+	return best.Offer, n, int(float64(n*per) / f)
+}
+
+// soonest finds the cheapest offer that is up before the group's slack is used
+// up or, where none is, the cheapest.
+func (s *Situation) soonest(g Group, count int, asked map[Offer]int, allows func(Offer) bool) (Priced, bool) {
+	best, ok := s.cheapest(g.Size, count, asked, func(o Offer) bool { return allows(o) && s.Types[o.Type].Boot <= g.Slack })
+	if ok {
+		return best, true
+	}
+	return s.cheapest(g.Size, count, asked, allows)
+}
+
 // cheapest finds the offer with the least price per task slot. Slots beyond
-// the number of tasks count for nothing.
-func cheapest(s Situation, size slowfit.Size, count int, allows func(Offer) bool) (Priced, bool) {
+// the number of tasks count for nothing, nor do offers that have been asked for
+// all they may.
+func (s *Situation) cheapest(size slowfit.Size, count int, asked map[Offer]int, allows func(Offer) bool) (Priced, bool) {
 	var best Priced
 	least := math.Inf(1)
 	for _, o := range s.Offers {
 		per := size.Slots(s.Types[o.Type].Total)
-		if per == 0 || !allows(o.Offer) {
+		if per == 0 || asked[o.Offer] >= o.most() || !allows(o.Offer) {
 			continue
 		}
 		// Booting is paid for as well: a type that is up sooner is worth more.
