--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -57,6 +57,8 @@
 	openCores float64    // of the machines in the index
 	classUse  []float64  // booked cores, by class
 	holders   []*job     // jobs for which a machine is kept free
+	toHail    []*machine
+	hailing   int
 	attempts  uint64
 	looks     uint64       // reports looked at
 	answers   []openAnswer // of this step
@@ -81,6 +83,7 @@
 	session  uint64
 	token    uint64
 	attempts []uint64
+	hail     bool
 }
 
 // NewCore starts a term from what the ledger holds. now is the node's steady
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -995,3 +995,44 @@
 		})
 	}
 }
+
+// TestANewLeaderHailsMachines: it need not wait until the workers' reports find
+// it.
+func TestANewLeaderHailsMachines(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer func(g *stage, d Direct)
+		starts int
+	}{
+		{"the answer is an echo", func(g *stage, d Direct) {
+			g.step(DirectBack{Call: d.Call, Outcome: DirectDone, Report: g.reportOf("vm-1", d.Commands.Token)})
+		}, 1},
+		{"another session is tried once more", func(g *stage, d Direct) {
+			r := g.reportOf("vm-1", 6<<tokenBits)
+			r.Session = 3
+			g.step(DirectBack{Call: d.Call, Outcome: DirectRefused, Report: r})
+			again := g.start[len(g.start)-1]
+			g.want("session", again.Commands.Session, 3)
+			r = g.reportOf("vm-1", again.Commands.Token)
+			r.Session = 3
+			g.step(DirectBack{Call: again.Call, Outcome: DirectDone, Report: r})
+		}, 1},
+		{"no answer settles nothing", func(g *stage, d Direct) {
+			g.step(DirectBack{Call: d.Call, Outcome: DirectUnknown})
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}})
+			g.now += time.Second
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{List: true}, List: []wire.ListedMachine{
+				{Name: "vm-1", Address: "10.1.0.1:9000", Type: "m4", Zone: "a", Spot: true, Status: wire.MachineUp, AgeS: 90},
+				{Name: "vm-2", Address: "10.1.0.2:9000", Type: "m4", Zone: "a", Spot: true, Status: wire.Booting, AgeS: 90}}}})
+			if len(g.start) != 1 || g.start[0].Machine != "vm-1" || len(g.start[0].Commands.Orders) != 0 {
+				t.Fatalf("hailed with %+v, want vm-1 without orders", g.start)
+			}
+			c.answer(g, g.start[0])
+			g.want("starts", len(g.starts()), c.starts)
+		})
+	}
+}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -497,6 +497,9 @@
 			c.describe(m, l.Type, l.Zone, l.Spot, l.Address)
 		}
 		m.missing = 0
+		if l.Status == wire.MachineUp && settings.Seconds(l.AgeS) > c.now-c.began {
+			c.hail(m)
+		}
 		if l.Status == wire.MachineFailed {
 			// It has stopped on its own, and all on it with it.
 			c.askDelete(m, "failed")
--- /dev/null
+++ b/internal/dispatch/hail.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"time"
+
+	"leadproxy/internal/wire"
+)
+
+// A new leader can use a machine, and settle what an earlier leader started
+// there, only once the machine has echoed its token. Waiting for reports takes
+// as long as the workers take to find the new leader, up to a report's interval
+// and more. So machines that the cloud lists as running are hailed: a direct
+// command without orders carries the token there, and its answer is the echo.
+
+// maxHails bounds the hails on their way, for the sake of sockets and of the
+// reports that come in meanwhile.
+const maxHails = 64
+
+// hailFor is how long after the beginning of a term machines are hailed. What
+// is silent then is treated as silent.
+const hailFor = 20 * time.Second
+
+// hail has a machine of an earlier term told our token.
+func (c *Core) hail(m *machine) {
+	if m.hails > 0 || m.known(c.term) || m.address == "" || c.now-c.began > hailFor {
+		return
+	}
+	m.hails = 1
+	c.toHail = append(c.toHail, m)
+	c.sendHails()
+}
+
+func (c *Core) sendHails() {
+	for len(c.toHail) > 0 && c.hailing < maxHails {
+		m := c.toHail[0]
+		c.toHail = c.toHail[1:]
+		if m.known(c.term) || m.state == machineGone || m.state == machineDeleting {
+			continue
+		}
+		c.hailing++
+		c.callID++
+		m.directs++
+		// Its session is not known before its first word; nearly all are in
+		// their first.
+		call := &directCall{machine: m, session: max(m.session, 1), token: m.token, hail: true}
+		c.calls[c.callID] = call
+		c.emit(Direct{Call: c.callID, Machine: m.name, Address: m.address,
+			Commands: wire.Commands{Token: call.token, Session: call.session, Orders: []wire.Order{}}})
+	}
+}
+
+// hailBack follows up on a hail: one that named the wrong session is repeated
+// once with the right one.
+func (c *Core) hailBack(m *machine, outcome DirectOutcome) {
+	c.hailing--
+	if outcome == DirectRefused && m.hails == 1 && !m.known(c.term) {
+		m.hails++
+		c.toHail = append(c.toHail, m)
+	}
+	c.sendHails()
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -417,11 +417,17 @@
 func (c *Core) directBack(e DirectBack) {
 	call := c.calls[e.Call]
 	delete(c.calls, e.Call)
-	if call == nil || call.machine.state == machineGone {
+	if call == nil {
 		return
 	}
 	m := call.machine
 	m.directs--
+	if call.hail {
+		defer c.hailBack(m, e.Outcome)
+	}
+	if m.state == machineGone {
+		return
+	}
 	if e.Outcome == DirectUnknown || e.Outcome == DirectNotSent {
 		// Its reports may still come, but starts don't arrive: leave it alone
 		// for a while rather than book the same tasks there again and again.
@@ -449,7 +455,7 @@
 				c.release(m, b)
 			}
 		}
-		if e.Outcome == DirectRefused {
+		if e.Outcome == DirectRefused && !call.hail {
 			c.log.Info("direct command refused", "machine", m.name, "token", call.token, "session", call.session)
 		}
 	case DirectDone:
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -241,6 +241,7 @@
 	echoed       time.Duration // when it last showed that it hears us
 	begun        time.Duration // when this leader first heard of its present life
 	probed       time.Duration // when its token was last raised
+	hails        int           // empty commands sent to make it echo
 	directs      int           // commands on their way to it
 	answered     time.Duration // last report answered in this term
 	over         uint64        // sessions up to this one have certainly ended
