--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -105,3 +106,11 @@
 		})
 	}
 }
+
+// gaveWay tells whether a job comes after others of its priority: it can't meet
+// its deadline any more, and while there is not room for all those that still
+// can should. Not for longer than beginWithin, so that under lasting overload
+// every job gets its turn.
+func (c *Core) gaveWay(j *job) bool {
+	return j.due != math.MaxInt64 && j.due-c.now < c.expectedRun(j) && c.now-j.arrived < beginWithin
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -60,6 +60,12 @@
 		if a.rank != b.rank {
 			return a.rank - b.rank
 		}
+		if la, lb := c.gaveWay(a), c.gaveWay(b); la != lb {
+			if lb {
+				return -1
+			}
+			return 1
+		}
 		if sa, sb := a.slack(c.now), b.slack(c.now); sa != sb {
 			if sa < sb {
 				return -1
