Leaders go on through outages of the state service while all others vouch

In an outage for all no lease ends, but no node can tell that from being refused alone; with the promise of every other node that it won't act as the leader it can go on.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -63,13 +63,22 @@
 	// changes tells of every change of leader or of this node's role. Its
 	// reader must keep up; a view that was not read is replaced.
 	changes chan *View
+
+	// Others vouch during outages of the state service; nil: nobody does.
+	Others Others
+	// turn is held by whoever publishes this node as the leader or makes a
+	// promise not to be it, and by whoever reads promised.
+	turn     chan struct{}
+	promised time.Time
 }
 
 // New makes an elector; Run starts it.
 func New(node string, op settings.Operator, store Store, log *slog.Logger) *Elector {
 	e := &Elector{
 		node: node, boot: rand.Uint64(), ttl: op.LeaderLease, margin: op.LeaseMargin,
-		store: store, log: log, changes: make(chan *View, 1),
+		store: store, log: log, changes: make(chan *View, 1), turn: make(chan struct{}, 1),
+		// Our earlier life may have promised just before it ended.
+		promised: time.Now().Add(vouchFor),
 	}
 	e.view.Store(&View{})
 	return e
@@ -178,14 +187,21 @@
 func (e *Elector) lead(ctx context.Context, term, lease uint64, sent time.Time) {
 	e.log.Info("leading", "term", term)
 	until := e.validUntil(sent)
-	e.publish(&View{Leader: e.node, Term: term, Mine: true, Until: until})
-	lapsed := false
+	e.begin(ctx, &View{Leader: e.node, Term: term, Mine: true, Until: until})
+	lapsed, vouching := false, false
 	for ctx.Err() == nil {
 		wait := e.ttl / 4
-		if lapsed || time.Until(until) < e.ttl/2 {
+		if lapsed || vouching || time.Until(until) < e.ttl/2 {
 			wait = 150 * time.Millisecond
 		}
 		outbound.Pause(ctx, wait)
+		// The others are asked while the renewal is tried once more, since it
+		// may take as long as a promise holds.
+		var vouches chan time.Time
+		if vouching && !lapsed {
+			vouches = make(chan time.Time, 1)
+			go func() { vouches <- e.vouched(ctx) }()
+		}
 		sent := time.Now()
 		err := e.store.Renew(ctx, lease)
 		if errors.Is(err, state.ErrNoLease) {
@@ -194,6 +210,15 @@
 			return
 		}
 		if err != nil {
+			if vouches != nil {
+				if end := <-vouches; end.After(until) && time.Now().Before(until) {
+					until = end
+					e.publish(&View{Leader: e.node, Term: term, Mine: true, Until: until})
+				}
+			} else if !lapsed && !vouching {
+				e.log.Info("lease not renewed: asking the others to vouch", "term", term, "error", err)
+			}
+			vouching = true
 			if !lapsed && !time.Now().Before(until) {
 				lapsed = true
 				e.log.Info("leadership suspended: the lease can't be renewed", "term", term, "error", err)
@@ -201,9 +226,9 @@
 			continue
 		}
 		if lapsed {
-			lapsed = false
 			e.log.Info("leadership resumed", "term", term)
 		}
+		lapsed, vouching = false, false
 		until = e.validUntil(sent)
 		e.publish(&View{Leader: e.node, Term: term, Mine: true, Until: until})
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -195,6 +195,12 @@
 		f.ends[90], f.entry, f.revision = time.Now().Add(time.Hour), holderOf(t, "n1", 90), 3
 		e := start(t, f)
 		pass(time.Second)
+		give := f.take()
+		if len(f.ended) != 1 {
+			t.Errorf("ended %v after a second", f.ended)
+		}
+		give()
+		pass(time.Second) // it may have promised not to lead
 		defer f.take()()
 		if len(f.ended) != 1 || f.ended[0] != 90 || !e.View().InTerm(time.Now()) {
 			t.Errorf("ended %v, view %+v", f.ended, e.View())
@@ -233,3 +239,100 @@
 		}
 	})
 }
+
+// others are nodes that promise or not, as told.
+type others struct{ promise bool }
+
+func (o *others) Names() []string { return []string{"n2", "n3"} }
+
+func (o *others) Vouch(context.Context, string, time.Duration) (bool, error) { return o.promise, nil }
+
+// TestVouchedOutage: while the state service is out for all and all others
+// promise not to lead, the leader goes on; without the promise of all it lapses
+// with its lease, and promises after that don't bring it back.
+func TestVouchedOutage(t *testing.T) {
+	cases := []struct {
+		name    string
+		before  bool // the others promise from the beginning of the outage
+		after   bool // and from its tenth second
+		inTerm  bool // at the ninth second
+		inTerm2 bool // at the twentieth
+	}{
+		{"all vouch", true, true, true, true},
+		{"nobody does", false, false, false, false},
+		{"they cease", true, false, true, false},
+		{"too late", false, true, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, o := newStore(), &others{promise: c.before}
+				e := New("n1", settings.Operator{LeaderLease: 3 * time.Second, LeaseMargin: 150 * time.Millisecond}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				e.Others = o
+				go e.Run(t.Context())
+				pass(10 * time.Second)
+				give := f.take()
+				f.down = true
+				give()
+				pass(9 * time.Second)
+				if got := e.View().InTerm(time.Now()); got != c.inTerm {
+					t.Errorf("in term after nine seconds: %v, want %v", got, c.inTerm)
+				}
+				pass(time.Second)
+				o.promise = c.after
+				pass(10 * time.Second)
+				if got := e.View().InTerm(time.Now()); got != c.inTerm2 {
+					t.Errorf("in term after twenty seconds: %v, want %v", got, c.inTerm2)
+				}
+			})
+		})
+	}
+}
+
+// TestPromises: a node promises only when the service does not serve it and it
+// does not lead, and then does not act, though it may win an election. One that
+// was just started may have promised in its earlier life.
+func TestPromises(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStore()
+		e := New("n1", settings.Operator{LeaderLease: 3 * time.Second, LeaseMargin: 150 * time.Millisecond}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if e.Promise(t.Context(), time.Second) {
+			t.Error("promised though the service serves this node")
+		}
+		f.down = true
+		if e.Promise(t.Context(), time.Hour) {
+			t.Error("promised for an hour")
+		}
+		pass(vouchFor)
+		if !e.Promise(t.Context(), vouchFor) {
+			t.Error("not promised though the service is out")
+		}
+		f.down = false
+		go e.Run(t.Context())
+		pass(vouchFor - 100*time.Millisecond)
+		if e.View().Mine {
+			t.Error("acts as the leader against its promise")
+		}
+		pass(200 * time.Millisecond)
+		if !e.View().InTerm(time.Now()) {
+			t.Error("does not act once its promise is over")
+		}
+		give := f.take()
+		f.down = true
+		give()
+		if e.Promise(t.Context(), vouchFor) {
+			t.Error("promised while leading")
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, newStore())
+		pass(vouchFor - 100*time.Millisecond)
+		if e.View().Mine {
+			t.Error("acts within what its earlier life may have promised")
+		}
+		pass(200 * time.Millisecond)
+		if !e.View().Mine {
+			t.Error("does not act afterwards")
+		}
+	})
+}
--- /dev/null
+++ b/internal/election/vouch.go
@@ -0,0 +1,107 @@
+package election
+
+import (
+	"context"
+	"time"
+
+	"leadproxy/internal/outbound"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/state"
+)
+
+// While the state service is out for everybody, no lease ends and nobody can
+// become the leader, but no node can tell that from being refused alone. So a
+// leader whose renewals fail asks every other node to vouch: to promise that it
+// won't act as a leader for a while. With the promises of all, and only without
+// a gap since its own lease, the leader goes on for as long as they hold. A
+// node vouches only when the service does not serve it either; one that was
+// just started does not act before any promise of its earlier life is over.
+
+// vouchFor is how long a promise holds.
+const vouchFor = 1500 * time.Millisecond
+
+// checkLimit bounds the look at the state service before a promise.
+const checkLimit = 300 * time.Millisecond
+
+// Others asks the other controllers.
+type Others interface {
+	Names() []string
+	// Vouch asks a node for its promise.
+	Vouch(ctx context.Context, node string, hold time.Duration) (bool, error)
+}
+
+// Promise answers another node's wish: it tells whether this node won't act as
+// the leader until hold has passed.
+func (e *Elector) Promise(ctx context.Context, hold time.Duration) bool {
+	if hold <= 0 || hold > 2*vouchFor {
+		return false
+	}
+	check, cancel := context.WithTimeout(ctx, checkLimit)
+	defer cancel()
+	if _, err := e.store.List(check, state.Lease, Key, "", 1); err == nil {
+		return false // the service serves us: an election can go its way
+	}
+	e.turn <- struct{}{}
+	defer func() { <-e.turn }()
+	if e.View().Mine {
+		return false
+	}
+	e.promised = later(e.promised, time.Now().Add(hold))
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// begin publishes this node as the leader once no promise forbids it.
+func (e *Elector) begin(ctx context.Context, v *View) {
+	for ctx.Err() == nil {
+		e.turn <- struct{}{}
+		wait := time.Until(e.promised)
+		if wait <= 0 {
+			e.publish(v)
+		}
+		<-e.turn
+		if wait <= 0 {
+			return
+		}
+		outbound.Pause(ctx, wait)
+	}
+}
+
+// vouched asks all others at once and returns until when their promises let
+// this node go on, or a time long past.
+func (e *Elector) vouched(ctx context.Context) time.Time {
+	if e.Others == nil || len(e.Others.Names()) == 0 {
+		return time.Time{}
+	}
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, vouchFor/2)
+	defer cancel()
+	answers := make(chan bool)
+	names := e.Others.Names()
+	for _, n := range names {
+		go func() {
+			ok, err := e.Others.Vouch(ctx, n, vouchFor)
+			select {
+			case answers <- ok && err == nil:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	for range names {
+		select {
+		case ok := <-answers:
+			if !ok {
+				return time.Time{}
+			}
+		case <-ctx.Done():
+			return time.Time{}
+		}
+	}
+	return asked.Add(vouchFor - time.Duration(float64(vouchFor)*2*settings.Drift) - e.margin)
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -37,8 +37,6 @@
 	Submit Kind = iota + 1
 	Status
 	Cancel
-	// Ping asks only whether a node answers.
-	Ping
 )
 
 // Peers passes requests on to other nodes.
@@ -120,8 +118,6 @@
 		return s.status(ctx, ref, local)
 	case Cancel:
 		return s.cancel(ctx, ref, local)
-	case Ping:
-		return JSON(http.StatusOK, struct{}{})
 	}
 	return problem(http.StatusBadRequest, "unknown kind of request")
 }
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"sync/atomic"
 	"time"
-
-	"leadproxy/internal/intake"
 )
 
 // The times of judging a node's health. Being taken out by the load balancer
@@ -22,11 +20,17 @@
 // users and workers still reach it, must not draw users.
 type health struct {
 	serving func() bool // whether the state service serves this node
-	peers   intake.Peers
+	peers   pinger
 	log     *slog.Logger
 	alone   atomic.Bool
 }
 
+// pinger asks other nodes whether they answer.
+type pinger interface {
+	Names() []string
+	Ping(ctx context.Context, node string) error
+}
+
 // OK tells whether the node can serve.
 func (h *health) OK() bool { return !h.alone.Load() }
 
@@ -51,8 +55,7 @@
 	}
 }
 
-// anyPeer tells whether some other node answers at all; what it is asked does
-// not matter.
+// anyPeer tells whether some other node answers.
 func (h *health) anyPeer(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, pingLimit)
 	defer cancel()
@@ -60,8 +63,7 @@
 	answers := make(chan bool, len(names))
 	for _, n := range names {
 		go func() {
-			_, err := h.peers.Ask(ctx, n, intake.Ping, "", nil)
-			answers <- err == nil
+			answers <- h.peers.Ping(ctx, n) == nil
 		}()
 	}
 	for range names {
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"leadproxy/internal/intake"
 )
 
 // fakePeers is one other node that answers or is silent.
@@ -17,12 +14,11 @@
 
 func (f *fakePeers) Names() []string { return []string{"n2"} }
 
-func (f *fakePeers) Ask(ctx context.Context, _ string, _ intake.Kind, _ string, _ []byte) (intake.Answer, error) {
-	if f.answers {
-		return intake.Answer{}, nil
+func (f *fakePeers) Ping(ctx context.Context, _ string) error {
+	if !f.answers {
+		<-ctx.Done()
 	}
-	<-ctx.Done()
-	return intake.Answer{}, errors.New("no answer")
+	return ctx.Err()
 }
 
 func TestHealth(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	elector.Others = others
 	types := watchTypes(ctx, fleet.NewClient(p.Services.Cloud, f.Cloud.RPS), log)
 	in := intake.New(ctx, p, elector, store, desk, others, types, share, log)
 
@@ -70,7 +71,7 @@
 	go fit.run(ctx)
 	go desk.Run(ctx)
 	failed := make(chan error, 2)
-	grpcServer := peers.NewServer(in, gate.relayedHere)
+	grpcServer := peers.NewServer(in, gate.relayedHere, elector.Promise)
 	go func() { failed <- grpcServer.Serve(back) }()
 	web := &http.Server{Handler: router, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -70,11 +71,43 @@
 	return intake.Answer{Status: int(r.Status), Body: r.Body}, nil
 }
 
+// Ping asks only whether a node answers.
+func (p *Peers) Ping(ctx context.Context, node string) error {
+	c := p.clients[node]
+	if c == nil {
+		return fmt.Errorf("node %q is not one of the others", node)
+	}
+	_, err := c.Ping(ctx, &peerpb.PingRequest{})
+	return err
+}
+
+// Vouch asks a node to promise that it won't act as the leader for a while.
+func (p *Peers) Vouch(ctx context.Context, node string, hold time.Duration) (bool, error) {
+	c := p.clients[node]
+	if c == nil {
+		return false, fmt.Errorf("node %q is not one of the others", node)
+	}
+	r, err := c.Vouch(ctx, &peerpb.VouchRequest{ForMs: hold.Milliseconds()})
+	if err != nil {
+		return false, fmt.Errorf("node %s: %w", node, err)
+	}
+	return r.Promised, nil
+}
+
 // server answers the other controllers.
 type server struct {
 	peerpb.UnimplementedPeerServer
 	intake  *intake.Service
 	reports func(ctx context.Context, body []byte) intake.Answer
+	promise func(ctx context.Context, hold time.Duration) bool
+}
+
+func (s *server) Ping(context.Context, *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	return &peerpb.PingReply{}, nil
+}
+
+func (s *server) Vouch(ctx context.Context, r *peerpb.VouchRequest) (*peerpb.VouchReply, error) {
+	return &peerpb.VouchReply{Promised: s.promise(ctx, time.Duration(r.ForMs)*time.Millisecond)}, nil
 }
 
 func (s *server) Report(ctx context.Context, r *peerpb.ReportRequest) (*peerpb.AskReply, error) {
@@ -88,9 +121,9 @@
 }
 
 // NewServer makes the server for the other controllers. reports answers a
-// worker's report if this node leads.
-func NewServer(in *intake.Service, reports func(ctx context.Context, body []byte) intake.Answer) *grpc.Server {
+// worker's report if this node leads; promise is the elector's.
+func NewServer(in *intake.Service, reports func(ctx context.Context, body []byte) intake.Answer, promise func(ctx context.Context, hold time.Duration) bool) *grpc.Server {
 	g := grpc.NewServer()
-	peerpb.RegisterPeerServer(g, &server{intake: in, reports: reports})
+	peerpb.RegisterPeerServer(g, &server{intake: in, reports: reports, promise: promise})
 	return g
 }
