--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -241,11 +242,13 @@
 }
 
 // others are nodes that promise or not, as told.
-type others struct{ promise bool }
+type others struct{ promise atomic.Bool }
 
 func (o *others) Names() []string { return []string{"n2", "n3"} }
 
-func (o *others) Vouch(context.Context, string, time.Duration) (bool, error) { return o.promise, nil }
+func (o *others) Vouch(context.Context, string, time.Duration) (bool, error) {
+	return o.promise.Load(), nil
+}
 
 // TestVouchedOutage: while the state service is out for all and all others
 // promise not to lead, the leader goes on; without the promise of all it lapses
@@ -266,7 +269,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f, o := newStore(), &others{promise: c.before}
+				f, o := newStore(), &others{}
+				o.promise.Store(c.before)
 				e := New("n1", settings.Operator{LeaderLease: 3 * time.Second, LeaseMargin: 150 * time.Millisecond}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
 				e.Others = o
 				go e.Run(t.Context())
@@ -279,7 +283,7 @@
 					t.Errorf("in term after nine seconds: %v, want %v", got, c.inTerm)
 				}
 				pass(time.Second)
-				o.promise = c.after
+				o.promise.Store(c.after)
 				pass(10 * time.Second)
 				if got := e.View().InTerm(time.Now()); got != c.inTerm2 {
 					t.Errorf("in term after twenty seconds: %v, want %v", got, c.inTerm2)
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -4,18 +4,19 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
 // fakePeers is one other node that answers or is silent.
-type fakePeers struct{ answers bool }
+type fakePeers struct{ answers atomic.Bool }
 
 func (f *fakePeers) Names() []string { return []string{"n2"} }
 
 func (f *fakePeers) Ping(ctx context.Context, _ string) error {
-	if !f.answers {
+	if !f.answers.Load() {
 		<-ctx.Done()
 	}
 	return ctx.Err()
@@ -48,7 +49,7 @@
 					synctest.Wait()
 					<-state
 					state <- s.state
-					peers.answers = s.peer
+					peers.answers.Store(s.peer)
 					time.Sleep(5 * time.Second)
 					synctest.Wait()
 					if h.OK() != s.healthy {
