One lost command is no silence; idle machines that waiting tasks can't use go back

Cause of the first: since echoes count, a machine that a single command did not reach counted as silent since ever and was deleted at the next look, with all that ran on it. It gets no work until it echoes, and its silence runs from its last echo.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -1036,3 +1037,55 @@
 		})
 	}
 }
+
+// TestIdleMachineThatWaitingTasksCanNotUseGoesBack: on a large site something
+// always waits, and it kept every idle machine.
+func TestIdleMachineThatWaitingTasksCanNotUseGoesBack(t *testing.T) {
+	cases := []struct {
+		name    string
+		change  func(j *wire.Job)
+		deleted int
+	}{
+		{"the task fits it", func(j *wire.Job) { j.CPUs = 3 }, 0},
+		{"the task is too large for it", func(j *wire.Job) { j.CPUs = 8 }, 1},
+		{"the task may not use it", func(j *wire.Job) { j.Spot = false }, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			g.up("vm-1")
+			j := newTestJob("job-1", 1, 1)
+			c.change(j)
+			g.submit(j)
+			g.settle(DirectNotSent) // what fits waits as well: commands don't get there
+			for range 100 {
+				g.wait(time.Second)
+				g.echo("vm-1")
+				g.settle(DirectNotSent)
+			}
+			g.want("returned", len(slices.Compact(g.deleted)), c.deleted)
+		})
+	}
+}
+
+// TestOneLostCommandIsNoSilence: a machine that one command did not reach gets
+// no work until it echoes, but is not given up at once.
+func TestOneLostCommandIsNoSilence(t *testing.T) {
+	for _, outcome := range []DirectOutcome{DirectUnknown, DirectNotSent} {
+		g := newStage(t, ledger.Snapshot{})
+		for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
+			g.up(name)
+		}
+		for range 30 {
+			g.wait(time.Second)
+			for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
+				g.echo(name)
+			}
+		}
+		g.submit(newTestJob("job-1", 1, 4))
+		g.settle(outcome)
+		g.want("open before the echo", g.c.open(g.c.machines[0]), false)
+		g.wait(time.Second)
+		g.want("deleted", len(g.deleted), 0)
+	}
+}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -560,7 +560,15 @@
 		}
 	}
 	warm := c.warmCores()
-	backlog := c.anyWaiting()
+	// A machine that some waiting task could use is kept, whatever keeps that
+	// task from it now. One that is too small or not allowed for all of them is
+	// not: on a large site there is always something waiting.
+	waiting := c.queue()
+	wanted := func(m *machine) bool {
+		return slices.ContainsFunc(waiting, func(j *job) bool {
+			return j.allows(m.typ, m.zone, m.spot) && j.size.Within(m.total)
+		})
+	}
 	// A whole zone silent at once, or most machines, is rather a cut between us
 	// and them: there they work on, and deleting them would lose that. When it
 	// ends, or their reports come by another way, they come back one by one.
@@ -604,7 +612,7 @@
 			c.askDelete(m, "will be taken back")
 		case m.quarantine:
 			c.askDelete(m, "faulty")
-		case c.now-m.hired < leastRental || backlog || !m.known(c.term):
+		case c.now-m.hired < leastRental || !m.known(c.term) || wanted(m):
 		default:
 			// Ordinary machines cost a multiple and are not kept for what may come.
 			target, patience := warm, c.cfg.Operator.IdleReturn
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -168,7 +168,7 @@
 		c.log.Info("machine will be taken back", "machine", m.name, "seconds", *r.NoticeS, "bookings", len(m.bookings))
 	}
 	if r.Token >= m.token {
-		m.echoed = c.now
+		m.echoed, m.doubted = c.now, false
 	}
 	if m.known(c.term) {
 		// Without our token this may be a copy from before our term, as late as
@@ -554,8 +554,7 @@
 // it has echoed a higher token. That its reports come in shows nothing.
 func (c *Core) unheard(m *machine) {
 	m.token++
-	m.probed = c.now
-	m.echoed = math.MinInt64 / 2
+	m.probed, m.doubted = c.now, true
 	c.touch(m)
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -28,7 +28,7 @@
 
 // open tells whether a machine takes new tasks at all.
 func (c *Core) open(m *machine) bool {
-	return m.known(c.term) && m.typ >= 0 && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && c.now-m.echoed < c.silentAfter()
+	return m.known(c.term) && m.typ >= 0 && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && !m.doubted && c.now-m.echoed < c.silentAfter()
 }
 
 // queue returns the jobs with tasks to place, in order.
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -239,6 +239,7 @@
 	echo         uint64 // the highest token that it has reported
 	heard        time.Duration
 	echoed       time.Duration // when it last showed that it hears us
+	doubted      bool          // it has not echoed since a sign that it does not
 	begun        time.Duration // when this leader first heard of its present life
 	probed       time.Duration // when its token was last raised
 	hails        int           // empty commands sent to make it echo
