Finished tasks of a cancelled job are counted once

A leader ended after it had recorded a cancellation with its count of finished tasks and before it had deleted their ranges; each leader after it counted them twice and ended by itself on a negative size. A table holds the case.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -331,7 +331,7 @@
 
 // fillWaiting lists the waiting tasks, the lowest number to go first.
 func (j *job) fillWaiting() {
-	j.waiting = make([]int32, 0, len(j.tasks)-j.done)
+	j.waiting = make([]int32, 0, max(0, len(j.tasks)-j.done))
 	for i := len(j.tasks) - 1; i >= 0; i-- {
 		if j.tasks[i].state == taskWaiting {
 			j.waiting = append(j.waiting, int32(i))
@@ -376,14 +376,19 @@
 		c.dropKeys(s.Ref, len(s.Hosts), slices.Collect(maps.Keys(s.Finished)))
 		return
 	}
+	finished := 0
 	for chunk, ranges := range s.Finished {
 		ranges.Each(func(i int) {
 			if n := chunk*ledger.ChunkTasks + i; n < len(j.tasks) && j.tasks[n].state != taskDurable {
 				j.tasks[n].state = taskDurable
-				j.done++
+				finished++
 			}
 		})
 	}
+	// A cancelled job's record has the count as well, and the ranges may be
+	// there still: counted twice they were more than its tasks, and no node
+	// could begin a term.
+	j.done = max(j.done, finished)
 	j.fillWaiting()
 	j.begun = j.done > 0 || len(s.Hosts) > 0
 	c.restoreHosts(j, s.Hosts)
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -1089,3 +1089,15 @@
 		g.want("deleted", len(g.deleted), 0)
 	}
 }
+
+// TestCancelledJobWhoseRangesAreStillThere: the leader ended between writing a
+// job's cancellation and deleting its ranges. The next one counted the finished
+// tasks twice and ended on that, as did every one after it.
+func TestCancelledJobWhoseRangesAreStillThere(t *testing.T) {
+	rec := ledger.JobRecord{Job: newTestJob("job-1", 3, 1), Fate: wire.Aborted, Tasks: 3, Done: 2}
+	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: []string{"vm-1"}, Finished: map[int]ledger.Ranges{0: {0, 1}}}}})
+	g.want("state", g.jobStatus("job-1"), wire.Aborted)
+	g.up("vm-1")
+	g.want("starts", len(g.starts()), 0)
+	g.want("settled", g.c.jobs[0].settled, true)
+}
