--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -1101,3 +1101,41 @@
 	g.want("starts", len(g.starts()), 0)
 	g.want("settled", g.c.jobs[0].settled, true)
 }
+
+// TestRoomGoesToAJobWhoseImageIsThere: among jobs of one priority, one that has
+// time to spare leaves a machine to another whose image is on it, and one that
+// has none does not.
+func TestRoomGoesToAJobWhoseImageIsThere(t *testing.T) {
+	cases := []struct {
+		name  string
+		due   float64 // of the job that is first in the queue
+		first string
+	}{
+		{"the first can wait", 200, "job-3/0"},
+		{"the first is short of time", 25, "job-2/0"},
+		{"the first is late anyway", 5, "job-3/0"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{Types: true}, Types: []wire.MachineType{
+				{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, FetchGBPerS: 0.1, Price: 1, SpotPrice: 0.5, BootS: 40, Zones: []string{"a", "b"}}}}})
+			g.up("vm-1")
+			job := func(ref, image string, due float64) *wire.Job {
+				j := newTestJob(ref, 1, 4)
+				j.Image, j.ImageGB, j.DeadlineS = image, 1, &due
+				return j
+			}
+			g.submit(job("job-1", "here", 300))
+			o := g.starts()[0]
+			g.settle(DirectDone)
+			g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")))
+			g.submit(job("job-2", "elsewhere", c.due))
+			g.submit(job("job-3", "here", 250))
+			g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskEnded, wire.WhyDone)))
+			if s := g.starts(); len(s) != 1 || s[0].Task != c.first {
+				t.Errorf("started %v, want %s", s, c.first)
+			}
+		})
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -21,11 +21,50 @@
 	uncertain := c.uncertainUse()
 	c.placeAged(queue, uncertain)
 	c.placeOwed(queue, uncertain)
+	for from := 0; from < len(queue); {
+		to := from + 1
+		for to < len(queue) && queue[to].rank == queue[from].rank {
+			to++
+		}
+		c.placeRank(queue[from:to], uncertain)
+		from = to
+	}
+}
+
+// placeRank starts what it can of the jobs of one priority. On a full site each
+// piece of room that comes free would go to the job that is first in the queue,
+// mostly on a machine without its image, and a tenth of all cores waited for
+// images. So those jobs that can wait are first offered only machines that have
+// their image, and another of the same priority may go before them there.
+func (c *Core) placeRank(queue []*job, uncertain []units) {
+	if len(queue) > 1 {
+		for _, j := range queue {
+			j.imageOnly = c.mayAwaitImage(j)
+			c.placeJob(j, uncertain, nil)
+			j.imageOnly = false
+		}
+	}
 	for _, j := range queue {
 		c.placeJob(j, uncertain, nil)
 	}
 }
 
+// mayAwaitImage tells whether a job has time to let others go first: more than
+// fetching its image would take, or none at all any more.
+func (c *Core) mayAwaitImage(j *job) bool {
+	if j.due == math.MaxInt64 {
+		return true
+	}
+	slack := j.due - c.now - c.expectedRun(j)
+	slowest := time.Duration(0)
+	for i := range c.types {
+		if t := &c.types[i]; t.FetchGBPerS > 0 {
+			slowest = max(slowest, settings.Seconds(j.spec.ImageGB/t.FetchGBPerS))
+		}
+	}
+	return slack < 0 || slack > 2*slowest
+}
+
 // open tells whether a machine takes new tasks at all.
 func (c *Core) open(m *machine) bool {
 	return m.known(c.term) && m.typ >= 0 && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && !m.doubted && c.now-m.echoed < c.silentAfter()
@@ -213,6 +252,12 @@
 // the image first would break the aim by that alone.
 func (c *Core) choose(j *job, zones map[int32]int, only int32) int32 {
 	w := c.wish(j, zones, only)
+	if j.imageOnly {
+		at := w
+		at.AllowedTag = w.FavouredTag
+		at.Allowed = func(i int32) bool { return w.Favoured(i) && (w.Allowed == nil || w.Allowed(i)) }
+		return c.index.Place(&c.goal, &at)
+	}
 	if aim := c.aims[j.class].wait; aim > 0 {
 		soon := w
 		soon.Allowed = func(i int32) bool {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -164,6 +164,8 @@
 	held   *machine      // kept free for its first task
 	sought time.Duration // when such a machine was last looked for
 
+	imageOnly bool // for the moment it is offered only machines with its image
+
 	notBefore time.Duration
 	backoff   time.Duration
 	failedOn  map[int32]bool
