--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -188,12 +188,12 @@
 // many of the tasks need no further thought then.
 func (s *Situation) hireFor(g Group, left int, ahead float64, asked map[Offer]int) (o Offer, n, serves int) {
 	want := left
-	best, ok := s.soonest(g, left, asked, func(o Offer) bool { return g.Allows(o) && (o.Spot || !g.Allows(spotOf(o))) })
+	best, ok := s.cheapest(g.Size, left, asked, func(o Offer) bool { return g.Allows(o) && (o.Spot || !g.Allows(spotOf(o))) })
 	if !ok {
 		// Ordinary machines cost a multiple. They are hired when those that
 		// are there or coming would not get through in time, and as many as
 		// make up for that.
-		if best, ok = s.soonest(g, left, asked, g.Allows); !ok {
+		if best, ok = s.cheapest(g.Size, left, asked, g.Allows); !ok {
 			return o, 0, 0
 		}
 		t := s.Types[best.Type]
@@ -222,16 +222,6 @@
 	return best.Offer, n, int(float64(n*per) / f)
 }
 
-// soonest finds the cheapest offer that is up before the group's slack is used
-// up or, where none is, the cheapest.
-func (s *Situation) soonest(g Group, count int, asked map[Offer]int, allows func(Offer) bool) (Priced, bool) {
-	best, ok := s.cheapest(g.Size, count, asked, func(o Offer) bool { return allows(o) && s.Types[o.Type].Boot <= g.Slack })
-	if ok {
-		return best, true
-	}
-	return s.cheapest(g.Size, count, asked, allows)
-}
-
 // cheapest finds the offer with the least price per task slot. Slots beyond
 // the number of tasks count for nothing, nor do offers that have been asked for
 // all they may.
