--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -107,10 +107,22 @@
 	}
 }
 
-// gaveWay tells whether a job comes after others of its priority: it can't meet
-// its deadline any more, and while there is not room for all those that still
-// can should. Not for longer than beginWithin, so that under lasting overload
-// every job gets its turn.
-func (c *Core) gaveWay(j *job) bool {
-	return j.due != math.MaxInt64 && j.due-c.now < c.expectedRun(j) && c.now-j.arrived < beginWithin
+// turn ranks jobs of one priority: first those that have waited longer than
+// every job should, so that each gets its turn, the longer the sooner; then those
+// that can meet their deadline; then those that can't any more.
+func (c *Core) turn(j *job) time.Duration {
+	switch age := c.now - j.arrived; {
+	case age >= beginWithin:
+		return -age
+	case j.due != math.MaxInt64 && j.due-c.now < c.expectedRun(j):
+		return 2
+	}
+	return 1
+}
+
+// workLeft is what a job's waiting tasks ask for, in core-seconds. By slack alone
+// one large job makes many small ones late where there is not room for all, as in
+// the first minutes of a day; the least work first leaves fewer late.
+func (c *Core) workLeft(j *job) float64 {
+	return float64(len(j.waiting)) * j.size.CPUs * c.expectedRun(j).Seconds()
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -99,19 +100,8 @@
 		if a.rank != b.rank {
 			return a.rank - b.rank
 		}
-		if la, lb := c.gaveWay(a), c.gaveWay(b); la != lb {
-			if lb {
-				return -1
-			}
-			return 1
-		}
-		if sa, sb := a.slack(c.now), b.slack(c.now); sa != sb {
-			if sa < sb {
-				return -1
-			}
-			return 1
-		}
-		return int(a.index) - int(b.index)
+		return cmp.Or(cmp.Compare(c.turn(a), c.turn(b)), cmp.Compare(c.workLeft(a), c.workLeft(b)),
+			cmp.Compare(a.slack(c.now), b.slack(c.now)), int(a.index)-int(b.index))
 	})
 	return queue
 }
