--- /dev/null
+++ b/internal/dispatch/answers.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"leadproxy/internal/wire"
+)
+
+// openAnswer is a report's answer, which is given at the end of the step so
+// that starts decided in it travel along.
+type openAnswer struct {
+	to      any
+	machine *machine
+	report  *wire.Report // nil for a stale one
+}
+
+// giveAnswers answers the reports of this step. Only the newest report of a
+// machine gets orders.
+func (c *Core) giveAnswers() {
+	for i, a := range c.answers {
+		m := a.machine
+		if m.state == machineGone {
+			c.emit(AnswerReport{To: a.to})
+			continue
+		}
+		answer := &wire.ReportAnswer{Token: m.token, Orders: []wire.Order{}}
+		if a.report != nil && m.asking == i+1 && m.known(c.term) {
+			// What a machine lists before its first echo is not booked yet, and
+			// must not be stopped for that.
+			answer.Orders = c.withOutbox(m, a.report, c.ordersFor(m, a.report))
+		}
+		if m.asking == i+1 {
+			m.asking = 0
+		}
+		c.emit(AnswerReport{To: a.to, Answer: answer})
+	}
+	clear(c.answers)
+	c.answers = c.answers[:0]
+}
+
+// withOutbox adds a machine's waiting orders to the answer of its report, as
+// far as they go in. Unlike a direct command, an answer is never executed late:
+// the worker's next report shows what became of it.
+func (c *Core) withOutbox(m *machine, r *wire.Report, orders []wire.Order) []wire.Order {
+	if r.Session != m.session {
+		return orders
+	}
+	for len(m.outbox) > 0 && len(orders) < maxOrders {
+		o := m.outbox[0]
+		m.outbox = m.outbox[1:]
+		if o.Verb == wire.Start {
+			b := m.booking(o.Attempt)
+			if b == nil {
+				continue // released since
+			}
+			b.state, b.answered = bookSent, r.Seq
+		}
+		orders = append(orders, o)
+	}
+	return orders
+}
+
+// ordersFor lists what the answer to a fresh report must order.
+func (c *Core) ordersFor(m *machine, r *wire.Report) []wire.Order {
+	orders := []wire.Order{}
+	for i := range r.Tasks {
+		if len(orders) >= maxOrders {
+			break
+		}
+		t := &r.Tasks[i]
+		j, n, b := c.taskOf(m, t)
+		if j == nil {
+			continue
+		}
+		if t.Status == wire.TaskEnded {
+			if c.mayForget(m, j, int(n), t) {
+				orders = append(orders, wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+			}
+			continue
+		}
+		if b == nil {
+			orders = append(orders, stopOrder(t.Task, t.Attempt, 0))
+		} else if b.stopping {
+			orders = append(orders, stopOrder(t.Task, t.Attempt, b.grace))
+		}
+	}
+	return orders
+}
+
+func stopOrder(task string, attempt uint64, grace float64) wire.Order {
+	return wire.Order{Verb: wire.Stop, Task: task, Attempt: attempt, GraceS: &grace}
+}
+
+// mayForget tells whether an ended attempt may be dropped by its worker: not
+// while a copy of its start may still arrive, since the worker would run it
+// again, and not before its end is in the ledger.
+func (c *Core) mayForget(m *machine, j *job, n int, t *wire.TaskReport) bool {
+	if _, unsettled := m.pending[t.Attempt]; unsettled || !m.known(c.term) {
+		return false
+	}
+	if t.Why != wire.WhyDone || j.fateDurable {
+		return true
+	}
+	return n < len(j.tasks) && j.tasks[n].state == taskDurable
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -75,60 +75,6 @@
 	c.answers = append(c.answers, a)
 }
 
-// openAnswer is a report's answer, which is given at the end of the step so
-// that starts decided in it travel along.
-type openAnswer struct {
-	to      any
-	machine *machine
-	report  *wire.Report // nil for a stale one
-}
-
-// giveAnswers answers the reports of this step. Only the newest report of a
-// machine gets orders.
-func (c *Core) giveAnswers() {
-	for i, a := range c.answers {
-		m := a.machine
-		if m.state == machineGone {
-			c.emit(AnswerReport{To: a.to})
-			continue
-		}
-		answer := &wire.ReportAnswer{Token: m.token, Orders: []wire.Order{}}
-		if a.report != nil && m.asking == i+1 && m.known(c.term) {
-			// What a machine lists before its first echo is not booked yet, and
-			// must not be stopped for that.
-			answer.Orders = c.withOutbox(m, a.report, c.ordersFor(m, a.report))
-		}
-		if m.asking == i+1 {
-			m.asking = 0
-		}
-		c.emit(AnswerReport{To: a.to, Answer: answer})
-	}
-	clear(c.answers)
-	c.answers = c.answers[:0]
-}
-
-// withOutbox adds a machine's waiting orders to the answer of its report, as
-// far as they go in. Unlike a direct command, an answer is never executed late:
-// the worker's next report shows what became of it.
-func (c *Core) withOutbox(m *machine, r *wire.Report, orders []wire.Order) []wire.Order {
-	if r.Session != m.session {
-		return orders
-	}
-	for len(m.outbox) > 0 && len(orders) < maxOrders {
-		o := m.outbox[0]
-		m.outbox = m.outbox[1:]
-		if o.Verb == wire.Start {
-			b := m.booking(o.Attempt)
-			if b == nil {
-				continue // released since
-			}
-			b.state, b.answered = bookSent, r.Seq
-		}
-		orders = append(orders, o)
-	}
-	return orders
-}
-
 // observe takes in what a worker tells, in a report or in the answer to a
 // direct command. It returns false for something stale.
 func (c *Core) observe(m *machine, r *wire.Report, reported bool) bool {
@@ -385,50 +331,6 @@
 	c.log.Info("machine quarantined: tasks fail on it", "machine", m.name, "jobs", len(m.blamedFor), "bookings", len(m.bookings))
 }
 
-// ordersFor lists what the answer to a fresh report must order.
-func (c *Core) ordersFor(m *machine, r *wire.Report) []wire.Order {
-	orders := []wire.Order{}
-	for i := range r.Tasks {
-		if len(orders) >= maxOrders {
-			break
-		}
-		t := &r.Tasks[i]
-		j, n, b := c.taskOf(m, t)
-		if j == nil {
-			continue
-		}
-		if t.Status == wire.TaskEnded {
-			if c.mayForget(m, j, int(n), t) {
-				orders = append(orders, wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt})
-			}
-			continue
-		}
-		if b == nil {
-			orders = append(orders, stopOrder(t.Task, t.Attempt, 0))
-		} else if b.stopping {
-			orders = append(orders, stopOrder(t.Task, t.Attempt, b.grace))
-		}
-	}
-	return orders
-}
-
-func stopOrder(task string, attempt uint64, grace float64) wire.Order {
-	return wire.Order{Verb: wire.Stop, Task: task, Attempt: attempt, GraceS: &grace}
-}
-
-// mayForget tells whether an ended attempt may be dropped by its worker: not
-// while a copy of its start may still arrive, since the worker would run it
-// again, and not before its end is in the ledger.
-func (c *Core) mayForget(m *machine, j *job, n int, t *wire.TaskReport) bool {
-	if _, unsettled := m.pending[t.Attempt]; unsettled || !m.known(c.term) {
-		return false
-	}
-	if t.Why != wire.WhyDone || j.fateDurable {
-		return true
-	}
-	return n < len(j.tasks) && j.tasks[n].state == taskDurable
-}
-
 // book takes room on a machine. charge is false for a task that is only waited
 // for to be gone.
 func (c *Core) book(m *machine, j *job, n int32, attempt uint64, charge bool) *booking {
@@ -550,70 +452,6 @@
 	m.over = max(m.over, m.session)
 }
 
-// unheard notes a sign that a machine does not hear us: it gets no work until
-// it has echoed a higher token. That its reports come in shows nothing.
-func (c *Core) unheard(m *machine) {
-	m.token++
-	m.probed, m.doubted = c.now, true
-	c.touch(m)
-}
-
-// probe raises a machine's token now and then: the worker's next report echoes
-// it if the answer has arrived. Not while a command is on its way there, which
-// would then be refused.
-func (c *Core) probe(m *machine) {
-	if m.known(c.term) && m.directs == 0 && m.echo >= m.token && c.now-m.probed >= c.leaseTime/4 {
-		m.token++
-		m.probed = c.now
-	}
-}
-
-// inspectEvery is how often a worker whose reports look old is asked at most.
-const inspectEvery = 2 * time.Second
-
-// staleReport looks into a report that is older than what we know: mostly a
-// late copy, but a worker that has truly begun anew counts from 1 again, and
-// must not be taken for a copy for ever.
-func (c *Core) staleReport(m *machine, r *wire.Report) {
-	if r.Address == "" || m.inspecting || c.now-m.inspected < inspectEvery && m.inspected > 0 {
-		return
-	}
-	m.inspecting, m.inspected = true, c.now
-	m.askedAt = stamp{max(m.session, m.over), m.seq}
-	c.emit(Inspect{Machine: m.name, Address: r.Address})
-}
-
-// inspectBack takes what a worker has said of itself after we had asked. If
-// that is older than what we had from it before we asked, it has begun anew.
-func (c *Core) inspectBack(e InspectBack) {
-	m := c.machineNamed(e.Machine)
-	m.inspecting = false
-	r := e.Report
-	if r == nil || r.Machine != m.name || m.state == machineGone || r.Token>>tokenBits > c.term {
-		return
-	}
-	if (stamp{r.Session, r.Seq}).before(m.askedAt) {
-		c.log.Info("worker counts from the beginning again", "machine", m.name, "session", r.Session, "bookings", len(m.bookings))
-		there := map[uint64]bool{}
-		for _, t := range r.Tasks {
-			there[t.Attempt] = true
-		}
-		for k := len(m.bookings) - 1; k >= 0; k-- {
-			// A command on its way to the worker that was may yet be executed
-			// by the one that is.
-			if b := m.bookings[k]; m.pending[b.attempt] == 0 && !there[b.attempt] {
-				c.release(m, b)
-			}
-		}
-		m.session, m.seq, m.over, m.echo, m.begun = r.Session, 0, 0, 0, c.now
-		c.unheard(m)
-		for a := range m.pending {
-			m.pending[a] = m.token
-		}
-	}
-	c.observe(m, r, false)
-}
-
 // drain stops what can save its progress on a machine that is to be taken.
 func (c *Core) drain(m *machine) {
 	left := m.noticeAt - c.now
--- /dev/null
+++ b/internal/dispatch/machines_test.go
@@ -0,0 +1,405 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"leadproxy/internal/fleet"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/wire"
+)
+
+func TestBlame(t *testing.T) {
+	cases := []struct {
+		name       string
+		ends       []string // how the starts of one job end on vm-1, vm-2, ...
+		quarantine int
+	}{
+		{"one failure alone blames nobody", []string{wire.WhyError}, 0},
+		{"a success elsewhere blames the machine", []string{wire.WhyError, wire.WhyDone}, 1},
+		{"a job that fails everywhere blames no machine", []string{wire.WhyError, wire.WhyError, wire.WhyError}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			for i := range c.ends {
+				g.up(fmt.Sprintf("vm-%d", i+1))
+			}
+			g.submit(newTestJob("job-1", 2, 3)) // two tasks, one fits on each machine
+			for len(c.ends) > 0 {
+				d := g.start[0]
+				g.start = g.start[1:]
+				g.step(DirectBack{Call: d.Call, Outcome: DirectDone})
+				g.report(g.reportOf(d.Machine, ours, taskIn(d.Commands.Orders[0], wire.TaskEnded, c.ends[0])))
+				c.ends = c.ends[1:]
+			}
+			n := 0
+			for _, m := range g.c.machines {
+				if m.quarantine {
+					n++
+				}
+			}
+			g.want("machines quarantined", n, c.quarantine)
+		})
+	}
+}
+
+func TestSilentMachine(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 4))
+	g.settle(DirectDone)
+	g.wait(14 * time.Second)
+	g.want("asked to delete", g.deleted, []string{"vm-1"})
+	g.up("vm-2")
+	g.want("starts before it is surely gone", len(g.starts()), 0)
+	g.wait(17 * time.Second) // its lease is over
+	g.up("vm-3")
+	g.want("starts after", len(g.starts()), 1)
+}
+
+func TestWhichSilentMachinesAreDeleted(t *testing.T) {
+	cases := []struct {
+		name    string
+		zones   map[string]string // of the machines that fall silent
+		talking map[string]string // of the others
+		deleted int
+	}{
+		{"some of a zone", map[string]string{"vm-1": "a", "vm-2": "b"}, map[string]string{"vm-3": "a", "vm-4": "b", "vm-5": "a"}, 2},
+		{"a whole zone may be cut off", map[string]string{"vm-1": "a", "vm-2": "a"}, map[string]string{"vm-3": "b", "vm-4": "b", "vm-5": "b"}, 0},
+		{"most machines: rather we are cut off", map[string]string{"vm-1": "a", "vm-2": "b", "vm-3": "a"}, map[string]string{"vm-4": "b", "vm-5": "a"}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			tell := func(zones map[string]string) {
+				for name, zone := range zones {
+					r := g.reportOf(name, ours)
+					r.Zone = zone
+					g.report(r)
+				}
+			}
+			tell(c.zones)
+			tell(c.talking)
+			for range 14 {
+				g.wait(time.Second)
+				tell(c.talking)
+			}
+			g.want("deleted", len(g.deleted), c.deleted)
+		})
+	}
+}
+
+func TestMachinesThatComeBackOneByOneAfterACutAreNotDeleted(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	machines := []string{"vm-1", "vm-2", "vm-3", "vm-4"}
+	for _, name := range machines {
+		g.up(name)
+	}
+	g.wait(14 * time.Second) // all are silent: we are cut off
+	for _, name := range machines {
+		g.up(name)
+		g.wait(time.Second)
+	}
+	g.want("deleted", len(g.deleted), 0)
+}
+
+func TestSilenceDuringASuspensionCountsForNothing(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.up("vm-2")
+	g.up("vm-3")
+	g.now += 20 * time.Second // no ticks: the leader was suspended
+	g.step(Tick{})
+	g.up("vm-2")
+	g.up("vm-3")
+	g.wait(time.Second)
+	g.want("deleted", len(g.deleted), 0)
+}
+
+func TestMachineThatCommandsDoNotReachIsLeftAloneForAWhile(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	g.settle(DirectNotSent)
+	g.want("starts at once", len(g.starts()), 0)
+	g.echo("vm-1")
+	g.want("starts after an echo", len(g.starts()), 0)
+	g.wait(5 * time.Second)
+	g.want("starts later", len(g.starts()), 1)
+}
+
+func TestGoneMachinesAreNotedWhileAJobNamesThem(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.up("vm-2")
+	g.submit(newTestJob("job-1", 2, 4))
+	g.settle(DirectDone)
+	g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}}})
+	g.want("noted", g.c.machines[0].goneNoted, true)
+	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.report(g.reportOf("vm-2", ours))
+	g.wait(time.Second)
+	g.want("noted after the job is over", g.c.machines[0].goneNoted, false)
+}
+
+func TestUnheardHostAfterATakeoverIsDeleted(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}})
+	g.wait(13 * time.Second)
+	g.want("asked to delete", g.deleted, []string{"vm-1"})
+}
+
+// TestMachineThatDoesNotHear: a machine whose reports come in, but which hears
+// neither answers nor commands, gets no new work, keeps what is booked there
+// until that is surely over, and is replaced.
+func TestMachineThatDoesNotHear(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.up("vm-2")
+	g.up("vm-3")
+	g.submit(newTestJob("job-1", 1, 4))
+	first := g.starts()[0]
+	g.settle(DirectDone)
+	deaf := ours
+	tell := func(d time.Duration) {
+		for end := g.now + d; g.now < end; {
+			g.wait(time.Second)
+			r := g.reportOf("vm-1", uint64(deaf), taskIn(first, wire.TaskRunning, ""))
+			g.report(r)
+			g.echo("vm-2")
+			g.echo("vm-3")
+		}
+	}
+	tell(19 * time.Second) // a quarter of a lease until it is probed, two rounds to wait
+	g.want("deaf machine is closed", g.c.machines[0].isOpen, false)
+	g.submit(newTestJob("job-2", 2, 4))
+	for _, d := range g.start {
+		if d.Machine == "vm-1" {
+			t.Error("new work for a machine that does not hear")
+		}
+	}
+	g.want("its task stays booked", g.c.jobs[0].booked, 1)
+	tell(6 * time.Second)
+	g.want("asked to delete", g.deleted, []string{"vm-1"})
+	g.want("its task stays booked until then", g.c.jobs[0].booked, 1)
+	g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}}})
+	g.want("and waits again afterwards", len(g.c.jobs[0].waiting), 1)
+}
+
+// TestLateCopiesOfReports: a copy that comes seconds or more than a lease late
+// revives no machine, frees or doubles no booking, renews no lease in our books
+// and ends no doubt.
+func TestLateCopiesOfReports(t *testing.T) {
+	running := func(g *stage) wire.Order {
+		g.up("vm-1")
+		g.submit(newTestJob("job-1", 1, 1))
+		o := g.starts()[0]
+		g.settle(DirectDone)
+		return o
+	}
+	cases := []struct {
+		name string
+		act  func(g *stage)
+	}{
+		{"within the term: it frees nothing and renews nothing", func(g *stage) {
+			g.up("vm-1")
+			old := *g.reportOf("vm-1", ours)
+			g.report(&old)
+			o := running(g)
+			g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")))
+			over := g.c.machines[0].leaseOver
+			g.wait(8 * time.Second)
+			g.report(&old)
+			g.want("bookings", g.c.jobs[0].booked, 1)
+			g.want("the end of the lease", g.c.machines[0].leaseOver, over)
+		}},
+		{"after its lease: what it lists is over", func(g *stage) {
+			o := running(g)
+			held := *g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")) // not seen before
+			g.wait(31 * time.Second)
+			g.want("bookings once the lease is over", g.c.jobs[0].booked, 0)
+			g.report(&held)
+			g.want("bookings after the copy", g.c.jobs[0].booked, 0)
+			g.up("vm-2")
+			g.want("starts elsewhere", len(g.starts()), 1)
+		}},
+		{"after its machine was deleted", func(g *stage) {
+			o := running(g)
+			held := *g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, ""))
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}}})
+			if a := g.report(&held); a != nil {
+				t.Errorf("answered with %v", a)
+			}
+			g.want("bookings", g.c.jobs[0].booked, 0)
+			g.want("state", g.c.machines[0].state, machineGone)
+		}},
+		{"from before a takeover: it ends no doubt and books nothing", func(g *stage) {
+			saved := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}}
+			g2 := newStage(t, saved)
+			g2.up("vm-9")
+			old := wire.Order{Task: "job-1/0", Attempt: 6<<tokenBits | 1}
+			g2.report(g2.reportOf("vm-1", 6<<tokenBits, taskIn(old, wire.TaskRunning, "")))
+			g2.want("bookings", g2.c.jobs[0].booked, 0)
+			g2.want("starts", len(g2.starts()), 0)
+			g2.want("orders: it may run there after all", len(g2.answered), 0)
+			g2.report(g2.reportOf("vm-1", ours))
+			g2.want("starts after an echo", len(g2.starts()), 1)
+		}},
+		{"from an earlier session", func(g *stage) {
+			o := running(g)
+			held := *g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, ""))
+			r := g.reportOf("vm-1", ours)
+			r.Session = 2
+			g.report(r)
+			g.echo("vm-1")
+			n := g.c.jobs[0].booked
+			g.report(&held)
+			g.want("bookings", g.c.jobs[0].booked, n)
+			g.want("session", g.c.machines[0].session, 2)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.act(newStage(t, ledger.Snapshot{})) })
+	}
+}
+
+// TestWorkerThatCountsFromOneAgain: a machine that is back within a moment
+// looks like a late copy until the worker is asked.
+func TestWorkerThatCountsFromOneAgain(t *testing.T) {
+	cases := []struct {
+		name   string
+		says   uint64 // the seq that the worker answers with
+		starts int
+	}{
+		{"it was a late copy", 90, 0},
+		{"it has begun anew", 2, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			g.up("vm-1")
+			g.submit(newTestJob("job-1", 1, 1))
+			o := g.starts()[0]
+			g.settle(DirectDone)
+			g.seq["vm-1"] = 40
+			g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")))
+			again := *g.reportOf("vm-1", 0)
+			again.Seq = 1
+			g.report(&again)
+			asked := 0
+			for _, e := range g.out {
+				if _, ok := e.(Inspect); ok {
+					asked++
+				}
+			}
+			g.want("asked", asked, 1)
+			now := again
+			now.Seq = c.says
+			if c.says > 40 {
+				now.Token, now.Tasks = ours, []wire.TaskReport{taskIn(o, wire.TaskRunning, "")}
+			}
+			g.step(InspectBack{Machine: "vm-1", Report: &now})
+			g.seq["vm-1"] = c.says
+			if c.says < 40 {
+				g.echo("vm-1")
+			}
+			g.want("started anew", len(g.starts()), c.starts)
+			g.want("bookings", g.c.jobs[0].booked, 1)
+		})
+	}
+}
+
+// TestIdleMachineThatWaitingTasksCanNotUseGoesBack: on a large site something
+// always waits, and it kept every idle machine.
+func TestIdleMachineThatWaitingTasksCanNotUseGoesBack(t *testing.T) {
+	cases := []struct {
+		name    string
+		change  func(j *wire.Job)
+		deleted int
+	}{
+		{"the task fits it", func(j *wire.Job) { j.CPUs = 3 }, 0},
+		{"the task is too large for it", func(j *wire.Job) { j.CPUs = 8 }, 1},
+		{"the task may not use it", func(j *wire.Job) { j.Spot = false }, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			g.up("vm-1")
+			j := newTestJob("job-1", 1, 1)
+			c.change(j)
+			g.submit(j)
+			g.settle(DirectNotSent) // what fits waits as well: commands don't get there
+			for range 100 {
+				g.wait(time.Second)
+				g.echo("vm-1")
+				g.settle(DirectNotSent)
+			}
+			g.want("returned", len(slices.Compact(g.deleted)), c.deleted)
+		})
+	}
+}
+
+// TestOneLostCommandIsNoSilence: a machine that one command did not reach gets
+// no work until it echoes, but is not given up at once.
+func TestOneLostCommandIsNoSilence(t *testing.T) {
+	for _, outcome := range []DirectOutcome{DirectUnknown, DirectNotSent} {
+		g := newStage(t, ledger.Snapshot{})
+		for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
+			g.up(name)
+		}
+		for range 30 {
+			g.wait(time.Second)
+			for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
+				g.echo(name)
+			}
+		}
+		g.submit(newTestJob("job-1", 1, 4))
+		g.settle(outcome)
+		g.want("open before the echo", g.c.open(g.c.machines[0]), false)
+		g.wait(time.Second)
+		g.want("deleted", len(g.deleted), 0)
+	}
+}
+
+// TestANewLeaderHailsMachines: it need not wait until the workers' reports find
+// it.
+func TestANewLeaderHailsMachines(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer func(g *stage, d Direct)
+		starts int
+	}{
+		{"the answer is an echo", func(g *stage, d Direct) {
+			g.step(DirectBack{Call: d.Call, Outcome: DirectDone, Report: g.reportOf("vm-1", d.Commands.Token)})
+		}, 1},
+		{"another session is tried once more", func(g *stage, d Direct) {
+			r := g.reportOf("vm-1", 6<<tokenBits)
+			r.Session = 3
+			g.step(DirectBack{Call: d.Call, Outcome: DirectRefused, Report: r})
+			again := g.start[len(g.start)-1]
+			g.want("session", again.Commands.Session, 3)
+			r = g.reportOf("vm-1", again.Commands.Token)
+			r.Session = 3
+			g.step(DirectBack{Call: again.Call, Outcome: DirectDone, Report: r})
+		}, 1},
+		{"no answer settles nothing", func(g *stage, d Direct) {
+			g.step(DirectBack{Call: d.Call, Outcome: DirectUnknown})
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}})
+			g.now += time.Second
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{List: true}, List: []wire.ListedMachine{
+				{Name: "vm-1", Address: "10.1.0.1:9000", Type: "m4", Zone: "a", Spot: true, Status: wire.MachineUp, AgeS: 90},
+				{Name: "vm-2", Address: "10.1.0.2:9000", Type: "m4", Zone: "a", Spot: true, Status: wire.Booting, AgeS: 90}}}})
+			if len(g.start) != 1 || g.start[0].Machine != "vm-1" || len(g.start[0].Commands.Orders) != 0 {
+				t.Fatalf("hailed with %+v, want vm-1 without orders", g.start)
+			}
+			c.answer(g, g.start[0])
+			g.want("starts", len(g.starts()), c.starts)
+		})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/orders.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"leadproxy/internal/wire"
+)
+
+// sendPlanned sends the starts that waited for their host to be durable.
+func (c *Core) sendPlanned(j *job, m *machine) {
+	for _, b := range slices.Clone(m.bookings) {
+		switch {
+		case b.job != j.index || b.state != bookPlanned:
+		case c.open(m) && !j.over():
+			c.sendStart(j, m, b)
+		default:
+			c.stopBooking(m, b, 0)
+		}
+	}
+}
+
+func (c *Core) sendStart(j *job, m *machine, b *booking) {
+	b.state = bookQueued
+	c.order(m, wire.Order{Verb: wire.Start, Task: c.taskName(b), Attempt: b.attempt})
+}
+
+// order has a machine told something at the end of the step.
+func (c *Core) order(m *machine, o wire.Order) {
+	if len(m.outbox) == 0 {
+		c.outboxes = append(c.outboxes, m)
+	}
+	m.outbox = append(m.outbox, o)
+}
+
+// flush gives the answers that are open and turns the orders that don't travel
+// with one into direct commands, each well below the protocol's bound on a
+// body.
+func (c *Core) flush() {
+	c.giveAnswers()
+	for _, m := range c.outboxes {
+		orders := m.outbox
+		m.outbox = nil
+		for len(orders) > 0 {
+			n := min(len(orders), maxOrders)
+			c.command(m, orders[:n])
+			orders = orders[n:]
+		}
+	}
+	clear(c.outboxes)
+	c.outboxes = c.outboxes[:0]
+	c.flushDeletes()
+}
+
+func (c *Core) command(m *machine, orders []wire.Order) {
+	call := &directCall{machine: m, session: m.session, token: m.token}
+	kept := make([]wire.Order, 0, len(orders))
+	for _, o := range orders {
+		if o.Verb == wire.Start {
+			b := m.booking(o.Attempt)
+			if b == nil {
+				continue // released since
+			}
+			b.state = bookSent
+			// Until the command's outcome is known, or a raised token rules it
+			// out, this start may act at any time.
+			m.pending[o.Attempt] = math.MaxUint64
+			call.attempts = append(call.attempts, o.Attempt)
+		}
+		kept = append(kept, o)
+	}
+	if len(kept) == 0 {
+		return
+	}
+	c.callID++
+	m.directs++
+	c.calls[c.callID] = call
+	c.emit(Direct{Call: c.callID, Machine: m.name, Address: m.address,
+		Commands: wire.Commands{Token: m.token, Session: m.session, Orders: kept}})
+}
+
+// shunFor is how long a machine that commands don't reach gets no new tasks.
+const shunFor = 4 * time.Second
+
+func (c *Core) directBack(e DirectBack) {
+	call := c.calls[e.Call]
+	delete(c.calls, e.Call)
+	if call == nil {
+		return
+	}
+	m := call.machine
+	m.directs--
+	if call.hail {
+		defer c.hailBack(m, e.Outcome)
+	}
+	if m.state == machineGone {
+		return
+	}
+	if e.Outcome == DirectUnknown || e.Outcome == DirectNotSent {
+		// Its reports may still come, but starts don't arrive: leave it alone
+		// for a while rather than book the same tasks there again and again.
+		m.shunned = c.now + shunFor
+		c.unheard(m)
+	}
+	switch e.Outcome {
+	case DirectUnknown:
+		if m.session != call.session {
+			return // it can only be refused
+		}
+		// The token is higher now: once the worker has echoed it, the command
+		// can't be executed any more, and what is not there then will never be.
+		for _, a := range call.attempts {
+			if _, ok := m.pending[a]; ok {
+				m.pending[a] = call.token + 1
+			}
+		}
+		c.log.Debug("direct command unanswered", "machine", m.name, "starts", len(call.attempts), "token", m.token)
+		return
+	case DirectNotSent, DirectRefused:
+		for _, a := range call.attempts {
+			delete(m.pending, a)
+			if b := m.booking(a); b != nil && b.state == bookSent {
+				c.release(m, b)
+			}
+		}
+		if e.Outcome == DirectRefused && !call.hail {
+			c.log.Info("direct command refused", "machine", m.name, "token", call.token, "session", call.session)
+		}
+	case DirectDone:
+		for _, a := range call.attempts {
+			delete(m.pending, a)
+			if b := m.booking(a); b != nil && b.state == bookSent {
+				b.state = bookConfirmed
+			}
+		}
+	}
+	if e.Report != nil && e.Report.Machine == m.name && e.Report.Token>>tokenBits <= c.term {
+		c.observe(m, e.Report, false)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/pools.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"leadproxy/internal/settings"
+	"leadproxy/internal/slowfit"
+)
+
+// poolKey is what machines of one pool of the index have in common.
+type poolKey struct {
+	typ, zone int32
+	spot      bool
+}
+
+// touch notes that the index may no longer show a machine as it is.
+func (c *Core) touch(m *machine) {
+	if !m.stale {
+		m.stale = true
+		c.stale = append(c.stale, m)
+	}
+}
+
+// refresh brings the index up to date for a machine.
+func (c *Core) refresh(m *machine) {
+	m.stale = false
+	m.isOpen = c.open(m)
+	c.openCores -= m.cores
+	m.cores = 0
+	if m.isOpen {
+		m.cores = m.total.CPUs
+		c.openCores += m.cores
+	}
+	if !m.isOpen || m.held {
+		c.index.Close(m.index)
+		return
+	}
+	key := poolKey{m.typ, m.zone, m.spot}
+	pool, ok := c.poolAt[key]
+	if !ok {
+		pool = int32(c.index.AddPool(m.total))
+		c.poolAt[key] = pool
+		c.pools = append(c.pools, key)
+	}
+	if m.pool != pool {
+		c.index.Join(m.index, int(pool))
+		m.pool = pool
+	}
+	load := m.load
+	if m.phase != c.goal.Phase {
+		load = 0
+	}
+	var tags uint64
+	for _, s := range m.images {
+		tags |= imageTag(s.image)
+	}
+	for _, b := range m.bookings {
+		tags |= imageTag(c.jobs[b.job].image)
+	}
+	c.index.Open(m.index, m.free, load, tags)
+}
+
+// imageTag is the index's tag of an image. Several images may share one.
+func imageTag(image int32) uint64 { return 1 << (image % 64) }
+
+// choose has SLOW-FIT choose the machine for a job's next task. A class with an
+// aim on waiting is first offered only machines on which its image would be
+// ready in time, if one of those has room: a slower machine that must fetch
+// the image first would break the aim by that alone.
+func (c *Core) choose(j *job, zones map[int32]int, only int32) int32 {
+	w := c.wish(j, zones, only)
+	if j.imageOnly {
+		at := w
+		at.AllowedTag = w.FavouredTag
+		at.Allowed = func(i int32) bool { return w.Favoured(i) && (w.Allowed == nil || w.Allowed(i)) }
+		return c.index.Place(&c.goal, &at)
+	}
+	if aim := c.aims[j.class].wait; aim > 0 {
+		soon := w
+		soon.Allowed = func(i int32) bool {
+			m := c.machines[i]
+			return c.fetchTime(j, m) <= aim && (w.Allowed == nil || w.Allowed(i))
+		}
+		if !c.fetchedWithin(j, aim) {
+			soon.AllowedTag = imageTag(j.image)
+		}
+		if at := c.index.Place(&c.goal, &soon); at >= 0 {
+			return at
+		}
+	}
+	return c.index.Place(&c.goal, &w)
+}
+
+// fetchedWithin tells whether a job's image can be fetched within a time by
+// some type of machine.
+func (c *Core) fetchedWithin(j *job, within time.Duration) bool {
+	return slices.ContainsFunc(c.types, func(t machineType) bool {
+		return t.FetchGBPerS <= 0 || settings.Seconds(j.spec.ImageGB/t.FetchGBPerS) <= within
+	})
+}
+
+// wish is a job's next task as SLOW-FIT sees it. Merit tells equally slow
+// machines apart: a class with an aim on waiting goes first where its image is,
+// since a fetch counts as waiting; other work goes first to spot machines, so
+// that dearer ones run empty and can go back.
+func (c *Core) wish(j *job, zones map[int32]int, only int32) slowfit.Wish {
+	most := (j.total + 1) / 2
+	cheap, image := 2, 1
+	if c.aims[j.class].wait > 0 {
+		cheap, image = 1, 2
+	}
+	w := slowfit.Wish{Task: j.size, Bonus: image, FavouredTag: imageTag(j.image),
+		Pool: func(pool int) (bool, int) {
+			k := c.pools[pool]
+			if !j.allows(k.typ, k.zone, k.spot) || only >= 0 && k.zone != only || j.spec.Spread && zones[k.zone] >= most {
+				return false, 0
+			}
+			if k.spot {
+				return true, cheap
+			}
+			return true, 0
+		},
+		Favoured: func(i int32) bool {
+			m := c.machines[i]
+			return m.has(j.image) || c.fetching(m, j.image)
+		},
+	}
+	if len(j.failedOn) > 0 && !j.suspect() {
+		w.Allowed = func(i int32) bool { return !j.failedOn[i] }
+	}
+	return w
+}
