A session that must be over gets no answer

Found in a read-over: a report of a session that we hold for ended was answered though its tasks are booked nowhere any more. Its worker is sent on instead, until it shows a later session or is told apart by asking it.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -65,13 +65,17 @@
 	} else {
 		c.staleReport(m, r)
 	}
-	if r.Session > m.over {
-		// The worker counts its lease from when it sent the report. That was
-		// before we heard of anything newer from it, so counting from the last
-		// word that we believed is late enough, also for a late copy.
-		m.answered = max(m.answered, m.heard)
-		m.leaseOver = max(m.leaseOver, m.heard+c.leaseTime)
+	if r.Session <= m.over {
+		// That session must have ended. An answer could keep it alive if it had
+		// not, with tasks that are booked nowhere any more.
+		c.emit(AnswerReport{To: e.To})
+		return
 	}
+	// The worker counts its lease from when it sent the report. That was
+	// before we heard of anything newer from it, so counting from the last
+	// word that we believed is late enough, also for a late copy.
+	m.answered = max(m.answered, m.heard)
+	m.leaseOver = max(m.leaseOver, m.heard+c.leaseTime)
 	c.answers = append(c.answers, a)
 }
 
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -220,7 +220,9 @@
 			held := *g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")) // not seen before
 			g.wait(31 * time.Second)
 			g.want("bookings once the lease is over", g.c.jobs[0].booked, 0)
-			g.report(&held)
+			if a := g.report(&held); a != nil {
+				t.Errorf("a session that is over is kept alive with %v", a)
+			}
 			g.want("bookings after the copy", g.c.jobs[0].booked, 0)
 			g.up("vm-2")
 			g.want("starts elsewhere", len(g.starts()), 1)
