--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -10,8 +10,9 @@
 	"leadproxy/internal/wire"
 )
 
-// place starts what can be started: jobs by priority, then by the time left to
-// their deadline; each task where SLOW-FIT puts it.
+// place starts what can be started: first what has waited too long and who has
+// less than their share (fair.go), then all jobs in the order of the queue; each
+// task where SLOW-FIT puts it.
 func (c *Core) place() {
 	for _, m := range c.stale {
 		c.refresh(m)
@@ -70,7 +71,8 @@
 	return m.known(c.term) && m.typ >= 0 && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && !m.doubted && c.now-m.echoed < c.silentAfter()
 }
 
-// queue returns the jobs with tasks to place, in order.
+// queue returns the jobs with tasks to place, in order: teams within their
+// guarantee, priority, turn, the work that is left, the time that is left.
 func (c *Core) queue() []*job {
 	var queue []*job
 	demand := make([]units, len(c.teams))
