--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -115,14 +115,21 @@
 	case age >= beginWithin:
 		return -age
 	case j.due != math.MaxInt64 && j.due-c.now < c.expectedRun(j):
-		return 2
+		return turnLate
 	}
-	return 1
+	return turnInTime
 }
 
-// workLeft is what a job's waiting tasks ask for, in core-seconds. By slack alone
-// one large job makes many small ones late where there is not room for all, as in
-// the first minutes of a day; the least work first leaves fewer late.
+// The turns of jobs that have not waited long.
+const (
+	turnInTime = 1
+	turnLate   = 2
+)
+
+// workLeft is what a job's waiting tasks ask for, in core-seconds. Where there is
+// not room for all, as in the first minutes of a day, by slack alone one large
+// job makes many small ones late; the least work first leaves fewer late. As long
+// as all that wait can be in time, the time that is left decides.
 func (c *Core) workLeft(j *job) float64 {
 	return float64(len(j.waiting)) * j.size.CPUs * c.expectedRun(j).Seconds()
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -72,7 +72,8 @@
 }
 
 // queue returns the jobs with tasks to place, in order: teams within their
-// guarantee, priority, turn, the work that is left, the time that is left.
+// guarantee, priority, turn, the work that is left where it is crowded, the time
+// that is left.
 func (c *Core) queue() []*job {
 	var queue []*job
 	demand := make([]units, len(c.teams))
@@ -84,6 +85,10 @@
 			queue = append(queue, j)
 		}
 	}
+	crowded := map[int]bool{} // by rank: somebody is late already
+	for _, j := range queue {
+		crowded[j.rank] = crowded[j.rank] || c.turn(j) == turnLate
+	}
 	// A team whose unfinished jobs all fit within its guarantee need not wait
 	// for other teams.
 	sheltered := func(j *job) bool {
@@ -101,8 +106,11 @@
 		if a.rank != b.rank {
 			return a.rank - b.rank
 		}
-		return cmp.Or(cmp.Compare(c.turn(a), c.turn(b)), cmp.Compare(c.workLeft(a), c.workLeft(b)),
-			cmp.Compare(a.slack(c.now), b.slack(c.now)), int(a.index)-int(b.index))
+		work := 0
+		if crowded[a.rank] {
+			work = cmp.Compare(c.workLeft(a), c.workLeft(b))
+		}
+		return cmp.Or(cmp.Compare(c.turn(a), c.turn(b)), work, cmp.Compare(a.slack(c.now), b.slack(c.now)), int(a.index)-int(b.index))
 	})
 	return queue
 }
