--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -340,3 +340,33 @@
 		}
 	})
 }
+
+// TestCandidacyOfAnEarlierLifeThatComesLate: a node was killed in the middle of
+// an election and is back at once; its old candidacy is carried out later. Nobody
+// acts on that term, so its lease is ended and an election follows.
+func TestCandidacyOfAnEarlierLifeThatComesLate(t *testing.T) {
+	for name, before := range map[string]*wire.Entry{"while nobody leads": nil, "while another leads": holderOf(t, "n2", 90)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStore()
+				f.down = before == nil // so that the node can't stand before
+				f.entry, f.revision, f.ends[90] = before, 5, time.Now().Add(time.Hour)
+				e := start(t, f)
+				pass(5 * time.Second)
+				give := f.take()
+				f.entry, f.ends[91], f.down = holderOf(t, "n1", 91), time.Now().Add(time.Hour), false
+				f.entry.Version, f.revision = 9, 9
+				give()
+				pass(200 * time.Millisecond)
+				if v := e.View(); v.Mine && v.Term == 9 {
+					t.Error("acts on a term of its earlier life")
+				}
+				pass(3 * time.Second)
+				defer f.take()()
+				if v := e.View(); len(f.ended) == 0 || f.ended[0] != 91 || !v.InTerm(time.Now()) || v.Term == 9 {
+					t.Errorf("ended %v, view %+v", f.ended, v)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -1,11 +1,18 @@
 package node
 
 import (
+	"context"
 	"io"
 	"log/slog"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"leadproxy/internal/election"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
 )
 
 func TestWhoIsRelayed(t *testing.T) {
@@ -39,3 +46,24 @@
 		})
 	}
 }
+
+// eager answers every report, as a dispatcher would that does not know that its
+// term is over.
+type eager struct{}
+
+func (eager) Report(context.Context, *wire.Report) (*wire.ReportAnswer, error) {
+	return &wire.ReportAnswer{Token: 1, Orders: []wire.Order{{Verb: wire.Start, Task: "job-1/0", Attempt: 1}}}, nil
+}
+
+// TestNoAnswerPastTheTerm: a node that is not in its term sends workers on, with
+// no orders, so that they find another node before their leases end.
+func TestNoAnswerPastTheTerm(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, log)
+	g := newGate(t.Context(), "n1", e, eager{}, nil, log)
+	body := []byte(`{"host":"vm-1","address":"10.1.0.1:9000","flavor":"m","room":"a","tenure":1,"tick":4,"baton":0,"pieces":[]}`)
+	a := g.relayedHere(t.Context(), body)
+	if a.Status != http.StatusMisdirectedRequest || strings.Contains(string(a.Body), "boss") || strings.Contains(string(a.Body), "start") {
+		t.Errorf("answered %d %s", a.Status, a.Body)
+	}
+}
