One piece for what stood several times

The look-up of a peer, and how a direct command leaves; a maximum of two values of which one never exceeds the other, and a check that its loop makes again. No change of behaviour.

--- a/internal/dispatch/echo.go
+++ b/internal/dispatch/echo.go
@@ -35,7 +35,7 @@
 		return
 	}
 	m.inspecting, m.inspected = true, c.now
-	m.askedAt = stamp{max(m.session, m.over), m.seq}
+	m.askedAt = stamp{m.session, m.seq}
 	c.emit(Inspect{Machine: m.name, Address: r.Address})
 }
 
--- a/internal/dispatch/hail.go
+++ b/internal/dispatch/hail.go
@@ -38,14 +38,9 @@
 			continue
 		}
 		c.hailing++
-		c.callID++
-		m.directs++
 		// Its session is not known before its first word; nearly all are in
 		// their first.
-		call := &directCall{machine: m, session: max(m.session, 1), token: m.token, hail: true}
-		c.calls[c.callID] = call
-		c.emit(Direct{Call: c.callID, Machine: m.name, Address: m.address,
-			Commands: wire.Commands{Token: call.token, Session: call.session, Orders: []wire.Order{}}})
+		c.send(&directCall{machine: m, session: max(m.session, 1), token: m.token, hail: true}, []wire.Order{})
 	}
 }
 
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -453,7 +453,7 @@
 	// Starts of that session are refused from now on, and whatever a late copy
 	// of its reports says is over as well.
 	clear(m.pending)
-	m.over = max(m.over, m.session)
+	m.over = m.session
 }
 
 // drain stops what can save its progress on a machine that is to be taken.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -70,14 +70,19 @@
 		}
 		kept = append(kept, o)
 	}
-	if len(kept) == 0 {
-		return
+	if len(kept) > 0 {
+		c.send(call, kept)
 	}
+}
+
+// send has a direct command carried out and remembers it until it is back.
+func (c *Core) send(call *directCall, orders []wire.Order) {
+	m := call.machine
 	c.callID++
 	m.directs++
 	c.calls[c.callID] = call
 	c.emit(Direct{Call: c.callID, Machine: m.name, Address: m.address,
-		Commands: wire.Commands{Token: m.token, Session: m.session, Orders: kept}})
+		Commands: wire.Commands{Token: call.token, Session: call.session, Orders: orders}})
 }
 
 // shunFor is how long a machine that commands don't reach gets no new tasks.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -118,9 +118,6 @@
 			c.Room = c.Room.Minus(g.Size.Times(float64(n)))
 			left -= n
 		}
-		if left == 0 {
-			continue
-		}
 		for left > 0 {
 			o, n, serves := s.hireFor(g, left, ahead, asked)
 			n = min(n, budget)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -45,11 +45,19 @@
 // Names lists the other controllers.
 func (p *Peers) Names() []string { return p.names }
 
-// Ask passes a user's request on to a node.
-func (p *Peers) Ask(ctx context.Context, node string, k intake.Kind, ref string, body []byte) (intake.Answer, error) {
+func (p *Peers) client(node string) (peerpb.PeerClient, error) {
 	c := p.clients[node]
 	if c == nil {
-		return intake.Answer{}, fmt.Errorf("node %q is not one of the others", node)
+		return nil, fmt.Errorf("node %q is not one of the others", node)
+	}
+	return c, nil
+}
+
+// Ask passes a user's request on to a node.
+func (p *Peers) Ask(ctx context.Context, node string, k intake.Kind, ref string, body []byte) (intake.Answer, error) {
+	c, err := p.client(node)
+	if err != nil {
+		return intake.Answer{}, err
 	}
 	r, err := c.Ask(ctx, &peerpb.AskRequest{Kind: peerpb.AskRequest_Kind(k), Ref: ref, Body: body})
 	if err != nil {
@@ -60,9 +68,9 @@
 
 // Report passes a worker's report on to a node.
 func (p *Peers) Report(ctx context.Context, node string, body []byte) (intake.Answer, error) {
-	c := p.clients[node]
-	if c == nil {
-		return intake.Answer{}, fmt.Errorf("node %q is not one of the others", node)
+	c, err := p.client(node)
+	if err != nil {
+		return intake.Answer{}, err
 	}
 	r, err := c.Report(ctx, &peerpb.ReportRequest{Body: body})
 	if err != nil {
@@ -73,19 +81,19 @@
 
 // Ping asks only whether a node answers.
 func (p *Peers) Ping(ctx context.Context, node string) error {
-	c := p.clients[node]
-	if c == nil {
-		return fmt.Errorf("node %q is not one of the others", node)
+	c, err := p.client(node)
+	if err != nil {
+		return err
 	}
-	_, err := c.Ping(ctx, &peerpb.PingRequest{})
+	_, err = c.Ping(ctx, &peerpb.PingRequest{})
 	return err
 }
 
 // Vouch asks a node to promise that it won't act as the leader for a while.
 func (p *Peers) Vouch(ctx context.Context, node string, hold time.Duration) (bool, error) {
-	c := p.clients[node]
-	if c == nil {
-		return false, fmt.Errorf("node %q is not one of the others", node)
+	c, err := p.client(node)
+	if err != nil {
+		return false, err
 	}
 	r, err := c.Vouch(ctx, &peerpb.VouchRequest{ForMs: hold.Milliseconds()})
 	if err != nil {
