A leader that is writing a job's end has it read from the record

The leader was starved and learned of its own write 5 s after the state service had it; a follower had read the record meanwhile and told done. While the write is on its way only a fresh read is as new as what any node may have told.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -448,7 +448,8 @@
 		c.emit(AnswerUser{To: e.To})
 		return
 	}
-	c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(c.jobs[i])})
+	j := c.jobs[i]
+	c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(j), Deciding: j.over() && !j.fateDurable})
 }
 
 // status is what may be told about a job: a terminal state only once it is
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -432,10 +432,15 @@
 	g.held = true
 	g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskEnded, wire.WhyDone)))
 	g.want("told before it is durable", g.jobStatus("job-1") == wire.Done, false)
+	// The state service may have the write while its answer is on its way, and
+	// another node may have told a user: "queued" would go back on that.
+	g.want("sent to the record while it is being written", g.out[0].(AnswerUser).Deciding, true)
 	g.out = nil
 	g.step(CancelAsked{Ref: "job-1", To: "u"})
 	g.release()
 	g.want("the answer", g.out[0].(AnswerUser).Status.Status, wire.Done)
+	g.want("told once it is durable", g.jobStatus("job-1"), wire.Done)
+	g.want("without a look at the record", g.out[0].(AnswerUser).Deciding, false)
 }
 
 func TestReportOfANewerTermIsRefused(t *testing.T) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -22,6 +22,9 @@
 // ErrNotLeading: this node does not run a term.
 var ErrNotLeading = errors.New("this node does not lead")
 
+// ErrDeciding: whether a job is over is known to the state service alone.
+var ErrDeciding = errors.New("the job's end is being written")
+
 // Desk is where the rest of a node speaks to its dispatcher. It runs one core
 // for each term that this node leads and refuses everything in between.
 type Desk struct {
@@ -84,7 +87,7 @@
 	return nil, ErrNotLeading
 }
 
-// Status asks for a job's state.
+// Status asks for a job's state. With ErrDeciding only the record tells it.
 func (d *Desk) Status(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
 	return d.user(ctx, func(reply chan any) any { return StatusAsked{Ref: ref, To: reply} })
 }
@@ -100,6 +103,9 @@
 		return wire.JobStatus{}, false, err
 	}
 	u := a.(AnswerUser)
+	if u.Deciding {
+		return wire.JobStatus{}, true, ErrDeciding
+	}
 	return u.Status, u.Known, nil
 }
 
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -106,6 +106,10 @@
 		To     any
 		Known  bool
 		Status wire.JobStatus
+		// Deciding: the job's end is being written. The state service may have
+		// it already, and another node may have told a user: only a fresh read
+		// is as new as that.
+		Deciding bool
 	}
 	// CallCloud makes a call to the cloud.
 	CallCloud struct{ Call fleet.Call }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -228,7 +228,9 @@
 var errNotHere = errors.New("not leading here")
 
 // fromDesk asks this node's dispatcher, if it leads. The answer counts only
-// while the term does.
+// while the term does, and not while the job's end is being written: a leader
+// that is slow to learn of its own write would say "queued" of a job that
+// another node has read as done.
 func (s *Service) fromDesk(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
 	v := s.elector.View()
 	if !v.InTerm(time.Now()) {
