--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -35,6 +35,9 @@
 	log      *slog.Logger
 	started  time.Time
 	workers  *http.Client
+	// lines are the connections to workers: who has put something in may open
+	// one, and takes it out afterwards.
+	lines chan struct{}
 
 	// The mailboxes, by rank: reports of workers first, then what decisions
 	// need, then users. Each is bounded; who finds one full is turned away.
@@ -48,11 +51,12 @@
 	reply chan any
 }
 
-// NewDesk makes a desk; Run starts it.
-func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, log *slog.Logger) *Desk {
+// NewDesk makes a desk that has up to lines calls to workers on their way; Run
+// starts it.
+func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines int, log *slog.Logger) *Desk {
 	return &Desk{
 		platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
-		workers: outbound.NewClient(1, p.Facts.Resources.Sockets/8),
+		workers: outbound.NewClient(1, lines), lines: make(chan struct{}, lines),
 		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
 	}
 }
@@ -333,8 +337,23 @@
 // worker's reports.
 const directTimeout = 2 * time.Second
 
+// line waits for a connection to a worker; done gives it back.
+func (d *Desk) line(ctx context.Context) (done func(), ok bool) {
+	select {
+	case d.lines <- struct{}{}:
+		return func() { <-d.lines }, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // direct sends a command to a worker and brings its outcome back.
 func (d *Desk) direct(ctx context.Context, term uint64, e Direct) {
+	done, ok := d.line(ctx)
+	if !ok {
+		return
+	}
+	defer done()
 	back := DirectBack{Call: e.Call}
 	back.Outcome, back.Report = d.command(ctx, term, e)
 	select {
@@ -352,6 +371,11 @@
 		case <-ctx.Done():
 		}
 	}()
+	done, ok := d.line(ctx)
+	if !ok {
+		return
+	}
+	defer done()
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/inspect", nil)
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -42,6 +42,7 @@
 	peers   relay
 	log     *slog.Logger
 	visits  chan visit
+	seats   seats
 }
 
 // visit asks whether a worker that comes to a node that does not lead is to be
@@ -52,8 +53,9 @@
 	relay   chan bool
 }
 
-func newGate(ctx context.Context, node string, e *election.Elector, desk reporter, peers relay, log *slog.Logger) *gate {
+func newGate(ctx context.Context, node string, e *election.Elector, desk reporter, peers relay, crowded int, log *slog.Logger) *gate {
 	g := &gate{node: node, elector: e, desk: desk, peers: peers, log: log, visits: make(chan visit)}
+	g.seats.crowded = int64(crowded)
 	go keepVisitors(ctx, g.visits, log)
 	return g
 }
@@ -181,6 +183,7 @@
 	if leader := g.elector.View().Leader; a.Status == http.StatusMisdirectedRequest && leader != "" && leader != g.node {
 		a = g.relayed(req.Context(), leader, report.Machine, body, a)
 	}
+	g.seats.yield(w)
 	intake.Write(w, a)
 }
 
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -35,7 +35,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := newGate(t.Context(), "n0", nil, nil, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				g := newGate(t.Context(), "n0", nil, nil, nil, 100, slog.New(slog.NewTextHandler(io.Discard, nil)))
 				for i, s := range c.steps {
 					time.Sleep(s.after)
 					if got := g.mayRelay(t.Context(), "vm-1", s.leader); got != s.relay {
@@ -60,7 +60,7 @@
 func TestNoAnswerPastTheTerm(t *testing.T) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, log)
-	g := newGate(t.Context(), "n1", e, eager{}, nil, log)
+	g := newGate(t.Context(), "n1", e, eager{}, nil, 100, log)
 	body := []byte(`{"host":"vm-1","address":"10.1.0.1:9000","flavor":"m","room":"a","tenure":1,"tick":4,"baton":0,"pieces":[]}`)
 	a := g.relayedHere(t.Context(), body)
 	if a.Status != http.StatusMisdirectedRequest || strings.Contains(string(a.Body), "boss") || strings.Contains(string(a.Body), "start") {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -47,23 +46,24 @@
 
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	share := dispatch.FollowerShare(f.Nodes)
-	store := state.New(ctx, p.Services.State, f.State.RPS, f.State.WriteRPS, share, log)
+	share := divide(f.Resources)
+	rate := dispatch.FollowerShare(f.Nodes)
+	store := state.New(ctx, p.Services.State, f.State.RPS, f.State.WriteRPS, rate, log)
 	elector := election.New(p.Node, op, store, log)
-	desk := dispatch.NewDesk(p, op, elector, store, log)
+	desk := dispatch.NewDesk(p, op, elector, store, share.orders, log)
 	others, err := peers.Dial(p.Peers)
 	if err != nil {
 		return err
 	}
 	elector.Others = others
 	types := watchTypes(ctx, fleet.NewClient(p.Services.Cloud, f.Cloud.RPS), log)
-	in := intake.New(ctx, p, elector, store, desk, others, types, share, log)
+	in := intake.New(ctx, p, elector, store, desk, others, types, rate, log)
 
 	router := httprouter.New()
 	fit := &health{serving: store.Serving, peers: others, log: log}
 	in.Healthy = fit.OK
 	in.Routes(router)
-	gate := newGate(ctx, p.Node, elector, desk, others, log)
+	gate := newGate(ctx, p.Node, elector, desk, others, share.crowded, log)
 	router.POST("/v1/report", gate.serve)
 
 	log.Info("serving", "node", p.Node, "zone", p.Zone, "public", p.Listen, "back", p.Back, "others", len(p.Peers))
@@ -73,10 +73,8 @@
 	failed := make(chan error, 2)
 	grpcServer := peers.NewServer(in, gate.relayedHere, elector.Promise)
 	go func() { failed <- grpcServer.Serve(back) }()
-	web := &http.Server{Handler: router, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
-	// Connections of users and workers leave room for those that we open.
-	go func() { failed <- web.Serve(netutil.LimitListener(public, max(8, f.Resources.Sockets*2/3))) }()
+	web := newServer(router, &gate.seats, settings.Seconds(f.Workers.LeaseS), log)
+	go func() { failed <- web.Serve(netutil.LimitListener(public, share.inbound)) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
--- /dev/null
+++ b/internal/node/seats_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"leadproxy/internal/settings"
+)
+
+// pipes is a listener without a network, so that a test needs no real time.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	c, ok := <-p
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (p pipes) Close() error   { close(p); return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestManyWorkersLeaveRoomForOthers: more workers than there are sockets report
+// round after round on connections that they keep, and some have died with
+// theirs open. All are answered, and so is a health check.
+func TestManyWorkersLeaveRoomForOthers(t *testing.T) {
+	cases := []struct {
+		name          string
+		sockets       int
+		workers, dead int
+	}{
+		{"few workers keep their connections", 64, 20, 0},
+		{"more workers than sockets", 64, 150, 0},
+		{"and connections of the dead", 64, 150, 12},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				share := divide(settings.Resources{Sockets: c.sockets})
+				s := &seats{crowded: int64(share.crowded)}
+				l := make(pipes, 1000)
+				web := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					s.yield(w)
+					w.WriteHeader(http.StatusOK)
+				}), s, time.Minute, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				go web.Serve(netutil.LimitListener(l, share.inbound))
+				defer web.Close()
+				dial := func() (*http.Client, *http.Transport) {
+					tr := &http.Transport{Dial: func(string, string) (net.Conn, error) {
+						ours, theirs := net.Pipe()
+						l <- theirs
+						return ours, nil
+					}}
+					return &http.Client{Transport: tr, Timeout: 4 * time.Second}, tr
+				}
+				get := func(client *http.Client) error {
+					resp, err := client.Get("http://node/")
+					if err != nil {
+						return err
+					}
+					defer resp.Body.Close()
+					_, err = io.Copy(io.Discard, resp.Body)
+					return err
+				}
+				for range c.dead {
+					ours, theirs := net.Pipe()
+					l <- theirs
+					defer ours.Close()
+				}
+				failed := make(chan error, 3*c.workers)
+				for i := range c.workers {
+					go func() {
+						client, tr := dial()
+						defer tr.CloseIdleConnections()
+						for range 3 {
+							time.Sleep(time.Duration(1+i*7%13) * time.Second)
+							failed <- get(client)
+						}
+						time.Sleep(10 * time.Second)
+					}()
+				}
+				time.Sleep(15 * time.Second)
+				for range 2 {
+					client, tr := dial()
+					if err := get(client); err != nil {
+						t.Errorf("health check: %v", err)
+					}
+					tr.CloseIdleConnections()
+				}
+				bad := map[string]int{}
+				for range 3 * c.workers {
+					if err := <-failed; err != nil {
+						bad[fmt.Sprint(err)]++
+					}
+				}
+				if len(bad) > 0 {
+					t.Errorf("reports not answered: %v", bad)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
