--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -25,7 +25,12 @@
 		if a.report != nil && m.asking == i+1 && m.known(c.term) {
 			// What a machine lists before its first echo is not booked yet, and
 			// must not be stopped for that.
-			answer.Orders = c.withOutbox(m, a.report, c.ordersFor(m, a.report))
+			orders, forgets := c.ordersFor(m, a.report)
+			orders = c.withOutbox(m, a.report, orders)
+			if len(orders) > 0 || len(forgets) >= forgetAtOnce {
+				orders = append(orders, forgets...)
+			}
+			answer.Orders = orders
 		}
 		if m.asking == i+1 {
 			m.asking = 0
@@ -58,11 +63,18 @@
 	return orders
 }
 
-// ordersFor lists what the answer to a fresh report must order.
-func (c *Core) ordersFor(m *machine, r *wire.Report) []wire.Order {
-	orders := []wire.Order{}
+// forgetAtOnce is how many done tasks are forgotten together. A worker reports
+// again at once when its tasks change, so each forget by itself costs another
+// report, a third of all on a large fleet. It waits for an order that changes
+// the tasks anyway, or for others like it.
+const forgetAtOnce = 8
+
+// ordersFor lists what the answer to a fresh report must order, and which done
+// tasks the worker may drop.
+func (c *Core) ordersFor(m *machine, r *wire.Report) (orders, forgets []wire.Order) {
+	orders = []wire.Order{}
 	for i := range r.Tasks {
-		if len(orders) >= maxOrders {
+		if len(orders)+len(forgets) >= maxOrders {
 			break
 		}
 		t := &r.Tasks[i]
@@ -71,8 +83,13 @@
 			continue
 		}
 		if t.Status == wire.TaskEnded {
-			if c.mayForget(m, j, int(n), t) {
+			if !c.mayForget(m, j, int(n), t) {
+				continue
+			}
+			if t.Why != wire.WhyDone {
 				orders = append(orders, wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+			} else {
+				forgets = append(forgets, wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt})
 			}
 			continue
 		}
@@ -82,7 +99,7 @@
 			orders = append(orders, stopOrder(t.Task, t.Attempt, b.grace))
 		}
 	}
-	return orders
+	return orders, forgets
 }
 
 func stopOrder(task string, attempt uint64, grace float64) wire.Order {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -148,6 +148,9 @@
 	}
 }
 
+// Unplaced tells whether Settle would place tasks.
+func (c *Core) Unplaced() bool { return c.dirty }
+
 // Settle places what can be placed after one or more steps and returns all that
 // must be done. Under load many events share one placement.
 func (c *Core) Settle() []any {
@@ -320,6 +323,7 @@
 		c.aims = append(c.aims, classAims{})
 		c.classUse = append(c.classUse, 0)
 		c.fleet.streams = append(c.fleet.streams, fleet.Stream{})
+		c.fleet.ratios = append(c.fleet.ratios, 0)
 		for _, o := range c.cfg.Platform.Facts.Objectives {
 			if o.Kind == "wait" && o.Class == name {
 				c.aims[i] = classAims{wait: settings.Seconds(o.WithinS)}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -38,9 +38,9 @@
 	listing   bool
 	typing    bool
 	streams   []fleet.Stream // by class
-	ratios    map[int32]float64
-	deletes   []string // to be asked for at the end of the step
-	sizes     []sized  // of the demand, the one with most core-seconds first
+	ratios    []float64      // by class, of run times to estimates; 0: not learned yet
+	deletes   []string       // to be asked for at the end of the step
+	sizes     []sized        // of the demand, the one with most core-seconds first
 }
 
 type offerState struct {
@@ -65,7 +65,6 @@
 func (f *fleetState) begin() {
 	f.offers = map[fleet.Offer]*offerState{}
 	f.hires = map[string]*hire{}
-	f.ratios = map[int32]float64{}
 }
 
 // arrived learns from a job that has just come in.
@@ -118,15 +117,14 @@
 
 func (f *fleetState) learnRatio(class int32, ratio float64) {
 	ratio = min(max(ratio, 0.1), 10)
-	if old, ok := f.ratios[class]; ok {
-		f.ratios[class] = old + (ratio-old)/16
-	} else {
-		f.ratios[class] = ratio
+	if old := f.ratios[class]; old > 0 {
+		ratio = old + (ratio-old)/16
 	}
+	f.ratios[class] = ratio
 }
 
 func (f *fleetState) ratio(class int32) float64 {
-	if r, ok := f.ratios[class]; ok {
+	if r := f.ratios[class]; r > 0 {
 		return r
 	}
 	return 1
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -217,14 +217,17 @@
 	d.carryOut(ctx, term, core.TakeStart(), book, cloud)
 	tick := time.NewTicker(250 * time.Millisecond)
 	defer tick.Stop()
+	var pause pause
 	for {
-		event, ok := d.next(ctx, book, cloud, tick)
+		event, ok := d.next(ctx, book, cloud, tick, nil)
 		if !ok {
 			// Whoever asks from here on gets no answer from this term.
 			return
 		}
-		// What waits already is taken along: under load many events share one
-		// placement, and one answer carries all that follows from them.
+		// What waits already, or comes before the next placement is due, is taken
+		// along: under load many events share one placement, and one answer
+		// carries all that follows from them.
+		var enough <-chan time.Time
 		for n := 1; ok; n++ {
 			if _, tick := event.(Tick); !tick || d.elector.InTerm(term) {
 				// Suspended, another leader may have begun. What time alone would
@@ -234,14 +237,49 @@
 			if n == mostAtOnce {
 				break
 			}
-			event, ok = d.waiting(book, cloud, tick)
+			if event, ok = d.waiting(book, cloud, tick); !ok && core.Unplaced() {
+				if enough == nil {
+					enough = pause.over()
+				}
+				event, ok = d.next(ctx, book, cloud, tick, enough)
+			}
 		}
-		d.carryOut(ctx, term, core.Settle(), book, cloud)
+		began := time.Now()
+		effects := core.Settle()
+		pause.after(began, time.Since(began))
+		d.carryOut(ctx, term, effects, book, cloud)
 	}
 }
 
 // mostAtOnce bounds the events that share a placement.
-const mostAtOnce = 64
+const mostAtOnce = 256
+
+// pause keeps placing tasks from taking more than a quarter of the time: on a
+// full site with much that waits, placing after each event by itself took more
+// than the processor has, and reports went unanswered.
+type pause struct{ until time.Time }
+
+// longestPause bounds how long an answer waits for a placement.
+const longestPause = 100 * time.Millisecond
+
+func (p *pause) after(began time.Time, took time.Duration) {
+	p.until = began.Add(took + min(3*took, longestPause))
+}
+
+// over tells when the next placement is due.
+func (p *pause) over() <-chan time.Time {
+	if wait := time.Until(p.until); wait > 0 {
+		return time.After(wait)
+	}
+	return passed
+}
+
+// passed is a time that has come already.
+var passed = func() <-chan time.Time {
+	c := make(chan time.Time)
+	close(c)
+	return c
+}()
 
 // waiting takes an event that is there already, by rank.
 func (d *Desk) waiting(book *ledger.Ledger, cloud *fleet.Client, tick *time.Ticker) (any, bool) {
@@ -271,8 +309,9 @@
 	return nil, false
 }
 
-// next takes the next event, by rank.
-func (d *Desk) next(ctx context.Context, book *ledger.Ledger, cloud *fleet.Client, tick *time.Ticker) (any, bool) {
+// next takes the next event, by rank. It gives up with ctx, or when enough
+// tells.
+func (d *Desk) next(ctx context.Context, book *ledger.Ledger, cloud *fleet.Client, tick *time.Ticker, enough <-chan time.Time) (any, bool) {
 	if ctx.Err() != nil {
 		return nil, false
 	}
@@ -292,6 +331,8 @@
 		return Tick{}, true
 	case a := <-d.users:
 		return a.event, true
+	case <-enough:
+		return nil, false
 	case <-ctx.Done():
 		return nil, false
 	}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -111,7 +111,7 @@
 			if left == 0 {
 				break
 			}
-			if !g.Allows(c.Offer) {
+			if !g.Size.Within(c.Room) || !g.Allows(c.Offer) {
 				continue
 			}
 			n := min(left, g.Size.Slots(c.Room))
--- a/internal/slowfit/index.go
+++ b/internal/slowfit/index.go
@@ -18,8 +18,16 @@
 	pools []*pool
 	speed []int // pools, the slowest first
 	seats []seat
+	// barren are sizes for which no open machine has room. On a full site many
+	// jobs wait and hardly any has room: those must not cost a search each time
+	// that some machine gets a little free.
+	barren []Size
+	looks  int // nodes looked at, for tests of what a search costs
 }
 
+// mostBarren bounds the sizes that are remembered.
+const mostBarren = 16
+
 type seat struct{ pool, leaf int32 }
 
 type pool struct {
@@ -152,6 +160,25 @@
 func (x *Index) Open(machine int32, free Size, load float64, tags uint64) {
 	s := x.seats[machine]
 	x.pools[s.pool].set(int(s.leaf), node{free, load, tags})
+	x.barren = slices.DeleteFunc(x.barren, func(b Size) bool { return b.Within(free) })
+}
+
+// isBarren tells whether no open machine is known to have room for a task.
+func (x *Index) isBarren(task Size) bool {
+	return slices.ContainsFunc(x.barren, func(b Size) bool { return b.Within(task) })
+}
+
+// noteBarren remembers a task's size if no open machine at all has room for it.
+func (x *Index) noteBarren(task Size) {
+	for _, p := range x.pools {
+		if q := (query{x: x, p: p, task: task, load: math.Inf(1)}); p.open > 0 && q.first(1) >= 0 {
+			return // it has room, only not where this job may go
+		}
+	}
+	x.barren = slices.DeleteFunc(x.barren, func(b Size) bool { return task.Within(b) })
+	if len(x.barren) < mostBarren {
+		x.barren = append(x.barren, task)
+	}
 }
 
 // Close tells that a machine takes no tasks.
@@ -198,8 +225,12 @@
 // machine has room but none passes the goal, L doubles and load booked before
 // counts as nothing, until one passes.
 func (x *Index) Place(g *Goal, w *Wish) int32 {
+	if x.isBarren(w.Task) {
+		return -1
+	}
 	if g.L == 0 {
 		if x.find(w, math.Inf(1), math.Inf(1)) < 0 {
+			x.noteBarren(w.Task)
 			return -1
 		}
 		if g.L = x.fastestShare(w.Task); g.L == 0 {
@@ -212,6 +243,7 @@
 			return at
 		}
 		if !room && x.find(w, math.Inf(1), math.Inf(1)) < 0 {
+			x.noteBarren(w.Task)
 			return -1
 		}
 		room = true
@@ -259,15 +291,18 @@
 	}
 	for _, at := range pools {
 		p := x.pools[at]
+		if p.open == 0 || !w.Task.Within(p.nodes[1].free) {
+			continue
+		}
 		share := w.Task.Share(p.total)
-		if p.open == 0 || share > most+slack || math.IsInf(share, 1) {
+		if share > most+slack || math.IsInf(share, 1) {
 			continue
 		}
 		allowed, merit := w.Pool(at)
 		if !allowed {
 			continue
 		}
-		q := query{p: p, task: w.Task, load: limit - share + slack, tags: w.AllowedTag, accepts: w.Allowed}
+		q := query{x: x, p: p, task: w.Task, load: limit - share + slack, tags: w.AllowedTag, accepts: w.Allowed}
 		if w.Favoured != nil && w.Bonus > 0 && (best < 0 || merit+w.Bonus >= bestMerit) {
 			f := q
 			f.tags |= w.FavouredTag
@@ -287,6 +322,7 @@
 }
 
 type query struct {
+	x       *Index
 	p       *pool
 	task    Size
 	load    float64
@@ -296,6 +332,7 @@
 
 // first finds the first leaf below a node that satisfies the query, or -1.
 func (q *query) first(at int) int {
+	q.x.looks++
 	n := &q.p.nodes[at]
 	if n.load > q.load || n.tags&q.tags != q.tags || !q.task.Within(n.free) {
 		return -1
