Tasks beyond their team's limit hire and keep no machines, and cost no search

Each waiting job of a team was counted with all that the limit leaves, idle machines were kept for tasks that the limit bars, the learned demand ignored limits, and jobs were looked at machine by machine before the limit. Ruled out: the unfinished jobs, whose team asks for three times its limit.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -106,6 +106,7 @@
 	c.spareTeam = int32(len(c.teams))
 	c.teams = append(c.teams, team{})
 	c.fleet.begin()
+	c.fleet.limited = make([]fleet.Stream, len(c.teams))
 	for _, name := range s.Gone {
 		m := c.machineNamed(name)
 		m.state, m.goneNoted = machineGone, true
@@ -300,10 +301,7 @@
 	if s.Zone != nil {
 		j.zone = c.zones.of(*s.Zone)
 	}
-	var ok bool
-	if j.team, ok = c.teamAt[s.Team]; !ok {
-		j.team = c.spareTeam
-	}
+	j.team = c.teamOf(s.Team)
 	j.total = s.Tasks
 	j.hostAt = map[int32]int{}
 	j.tasks = make([]task, s.Tasks)
@@ -333,6 +331,14 @@
 	return i
 }
 
+// teamOf returns a team's index.
+func (c *Core) teamOf(name string) int32 {
+	if i, ok := c.teamAt[name]; ok {
+		return i
+	}
+	return c.spareTeam
+}
+
 // fillWaiting lists the waiting tasks, the lowest number to go first.
 func (j *job) fillWaiting() {
 	j.waiting = make([]int32, 0, max(0, len(j.tasks)-j.done))
@@ -373,7 +379,7 @@
 	j := c.newJob(s.Ref, s.Record, s.Version)
 	if s.Record.Class != "" {
 		accepted := c.now - time.Duration(c.wall-s.Record.AcceptedMS)*time.Millisecond
-		c.fleet.streams[c.classOf(s.Record.Class)].Arrived(accepted, s.Record.Cores, s.Record.RunS)
+		c.learnArrival(c.classOf(s.Record.Class), c.teamOf(s.Record.Team), accepted, s.Record.Cores, s.Record.RunS)
 	}
 	if j.spec == nil {
 		// It is done; an earlier leader was stopped while it tidied up.
@@ -520,7 +526,7 @@
 		// it has not yet seen gone.
 		rec.Job = j.spec
 	} else {
-		rec.Class, rec.Cores, rec.RunS = j.spec.Class, j.size.CPUs*float64(j.total), c.expectedRun(j).Seconds()
+		rec.Class, rec.Team, rec.Cores, rec.RunS = j.spec.Class, j.spec.Team, j.size.CPUs*float64(j.total), c.expectedRun(j).Seconds()
 	}
 	c.put(ledger.Write{Key: ledger.JobKey(j.ref), Value: rec, Urgent: true, Version: j.version, Tag: fateTag{j.index}})
 }
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -38,6 +38,7 @@
 	listing   bool
 	typing    bool
 	streams   []fleet.Stream // by class
+	limited   []fleet.Stream // by team, only of those with a limit
 	ratios    []float64      // by class, of run times to estimates; 0: not learned yet
 	deletes   []string       // to be asked for at the end of the step
 	sizes     []sized        // of the demand, the one with most core-seconds first
@@ -71,10 +72,18 @@
 func (c *Core) arrived(j *job) {
 	f := &c.fleet
 	cores := j.size.CPUs * float64(j.total)
-	f.streams[j.class].Arrived(j.arrived, cores, c.expectedRun(j).Seconds())
+	c.learnArrival(j.class, j.team, j.arrived, cores, c.expectedRun(j).Seconds())
 	f.addSize(j.size, cores*j.spec.EstimateS, c.aims[j.class].wait > 0)
 }
 
+// learnArrival learns the demand from one job.
+func (c *Core) learnArrival(class, team int32, at time.Duration, cores, seconds float64) {
+	c.fleet.streams[class].Arrived(at, cores, seconds)
+	if c.teams[team].limit.cpus > 0 {
+		c.fleet.limited[team].Arrived(at, cores, seconds)
+	}
+}
+
 // sized is a task size with its share of the recent demand.
 type sized struct {
 	size   slowfit.Size
@@ -172,10 +181,20 @@
 	return false
 }
 
-// warmCores are the cores that the learned demand makes worth keeping.
+// warmCores are the cores that the learned demand makes worth keeping. What a
+// team asks for beyond its limit is none of it.
 func (c *Core) warmCores() float64 {
+	spread := c.cfg.Operator.WarmSpread
 	mean, deviation := fleet.Demand(c.now, c.fleet.streams)
-	return mean + c.cfg.Operator.WarmSpread*deviation
+	variance, capped := deviation*deviation, 0.0
+	for i, t := range c.teams {
+		if t.limit.cpus > 0 {
+			m, d := fleet.Demand(c.now, c.fleet.limited[i:i+1])
+			mean, variance = mean-m, variance-d*d
+			capped += min(m+spread*d, float64(t.limit.cpus)/perUnit)
+		}
+	}
+	return max(mean, 0) + spread*math.Sqrt(max(variance, 0)) + capped
 }
 
 // hireMachines asks for what waiting tasks need and what is to be kept warm.
@@ -247,12 +266,15 @@
 			s.Machines++
 		}
 	}
+	// What a team's limit leaves is shared by all its waiting jobs.
+	used := make([]units, len(c.teams))
+	for i := range used {
+		used[i] = c.teams[i].booked
+	}
 	for _, j := range c.queue() {
 		c.resolveTypes(j)
-		n := len(j.waiting)
-		if t := c.teams[j.team]; t.limit.cpus > 0 || t.limit.gpus > 0 {
-			n = min(n, c.roomInLimit(j))
-		}
+		n := min(len(j.waiting), c.roomInLimit(j, used[j.team]))
+		used[j.team] = used[j.team].plus(unitsOf(j.size).times(n))
 		if j.suspect() {
 			n = min(n, 1)
 		}
@@ -282,16 +304,17 @@
 	return sum
 }
 
-// roomInLimit is how many more tasks of a job its team's limit lets run.
-func (c *Core) roomInLimit(j *job) int {
-	t := c.teams[j.team]
+// roomInLimit is how many more tasks of a job its team's limit lets run while
+// the team uses so much.
+func (c *Core) roomInLimit(j *job, used units) int {
+	limit := c.teams[j.team].limit
 	need := unitsOf(j.size)
 	n := math.MaxInt32
-	if t.limit.cpus > 0 && need.cpus > 0 {
-		n = min(n, int((t.limit.cpus-t.booked.cpus)/need.cpus))
+	if limit.cpus > 0 && need.cpus > 0 {
+		n = min(n, int((limit.cpus-used.cpus)/need.cpus))
 	}
-	if t.limit.gpus > 0 && need.gpus > 0 {
-		n = min(n, int((t.limit.gpus-t.booked.gpus)/need.gpus))
+	if limit.gpus > 0 && need.gpus > 0 {
+		n = min(n, int((limit.gpus-used.gpus)/need.gpus))
 	}
 	return max(n, 0)
 }
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -338,7 +338,7 @@
 // book takes room on a machine. charge is false for a task that is only waited
 // for to be gone.
 func (c *Core) book(m *machine, j *job, n int32, attempt uint64, charge bool) *booking {
-	b := &booking{job: j.index, task: n, attempt: attempt, share: j.size.Share(m.total)}
+	b := &booking{job: j.index, task: n, zone: m.zone, attempt: attempt, share: j.size.Share(m.total)}
 	if charge {
 		j.tasks[n].state = taskBooked
 	} else {
@@ -348,6 +348,7 @@
 		b.share = 0
 	}
 	j.booked++
+	j.zoned(b.zone, 1)
 	c.classUse[j.class] += j.size.CPUs
 	c.teams[j.team].booked = c.teams[j.team].booked.plus(unitsOf(j.size))
 	m.free = m.free.Minus(j.size)
@@ -372,6 +373,7 @@
 	}
 	j := c.jobs[b.job]
 	j.booked--
+	j.zoned(b.zone, -1)
 	c.classUse[j.class] -= j.size.CPUs
 	c.teams[j.team].booked = c.teams[j.team].booked.minus(unitsOf(j.size))
 	if len(m.bookings) == 0 {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -143,27 +143,27 @@
 // placeJob starts what it can of a job's waiting tasks, as long as more, unless
 // nil, allows, and tells how many.
 func (c *Core) placeJob(j *job, uncertain []units, more func(placed int) bool) (placed int) {
-	if len(j.waiting) == 0 {
+	// Most of what waits on a full site, or for its team's limit, has no place:
+	// that must show before anything is looked at machine by machine.
+	if len(j.waiting) == 0 || c.index.Barren(j.size) || !c.withinLimit(j, uncertain) {
 		return 0
 	}
 	c.resolveTypes(j)
-	zones := c.zoneUse(j)
 	only := int32(-1)
 	if j.spec.OneZone {
-		only = c.oneZone(j, zones)
+		only = c.oneZone(j)
 	}
 	for len(j.waiting) > 0 && (more == nil || more(placed)) {
 		if j.suspect() && j.booked > 0 || !c.withinLimit(j, uncertain) {
 			return placed // a suspect job is tried one task at a time
 		}
-		at := c.choose(j, zones, only)
+		at := c.choose(j, only)
 		if at < 0 {
 			return placed
 		}
 		m := c.machines[at]
 		c.startOn(j, m)
 		placed++
-		zones[m.zone]++
 		if only < 0 && j.spec.OneZone {
 			only = m.zone
 		}
@@ -216,28 +216,17 @@
 	return false
 }
 
-// zoneUse counts a job's present tasks by zone.
-func (c *Core) zoneUse(j *job) map[int32]int {
-	use := map[int32]int{}
-	if !j.spec.OneZone && !j.spec.Spread {
-		return use
-	}
-	for _, h := range j.hosts {
-		m := c.machines[h.machine]
-		for _, b := range m.bookings {
-			if b.job == j.index {
-				use[m.zone]++
-			}
+// oneZone chooses the zone for a job that must stay in one: where it is, or
+// else where the most of it fits now. That takes a look at all machines, so it
+// holds for a while.
+func (c *Core) oneZone(j *job) int32 {
+	for z, n := range j.inZone {
+		if n > 0 {
+			return int32(z)
 		}
 	}
-	return use
-}
-
-// oneZone chooses the zone for a job that must stay in one: where it is, or
-// else where the most of it fits now.
-func (c *Core) oneZone(j *job, use map[int32]int) int32 {
-	for z := range use {
-		return z
+	if j.zoneSought > 0 && c.now-j.zoneSought < time.Second {
+		return j.zoneWish
 	}
 	slots := make([]int, len(c.zones.list))
 	best := int32(-1)
@@ -249,9 +238,27 @@
 			}
 		}
 	}
+	j.zoneSought, j.zoneWish = c.now, best
 	return best
 }
 
+// zoned counts a job's tasks by zone as they come and go.
+func (j *job) zoned(zone int32, change int) {
+	if zone < 0 || j.spec == nil || !j.spec.OneZone && !j.spec.Spread {
+		return
+	}
+	for int(zone) >= len(j.inZone) {
+		j.inZone = append(j.inZone, 0)
+	}
+	j.inZone[zone] += change
+}
+
+// crowdedZone tells whether a job that must be spread may have no more tasks in
+// a zone.
+func (j *job) crowdedZone(zone int32) bool {
+	return j.spec.Spread && int(zone) < len(j.inZone) && j.inZone[zone] >= (j.total+1)/2
+}
+
 // resolveTypes maps the type names that a job allows, once types are known.
 func (c *Core) resolveTypes(j *job) {
 	if j.spec.Types == nil || j.types != nil {
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -68,8 +68,8 @@
 // aim on waiting is first offered only machines on which its image would be
 // ready in time, if one of those has room: a slower machine that must fetch
 // the image first would break the aim by that alone.
-func (c *Core) choose(j *job, zones map[int32]int, only int32) int32 {
-	w := c.wish(j, zones, only)
+func (c *Core) choose(j *job, only int32) int32 {
+	w := c.wish(j, only)
 	if j.imageOnly {
 		at := w
 		at.AllowedTag = w.FavouredTag
@@ -104,8 +104,7 @@
 // machines apart: a class with an aim on waiting goes first where its image is,
 // since a fetch counts as waiting; other work goes first to spot machines, so
 // that dearer ones run empty and can go back.
-func (c *Core) wish(j *job, zones map[int32]int, only int32) slowfit.Wish {
-	most := (j.total + 1) / 2
+func (c *Core) wish(j *job, only int32) slowfit.Wish {
 	cheap, image := 2, 1
 	if c.aims[j.class].wait > 0 {
 		cheap, image = 1, 2
@@ -113,7 +112,7 @@
 	w := slowfit.Wish{Task: j.size, Bonus: image, FavouredTag: imageTag(j.image),
 		Pool: func(pool int) (bool, int) {
 			k := c.pools[pool]
-			if !j.allows(k.typ, k.zone, k.spot) || only >= 0 && k.zone != only || j.spec.Spread && zones[k.zone] >= most {
+			if !j.allows(k.typ, k.zone, k.spot) || only >= 0 && k.zone != only || j.crowdedZone(k.zone) {
 				return false, 0
 			}
 			if k.spot {
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -64,7 +64,8 @@
 	// A machine that some waiting task could use is kept, whatever keeps that
 	// task from it now. One that is too small or not allowed for all of them is
 	// not: on a large site there is always something waiting.
-	waiting := c.queue()
+	// Nor is one that only tasks beyond their team's limit would use.
+	waiting := slices.DeleteFunc(c.queue(), func(j *job) bool { return c.roomInLimit(j, c.teams[j.team].booked) == 0 })
 	wanted := func(m *machine) bool {
 		return slices.ContainsFunc(waiting, func(j *job) bool {
 			return j.allows(m.typ, m.zone, m.spot) && j.size.Within(m.total)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -155,6 +155,12 @@
 	done    int
 	booked  int
 
+	// For a job that must stay in one zone or be spread: its tasks by zone, and
+	// which zone was last found best.
+	inZone     []int
+	zoneSought time.Duration
+	zoneWish   int32
+
 	hosts   []host
 	hostAt  map[int32]int
 	unclear map[int32]bool // machines that may run unseen tasks of it
@@ -203,6 +209,7 @@
 // booking is room taken on a machine for one attempt of a task.
 type booking struct {
 	job, task int32
+	zone      int32
 	attempt   uint64
 	state     bookState
 	// answered is the seq of the report whose answer carried the start; 0: a
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -35,6 +35,7 @@
 	Done  int    `json:"done,omitempty"`
 	// What a finished job asked for, from which a new leader learns the demand.
 	Class string  `json:"class,omitempty"`
+	Team  string  `json:"team,omitempty"`
 	Cores float64 `json:"cores,omitempty"`
 	RunS  float64 `json:"run_s,omitempty"`
 }
--- a/internal/slowfit/index.go
+++ b/internal/slowfit/index.go
@@ -22,7 +22,7 @@
 	// jobs wait and hardly any has room: those must not cost a search each time
 	// that some machine gets a little free.
 	barren []Size
-	looks  int // nodes looked at, for tests of what a search costs
+	looks  int
 }
 
 // mostBarren bounds the sizes that are remembered.
@@ -163,8 +163,11 @@
 	x.barren = slices.DeleteFunc(x.barren, func(b Size) bool { return b.Within(free) })
 }
 
-// isBarren tells whether no open machine is known to have room for a task.
-func (x *Index) isBarren(task Size) bool {
+// Looks is how many nodes have been looked at so far.
+func (x *Index) Looks() int { return x.looks }
+
+// Barren tells whether it is known that no open machine has room for a task.
+func (x *Index) Barren(task Size) bool {
 	return slices.ContainsFunc(x.barren, func(b Size) bool { return b.Within(task) })
 }
 
@@ -225,7 +228,7 @@
 // machine has room but none passes the goal, L doubles and load booked before
 // counts as nothing, until one passes.
 func (x *Index) Place(g *Goal, w *Wish) int32 {
-	if x.isBarren(w.Task) {
+	if x.Barren(w.Task) {
 		return -1
 	}
 	if g.L == 0 {
