--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -54,6 +54,7 @@
 	pools     []poolKey // by the index's numbers
 	poolAt    map[poolKey]int32
 	stale     []*machine // to be brought up to date in the index
+	reporting int        // machines that should be
 	openCores float64    // of the machines in the index
 	classUse  []float64  // booked cores, by class
 	holders   []*job     // jobs for which a machine is kept free
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -42,11 +42,15 @@
 	return m.state == machineUp || m.state == machineBooting && len(m.unclear) > 0
 }
 
+// Reporting is how many machines should be reporting.
+func (c *Core) Reporting() int { return c.reporting }
+
 // returnMachines gives back what is broken, lost, or not needed any more.
 func (c *Core) returnMachines() {
 	var cores float64
 	up, silent := make([]int, len(c.zones.list)), make([]int, len(c.zones.list))
 	allUp, allSilent := 0, 0
+	defer func() { c.reporting = allUp }()
 	for _, m := range c.live {
 		if c.counts(m) {
 			cores += m.total.CPUs
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"leadproxy/internal/election"
@@ -38,6 +39,8 @@
 	// lines are the connections to workers: who has put something in may open
 	// one, and takes it out afterwards.
 	lines chan struct{}
+	// machines is how many should be reporting to this leader.
+	machines atomic.Int64
 
 	// The mailboxes, by rank: reports of workers first, then what decisions
 	// need, then users. Each is bounded; who finds one full is turned away.
@@ -61,6 +64,9 @@
 	}
 }
 
+// Machines is how many machines should be reporting to this node as the leader.
+func (d *Desk) Machines() int { return int(d.machines.Load()) }
+
 func (d *Desk) ask(ctx context.Context, box chan ask, event func(reply chan any) any) (any, error) {
 	reply := make(chan any, 1)
 	select {
@@ -215,6 +221,7 @@
 
 	core := NewCore(Config{Term: term, Platform: d.platform, Operator: d.operator}, snapshot, time.Since(d.started), time.Now().UnixMilli(), d.log)
 	d.carryOut(ctx, term, core.TakeStart(), book, cloud)
+	defer d.machines.Store(0)
 	tick := time.NewTicker(250 * time.Millisecond)
 	defer tick.Stop()
 	var pause pause
@@ -247,6 +254,7 @@
 		began := time.Now()
 		effects := core.Settle()
 		pause.after(began, time.Since(began))
+		d.machines.Store(int64(core.Reporting()))
 		d.carryOut(ctx, term, effects, book, cloud)
 	}
 }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -70,13 +70,32 @@
 	// promise not to be it, and by whoever reads promised.
 	turn     chan struct{}
 	promised time.Time
+
+	resign chan uint64
+	// Having resigned, this node lets the others go first until aside, unless
+	// there has been no leader since vacant for a while.
+	aside, vacant time.Time
+}
+
+// The times of giving way after a resignation.
+const (
+	standAside = 20 * time.Second
+	giveWay    = 2 * time.Second
+)
+
+// Resign has this node give up a term of its own, so that another node leads.
+func (e *Elector) Resign(term uint64) {
+	select {
+	case e.resign <- term:
+	default:
+	}
 }
 
 // New makes an elector; Run starts it.
 func New(node string, op settings.Operator, store Store, log *slog.Logger) *Elector {
 	e := &Elector{
 		node: node, boot: rand.Uint64(), ttl: op.LeaderLease, margin: op.LeaseMargin,
-		store: store, log: log, changes: make(chan *View, 1), turn: make(chan struct{}, 1),
+		store: store, log: log, changes: make(chan *View, 1), turn: make(chan struct{}, 1), resign: make(chan uint64, 1),
 		// Our earlier life may have promised just before it ended.
 		promised: time.Now().Add(vouchFor),
 	}
@@ -134,8 +153,13 @@
 	}
 	if len(page.Items) == 0 || page.Items[0].Key != Key {
 		e.publish(&View{})
+		if e.givesWay() {
+			outbound.Pause(ctx, 100*time.Millisecond)
+			return nil
+		}
 		return e.stand(ctx)
 	}
+	e.vacant = time.Time{}
 	entry := page.Items[0]
 	var h holder
 	if err := json.Unmarshal(entry.Value, &h); err != nil {
@@ -157,6 +181,18 @@
 	return err
 }
 
+// givesWay tells whether others are to stand first while nobody leads.
+func (e *Elector) givesWay() bool {
+	now := time.Now()
+	if now.After(e.aside) {
+		return false
+	}
+	if e.vacant.IsZero() {
+		e.vacant = now
+	}
+	return now.Sub(e.vacant) < giveWay
+}
+
 func (e *Elector) stand(ctx context.Context) error {
 	sent := time.Now()
 	lease, err := e.store.NewLease(ctx, e.ttl)
@@ -182,6 +218,24 @@
 	return nil
 }
 
+// resigned waits for a while and tells whether this term is to be given up.
+func (e *Elector) resigned(ctx context.Context, term uint64, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case t := <-e.resign:
+			if t == term {
+				return true
+			}
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // lead renews the lease until it is lost. While renewals fail the published
 // view lapses by itself; if one succeeds again, the term resumes.
 func (e *Elector) lead(ctx context.Context, term, lease uint64, sent time.Time) {
@@ -194,7 +248,15 @@
 		if lapsed || vouching || time.Until(until) < e.ttl/2 {
 			wait = 150 * time.Millisecond
 		}
-		outbound.Pause(ctx, wait)
+		if e.resigned(ctx, term, wait) {
+			// Nothing more is done in this term before its lease is ended.
+			e.publish(&View{})
+			e.aside = time.Now().Add(standAside)
+			if err := e.store.EndLease(ctx, lease); err != nil {
+				e.log.Debug("lease not ended, it will end by itself", "term", term, "error", err)
+			}
+			return
+		}
 		// The others are asked while the renewal is tried once more, since it
 		// may take as long as a promise holds.
 		var vouches chan time.Time
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -370,3 +370,46 @@
 		})
 	}
 }
+
+// TestResignation: a leader that gives its term up does nothing more in it and
+// lets the others go first, but leads again where nobody else does.
+func TestResignation(t *testing.T) {
+	cases := []struct {
+		name  string
+		term  uint64 // that it is asked to give up
+		other bool   // whether another node stands
+		mine  bool   // whether it leads ten seconds later
+		again bool   // whether that is another term than before
+	}{
+		{"another node leads", 1, true, false, false},
+		{"nobody else does", 1, false, true, true},
+		{"a term that is long over", 7, false, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStore()
+				e := start(t, f)
+				pass(5 * time.Second)
+				before := e.View()
+				e.Resign(c.term)
+				pass(time.Second)
+				give := f.take()
+				if resigned := before.Term == c.term; resigned != (f.entry == nil) || resigned == e.InTerm(before.Term) {
+					t.Errorf("entry %v, view %+v a second later", f.entry, e.View())
+				}
+				if c.other && f.entry == nil {
+					f.revision++
+					f.entry = holderOf(t, "n2", 90)
+					f.entry.Version = f.revision
+					f.ends[90] = time.Now().Add(time.Hour)
+				}
+				give()
+				pass(10 * time.Second)
+				if v := e.View(); v.Mine != c.mine || c.mine && (v.Term != before.Term) != c.again {
+					t.Errorf("view %+v, before %+v", v, before)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -43,6 +43,7 @@
 	log     *slog.Logger
 	visits  chan visit
 	seats   seats
+	heard   *tally // reports that have come straight here
 }
 
 // visit asks whether a worker that comes to a node that does not lead is to be
@@ -54,7 +55,7 @@
 }
 
 func newGate(ctx context.Context, node string, e *election.Elector, desk reporter, peers relay, crowded int, log *slog.Logger) *gate {
-	g := &gate{node: node, elector: e, desk: desk, peers: peers, log: log, visits: make(chan visit)}
+	g := &gate{node: node, elector: e, desk: desk, peers: peers, log: log, visits: make(chan visit), heard: newTally()}
 	g.seats.crowded = int64(crowded)
 	go keepVisitors(ctx, g.visits, log)
 	return g
@@ -179,6 +180,7 @@
 		intake.Write(w, g.malformed(err))
 		return
 	}
+	g.heard.add()
 	a := g.answer(req.Context(), report)
 	if leader := g.elector.View().Leader; a.Status == http.StatusMisdirectedRequest && leader != "" && leader != g.node {
 		a = g.relayed(req.Context(), leader, report.Machine, body, a)
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -28,7 +28,7 @@
 // pinger asks other nodes whether they answer.
 type pinger interface {
 	Names() []string
-	Ping(ctx context.Context, node string) error
+	Ping(ctx context.Context, node string, within time.Duration) (reports int, err error)
 }
 
 // OK tells whether the node can serve.
@@ -63,7 +63,8 @@
 	answers := make(chan bool, len(names))
 	for _, n := range names {
 		go func() {
-			answers <- h.peers.Ping(ctx, n) == nil
+			_, err := h.peers.Ping(ctx, n, 0)
+			answers <- err == nil
 		}()
 	}
 	for range names {
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -11,15 +11,18 @@
 )
 
 // fakePeers is one other node that answers or is silent.
-type fakePeers struct{ answers atomic.Bool }
+type fakePeers struct {
+	answers atomic.Bool
+	reports atomic.Int64 // of workers that have come there
+}
 
 func (f *fakePeers) Names() []string { return []string{"n2"} }
 
-func (f *fakePeers) Ping(ctx context.Context, _ string) error {
+func (f *fakePeers) Ping(ctx context.Context, _ string, _ time.Duration) (int, error) {
 	if !f.answers.Load() {
 		<-ctx.Done()
 	}
-	return ctx.Err()
+	return int(f.reports.Load()), ctx.Err()
 }
 
 func TestHealth(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,9 +69,11 @@
 	log.Info("serving", "node", p.Node, "zone", p.Zone, "public", p.Listen, "back", p.Back, "others", len(p.Peers))
 	go elector.Run(ctx)
 	go fit.run(ctx)
+	view := &outlook{elector: elector, heard: gate.heard, up: desk.Machines, report: settings.Seconds(f.Workers.ReportS), peers: others, log: log}
+	go view.run(ctx)
 	go desk.Run(ctx)
 	failed := make(chan error, 2)
-	grpcServer := peers.NewServer(in, gate.relayedHere, elector.Promise)
+	grpcServer := peers.NewServer(in, gate.relayedHere, elector.Promise, gate.heard.last)
 	go func() { failed <- grpcServer.Serve(back) }()
 	web := newServer(router, &gate.seats, settings.Seconds(f.Workers.LeaseS), log)
 	go func() { failed <- web.Serve(netutil.LimitListener(public, share.inbound)) }()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -79,14 +79,18 @@
 	return intake.Answer{Status: int(r.Status), Body: r.Body}, nil
 }
 
-// Ping asks only whether a node answers.
-func (p *Peers) Ping(ctx context.Context, node string) error {
+// Ping asks whether a node answers, and how many reports workers have sent it
+// within a time.
+func (p *Peers) Ping(ctx context.Context, node string, within time.Duration) (reports int, err error) {
 	c, err := p.client(node)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = c.Ping(ctx, &peerpb.PingRequest{})
-	return err
+	r, err := c.Ping(ctx, &peerpb.PingRequest{WithinMs: within.Milliseconds()})
+	if err != nil {
+		return 0, fmt.Errorf("node %s: %w", node, err)
+	}
+	return int(r.Reports), nil
 }
 
 // Vouch asks a node to promise that it won't act as the leader for a while.
@@ -108,10 +112,11 @@
 	intake  *intake.Service
 	reports func(ctx context.Context, body []byte) intake.Answer
 	promise func(ctx context.Context, hold time.Duration) bool
+	heard   func(within time.Duration) int
 }
 
-func (s *server) Ping(context.Context, *peerpb.PingRequest) (*peerpb.PingReply, error) {
-	return &peerpb.PingReply{}, nil
+func (s *server) Ping(_ context.Context, r *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	return &peerpb.PingReply{Reports: int64(s.heard(time.Duration(r.WithinMs) * time.Millisecond))}, nil
 }
 
 func (s *server) Vouch(ctx context.Context, r *peerpb.VouchRequest) (*peerpb.VouchReply, error) {
@@ -129,9 +134,11 @@
 }
 
 // NewServer makes the server for the other controllers. reports answers a
-// worker's report if this node leads; promise is the elector's.
-func NewServer(in *intake.Service, reports func(ctx context.Context, body []byte) intake.Answer, promise func(ctx context.Context, hold time.Duration) bool) *grpc.Server {
+// worker's report if this node leads; promise is the elector's; heard counts the
+// reports that have come straight here.
+func NewServer(in *intake.Service, reports func(ctx context.Context, body []byte) intake.Answer,
+	promise func(ctx context.Context, hold time.Duration) bool, heard func(within time.Duration) int) *grpc.Server {
 	g := grpc.NewServer()
-	peerpb.RegisterPeerServer(g, &server{intake: in, reports: reports, promise: promise})
+	peerpb.RegisterPeerServer(g, &server{intake: in, reports: reports, promise: promise, heard: heard})
 	return g
 }
