A leader notes silent machines and when their leases are over; the next one believes it

The new leader took it that its predecessor had answered those workers to the last, and kept all jobs with tasks there waiting a whole lease more: 13 to 25 s longer than needed.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -21,6 +21,9 @@
 			c.emit(AnswerReport{To: a.to})
 			continue
 		}
+		if c.holdAnswer(a) {
+			continue
+		}
 		answer := &wire.ReportAnswer{Token: m.token, Orders: []wire.Order{}}
 		if a.report != nil && m.asking == i+1 && m.known(c.term) {
 			// What a machine lists before its first echo is not booked yet, and
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -57,7 +57,11 @@
 	reporting int        // machines that should be
 	openCores float64    // of the machines in the index
 	classUse  []float64  // booked cores, by class
-	holders   []*job     // jobs for which a machine is kept free
+	notes     map[string]*note
+	noteCount int
+	nextNotes time.Duration
+	held      []openAnswer // to machines that are noted as silent
+	holders   []*job       // jobs for which a machine is kept free
 	toHail    []*machine
 	hailing   int
 	attempts  uint64
@@ -98,7 +102,7 @@
 		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
 		typeAt: map[string]int32{}, teamAt: map[string]int32{},
 		goal:  slowfit.Goal{C: cfg.Operator.SlowFitC},
-		calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
+		calls: map[uint64]*directCall{}, notes: map[string]*note{}, poolAt: map[poolKey]int32{},
 	}
 	for _, t := range cfg.Platform.Facts.Teams {
 		c.teamAt[t.Name] = int32(len(c.teams))
@@ -118,6 +122,7 @@
 	for _, h := range s.Hires {
 		c.restoreHire(h)
 	}
+	c.restoreNotes(s.Silent)
 	c.flush()
 	return c
 }
@@ -203,6 +208,8 @@
 		}
 	}
 	c.sweep()
+	c.noteSilence()
+	c.dropNotes()
 	c.fleetTick()
 	c.lowerGoal()
 }
@@ -258,7 +265,7 @@
 	c.active = keep
 	live := c.live[:0]
 	for _, m := range c.live {
-		if m.state != machineGone || m.goneNoted && c.hostOfAny(m) {
+		if m.state != machineGone || m.goneNoted && m.hostOf > 0 {
 			live = append(live, m)
 		} else if m.goneNoted {
 			m.goneNoted = false
@@ -269,16 +276,6 @@
 	c.live = live
 }
 
-// hostOfAny tells whether an unfinished job names the machine as a host.
-func (c *Core) hostOfAny(m *machine) bool {
-	for _, j := range c.active {
-		if _, ok := j.hostAt[m.index]; ok && !j.settled {
-			return true
-		}
-	}
-	return false
-}
-
 // --- jobs ---
 
 func (c *Core) newJob(ref string, rec ledger.JobRecord, version uint64) *job {
@@ -424,6 +421,7 @@
 		}
 		j.hostAt[m.index] = len(j.hosts)
 		j.hosts = append(j.hosts, host{machine: m.index, durable: true})
+		m.hostOf++
 		if m.state == machineGone {
 			continue
 		}
@@ -571,6 +569,9 @@
 		}
 	}
 	c.dropKeys(j.ref, len(j.hosts), chunks)
+	for _, h := range j.hosts {
+		c.machines[h.machine].hostOf--
+	}
 	j.tasks, j.hosts, j.hostAt, j.failedOn = nil, nil, nil, nil
 }
 
@@ -661,5 +662,7 @@
 		c.fateIsDurable(c.jobs[t.job])
 	case hireTag:
 		c.hireDurable(t.name)
+	case noteTag:
+		c.noteGone(t.key)
 	}
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -28,6 +28,7 @@
 	pending []any
 	hires   []wire.Hire
 	deleted []string
+	writes  map[string]ledger.Write // the last by key
 }
 
 const testTerm = 7
@@ -38,7 +39,7 @@
 	}
 	p := &settings.Platform{Facts: settings.Facts{Nodes: 3, Teams: teams,
 		Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}}}
-	g := &stage{t: t, seq: map[string]uint64{}}
+	g := &stage{t: t, seq: map[string]uint64{}, writes: map[string]ledger.Write{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	g.c = NewCore(Config{Term: testTerm, Platform: p, Operator: settings.Defaults()}, s, 0, 0, log)
 	g.take(g.c.TakeStart())
@@ -58,6 +59,7 @@
 		switch e := e.(type) {
 		case Put:
 			for _, w := range e.Writes {
+				g.writes[w.Key] = w
 				if w.Tag != nil {
 					tags = append(tags, w.Tag)
 				}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -57,6 +57,7 @@
 		c.emit(AnswerReport{To: e.To})
 		return
 	}
+	c.lives(m)
 	a := openAnswer{to: e.To, machine: m}
 	if c.observe(m, r, true) {
 		a.report = r
@@ -94,6 +95,7 @@
 	}
 	c.describe(m, r.Type, r.Zone, r.Spot, r.Address)
 	m.heard = c.now
+	c.lives(m)
 	if r.Session != m.session {
 		if m.session != 0 {
 			c.log.Info("worker began a new session", "machine", m.name, "session", r.Session, "bookings", len(m.bookings))
@@ -428,7 +430,7 @@
 	c.clearMachine(m, why)
 	c.index.Leave(m.index)
 	c.hireSeen(m)
-	if c.hostOfAny(m) {
+	if m.hostOf > 0 {
 		m.goneNoted = true
 		c.put(ledger.Write{Key: ledger.GoneKey(m.name), Value: true})
 	}
@@ -440,7 +442,7 @@
 
 // checkMachine does what time alone does to a machine.
 func (c *Core) checkMachine(m *machine) {
-	if m.state == machineGone || c.now < m.leaseOver || c.now < m.answered+c.leaseTime {
+	if m.state == machineGone || c.now < m.leaseOver || m.answered > 0 && c.now < m.answered+c.leaseTime {
 		return
 	}
 	// Its worker has had no answer for a whole lease: whatever it ran is over.
@@ -501,6 +503,7 @@
 	n := len(j.hosts)
 	j.hostAt[m.index] = n
 	j.hosts = append(j.hosts, host{machine: m.index})
+	m.hostOf++
 	all := make([]string, len(j.hosts))
 	for i, h := range j.hosts {
 		all[i] = c.machines[h.machine].name
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// clocks reads the steady time and the time of day at one moment. Leases are
+// reckoned from the one to the other: a process that stood still between two
+// readings would find them over too soon.
+func (d *Desk) clocks() (now time.Duration, wall int64) {
+	t := time.Now()
+	return t.Sub(d.started), t.UnixMilli()
+}
+
 // Machines is how many machines should be reporting to this node as the leader.
 func (d *Desk) Machines() int { return int(d.machines.Load()) }
 
@@ -219,7 +227,8 @@
 	go cloud.Run(ctx)
 	go d.watchJobs(ctx, snapshot.Revision)
 
-	core := NewCore(Config{Term: term, Platform: d.platform, Operator: d.operator}, snapshot, time.Since(d.started), time.Now().UnixMilli(), d.log)
+	now, wall := d.clocks()
+	core := NewCore(Config{Term: term, Platform: d.platform, Operator: d.operator}, snapshot, now, wall, d.log)
 	d.carryOut(ctx, term, core.TakeStart(), book, cloud)
 	defer d.machines.Store(0)
 	tick := time.NewTicker(250 * time.Millisecond)
@@ -239,7 +248,8 @@
 			if _, tick := event.(Tick); !tick || d.elector.InTerm(term) {
 				// Suspended, another leader may have begun. What time alone would
 				// bring, such as giving up silent machines, is not ours to do then.
-				core.Step(event, time.Since(d.started), time.Now().UnixMilli())
+				now, wall := d.clocks()
+				core.Step(event, now, wall)
 			}
 			if n == mostAtOnce {
 				break
--- /dev/null
+++ b/internal/dispatch/silence.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+)
+
+// A new leader must take it that its predecessor has answered every worker up
+// to the end of its term, and waits a whole lease for those it can't hear. When
+// a zone is cut off and then the leader ends, that leaves all jobs with tasks in
+// that zone waiting again from the start. So a leader notes durably which
+// machines are silent and when their leases must be over. From then on it does
+// not answer such a machine until the note is withdrawn, as durably.
+
+// note is one key of silent machines.
+type note struct {
+	key       string
+	machines  []*machine
+	withdrawn bool
+}
+
+// noteEvery is how often silent machines are looked for.
+const noteEvery = 2 * time.Second
+
+// noteSilence notes the machines that have fallen silent and that some job's
+// tasks may be on.
+func (c *Core) noteSilence() {
+	if c.now < c.nextNotes {
+		return
+	}
+	c.nextNotes = c.now + noteEvery
+	var silent []*machine
+	for _, m := range c.live {
+		if m.note == nil && m.hostOf > 0 && m.state != machineGone && c.now-max(m.heard, c.began, c.awake) > c.silentAfter() {
+			silent = append(silent, m)
+		}
+	}
+	for len(silent) > 0 {
+		n := min(len(silent), ledger.ChunkHosts)
+		c.writeNote(silent[:n])
+		silent = silent[n:]
+	}
+}
+
+func (c *Core) writeNote(machines []*machine) {
+	c.noteCount++
+	n := &note{key: ledger.SilentKey(fmt.Sprintf("%d-%d", c.term, c.noteCount)), machines: machines}
+	c.notes[n.key] = n
+	record := ledger.SilentRecord{}
+	over := c.began
+	for _, m := range machines {
+		m.note = n
+		c.touch(m)
+		over = max(over, m.leaseOver)
+		record.Machines = append(record.Machines, m.name)
+	}
+	record.OverMS = c.wall + int64((over-c.now)/time.Millisecond) + 1
+	c.log.Info("noting silent machines", "machines", len(machines), "leases_over_in", (over - c.now).Seconds())
+	c.put(ledger.Write{Key: n.key, Value: record})
+}
+
+// restoreNotes takes over what earlier leaders have noted.
+func (c *Core) restoreNotes(records map[string]ledger.SilentRecord) {
+	// Both leaders' time of day may be off, in opposite directions.
+	margin := time.Duration(2 * c.cfg.Platform.Facts.ClockErrorMS * float64(time.Millisecond))
+	for key, r := range records {
+		n := &note{key: key}
+		c.notes[key] = n
+		over := c.now + settings.Stretch(time.Duration(r.OverMS-c.wall)*time.Millisecond) + margin
+		for _, name := range r.Machines {
+			m := c.machineNamed(name)
+			m.note = n
+			m.leaseOver = min(m.leaseOver, over)
+			n.machines = append(n.machines, m)
+		}
+	}
+}
+
+// lives notes a sign of life: what was noted of the machine, and of those noted
+// with it, is withdrawn.
+func (c *Core) lives(m *machine) {
+	if m.note != nil && !m.note.withdrawn {
+		m.note.withdrawn = true
+		c.put(ledger.Write{Key: m.note.key, Urgent: true, Tag: noteTag{m.note.key}})
+	}
+}
+
+// noteGone is told that a note is withdrawn durably: its machines may be
+// answered again.
+func (c *Core) noteGone(key string) {
+	n := c.notes[key]
+	if n == nil {
+		return
+	}
+	delete(c.notes, key)
+	for _, m := range n.machines {
+		if m.note == n {
+			m.note = nil
+			c.touch(m)
+		}
+	}
+	c.dirty = true
+	held := c.held
+	c.held = nil
+	for _, a := range held {
+		if a.report != nil {
+			a.machine.asking = len(c.answers) + 1
+		}
+		c.answers = append(c.answers, a)
+	}
+}
+
+// dropNotes withdraws the notes that are of no use any more.
+func (c *Core) dropNotes() {
+	for _, n := range c.notes {
+		used := false
+		for _, m := range n.machines {
+			used = used || m.state != machineGone && m.hostOf > 0
+		}
+		if !used && !n.withdrawn {
+			n.withdrawn = true
+			c.put(ledger.Write{Key: n.key, Tag: noteTag{n.key}})
+		}
+	}
+}
+
+// holdAnswer keeps the answer to a machine that is noted as silent until that is
+// withdrawn.
+func (c *Core) holdAnswer(a openAnswer) bool {
+	if a.machine.note == nil {
+		return false
+	}
+	a.machine.asking = 0
+	c.held = append(c.held, a)
+	return true
+}
--- /dev/null
+++ b/internal/dispatch/silence_test.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/wire"
+)
+
+// noted returns the record of silent machines that was last written, and its
+// key.
+func (g *stage) noted() (string, *ledger.SilentRecord) {
+	for key, w := range g.writes {
+		if r, ok := w.Value.(ledger.SilentRecord); ok && strings.HasPrefix(key, ledger.SilentKey("")) {
+			return key, &r
+		}
+	}
+	return "", nil
+}
+
+// answers counts the reports that were answered with a 200.
+func (g *stage) answers() (n int) {
+	for _, e := range g.out {
+		if a, ok := e.(AnswerReport); ok && a.Answer != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// TestASilentMachineIsNotedAndNotAnsweredBeforeThatIsWithdrawn: a later leader
+// takes the note's word that the lease is not renewed.
+func TestASilentMachineIsNotedAndNotAnsweredBeforeThatIsWithdrawn(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	heard := g.now
+	g.submit(newTestJob("job-1", 1, 1))
+	o := g.starts()[0]
+	g.settle(DirectDone)
+	g.wait(5 * time.Second)
+	if _, r := g.noted(); r != nil {
+		t.Errorf("noted after 5 s: %+v", r)
+	}
+	g.wait(6 * time.Second)
+	key, r := g.noted()
+	if r == nil {
+		t.Fatal("not noted after 11 s")
+	}
+	if over := time.Duration(r.OverMS) * time.Millisecond; over < heard+30*time.Second || over > heard+31*time.Second || len(r.Machines) != 1 {
+		t.Errorf("noted %+v", r)
+	}
+	g.held, g.out = true, nil
+	report := func() {
+		r := g.reportOf("vm-1", g.c.machineNamed("vm-1").token, taskIn(o, wire.TaskRunning, ""))
+		g.step(ReportIn{Report: r, To: "w"})
+	}
+	report()
+	g.want("answered before the note is withdrawn", g.answers(), 0)
+	g.want("withdrawn", g.writes[key].Value == nil && g.writes[key].Urgent, true)
+	report()
+	g.release()
+	g.want("answered afterwards", g.answers(), 2)
+	g.out = nil
+	report()
+	g.want("answered from then on", g.answers(), 1)
+	g.want("its task goes on", g.jobStatus("job-1"), wire.Running)
+}
+
+// TestANewLeaderBelievesTheNotes: what an earlier leader started on a machine
+// that was silent is over when the note says, not a lease after the takeover.
+func TestANewLeaderBelievesTheNotes(t *testing.T) {
+	key := ledger.SilentKey("6-1")
+	saved := func(over time.Duration, machines ...string) ledger.Snapshot {
+		s := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}}
+		if machines != nil {
+			s.Silent = map[string]ledger.SilentRecord{key: {OverMS: over.Milliseconds(), Machines: machines}}
+		}
+		return s
+	}
+	cases := []struct {
+		name         string
+		saved        ledger.Snapshot
+		after, until time.Duration // when the task is started anew
+	}{
+		{"no note", saved(0), 30 * time.Second, 32 * time.Second},
+		{"over in five seconds", saved(5*time.Second, "vm-1"), 5 * time.Second, 6 * time.Second},
+		{"over long ago", saved(-time.Minute, "vm-1"), 0, time.Second},
+		{"later than this leader can know itself", saved(time.Hour, "vm-1"), 30 * time.Second, 32 * time.Second},
+		{"of another machine", saved(0, "vm-3"), 30 * time.Second, 32 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, c.saved)
+			g.up("vm-2")
+			for len(g.starts()) == 0 && g.now < time.Minute {
+				g.wait(250 * time.Millisecond)
+				g.echo("vm-2")
+			}
+			if g.now < c.after || g.now > c.until {
+				t.Errorf("started after %s", g.now)
+			}
+		})
+	}
+	t.Run("the machine is back before", func(t *testing.T) {
+		g := newStage(t, saved(5*time.Second, "vm-1"))
+		g.up("vm-2")
+		g.held, g.out = true, nil
+		old := wire.TaskReport{Task: "job-1/0", Attempt: 6<<tokenBits | 1, Status: wire.TaskRunning}
+		g.step(ReportIn{Report: g.reportOf("vm-1", 6<<tokenBits, old), To: "w"})
+		g.want("answered before the note is withdrawn", g.answers(), 0)
+		g.release()
+		g.want("answered afterwards", g.answers(), 1)
+		g.echo("vm-1", old)
+		g.wait(6 * time.Second)
+		g.want("its task goes on", g.jobStatus("job-1"), wire.Running)
+		g.want("and is not started again", len(g.starts()), 0)
+	})
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -266,6 +266,8 @@
 	listed       bool
 	missing      int  // lists in a row that lack it though it was listed before
 	goneNoted    bool // the ledger says that it is gone
+	hostOf       int  // jobs that name it as a host
+	note         *note
 
 	pool   int32   // in the index; -1: none yet
 	isOpen bool    // as the index has it
@@ -392,4 +394,5 @@
 	}
 	fateTag struct{ job int32 }
 	hireTag struct{ name string }
+	noteTag struct{ key string }
 )
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -91,7 +91,7 @@
 func (l *Ledger) Load(ctx context.Context) (Snapshot, error) {
 	var entries []wire.Entry
 	var revision uint64
-	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix} {
+	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix, silentPrefix} {
 		after := ""
 		for {
 			page, err := l.store.List(ctx, state.Leader, prefix, after, 1000)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -16,11 +16,12 @@
 
 // The prefixes of the keys.
 const (
-	JobPrefix  = "job/"
-	finPrefix  = "fin/"
-	hostPrefix = "host/"
-	hirePrefix = "hire/"
-	gonePrefix = "gone/"
+	JobPrefix    = "job/"
+	finPrefix    = "fin/"
+	hostPrefix   = "host/"
+	hirePrefix   = "hire/"
+	gonePrefix   = "gone/"
+	silentPrefix = "silent/"
 )
 
 // JobRecord is a job as accepted, with its terminal state once it has one.
@@ -62,6 +63,17 @@
 // the machine as a host.
 func GoneKey(machine string) string { return gonePrefix + machine }
 
+// SilentRecord tells of machines that a leader does not hear, and when, by the
+// time of day, their workers' leases are over: it has not answered them since,
+// and does not before this record is deleted.
+type SilentRecord struct {
+	OverMS   int64    `json:"over_ms"`
+	Machines []string `json:"machines"`
+}
+
+// SilentKey is the key of one such record.
+func SilentKey(name string) string { return silentPrefix + name }
+
 // FinKey is the key of one chunk of a job's finished tasks.
 func FinKey(ref string, chunk int) string { return fmt.Sprintf("%s%s/%d", finPrefix, ref, chunk) }
 
@@ -93,24 +105,24 @@
 	}
 }
 
-// chunkHosts is how many machine names one host key holds.
-const chunkHosts = 200
+// ChunkHosts is how many machine names one key holds.
+const ChunkHosts = 200
 
 // HostKey is the key that holds the n-th machine a job's tasks may be on.
 func HostKey(ref string, n int) string {
-	return fmt.Sprintf("%s%s/%d", hostPrefix, ref, n/chunkHosts)
+	return fmt.Sprintf("%s%s/%d", hostPrefix, ref, n/ChunkHosts)
 }
 
 // HostChunk returns the names that share the key of the n-th one.
 func HostChunk(hosts []string, n int) []string {
-	from := n / chunkHosts * chunkHosts
-	return hosts[from:min(from+chunkHosts, len(hosts))]
+	from := n / ChunkHosts * ChunkHosts
+	return hosts[from:min(from+ChunkHosts, len(hosts))]
 }
 
 // HostKeys are all keys that a job's hosts take.
 func HostKeys(ref string, hosts int) []string {
 	var out []string
-	for n := 0; n < hosts; n += chunkHosts {
+	for n := 0; n < hosts; n += ChunkHosts {
 		out = append(out, HostKey(ref, n))
 	}
 	return out
@@ -130,13 +142,15 @@
 	Jobs  []SavedJob
 	Hires []HireRecord
 	Gone  []string
+	// Silent is by the records' keys.
+	Silent map[string]SilentRecord
 	// Revision is where a watch for further job records starts.
 	Revision uint64
 }
 
 // collect turns entries of the ledger's prefixes into a snapshot.
 func collect(entries []wire.Entry) (Snapshot, error) {
-	var s Snapshot
+	s := Snapshot{Silent: map[string]SilentRecord{}}
 	jobs := map[string]*SavedJob{}
 	hosts := map[string]map[int][]string{}
 	job := func(ref string) *SavedJob {
@@ -169,6 +183,11 @@
 			}
 		case strings.HasPrefix(e.Key, gonePrefix):
 			s.Gone = append(s.Gone, strings.TrimPrefix(e.Key, gonePrefix))
+		case strings.HasPrefix(e.Key, silentPrefix):
+			var r SilentRecord
+			if err = json.Unmarshal(e.Value, &r); err == nil {
+				s.Silent[e.Key] = r
+			}
 		case strings.HasPrefix(e.Key, hirePrefix):
 			var h HireRecord
 			if err = json.Unmarshal(e.Value, &h); err == nil {
