--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -64,6 +64,7 @@
 	holders   []*job       // jobs for which a machine is kept free
 	toHail    []*machine
 	hailing   int
+	inspects  int // workers that are being asked what they are
 	attempts  uint64
 	looks     uint64       // reports looked at
 	answers   []openAnswer // of this step
--- a/internal/dispatch/echo.go
+++ b/internal/dispatch/echo.go
@@ -24,16 +24,23 @@
 	}
 }
 
-// inspectEvery is how often a worker whose reports look old is asked at most.
-const inspectEvery = 2 * time.Second
+// inspectEvery is how often a worker whose reports look old is asked at first;
+// each late copy doubles that, up to a lease. maxInspects bounds how many are
+// asked at once: copies may come from all machines for minutes.
+const (
+	inspectEvery = 2 * time.Second
+	maxInspects  = 32
+)
 
 // staleReport looks into a report that is older than what we know: mostly a
 // late copy, but a worker that has truly begun anew counts from 1 again, and
 // must not be taken for a copy for ever.
 func (c *Core) staleReport(m *machine, r *wire.Report) {
-	if r.Address == "" || m.inspecting || c.now-m.inspected < inspectEvery && m.inspected > 0 {
+	wait := min(inspectEvery<<min(m.copies, 8), c.leaseTime)
+	if r.Address == "" || m.inspecting || c.inspects >= maxInspects || c.now-m.inspected < wait && m.inspected > 0 {
 		return
 	}
+	c.inspects++
 	m.inspecting, m.inspected = true, c.now
 	m.askedAt = stamp{m.session, m.seq}
 	c.emit(Inspect{Machine: m.name, Address: r.Address})
@@ -44,11 +51,15 @@
 func (c *Core) inspectBack(e InspectBack) {
 	m := c.machineNamed(e.Machine)
 	m.inspecting = false
+	c.inspects--
 	r := e.Report
 	if r == nil || r.Machine != m.name || m.state == machineGone || r.Token>>tokenBits > c.term {
 		return
 	}
-	if (stamp{r.Session, r.Seq}).before(m.askedAt) {
+	if anew := (stamp{r.Session, r.Seq}).before(m.askedAt); !anew {
+		m.copies++
+	} else {
+		m.copies = 0
 		c.log.Info("worker counts from the beginning again", "machine", m.name, "session", r.Session, "bookings", len(m.bookings))
 		there := map[uint64]bool{}
 		for _, t := range r.Tasks {
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -405,3 +405,49 @@
 		})
 	}
 }
+
+// TestLateCopiesCostLittle: copies of old reports may come for minutes and from
+// all machines; asking each worker about each of them would be as many commands.
+func TestLateCopiesCostLittle(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	asked := func() (names []string) {
+		for _, e := range g.out {
+			if i, ok := e.(Inspect); ok {
+				names = append(names, i.Machine)
+			}
+		}
+		g.out = nil
+		return names
+	}
+	const machines = 100
+	name := func(i int) string { return fmt.Sprintf("vm-%d", i) }
+	copies := map[string]*wire.Report{}
+	for i := range machines {
+		copies[name(i)] = g.reportOf(name(i), 0)
+		g.up(name(i))
+		g.up(name(i))
+	}
+	g.out = nil
+	for i := range machines {
+		g.step(ReportIn{Report: copies[name(i)], To: "w"})
+	}
+	at := asked()
+	g.want("asked at once", len(at), maxInspects)
+	for _, n := range at {
+		g.step(InspectBack{Machine: n, Report: g.reportOf(n, ours)})
+	}
+	count := 0
+	for range 60 {
+		g.wait(time.Second)
+		g.echo("vm-0")
+		g.out = nil
+		g.step(ReportIn{Report: copies["vm-0"], To: "w"})
+		for _, n := range asked() {
+			count++
+			g.step(InspectBack{Machine: n, Report: g.reportOf(n, ours)})
+		}
+	}
+	if count < 1 || count > 5 {
+		t.Errorf("asked %d times in a minute of late copies", count)
+	}
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -261,6 +261,7 @@
 	over         uint64        // sessions up to this one have certainly ended
 	inspected    time.Duration // when it was last asked what it is
 	inspecting   bool
+	copies       int           // late copies in a row that were found out by asking
 	askedAt      stamp         // what we had from it then
 	leaseOver    time.Duration // when an unseen task on it must be over
 	listed       bool
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -60,6 +60,14 @@
 
 // ReadBody reads a request's body up to the protocol's limit.
 func ReadBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
+	if n := req.ContentLength; n > 0 && n <= wire.MaxBody {
+		// The usual case, many hundred times a second: read into what it takes.
+		body := make([]byte, n)
+		if _, err := io.ReadFull(req.Body, body); err != nil {
+			return nil, errors.New("the body could not be read")
+		}
+		return body, nil
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, wire.MaxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
