A new session has a lease of its own, though none of its reports was answered

A worker whose lease had ended went on in the next session; the new leader spoke to it directly, started tasks there, and took them for over when the lease of the session before was. Ruled out: notes withdrawn too late, the clocks. A table fails without it.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -106,6 +106,10 @@
 		// A start sent to the earlier session can't be executed any more.
 		clear(m.pending)
 		m.session = r.Session
+		// A session begins with a lease of its own, though nobody has answered
+		// it, and this one may have begun just now: what was known of the lease
+		// was the session's before.
+		m.leaseOver = max(m.leaseOver, c.now+c.leaseTime)
 	}
 	m.seq = r.Seq
 	c.touch(m)
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -118,3 +118,47 @@
 		g.want("and is not started again", len(g.starts()), 0)
 	})
 }
+
+// TestANewSessionHasALeaseOfItsOwn: a worker whose lease has ended goes on in
+// the next session for a whole lease, even if no report of it is answered. What
+// a direct command started there was taken for over when the lease of the
+// session before was, and started again elsewhere.
+func TestANewSessionHasALeaseOfItsOwn(t *testing.T) {
+	cases := []struct {
+		name  string
+		saved ledger.Snapshot
+		heard time.Duration // when it first answers a direct command
+	}{
+		{"its silence was noted", ledger.Snapshot{Silent: map[string]ledger.SilentRecord{ledger.SilentKey("6-1"): {OverMS: 3000, Machines: []string{"vm-1"}}}}, time.Second},
+		{"it is heard late", ledger.Snapshot{}, 25 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, c.saved)
+			g.wait(c.heard)
+			m := g.c.machineNamed("vm-1")
+			m.address = "10.1.0.1:9000"
+			g.c.send(&directCall{machine: m, session: 2, token: m.token}, []wire.Order{})
+			g.take(g.c.Settle())
+			hail := g.start[len(g.start)-1]
+			g.start = nil
+			r := g.reportOf("vm-1", ours)
+			r.Session = 2
+			g.step(DirectBack{Call: hail.Call, Outcome: DirectDone, Report: r})
+			g.submit(newTestJob("job-1", 1, 1))
+			g.want("started there", len(g.starts()), 1)
+			g.settle(DirectDone)
+			heard := g.now
+			for g.now < heard+28*time.Second {
+				g.wait(time.Second)
+				g.echo("vm-2")
+			}
+			g.want("started again within its lease", len(g.starts()), 0)
+			for g.now < heard+33*time.Second {
+				g.wait(time.Second)
+				g.echo("vm-2")
+			}
+			g.want("started again after it", len(g.starts()), 1)
+		})
+	}
+}
