Silent machines are not noted while nothing can be written

Cause, from reading: a note written just before or queued in an outage of the state service can't be withdrawn in it, so a vouched leader could not answer a machine that is back. A table fails without it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -60,19 +60,23 @@
 	notes     map[string]*note
 	noteCount int
 	nextNotes time.Duration
-	held      []openAnswer // to machines that are noted as silent
-	holders   []*job       // jobs for which a machine is kept free
-	toHail    []*machine
-	hailing   int
-	inspects  int // workers that are being asked what they are
-	attempts  uint64
-	looks     uint64       // reports looked at
-	answers   []openAnswer // of this step
-	outboxes  []*machine   // with orders of this step
-	calls     map[uint64]*directCall
-	callID    uint64
-	dirty     bool
-	fleet     fleetState
+	// How many tags of writes are not durable yet, and since when none has
+	// become so.
+	wantDurable int
+	durableAt   time.Duration
+	held        []openAnswer // to machines that are noted as silent
+	holders     []*job       // jobs for which a machine is kept free
+	toHail      []*machine
+	hailing     int
+	inspects    int // workers that are being asked what they are
+	attempts    uint64
+	looks       uint64       // reports looked at
+	answers     []openAnswer // of this step
+	outboxes    []*machine   // with orders of this step
+	calls       map[uint64]*directCall
+	callID      uint64
+	dirty       bool
+	fleet       fleetState
 
 	out []any
 }
@@ -146,6 +150,7 @@
 	case StatusAsked:
 		c.statusAsked(e)
 	case NowDurable:
+		c.wantDurable, c.durableAt = c.wantDurable-len(e.Tags), c.now
 		for _, tag := range e.Tags {
 			c.durable(tag)
 		}
@@ -181,7 +186,15 @@
 
 func (c *Core) emit(effect any) { c.out = append(c.out, effect) }
 
-func (c *Core) put(w ledger.Write) { c.emit(Put{Writes: []ledger.Write{w}}) }
+func (c *Core) put(w ledger.Write) {
+	if w.Tag != nil {
+		if c.wantDurable == 0 {
+			c.durableAt = c.now
+		}
+		c.wantDurable++
+	}
+	c.emit(Put{Writes: []ledger.Write{w}})
+}
 
 // longestTick is how far apart two ticks can be while we are well.
 const longestTick = 2 * time.Second
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -28,7 +28,9 @@
 // noteSilence notes the machines that have fallen silent and that some job's
 // tasks may be on.
 func (c *Core) noteSilence() {
-	if c.now < c.nextNotes {
+	// In an outage a note could not be withdrawn, and a machine that is back
+	// would lose its lease for want of an answer.
+	if c.now < c.nextNotes || c.wantDurable > 0 && c.now-c.durableAt > noteEvery {
 		return
 	}
 	c.nextNotes = c.now + noteEvery
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -162,3 +162,23 @@
 		})
 	}
 }
+
+// TestNothingIsNotedWhileNothingCanBeWritten: the note could not be withdrawn
+// for a machine that is back before the state service is.
+func TestNothingIsNotedWhileNothingCanBeWritten(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	g.settle(DirectDone)
+	g.held = true
+	g.submit(newTestJob("job-2", 1, 4)) // hires, which waits for the ledger
+	g.wait(12 * time.Second)
+	if _, r := g.noted(); r != nil {
+		t.Errorf("noted in an outage: %+v", r)
+	}
+	g.release()
+	g.wait(4 * time.Second)
+	if _, r := g.noted(); r == nil {
+		t.Error("not noted after the outage")
+	}
+}
