A note on silent machines is emptied, not deleted; its key is used again

Cause, from reading: a note's first write of unknown outcome, carried out after the note was deleted again, finds its key missing as it was before and brings the note back; a later leader would take a worker that is answered for silent.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -57,7 +57,8 @@
 	reporting int        // machines that should be
 	openCores float64    // of the machines in the index
 	classUse  []float64  // booked cores, by class
-	notes     map[string]*note
+	notes     []*note
+	freeNotes []string // keys that hold no note any more
 	noteCount int
 	nextNotes time.Duration
 	// How many tags of writes are not durable yet, and since when none has
@@ -107,7 +108,7 @@
 		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
 		typeAt: map[string]int32{}, teamAt: map[string]int32{},
 		goal:  slowfit.Goal{C: cfg.Operator.SlowFitC},
-		calls: map[uint64]*directCall{}, notes: map[string]*note{}, poolAt: map[poolKey]int32{},
+		calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
 	}
 	for _, t := range cfg.Platform.Facts.Teams {
 		c.teamAt[t.Name] = int32(len(c.teams))
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"leadproxy/internal/ledger"
@@ -48,9 +50,8 @@
 }
 
 func (c *Core) writeNote(machines []*machine) {
-	c.noteCount++
-	n := &note{key: ledger.SilentKey(fmt.Sprintf("%d-%d", c.term, c.noteCount)), machines: machines}
-	c.notes[n.key] = n
+	n := &note{key: c.noteKey(), machines: machines}
+	c.notes = append(c.notes, n)
 	record := ledger.SilentRecord{}
 	over := c.began
 	for _, m := range machines {
@@ -64,13 +65,31 @@
 	c.put(ledger.Write{Key: n.key, Value: record})
 }
 
+// noteKey returns a key for a note, one that is free if there is. Keys are never
+// deleted: a write of unknown outcome may yet be carried out, and where its key
+// is missing, as it was before, it would bring back a note that is withdrawn.
+func (c *Core) noteKey() string {
+	if n := len(c.freeNotes); n > 0 {
+		key := c.freeNotes[n-1]
+		c.freeNotes = c.freeNotes[:n-1]
+		return key
+	}
+	c.noteCount++
+	return ledger.SilentKey(fmt.Sprintf("%d-%d", c.term, c.noteCount))
+}
+
 // restoreNotes takes over what earlier leaders have noted.
 func (c *Core) restoreNotes(records map[string]ledger.SilentRecord) {
 	// Both leaders' time of day may be off, in opposite directions.
 	margin := time.Duration(2 * c.cfg.Platform.Facts.ClockErrorMS * float64(time.Millisecond))
-	for key, r := range records {
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		r := records[key]
+		if len(r.Machines) == 0 {
+			c.freeNotes = append(c.freeNotes, key)
+			continue
+		}
 		n := &note{key: key}
-		c.notes[key] = n
+		c.notes = append(c.notes, n)
 		over := c.now + settings.Stretch(time.Duration(r.OverMS-c.wall)*time.Millisecond) + margin
 		for _, name := range r.Machines {
 			m := c.machineNamed(name)
@@ -84,20 +103,28 @@
 // lives notes a sign of life: what was noted of the machine, and of those noted
 // with it, is withdrawn.
 func (c *Core) lives(m *machine) {
-	if m.note != nil && !m.note.withdrawn {
-		m.note.withdrawn = true
-		c.put(ledger.Write{Key: m.note.key, Urgent: true, Tag: noteTag{m.note.key}})
+	if m.note != nil {
+		c.withdraw(m.note)
+	}
+}
+
+func (c *Core) withdraw(n *note) {
+	if !n.withdrawn {
+		n.withdrawn = true
+		c.put(ledger.Write{Key: n.key, Value: ledger.SilentRecord{}, Urgent: true, Tag: noteTag{n.key}})
 	}
 }
 
 // noteGone is told that a note is withdrawn durably: its machines may be
 // answered again.
 func (c *Core) noteGone(key string) {
-	n := c.notes[key]
-	if n == nil {
+	i := slices.IndexFunc(c.notes, func(n *note) bool { return n.key == key })
+	if i < 0 {
 		return
 	}
-	delete(c.notes, key)
+	n := c.notes[i]
+	c.notes = slices.Delete(c.notes, i, i+1)
+	c.freeNotes = append(c.freeNotes, key)
 	for _, m := range n.machines {
 		if m.note == n {
 			m.note = nil
@@ -118,13 +145,8 @@
 // dropNotes withdraws the notes that are of no use any more.
 func (c *Core) dropNotes() {
 	for _, n := range c.notes {
-		used := false
-		for _, m := range n.machines {
-			used = used || m.state != machineGone && m.hostOf > 0
-		}
-		if !used && !n.withdrawn {
-			n.withdrawn = true
-			c.put(ledger.Write{Key: n.key, Tag: noteTag{n.key}})
+		if !slices.ContainsFunc(n.machines, func(m *machine) bool { return m.state != machineGone && m.hostOf > 0 }) {
+			c.withdraw(n)
 		}
 	}
 }
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -65,7 +65,7 @@
 
 // SilentRecord tells of machines that a leader does not hear, and when, by the
 // time of day, their workers' leases are over: it has not answered them since,
-// and does not before this record is deleted.
+// and does not before this record is empty.
 type SilentRecord struct {
 	OverMS   int64    `json:"over_ms"`
 	Machines []string `json:"machines"`
