--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -56,6 +56,17 @@
 	// before, r its answer lost, h held back and carried out by release.
 	fate string
 	held []wire.Txn
+	// turn, unless nil, is held by whoever looks at or changes the rest.
+	turn chan struct{}
+}
+
+// take waits for the turn; the result gives it back.
+func (f *fakeStore) take() func() {
+	if f.turn == nil {
+		return func() {}
+	}
+	f.turn <- struct{}{}
+	return func() { <-f.turn }
 }
 
 func (f *fakeStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
@@ -68,6 +79,7 @@
 }
 
 func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
+	defer f.take()()
 	fate := byte('c')
 	if f.fate != "" {
 		fate, f.fate = f.fate[0], f.fate[1:]
@@ -153,7 +165,11 @@
 // used up.
 func TestOrdinaryWritesLeaveRoomForUrgentOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeStore{keys: map[string]uint64{election.Key: 5}, values: map[string]string{}}
+		f := &fakeStore{keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, turn: make(chan struct{}, 1)}
+		written := func() (all int, urgent bool) {
+			defer f.take()()
+			return len(f.values), f.values["job/j"] != ""
+		}
 		l := New(5, f, Limits{Ops: 40, Bytes: 1 << 14, Ordinary: 10}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -173,17 +189,17 @@
 		}
 		l.Put(ctx, []Write{{Key: "job/j", Value: "over", Urgent: true}})
 		synctest.Wait()
-		if f.values["job/j"] == "" || time.Since(began) > 0 {
+		if _, urgent := written(); !urgent || time.Since(began) > 0 {
 			t.Errorf("the urgent write is not there after %v", time.Since(began))
 		}
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
-		if n := len(f.values); n < 45 || n > 60 {
+		if n, _ := written(); n < 45 || n > 60 {
 			t.Errorf("%d writes in five seconds, want about 50", n)
 		}
 		time.Sleep(20 * time.Second)
 		synctest.Wait()
-		if n := len(f.values); n != 201 {
+		if n, _ := written(); n != 201 {
 			t.Errorf("%d writes in the end, want all 201", n)
 		}
 	})
