Connections to workers that are kept count in the division of sockets

Cause, from reading: idle connections to workers came on top of the eighth for commands and took all that was left for the state service and the others.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -54,12 +54,12 @@
 	reply chan any
 }
 
-// NewDesk makes a desk that has up to lines calls to workers on their way; Run
-// starts it.
+// NewDesk makes a desk that has up to lines calls to workers on their way, and
+// half as many connections kept between them; Run starts it.
 func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines int, log *slog.Logger) *Desk {
 	return &Desk{
 		platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
-		workers: outbound.NewClient(1, lines), lines: make(chan struct{}, lines),
+		workers: outbound.NewClient(1, lines/2), lines: make(chan struct{}, lines),
 		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
 	}
 }
--- a/internal/node/seats.go
+++ b/internal/node/seats.go
@@ -20,7 +20,9 @@
 	orders  int // direct commands on their way at once
 }
 
-// The rest, an eighth, is for the state service, the cloud and the other nodes.
+// divide leaves an eighth besides: half of it for connections to workers that are
+// kept between two commands, the rest for the state service, the cloud and the
+// other nodes.
 func divide(r settings.Resources) sockets {
 	s := sockets{inbound: max(8, r.Sockets*3/4), orders: max(4, r.Sockets/8)}
 	s.crowded = s.inbound * 7 / 8
