--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -89,10 +89,11 @@
 			if !c.mayForget(m, j, int(n), t) {
 				continue
 			}
-			if t.Why != wire.WhyDone {
-				orders = append(orders, wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+			forget := wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt}
+			if t.Why == wire.WhyDone {
+				forgets = append(forgets, forget)
 			} else {
-				forgets = append(forgets, wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+				orders = append(orders, forget)
 			}
 			continue
 		}
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -50,7 +50,6 @@
 	var cores float64
 	up, silent := make([]int, len(c.zones.list)), make([]int, len(c.zones.list))
 	allUp, allSilent := 0, 0
-	defer func() { c.reporting = allUp }()
 	for _, m := range c.live {
 		if c.counts(m) {
 			cores += m.total.CPUs
@@ -64,6 +63,7 @@
 			}
 		}
 	}
+	c.reporting = allUp
 	warm := c.warmCores()
 	// A machine that some waiting task could use is kept, whatever keeps that
 	// task from it now. One that is too small or not allowed for all of them is
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -59,18 +59,31 @@
 func (h *health) anyPeer(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, pingLimit)
 	defer cancel()
-	names := h.peers.Names()
-	answers := make(chan bool, len(names))
-	for _, n := range names {
-		go func() {
-			_, err := h.peers.Ping(ctx, n, 0)
-			answers <- err == nil
-		}()
-	}
-	for range names {
-		if <-answers {
+	answers := pingAll(ctx, h.peers, 0)
+	for range h.peers.Names() {
+		if <-answers != noAnswer {
 			return true
 		}
 	}
 	return false
 }
+
+// noAnswer stands for the count of a node that does not answer.
+const noAnswer = -1
+
+// pingAll asks all other nodes at once. What each of them counts, or noAnswer,
+// comes in the order of the answers.
+func pingAll(ctx context.Context, peers pinger, within time.Duration) <-chan int {
+	names := peers.Names()
+	counts := make(chan int, len(names))
+	for _, n := range names {
+		go func() {
+			reports, err := peers.Ping(ctx, n, within)
+			if err != nil {
+				reports = noAnswer
+			}
+			counts <- reports
+		}()
+	}
+	return counts
+}
--- a/internal/node/outlook.go
+++ b/internal/node/outlook.go
@@ -78,19 +78,9 @@
 func (o *outlook) elsewhere(ctx context.Context, window time.Duration) int {
 	ctx, cancel := context.WithTimeout(ctx, pingLimit)
 	defer cancel()
-	names := o.peers.Names()
-	counts := make(chan int, len(names))
-	for _, n := range names {
-		go func() {
-			reports, err := o.peers.Ping(ctx, n, window)
-			if err != nil {
-				reports = 0
-			}
-			counts <- reports
-		}()
-	}
+	counts := pingAll(ctx, o.peers, window)
 	most := 0
-	for range names {
+	for range o.peers.Names() {
 		most = max(most, <-counts)
 	}
 	return most
