--- /dev/null
+++ b/internal/node/bench_test.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"leadproxy/internal/settings"
+	"leadproxy/internal/standin"
+	"leadproxy/internal/wire"
+)
+
+// visitor is a worker or a user as cheap as can be, so that what is measured is
+// the node: a connection, a request written beforehand, an answer skipped.
+type visitor struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func visit1(b *testing.B, addr string) *visitor {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { c.Close() })
+	return &visitor{c, bufio.NewReaderSize(c, 1024)}
+}
+
+func (v *visitor) ask(b *testing.B, method, path, body string) int {
+	if _, err := fmt.Fprintf(v.conn, "%s %s HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body); err != nil {
+		b.Fatal(err)
+	}
+	resp, err := http.ReadResponse(v.in, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		b.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// alone starts one controller that leads, over our own stand-ins.
+func alone(b *testing.B) string {
+	store := standin.NewState(b, nil)
+	cloud := standin.NewCloud(b, []wire.MachineType{{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"}}},
+		standin.WorkerConfig{}, nil)
+	listen := func() string {
+		l, err := net.Listen("tcp", "127.7.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	p := &settings.Platform{Node: "n0", Zone: "a", Listen: listen(), Back: listen(), Services: settings.Services{State: store.Addr(), Cloud: cloud.Addr()}}
+	p.Facts = settings.Facts{Nodes: 1, Teams: []settings.Team{{Name: "t"}},
+		Workers:   settings.Workers{ReportS: 8, LeaseS: 36, CancelS: 56},
+		State:     settings.StateLimits{RPS: 400, WriteRPS: 300, ValueKB: 16, TxnOps: 32},
+		Cloud:     settings.CloudLimits{RPS: 20, ListLagS: 0.1},
+		Resources: settings.Resources{CPUShare: 1, RAMMB: 500, Sockets: 4000}}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	go func() {
+		if err := Run(ctx, p, settings.Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+			b.Error(err)
+		}
+	}()
+	for v, try := (*visitor)(nil), 0; try < 100; try++ {
+		time.Sleep(50 * time.Millisecond)
+		if c, err := net.Dial("tcp", p.Listen); err != nil {
+			continue
+		} else {
+			c.Close()
+		}
+		if v == nil {
+			v = visit1(b, p.Listen)
+		}
+		if v.ask(b, "POST", "/v1/report", report("vm-999999", 1, 0)) == http.StatusOK {
+			return p.Listen
+		}
+	}
+	b.Fatal("the node does not lead")
+	return ""
+}
+
+// report is a worker's report with some finished tasks that we know nothing of.
+func report(machine string, seq, tasks int) string {
+	list := make([]string, tasks)
+	for i := range list {
+		list[i] = fmt.Sprintf(`{"piece":"job-%06d/%d","try":%d,"status":"running"}`, i, i, 16777216+i)
+	}
+	return fmt.Sprintf(`{"host":"%s","address":"10.1.0.232:9000","flavor":"m4","room":"a","loaners":true,"tenure":1,"tick":%d,"baton":16777216,"warning_s":null,"pieces":[%s]}`,
+		machine, seq, strings.Join(list, ","))
+}
+
+// BenchmarkReport is a worker's report from its bytes to those of the answer,
+// over a connection that is kept, with many workers at hand.
+func BenchmarkReport(b *testing.B) {
+	addr := alone(b)
+	const workers = 400
+	var all [workers]*visitor
+	for i := range all {
+		all[i] = visit1(b, addr)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		if s := all[i%workers].ask(b, "POST", "/v1/report", report(fmt.Sprintf("vm-%06d", i%workers), 1+i/workers, 0)); s != http.StatusOK {
+			b.Fatal(s)
+		}
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -15,7 +15,7 @@
 // Cloud stands in for the cloud. Its machines boot at once and run workers.
 type Cloud struct {
 	actor
-	t        *testing.T
+	t        testing.TB
 	server   *httptest.Server
 	types    []wire.MachineType
 	worker   WorkerConfig
@@ -31,7 +31,7 @@
 }
 
 // NewCloud starts a cloud whose machines' workers are made by config.
-func NewCloud(t *testing.T, types []wire.MachineType, config WorkerConfig, trouble func(r *http.Request) Trouble) *Cloud {
+func NewCloud(t testing.TB, types []wire.MachineType, config WorkerConfig, trouble func(r *http.Request) Trouble) *Cloud {
 	c := &Cloud{actor: newActor(t.Context().Done()), t: t, types: types, worker: config, hires: map[string][]string{}, machines: map[string]*rented{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /flavors", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -30,7 +30,7 @@
 }
 
 // NewState starts a state service that lives as long as the test.
-func NewState(t *testing.T, trouble func(r *http.Request) Trouble) *State {
+func NewState(t testing.TB, trouble func(r *http.Request) Trouble) *State {
 	s := &State{actor: newActor(t.Context().Done()), keys: map[string]wire.Entry{}, leases: map[uint64]*lease{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /store/{key...}", s.get)
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -27,8 +27,11 @@
 // HoldFor is how late a held message is carried out.
 const HoldFor = 3 * time.Second
 
-// troubled serves h, with trouble deciding the fate of each message.
+// troubled serves h, with trouble, unless nil, deciding the fate of each message.
 func troubled(h http.Handler, trouble func(r *http.Request) Trouble) http.Handler {
+	if trouble == nil {
+		return h
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -35,7 +35,7 @@
 }
 
 // NewRecord starts an empty record.
-func NewRecord(t *testing.T) *Record {
+func NewRecord(t testing.TB) *Record {
 	return &Record{actor: newActor(t.Context().Done()), on: map[string]string{}, finished: map[string]int{}, barred: map[string]bool{}}
 }
 
@@ -88,7 +88,7 @@
 	stops               map[uint64]context.CancelFunc
 }
 
-func newWorker(t *testing.T, name string, hire wire.Hire, config WorkerConfig) *Worker {
+func newWorker(t testing.TB, name string, hire wire.Hire, config WorkerConfig) *Worker {
 	ctx, cancel := context.WithCancel(t.Context())
 	w := &Worker{actor: newActor(t.Context().Done()), name: name, hire: hire, config: config, cancel: cancel, session: 1, renewed: time.Now(),
 		changed: make(chan struct{}, 1), known: map[uint64]bool{}, stops: map[uint64]context.CancelFunc{}}
