Reports and answers are read and written by a faster JSON library

Tried on the messages of the protocol: encoding/json 8.5 us and 39 allocations for a report with 8 tasks, segmentio/encoding 2.0 us and 2 without copies of strings, go-json-experiment 2.8 to 3.3, goccy 1.5, easyjson 2.9. easyjson takes leading zeros and bare line breaks that are refused today; segmentio refuses the same, keeps to the same tags and needs no generated code. A table holds what must be refused.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"leadproxy/internal/ledger"
@@ -18,6 +19,7 @@
 	if i, ok := c.machineAt[name]; ok {
 		return c.machines[i]
 	}
+	name = strings.Clone(name) // mostly a part of a report's body
 	m := &machine{index: int32(len(c.machines)), name: name, typ: -1, zone: -1, hired: c.now,
 		token: c.term << tokenBits, leaseOver: c.began + c.leaseTime, pool: -1,
 		pending: map[uint64]uint64{}, idleSince: c.now}
@@ -29,12 +31,14 @@
 
 // describe fills in what a report or the list tells of a machine.
 func (c *Core) describe(m *machine, typ, zone string, spot bool, address string) {
-	if address != "" {
-		m.address = address
+	if address != "" && address != m.address {
+		m.address = strings.Clone(address)
 	}
 	m.spot = spot
 	m.zone = c.zones.of(zone)
-	m.typeName = typ
+	if typ != m.typeName {
+		m.typeName = strings.Clone(typ)
+	}
 	if t, ok := c.typeAt[typ]; ok && m.typ != t {
 		m.typ = t
 		used := m.total.Minus(m.free)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -11,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"leadproxy/internal/election"
 	"leadproxy/internal/fleet"
 	"leadproxy/internal/ledger"
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"leadproxy/internal/fleet"
@@ -353,6 +354,7 @@
 	if n.index == nil {
 		n.index = map[string]int32{}
 	}
+	name = strings.Clone(name) // mostly a part of a message's body
 	i := int32(len(n.list))
 	n.index[name] = i
 	n.list = append(n.list, name)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -7,13 +7,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/state"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +13,8 @@
 	"net/url"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/wire"
 )
--- a/internal/intake/clerk.go
+++ b/internal/intake/clerk.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/state"
 	"leadproxy/internal/wire"
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -14,6 +13,8 @@
 	"slices"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"leadproxy/internal/dispatch"
 	"leadproxy/internal/election"
 	"leadproxy/internal/ledger"
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"leadproxy/internal/election"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/state"
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -5,12 +5,13 @@
 package ledger
 
 import (
-	"encoding/json"
 	"fmt"
 	"sort"
 	"strconv"
 	"strings"
 
+	"github.com/segmentio/encoding/json"
+
 	"leadproxy/internal/wire"
 )
 
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +15,8 @@
 	"strconv"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/wire"
 )
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"math"
 	"strconv"
 	"strings"
+
+	"github.com/segmentio/encoding/json"
 )
 
 // MaxBody is the largest request body that is taken.
@@ -73,8 +74,13 @@
 	if !ok || !ValidRef(ref) {
 		return "", 0, false
 	}
+	for _, r := range num {
+		if r < '0' || r > '9' {
+			return "", 0, false
+		}
+	}
 	n, err := strconv.Atoi(num)
-	return ref, n, err == nil && n >= 0 && n < MaxTasks && strconv.Itoa(n) == num
+	return ref, n, err == nil && n < MaxTasks && (num[0] != '0' || len(num) == 1)
 }
 
 // TaskName is the name of task n of a job.
@@ -84,13 +90,12 @@
 // ref, that ref is returned even with an error, so that a job accepted before
 // can be recognised.
 func ParseJob(body []byte) (*Job, string, error) {
-	dec := json.NewDecoder(bytes.NewReader(body))
 	var fields map[string]json.RawMessage
-	if err := dec.Decode(&fields); err != nil || fields == nil {
-		return nil, "", fmt.Errorf("the body must be one JSON object")
+	if err := decode(body, &fields, 0); err != nil {
+		return nil, "", err
 	}
-	if _, err := dec.Token(); err != io.EOF {
-		return nil, "", fmt.Errorf("the body must end after its JSON object")
+	if fields == nil {
+		return nil, "", errors.New("the body must be one JSON object")
 	}
 	r := reader{fields: fields}
 	j := &Job{}
@@ -191,11 +196,12 @@
 	}
 }
 
-// ParseReport reads a worker's report.
+// ParseReport reads a worker's report. What it returns shares the body's memory:
+// the body must not change afterwards, and what is kept for long is to be cloned.
 func ParseReport(body []byte) (*Report, error) {
 	var r Report
-	if err := json.Unmarshal(body, &r); err != nil {
-		return nil, fmt.Errorf("the report is not as the protocol has it: %w", err)
+	if err := decode(body, &r, json.ZeroCopy); err != nil {
+		return nil, err
 	}
 	switch {
 	case r.Machine == "" || len(r.Machine) > 200:
@@ -207,7 +213,9 @@
 	case r.NoticeS != nil && (*r.NoticeS < 0 || math.IsNaN(*r.NoticeS)):
 		return nil, fmt.Errorf("warning_s must be null, or 0 or more")
 	}
-	for _, t := range r.Tasks {
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		t.Status = known(t.Status, TaskRunning, TaskEnded, TaskFetching, TaskSaving)
 		if _, _, ok := SplitTask(t.Task); !ok {
 			return nil, fmt.Errorf("piece %q is not a task's name", t.Task)
 		}
@@ -219,3 +227,26 @@
 	}
 	return &r, nil
 }
+
+// decode reads the one JSON object that a body must be.
+func decode(body []byte, into any, flags json.ParseFlags) error {
+	rest, err := json.Parse(body, into, flags)
+	if err != nil {
+		return fmt.Errorf("the body must be one JSON object as the protocol has it: %w", err)
+	}
+	if len(bytes.TrimSpace(rest)) > 0 {
+		return errors.New("the body must end after its JSON object")
+	}
+	return nil
+}
+
+// known returns the constant that a text equals, if it is one of them, so that
+// keeping it does not keep a whole body.
+func known(text string, constants ...string) string {
+	for _, c := range constants {
+		if text == c {
+			return c
+		}
+	}
+	return strings.Clone(text)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,7 +3,7 @@
 // nowhere else.
 package wire
 
-import "encoding/json"
+import "github.com/segmentio/encoding/json"
 
 // JobStatus is the answer about a job.
 type JobStatus struct {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -100,6 +100,22 @@
 		{"a task without a number", `{"host":"vm-1","flavor":"a","room":"z","tenure":1,"pieces":[{"piece":"job-1","status":"running"}]}`, false},
 		{"a negative token", `{"host":"vm-1","flavor":"a","room":"z","tenure":1,"baton":-1}`, false},
 		{"not JSON", `no`, false},
+		{"unknown fields, and null for what may be absent", `{"x":[1,{"y":null}],"host":"vm-1","flavor":"a","room":"z","tenure":1,"warning_s":null,"pieces":null}`, true},
+		{"a fraction for a count", `{"host":"vm-1","flavor":"a","room":"z","tenure":1.5}`, false},
+		{"a decimal for a count", `{"host":"vm-1","flavor":"a","room":"z","tenure":1.0}`, false},
+		{"a text for a count", `{"host":"vm-1","flavor":"a","room":"z","tenure":"1"}`, false},
+		{"a count beyond 64 bits", `{"host":"vm-1","flavor":"a","room":"z","tenure":18446744073709551616}`, false},
+		{"a leading zero", `{"host":"vm-1","flavor":"a","room":"z","tenure":01}`, false},
+		{"a list that is none", `{"host":"vm-1","flavor":"a","room":"z","tenure":1,"pieces":{}}`, false},
+		{"a bare line break in a text", "{\"host\":\"vm\n1\",\"flavor\":\"a\",\"room\":\"z\",\"tenure\":1}", false},
+		{"an escape that is none", `{"host":"vm\q1","flavor":"a","room":"z","tenure":1}`, false},
+		{"rubbish in a field that we don't know", `{"host":"vm-1","flavor":"a","room":"z","tenure":1,"x":[1,,2]}`, false},
+		{"a comma too many", `{"host":"vm-1","flavor":"a","room":"z","tenure":1,}`, false},
+		{"rubbish after it", `{"host":"vm-1","flavor":"a","room":"z","tenure":1}x`, false},
+		{"a second value", `{"host":"vm-1","flavor":"a","room":"z","tenure":1}{}`, false},
+		{"cut short", `{"host":"vm-1","flavor":"a","room":"z","tenure":1`, false},
+		{"an array", `[]`, false},
+		{"null", `null`, false},
 	}
 	for _, c := range cases {
 		if _, err := ParseReport([]byte(c.body)); (err == nil) != c.ok {
