Every node takes reports; those that do not lead carry them to the leader in batches

Cause: HTTP for reports was most of what the leader spent (half of its code's time and most of what the platform charges for system calls and packets), while the others idled; late answers then brought the workers back through other nodes, relayed one by one, which cost more still. Ruled out before: JSON (done), placement (28 M of 580 M cycles). Change: a node that does not lead carries each report to the leader on one gRPC stream, many together, 20 ms apart at the least; the leader decides, and a 200 leaves a node only as the leader's answer from its term. What can't be carried sends its worker on at once. The relay for workers that come back is gone: this does the same. A leader to which most workers have come sends some to nodes that carry. The outlook counts what is carried, unless commands to workers go unanswered.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -40,8 +40,10 @@
 	// lines are the connections to workers: who has put something in may open
 	// one, and takes it out afterwards.
 	lines chan struct{}
-	// machines is how many should be reporting to this leader.
-	machines atomic.Int64
+	// machines is how many should be reporting to this leader; unanswered is how
+	// many direct commands in a row no worker has answered.
+	machines   atomic.Int64
+	unanswered atomic.Int64
 
 	// The mailboxes, by rank: reports of workers first, then what decisions
 	// need, then users. Each is bounded; who finds one full is turned away.
@@ -50,11 +52,16 @@
 	users   chan ask
 }
 
+// ask is an event with who wants to be told of its outcome: an effect, or an
+// error.
 type ask struct {
 	event any
-	reply chan any
+	reply answerTo
 }
 
+// answerTo takes the one outcome of an ask. It does not wait.
+type answerTo func(outcome any)
+
 // NewDesk makes a desk that has up to lines calls to workers on their way, and
 // half as many connections kept between them; Run starts it.
 func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines int, log *slog.Logger) *Desk {
@@ -73,13 +80,17 @@
 	return t.Sub(d.started), t.UnixMilli()
 }
 
+// Unanswered is how many direct commands in a row no worker has answered.
+func (d *Desk) Unanswered() int { return int(d.unanswered.Load()) }
+
 // Machines is how many machines should be reporting to this node as the leader.
 func (d *Desk) Machines() int { return int(d.machines.Load()) }
 
-func (d *Desk) ask(ctx context.Context, box chan ask, event func(reply chan any) any) (any, error) {
+func (d *Desk) ask(ctx context.Context, box chan ask, event func(to answerTo) any) (any, error) {
 	reply := make(chan any, 1)
+	to := answerTo(func(outcome any) { reply <- outcome })
 	select {
-	case box <- ask{event(reply), reply}:
+	case box <- ask{event(to), to}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -96,27 +107,46 @@
 
 // Report has a worker's report answered.
 func (d *Desk) Report(ctx context.Context, r *wire.Report) (*wire.ReportAnswer, error) {
-	a, err := d.ask(ctx, d.reports, func(reply chan any) any { return ReportIn{Report: r, To: reply} })
+	a, err := d.ask(ctx, d.reports, func(to answerTo) any { return ReportIn{Report: r, To: to} })
 	if err != nil {
 		return nil, err
 	}
-	if answer := a.(AnswerReport).Answer; answer != nil {
-		return answer, nil
+	return reportAnswer(a)
+}
+
+// Hand has a worker's report answered through give, once, or never if the term
+// ends meanwhile. give must not wait.
+func (d *Desk) Hand(ctx context.Context, r *wire.Report, give func(*wire.ReportAnswer, error)) {
+	to := answerTo(func(outcome any) { give(reportAnswer(outcome)) })
+	select {
+	case d.reports <- ask{ReportIn{Report: r, To: to}, to}:
+	case <-ctx.Done():
+	}
+}
+
+func reportAnswer(outcome any) (*wire.ReportAnswer, error) {
+	switch o := outcome.(type) {
+	case error:
+		return nil, o
+	case AnswerReport:
+		if o.Answer != nil {
+			return o.Answer, nil
+		}
 	}
 	return nil, ErrNotLeading
 }
 
 // Status asks for a job's state. With ErrDeciding only the record tells it.
 func (d *Desk) Status(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
-	return d.user(ctx, func(reply chan any) any { return StatusAsked{Ref: ref, To: reply} })
+	return d.user(ctx, func(to answerTo) any { return StatusAsked{Ref: ref, To: to} })
 }
 
 // Cancel has a job cancelled and waits until that is durable.
 func (d *Desk) Cancel(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
-	return d.user(ctx, func(reply chan any) any { return CancelAsked{Ref: ref, To: reply} })
+	return d.user(ctx, func(to answerTo) any { return CancelAsked{Ref: ref, To: to} })
 }
 
-func (d *Desk) user(ctx context.Context, event func(reply chan any) any) (wire.JobStatus, bool, error) {
+func (d *Desk) user(ctx context.Context, event func(to answerTo) any) (wire.JobStatus, bool, error) {
 	a, err := d.ask(ctx, d.users, event)
 	if err != nil {
 		return wire.JobStatus{}, false, err
@@ -175,9 +205,9 @@
 				d.store.SetShare(FollowerShare(d.platform.Facts.Nodes))
 			}
 		case a := <-reports:
-			a.reply <- ErrNotLeading
+			a.reply(ErrNotLeading)
 		case a := <-users:
-			a.reply <- ErrNotLeading
+			a.reply(ErrNotLeading)
 		case <-inner:
 		case <-ctx.Done():
 			return
@@ -363,9 +393,9 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case AnswerReport:
-			e.To.(chan any) <- e
+			e.To.(answerTo)(e)
 		case AnswerUser:
-			e.To.(chan any) <- e
+			e.To.(answerTo)(e)
 		case Put:
 			writes = append(writes, e.Writes...)
 		case CallCloud:
@@ -478,11 +508,13 @@
 	}
 	resp, err := d.workers.Do(req)
 	if err != nil {
+		d.unanswered.Add(1)
 		if outbound.NeverSent(err) {
 			return DirectNotSent, nil
 		}
 		return DirectUnknown, nil
 	}
+	d.unanswered.Store(0)
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -24,7 +24,7 @@
 	in   *bufio.Reader
 }
 
-func visit1(b *testing.B, addr string) *visitor {
+func newVisitor(b *testing.B, addr string) *visitor {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		b.Fatal(err)
@@ -53,15 +53,8 @@
 	store := standin.NewState(b, nil)
 	cloud := standin.NewCloud(b, []wire.MachineType{{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"}}},
 		standin.WorkerConfig{}, nil)
-	listen := func() string {
-		l, err := net.Listen("tcp", "127.7.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		defer l.Close()
-		return l.Addr().String()
-	}
-	p := &settings.Platform{Node: "n0", Zone: "a", Listen: listen(), Back: listen(), Services: settings.Services{State: store.Addr(), Cloud: cloud.Addr()}}
+	addrs := freeAddrs(b, 2)
+	p := &settings.Platform{Node: "n0", Zone: "a", Listen: addrs[0], Back: addrs[1], Services: settings.Services{State: store.Addr(), Cloud: cloud.Addr()}}
 	p.Facts = settings.Facts{Nodes: 1, Teams: []settings.Team{{Name: "t"}},
 		Workers:   settings.Workers{ReportS: 8, LeaseS: 36, CancelS: 56},
 		State:     settings.StateLimits{RPS: 400, WriteRPS: 300, ValueKB: 16, TxnOps: 32},
@@ -82,7 +75,7 @@
 			c.Close()
 		}
 		if v == nil {
-			v = visit1(b, p.Listen)
+			v = newVisitor(b, p.Listen)
 		}
 		if v.ask(b, "POST", "/v1/report", report("vm-999999", 1, 0)) == http.StatusOK {
 			return p.Listen
@@ -109,7 +102,7 @@
 	const workers = 400
 	var all [workers]*visitor
 	for i := range all {
-		all[i] = visit1(b, addr)
+		all[i] = newVisitor(b, addr)
 	}
 	b.ReportAllocs()
 	b.ResetTimer()
--- /dev/null
+++ b/internal/node/crowd.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// Workers stay with the node that answers them. After a failure most may have
+// come to the leader, whose time is the shortest: so it sends some of those that
+// are more than its share to nodes that carry reports to it.
+
+// The times and bounds of sending workers away.
+const (
+	passEvery = 100 * time.Millisecond // one worker at a time
+	passAgain = 2 * time.Minute        // the same one: it may not reach the others
+	passSlack = 16                     // so many beyond its share a leader keeps
+	passed    = 4096                   // workers that are remembered at most
+)
+
+// crowd decides which workers a leader sends to whom. Its state is owned by run.
+type crowd struct {
+	sharing atomic.Int64 // nodes that carry reports here
+	joins   chan partner
+	asks    chan passing
+}
+
+type partner struct {
+	node string
+	done <-chan struct{}
+}
+
+type passing struct {
+	machine string
+	to      chan string
+}
+
+func newCrowd() *crowd {
+	return &crowd{joins: make(chan partner), asks: make(chan passing)}
+}
+
+// join notes a node that carries reports here until ctx ends.
+func (c *crowd) join(ctx context.Context, node string) {
+	select {
+	case c.joins <- partner{node, ctx.Done()}:
+	case <-ctx.Done():
+	}
+}
+
+// pass names the node that a worker is sent to, or "" when it is to stay: with so
+// many connections open here and so many machines in all.
+func (c *crowd) pass(ctx context.Context, machine string, open, machines int) string {
+	n := int(c.sharing.Load())
+	if n == 0 || open <= machines/(n+1)+passSlack {
+		return ""
+	}
+	p := passing{machine, make(chan string, 1)}
+	select {
+	case c.asks <- p:
+		return <-p.to
+	case <-ctx.Done():
+		return ""
+	}
+}
+
+// run decides until ctx ends.
+func (c *crowd) run(ctx context.Context) {
+	var nodes []string // with a line to here, in the order of joining
+	left := make(chan string)
+	lines := map[string]int{}
+	sent := map[string]time.Time{}
+	var last time.Time
+	next := 0
+	for {
+		select {
+		case p := <-c.joins:
+			if lines[p.node]++; lines[p.node] == 1 {
+				nodes = append(nodes, p.node)
+			}
+			go func() {
+				<-p.done
+				select {
+				case left <- p.node:
+				case <-ctx.Done():
+				}
+			}()
+		case node := <-left:
+			if lines[node]--; lines[node] == 0 {
+				delete(lines, node)
+				for i, n := range nodes {
+					if n == node {
+						nodes = append(nodes[:i], nodes[i+1:]...)
+						break
+					}
+				}
+			}
+		case p := <-c.asks:
+			now := time.Now()
+			if len(nodes) == 0 || now.Sub(last) < passEvery || now.Sub(sent[p.machine]) < passAgain {
+				p.to <- ""
+				break
+			}
+			if len(sent) >= passed {
+				clear(sent)
+			}
+			sent[p.machine], last = now, now
+			next++
+			p.to <- nodes[next%len(nodes)]
+		case <-ctx.Done():
+			return
+		}
+		c.sharing.Store(int64(len(nodes)))
+	}
+}
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -12,124 +12,85 @@
 	"leadproxy/internal/dispatch"
 	"leadproxy/internal/election"
 	"leadproxy/internal/intake"
+	"leadproxy/internal/peers"
 	"leadproxy/internal/wire"
 )
 
 // reportLimit is how long a report may wait for its answer; the worker gives up
-// after 4 s. A relayed report must leave time for both ways.
-const (
-	reportLimit = 3 * time.Second
-	relayLimit  = 2 * time.Second
-)
+// after 4 s.
+const reportLimit = 3 * time.Second
 
 // reporter is the node's dispatcher as the gate sees it.
 type reporter interface {
 	Report(ctx context.Context, r *wire.Report) (*wire.ReportAnswer, error)
+	Hand(ctx context.Context, r *wire.Report, give func(*wire.ReportAnswer, error))
+	Machines() int
 }
 
-// relay passes reports on to another node.
-type relay interface {
+// carrier carries reports to other nodes.
+type carrier interface {
 	Report(ctx context.Context, node string, body []byte) (intake.Answer, error)
+	Greet(ctx context.Context, node string)
 }
 
 // gate takes the workers' reports. The leader answers them in its term; other
-// nodes send workers to the leader, and relay the reports of those that come
-// back because they can't reach it.
+// nodes carry them to the leader, and its answers back, and send the workers to
+// it when they can't.
 type gate struct {
 	node    string
 	elector *election.Elector
 	desk    reporter
-	peers   relay
+	peers   carrier
 	log     *slog.Logger
-	visits  chan visit
 	seats   seats
+	crowd   *crowd
 	heard   *tally // reports that have come straight here
+	carried *tally // reports that other nodes have carried here
 }
 
-// visit asks whether a worker that comes to a node that does not lead is to be
-// relayed.
-type visit struct {
-	machine string
-	leader  string
-	relay   chan bool
-}
-
-func newGate(ctx context.Context, node string, e *election.Elector, desk reporter, peers relay, crowded int, log *slog.Logger) *gate {
-	g := &gate{node: node, elector: e, desk: desk, peers: peers, log: log, visits: make(chan visit), heard: newTally()}
+func newGate(ctx context.Context, node string, e *election.Elector, desk reporter, peers carrier, crowded int, log *slog.Logger) *gate {
+	g := &gate{node: node, elector: e, desk: desk, peers: peers, log: log, crowd: newCrowd(), heard: newTally(), carried: newTally()}
 	g.seats.crowded = int64(crowded)
-	go keepVisitors(ctx, g.visits, log)
+	go g.crowd.run(ctx)
 	return g
 }
 
-// The times of relaying: a worker that comes back within comeBack of being sent
-// to the leader is relayed, and sent there again after relayFor, since the
-// network may have mended.
-const (
-	comeBack = 20 * time.Second
-	relayFor = 45 * time.Second
-	visitors = 4096 // how many workers are remembered at most
-)
+// greetEvery is how often a node that does not lead sees to its line to the
+// leader.
+const greetEvery = time.Second
 
-// keepVisitors owns the memory of who was sent away.
-func keepVisitors(ctx context.Context, visits <-chan visit, log *slog.Logger) {
-	type memory struct {
-		leader  string
-		sent    time.Time // when last sent to the leader
-		seen    time.Time
-		relayed bool
-	}
-	known := map[string]*memory{}
+// greet keeps the line to the leader open until ctx ends, so that the leader can
+// send workers here.
+func (g *gate) greet(ctx context.Context) {
+	tick := time.NewTicker(greetEvery)
+	defer tick.Stop()
 	for {
+		if leader := g.elsewhereLeads(); leader != "" {
+			g.peers.Greet(ctx, leader)
+		}
 		select {
-		case v := <-visits:
-			at := time.Now()
-			m := known[v.machine]
-			if m == nil {
-				if len(known) >= visitors {
-					clear(known)
-				}
-				m = &memory{}
-				known[v.machine] = m
-			}
-			back := m.leader == v.leader && at.Sub(m.seen) < comeBack
-			m.seen = at
-			if back && at.Sub(m.sent) < relayFor {
-				if !m.relayed {
-					log.Info("relaying the reports of a worker that can't reach the leader", "machine", v.machine, "leader", v.leader)
-				}
-				m.relayed = true
-				v.relay <- true
-				continue
-			}
-			m.leader, m.sent, m.relayed = v.leader, at, false
-			v.relay <- false
+		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (g *gate) mayRelay(ctx context.Context, machine, leader string) bool {
-	v := visit{machine: machine, leader: leader, relay: make(chan bool, 1)}
-	select {
-	case g.visits <- v:
-		return <-v.relay
-	case <-ctx.Done():
-		return false
+// elsewhereLeads names the leader if it is known and another node.
+func (g *gate) elsewhereLeads() string {
+	if v := g.elector.View(); v.Leader != g.node {
+		return v.Leader
 	}
+	return ""
 }
 
 func problem(status int, text string) intake.Answer {
 	return intake.JSON(status, wire.Problem{Error: text})
 }
 
-// elsewhere sends a worker to the leader, if it is known and another node.
-func (g *gate) elsewhere() intake.Answer {
-	hint := wire.Elsewhere{}
-	if v := g.elector.View(); v.Leader != g.node {
-		hint.Leader = v.Leader
-	}
-	return intake.JSON(http.StatusMisdirectedRequest, hint)
+// sendTo has a worker report to another node; "": to any other.
+func sendTo(node string) intake.Answer {
+	return intake.JSON(http.StatusMisdirectedRequest, wire.Elsewhere{Leader: node})
 }
 
 // malformed answers what is no report.
@@ -138,35 +99,56 @@
 	return problem(http.StatusBadRequest, err.Error())
 }
 
-// relayedHere answers a report that another node has passed on.
-func (g *gate) relayedHere(ctx context.Context, body []byte) intake.Answer {
+// Shared answers a report that another node has carried here.
+func (g *gate) Shared(ctx context.Context, body []byte, give func(answer func() intake.Answer)) {
 	report, err := wire.ParseReport(body)
 	if err != nil {
-		return g.malformed(err)
+		give(func() intake.Answer { return g.malformed(err) })
+		return
 	}
-	return g.answer(ctx, report)
+	g.carried.add()
+	v := g.elector.View()
+	if !v.InTerm(time.Now()) {
+		give(func() intake.Answer { return sendTo(g.elsewhereLeads()) })
+		return
+	}
+	g.desk.Hand(ctx, report, func(answer *wire.ReportAnswer, err error) {
+		give(func() intake.Answer { return g.told(v.Term, answer, err) })
+	})
 }
 
-// answer answers a report if this node leads, and else sends it elsewhere.
+// Partner notes that another node carries reports here, until ctx ends.
+func (g *gate) Partner(ctx context.Context, node string) { g.crowd.join(ctx, node) }
+
+// answer answers a report if this node leads, and else sends the worker
+// elsewhere.
 func (g *gate) answer(ctx context.Context, report *wire.Report) intake.Answer {
 	v := g.elector.View()
 	if !v.InTerm(time.Now()) {
-		return g.elsewhere()
+		return sendTo(g.elsewhereLeads())
+	}
+	if to := g.crowd.pass(ctx, report.Machine, int(g.seats.open.Load()), g.desk.Machines()); to != "" {
+		return sendTo(to)
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
 	answer, err := g.desk.Report(ctx, report)
-	// The term is checked again as the answer is given: past its end another
-	// leader may have begun, and a 200 would keep the worker here. A relayed
-	// answer may be written a little later than that. It still renews the
-	// worker's lease only from when the report was sent, within our term.
+	return g.told(v.Term, answer, err)
+}
+
+// told is what the dispatcher's answer is to the worker. The term is looked at
+// again as the answer is given: past its end another leader may have begun, and
+// a 200 would keep the worker here. An answer that another node carries is
+// written a little later than that. It still renews the worker's lease only from
+// when the report was sent, within our term.
+func (g *gate) told(term uint64, answer *wire.ReportAnswer, err error) intake.Answer {
 	switch {
-	case err == nil && g.elector.InTerm(v.Term):
+	case err == nil && g.elector.InTerm(term):
 		return intake.JSON(http.StatusOK, answer)
 	case err != nil && !errors.Is(err, dispatch.ErrNotLeading):
 		return problem(http.StatusServiceUnavailable, "the leader is not ready")
 	}
-	return g.elsewhere()
+	return sendTo(g.elsewhereLeads())
 }
 
 func (g *gate) serve(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
@@ -175,30 +157,36 @@
 		intake.Write(w, problem(http.StatusBadRequest, err.Error()))
 		return
 	}
-	report, err := wire.ParseReport(body)
-	if err != nil {
-		intake.Write(w, g.malformed(err))
-		return
-	}
 	g.heard.add()
-	a := g.answer(req.Context(), report)
-	if leader := g.elector.View().Leader; a.Status == http.StatusMisdirectedRequest && leader != "" && leader != g.node {
-		a = g.relayed(req.Context(), leader, report.Machine, body, a)
-	}
+	a := g.take(req.Context(), body)
 	g.seats.yield(w)
 	intake.Write(w, a)
 }
 
-// relayed has the leader answer the report of a worker that was sent to it and
-// came back.
-func (g *gate) relayed(ctx context.Context, leader, machine string, body []byte, otherwise intake.Answer) intake.Answer {
-	if !g.mayRelay(ctx, machine, leader) {
-		return otherwise
+// take answers a report that a worker has sent here.
+func (g *gate) take(ctx context.Context, body []byte) intake.Answer {
+	if leader := g.elsewhereLeads(); leader != "" {
+		return g.carry(ctx, leader, body)
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayLimit)
+	report, err := wire.ParseReport(body)
+	if err != nil {
+		return g.malformed(err)
+	}
+	return g.answer(ctx, report)
+}
+
+// carry has the leader answer a report. What it says is passed on as it is: a
+// 200 leaves this node only as the leader's answer from its term.
+func (g *gate) carry(ctx context.Context, leader string, body []byte) intake.Answer {
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
-	if a, err := g.peers.Report(ctx, leader, body); err == nil && a.Status == http.StatusOK {
+	a, err := g.peers.Report(ctx, leader, body)
+	switch {
+	case err == nil:
 		return a
+	case errors.Is(err, peers.ErrNoLine):
+		return sendTo(leader)
 	}
-	return intake.JSON(http.StatusMisdirectedRequest, wire.Elsewhere{})
+	// The leader has it and is late. Any other node will do as well.
+	return sendTo("")
 }
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -11,46 +11,106 @@
 	"time"
 
 	"leadproxy/internal/election"
+	"leadproxy/internal/intake"
+	"leadproxy/internal/peers"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
 )
 
-func TestWhoIsRelayed(t *testing.T) {
-	type step struct {
-		after  time.Duration
-		leader string
-		relay  bool
+// lineTo is a line to the leader: it answers with what it holds, or not at all.
+type lineTo struct {
+	answer intake.Answer
+	err    error
+}
+
+func (l lineTo) Greet(context.Context, string) {}
+
+func (l lineTo) Report(ctx context.Context, _ string, _ []byte) (intake.Answer, error) {
+	if l.answer.Status == 0 && l.err == nil {
+		<-ctx.Done()
+		return intake.Answer{}, ctx.Err()
 	}
+	return l.answer, l.err
+}
+
+// TestCarriedReports: a node that does not lead gives a worker what the leader
+// has said and nothing of its own, and sends it on at once, or before the worker
+// gives up, when the leader says nothing.
+func TestCarriedReports(t *testing.T) {
 	cases := []struct {
-		name  string
-		steps []step
+		name   string
+		line   lineTo
+		status int
+		body   string
+		within time.Duration
 	}{
-		{"a first visit is sent to the leader", []step{{0, "n1", false}}},
-		{"one that comes back is relayed, and stays so", []step{{0, "n1", false}, {9 * time.Second, "n1", true}, {3 * time.Second, "n1", true}}},
-		{"one that comes after a long time is sent again", []step{{0, "n1", false}, {30 * time.Second, "n1", false}}},
-		{"a new leader is tried first", []step{{0, "n1", false}, {9 * time.Second, "n1", true}, {3 * time.Second, "n2", false}}},
-		{"the leader is tried again in time", []step{{0, "n1", false}, {9 * time.Second, "n1", true}, {15 * time.Second, "n1", true},
-			{15 * time.Second, "n1", true}, {15 * time.Second, "n1", false}, {9 * time.Second, "n1", true}}},
+		{"the leader's answer is passed on", lineTo{answer: intake.JSON(200, wire.ReportAnswer{Token: 7})}, 200, `{"baton":7,"orders":null}`, 0},
+		{"one that leads no more", lineTo{answer: sendTo("n2")}, 421, `{"boss":"n2"}`, 0},
+		{"one that finds the report malformed", lineTo{answer: problem(400, "x")}, 400, `{"error":"x"}`, 0},
+		{"no line: the leader itself is to be tried", lineTo{err: peers.ErrNoLine}, 421, `{"boss":"n1"}`, 0},
+		{"a leader that is silent", lineTo{}, 421, `{}`, reportLimit},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := newGate(t.Context(), "n0", nil, nil, nil, 100, slog.New(slog.NewTextHandler(io.Discard, nil)))
-				for i, s := range c.steps {
-					time.Sleep(s.after)
-					if got := g.mayRelay(t.Context(), "vm-1", s.leader); got != s.relay {
-						t.Errorf("visit %d: relayed %v, want %v", i, got, s.relay)
-					}
+				g := newGate(t.Context(), "n0", nil, nil, c.line, 100, quiet)
+				began := time.Now()
+				a := g.carry(t.Context(), "n1", []byte("{}"))
+				if a.Status != c.status || string(a.Body) != c.body || time.Since(began) != c.within {
+					t.Errorf("%d %s after %s, want %d %s after %s", a.Status, a.Body, time.Since(began), c.status, c.body, c.within)
 				}
 			})
 		})
 	}
 }
 
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// TestWhoIsSentAway: a leader to which most workers have come sends some to nodes
+// that carry their reports, none of them twice in a row, since it may not reach
+// those.
+func TestWhoIsSentAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd()
+		go c.run(t.Context())
+		pass := func(machine string, open int) string {
+			time.Sleep(passEvery)
+			return c.pass(t.Context(), machine, open, 90)
+		}
+		check := func(what, got, want string) {
+			if got != want {
+				t.Errorf("%s: sent to %q, want %q", what, got, want)
+			}
+		}
+		check("nobody shares", pass("vm-1", 90), "")
+		line, hangUp := context.WithCancel(t.Context())
+		c.join(line, "n1")
+		c.join(t.Context(), "n2")
+		synctest.Wait()
+		check("its share, and a few", pass("vm-1", 46), "")
+		check("more than that", pass("vm-1", 47), "n2")
+		check("it has come back", pass("vm-1", 47), "")
+		check("the next goes to the next", pass("vm-2", 47), "n1")
+		check("at most one at a time", c.pass(t.Context(), "vm-3", 47, 90), "")
+		hangUp()
+		synctest.Wait()
+		check("only to who still shares", pass("vm-3", 90), "n2")
+		check("also the one after", pass("vm-4", 90), "n2")
+		time.Sleep(passAgain)
+		check("much later it may go again", pass("vm-1", 90), "n2")
+	})
+}
+
 // eager answers every report, as a dispatcher would that does not know that its
 // term is over.
 type eager struct{}
 
+func (eager) Machines() int { return 0 }
+
+func (e eager) Hand(ctx context.Context, r *wire.Report, give func(*wire.ReportAnswer, error)) {
+	give(e.Report(ctx, r))
+}
+
 func (eager) Report(context.Context, *wire.Report) (*wire.ReportAnswer, error) {
 	return &wire.ReportAnswer{Token: 1, Orders: []wire.Order{{Verb: wire.Start, Task: "job-1/0", Attempt: 1}}}, nil
 }
@@ -58,12 +118,17 @@
 // TestNoAnswerPastTheTerm: a node that is not in its term sends workers on, with
 // no orders, so that they find another node before their leases end.
 func TestNoAnswerPastTheTerm(t *testing.T) {
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, log)
-	g := newGate(t.Context(), "n1", e, eager{}, nil, 100, log)
+	e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, quiet)
+	g := newGate(t.Context(), "n1", e, eager{}, nil, 100, quiet)
 	body := []byte(`{"host":"vm-1","address":"10.1.0.1:9000","flavor":"m","room":"a","tenure":1,"tick":4,"baton":0,"pieces":[]}`)
-	a := g.relayedHere(t.Context(), body)
-	if a.Status != http.StatusMisdirectedRequest || strings.Contains(string(a.Body), "boss") || strings.Contains(string(a.Body), "start") {
-		t.Errorf("answered %d %s", a.Status, a.Body)
+	check := func(how string, a intake.Answer) {
+		if a.Status != http.StatusMisdirectedRequest || strings.Contains(string(a.Body), "boss") || strings.Contains(string(a.Body), "start") {
+			t.Errorf("%s: answered %d %s", how, a.Status, a.Body)
+		}
 	}
+	check("straight", g.take(t.Context(), body))
+	g.Shared(t.Context(), body, func(answer func() intake.Answer) { check("carried", answer()) })
+	// The term may end between the dispatcher's answer and its writing.
+	answer, err := eager{}.Report(t.Context(), nil)
+	check("too late", g.told(1, answer, err))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,7 +51,7 @@
 	store := state.New(ctx, p.Services.State, f.State.RPS, f.State.WriteRPS, rate, log)
 	elector := election.New(p.Node, op, store, log)
 	desk := dispatch.NewDesk(p, op, elector, store, share.orders, log)
-	others, err := peers.Dial(p.Peers)
+	others, err := peers.Dial(ctx, p.Node, p.Peers)
 	if err != nil {
 		return err
 	}
@@ -64,16 +64,17 @@
 	in.Healthy = fit.OK
 	in.Routes(router)
 	gate := newGate(ctx, p.Node, elector, desk, others, share.crowded, log)
+	go gate.greet(ctx)
 	router.POST("/v1/report", gate.serve)
 
 	log.Info("serving", "node", p.Node, "zone", p.Zone, "public", p.Listen, "back", p.Back, "others", len(p.Peers))
 	go elector.Run(ctx)
 	go fit.run(ctx)
-	view := &outlook{elector: elector, heard: gate.heard, up: desk.Machines, report: settings.Seconds(f.Workers.ReportS), peers: others, log: log}
+	view := &outlook{elector: elector, heard: gate.heard, shared: gate.carried, up: desk.Machines, unanswered: desk.Unanswered, report: settings.Seconds(f.Workers.ReportS), peers: others, log: log}
 	go view.run(ctx)
 	go desk.Run(ctx)
 	failed := make(chan error, 2)
-	grpcServer := peers.NewServer(in, gate.relayedHere, elector.Promise, gate.heard.last)
+	grpcServer := peers.NewServer(in, gate, elector.Promise, gate.heard.last)
 	go func() { failed <- grpcServer.Serve(back) }()
 	web := newServer(router, &gate.seats, settings.Seconds(f.Workers.LeaseS), log)
 	go func() { failed <- web.Serve(netutil.LimitListener(public, share.inbound)) }()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -26,15 +26,20 @@
 	done      []chan struct{}
 }
 
-// freeAddr finds an address for a node. It is not on 127.0.0.1, where a
+// freeAddrs finds addresses for nodes. They are not on 127.0.0.1, where a
 // connection of the stand-ins could take the port before the node does.
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.7.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+func freeAddrs(t testing.TB, n int) []string {
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp", "127.7.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Only when all are found, or the next may be the same again.
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addrs
 }
 
 func (c *cluster) run(i int) {
@@ -143,8 +148,9 @@
 	record := standin.NewRecord(t)
 	c := &cluster{t: t, stop: make([]context.CancelFunc, 3), done: make([]chan struct{}, 3)}
 	nodes := map[string]string{}
+	addrs := freeAddrs(t, 6)
 	for i := range 3 {
-		p := &settings.Platform{Node: fmt.Sprintf("n%d", i), Zone: "a", Listen: freeAddr(t), Back: freeAddr(t)}
+		p := &settings.Platform{Node: fmt.Sprintf("n%d", i), Zone: "a", Listen: addrs[2*i], Back: addrs[2*i+1]}
 		p.Facts = settings.Facts{Nodes: 3, Teams: []settings.Team{{Name: "t"}},
 			Workers:   settings.Workers{ReportS: 0.3, LeaseS: 4, CancelS: 6},
 			State:     settings.StateLimits{RPS: 400, WriteRPS: 300, ValueKB: 16, TxnOps: 32},
--- a/internal/node/outlook.go
+++ b/internal/node/outlook.go
@@ -10,8 +10,8 @@
 )
 
 // A leader that has lost the workers, but neither the state service nor the
-// other controllers, keeps its lease and can do nothing with it: its commands
-// don't arrive, and reports come late by way of others. Another node takes over
+// other controllers, keeps its lease and can do little with it: its commands
+// don't arrive, though reports come by way of others. Another node takes over
 // within a second or two. So a leader to which no worker comes any more asks
 // the others whether workers come to them, and gives its term up if they do.
 
@@ -20,16 +20,20 @@
 	outlookEvery = 500 * time.Millisecond
 	outlookLeast = 3 * time.Second // a shorter silence shows nothing
 	outlookFirst = 8 * time.Second // a new leader has yet to be found
+	outlookDeaf  = 3               // fewer commands unanswered may be chance
 )
 
 // outlook watches whether workers still reach the leader.
 type outlook struct {
 	elector *election.Elector
-	heard   *tally
+	heard   *tally     // reports that have come straight here
+	shared  *tally     // reports that others have carried here
 	up      func() int // machines that should be reporting
-	report  time.Duration
-	peers   pinger
-	log     *slog.Logger
+	// unanswered is how many commands to workers in a row had no answer.
+	unanswered func() int
+	report     time.Duration
+	peers      pinger
+	log        *slog.Logger
 }
 
 // run watches until ctx ends.
@@ -63,6 +67,9 @@
 	if up == 0 || o.heard.last(window) > 0 {
 		return false
 	}
+	if o.shared.last(window) > 0 && o.unanswered() < outlookDeaf {
+		return false // all workers may just have come to the others
+	}
 	n := o.elsewhere(ctx, window)
 	return n > 0 && n >= up/8
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -19,12 +19,14 @@
 type Peers struct {
 	names   []string
 	clients map[string]peerpb.PeerClient // filled once, then only read
+	// couriers carry workers' reports, each to one node; as clients.
+	couriers map[string]*courier
 }
 
-// Dial prepares a connection to each of the other controllers. Nothing is sent
-// until the first request.
-func Dial(others []settings.Peer) (*Peers, error) {
-	p := &Peers{clients: map[string]peerpb.PeerClient{}}
+// Dial prepares a connection to each of the other controllers for the node of a
+// name, until ctx ends. Nothing is sent until the first request.
+func Dial(ctx context.Context, node string, others []settings.Peer) (*Peers, error) {
+	p := &Peers{clients: map[string]peerpb.PeerClient{}, couriers: map[string]*courier{}}
 	for _, o := range others {
 		conn, err := grpc.NewClient("passthrough:///"+o.Addr,
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -37,7 +39,10 @@
 			return nil, fmt.Errorf("peer %s: %w", o.Node, err)
 		}
 		p.names = append(p.names, o.Node)
-		p.clients[o.Node] = peerpb.NewPeerClient(conn)
+		client := peerpb.NewPeerClient(conn)
+		p.clients[o.Node] = client
+		p.couriers[o.Node] = newCourier(node, func(ctx context.Context) (line, error) { return client.Share(ctx) })
+		go p.couriers[o.Node].run(ctx)
 	}
 	return p, nil
 }
@@ -66,19 +71,6 @@
 	return intake.Answer{Status: int(r.Status), Body: r.Body, RetryAfter: int(r.RetryAfterS)}, nil
 }
 
-// Report passes a worker's report on to a node.
-func (p *Peers) Report(ctx context.Context, node string, body []byte) (intake.Answer, error) {
-	c, err := p.client(node)
-	if err != nil {
-		return intake.Answer{}, err
-	}
-	r, err := c.Report(ctx, &peerpb.ReportRequest{Body: body})
-	if err != nil {
-		return intake.Answer{}, fmt.Errorf("node %s: %w", node, err)
-	}
-	return intake.Answer{Status: int(r.Status), Body: r.Body}, nil
-}
-
 // Ping asks whether a node answers, and how many reports workers have sent it
 // within a time.
 func (p *Peers) Ping(ctx context.Context, node string, within time.Duration) (reports int, err error) {
@@ -110,7 +102,7 @@
 type server struct {
 	peerpb.UnimplementedPeerServer
 	intake  *intake.Service
-	reports func(ctx context.Context, body []byte) intake.Answer
+	reports Reports
 	promise func(ctx context.Context, hold time.Duration) bool
 	heard   func(within time.Duration) int
 }
@@ -123,20 +115,15 @@
 	return &peerpb.VouchReply{Promised: s.promise(ctx, time.Duration(r.ForMs)*time.Millisecond)}, nil
 }
 
-func (s *server) Report(ctx context.Context, r *peerpb.ReportRequest) (*peerpb.AskReply, error) {
-	a := s.reports(ctx, r.Body)
-	return &peerpb.AskReply{Status: int32(a.Status), Body: a.Body}, nil
-}
-
 func (s *server) Ask(ctx context.Context, r *peerpb.AskRequest) (*peerpb.AskReply, error) {
 	a := s.intake.Handle(ctx, intake.Kind(r.Kind), r.Ref, r.Body, true)
 	return &peerpb.AskReply{Status: int32(a.Status), Body: a.Body, RetryAfterS: int32(a.RetryAfter)}, nil
 }
 
-// NewServer makes the server for the other controllers. reports answers a
-// worker's report if this node leads; promise is the elector's; heard counts the
-// reports that have come straight here.
-func NewServer(in *intake.Service, reports func(ctx context.Context, body []byte) intake.Answer,
+// NewServer makes the server for the other controllers. reports answers workers'
+// reports if this node leads; promise is the elector's; heard counts the reports
+// that have come straight here.
+func NewServer(in *intake.Service, reports Reports,
 	promise func(ctx context.Context, hold time.Duration) bool, heard func(within time.Duration) int) *grpc.Server {
 	g := grpc.NewServer()
 	peerpb.RegisterPeerServer(g, &server{intake: in, reports: reports, promise: promise, heard: heard})
