Connections to workers are kept as far as sockets go; batches of reports 50 ms apart

Cause: with shared reports the leader's largest posts were direct commands (600 to 1,260 in 10 s, four fifths over a new connection) and, on all nodes, gRPC: at 20 ms a batch held 2.7 reports.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -36,10 +36,7 @@
 	store    *state.Client
 	log      *slog.Logger
 	started  time.Time
-	workers  *http.Client
-	// lines are the connections to workers: who has put something in may open
-	// one, and takes it out afterwards.
-	lines chan struct{}
+	workers  *callers
 	// machines is how many should be reporting to this leader; unanswered is how
 	// many direct commands in a row no worker has answered.
 	machines   atomic.Int64
@@ -62,12 +59,11 @@
 // answerTo takes the one outcome of an ask. It does not wait.
 type answerTo func(outcome any)
 
-// NewDesk makes a desk that has up to lines calls to workers on their way, and
-// half as many connections kept between them; Run starts it.
-func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines int, log *slog.Logger) *Desk {
+// NewDesk makes a desk; Run starts it.
+func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines Lines, log *slog.Logger) *Desk {
 	return &Desk{
 		platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
-		workers: outbound.NewClient(1, lines/2), lines: make(chan struct{}, lines),
+		workers: newCallers(lines),
 		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
 	}
 }
@@ -80,6 +76,9 @@
 	return t.Sub(d.started), t.UnixMilli()
 }
 
+// HangUp closes the connections to workers that are kept between two commands.
+func (d *Desk) HangUp() { d.workers.hangUp() }
+
 // Unanswered is how many direct commands in a row no worker has answered.
 func (d *Desk) Unanswered() int { return int(d.unanswered.Load()) }
 
@@ -427,19 +426,9 @@
 // worker's reports.
 const directTimeout = 2 * time.Second
 
-// line waits for a connection to a worker; done gives it back.
-func (d *Desk) line(ctx context.Context) (done func(), ok bool) {
-	select {
-	case d.lines <- struct{}{}:
-		return func() { <-d.lines }, true
-	case <-ctx.Done():
-		return nil, false
-	}
-}
-
 // direct sends a command to a worker and brings its outcome back.
 func (d *Desk) direct(ctx context.Context, term uint64, e Direct) {
-	done, ok := d.line(ctx)
+	done, ok := d.workers.line(ctx)
 	if !ok {
 		return
 	}
@@ -461,7 +450,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	done, ok := d.line(ctx)
+	done, ok := d.workers.line(ctx)
 	if !ok {
 		return
 	}
@@ -473,7 +462,7 @@
 		d.log.Error("worker not inspected", "machine", e.Machine, "error", err)
 		return
 	}
-	resp, err := d.workers.Do(req)
+	resp, err := d.workers.do(req)
 	if err != nil {
 		d.log.Debug("worker not inspected", "machine", e.Machine, "error", err)
 		return
@@ -506,7 +495,7 @@
 	if !d.elector.InTerm(term) {
 		return DirectNotSent, nil
 	}
-	resp, err := d.workers.Do(req)
+	resp, err := d.workers.do(req)
 	if err != nil {
 		d.unanswered.Add(1)
 		if outbound.NeverSent(err) {
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -42,15 +42,14 @@
 	desk    reporter
 	peers   carrier
 	log     *slog.Logger
-	seats   seats
+	seats   *seats
 	crowd   *crowd
 	heard   *tally // reports that have come straight here
 	carried *tally // reports that other nodes have carried here
 }
 
-func newGate(ctx context.Context, node string, e *election.Elector, desk reporter, peers carrier, crowded int, log *slog.Logger) *gate {
-	g := &gate{node: node, elector: e, desk: desk, peers: peers, log: log, crowd: newCrowd(), heard: newTally(), carried: newTally()}
-	g.seats.crowded = int64(crowded)
+func newGate(ctx context.Context, node string, e *election.Elector, desk reporter, peers carrier, s *seats, log *slog.Logger) *gate {
+	g := &gate{node: node, elector: e, desk: desk, peers: peers, log: log, seats: s, crowd: newCrowd(), heard: newTally(), carried: newTally()}
 	go g.crowd.run(ctx)
 	return g
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,9 @@
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(f.Resources.RAMMB * 0.7 * (1 << 20)))
 
-	public, err := net.Listen("tcp", p.Listen)
+	// Who is silent for long is hung up on; probes besides would cost four system
+	// calls for each connection.
+	public, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", p.Listen)
 	if err != nil {
 		return fmt.Errorf("public_addr %s: %w", p.Listen, err)
 	}
@@ -50,7 +52,10 @@
 	rate := dispatch.FollowerShare(f.Nodes)
 	store := state.New(ctx, p.Services.State, f.State.RPS, f.State.WriteRPS, rate, log)
 	elector := election.New(p.Node, op, store, log)
-	desk := dispatch.NewDesk(p, op, elector, store, share.orders, log)
+	seats := &seats{crowded: int64(share.crowded), roomy: int64(share.roomy)}
+	lines := dispatch.Lines{AtOnce: share.orders, Kept: share.kept, Few: share.few, Crowded: seats.Crowded}
+	desk := dispatch.NewDesk(p, op, elector, store, lines, log)
+	seats.makeRoom = desk.HangUp
 	others, err := peers.Dial(ctx, p.Node, p.Peers)
 	if err != nil {
 		return err
@@ -63,7 +68,7 @@
 	fit := &health{serving: store.Serving, peers: others, log: log}
 	in.Healthy = fit.OK
 	in.Routes(router)
-	gate := newGate(ctx, p.Node, elector, desk, others, share.crowded, log)
+	gate := newGate(ctx, p.Node, elector, desk, others, seats, log)
 	go gate.greet(ctx)
 	router.POST("/v1/report", gate.serve)
 
@@ -76,7 +81,7 @@
 	failed := make(chan error, 2)
 	grpcServer := peers.NewServer(in, gate, elector.Promise, gate.heard.last)
 	go func() { failed <- grpcServer.Serve(back) }()
-	web := newServer(router, &gate.seats, settings.Seconds(f.Workers.LeaseS), log)
+	web := newServer(router, seats, settings.Seconds(f.Workers.LeaseS), log)
 	go func() { failed <- web.Serve(netutil.LimitListener(public, share.inbound)) }()
 	select {
 	case err := <-failed:
--- a/internal/node/seats.go
+++ b/internal/node/seats.go
@@ -18,28 +18,39 @@
 	inbound int // users, workers and health checks
 	crowded int // from here on workers are asked to hang up after each answer
 	orders  int // direct commands on their way at once
+	// kept is how many connections to workers are kept between two commands
+	// while at most roomy are open for users and workers, few how many beyond.
+	roomy, kept, few int
 }
 
-// divide leaves an eighth besides: half of it for connections to workers that are
-// kept between two commands, the rest for the state service, the cloud and the
+// divide leaves a sixteenth besides for the state service, the cloud and the
 // other nodes.
 func divide(r settings.Resources) sockets {
-	s := sockets{inbound: max(8, r.Sockets*3/4), orders: max(4, r.Sockets/8)}
+	s := sockets{inbound: max(8, r.Sockets*3/4), orders: max(4, r.Sockets/8), few: max(2, r.Sockets/16)}
 	s.crowded = s.inbound * 7 / 8
+	// Where the nodes share the workers, half of what is for them is free.
+	s.roomy, s.kept = r.Sockets*3/8, max(2, r.Sockets*3/8)
 	return s
 }
 
 // seats counts the connections of users and workers.
 type seats struct {
-	open    atomic.Int64
-	crowded int64
+	open     atomic.Int64
+	crowded  int64
+	roomy    int64
+	makeRoom func() // called when more than roomy have come; nil: nothing to be done
 }
 
+// Crowded tells whether connections to workers are not to be kept.
+func (s *seats) Crowded() bool { return s.open.Load() > s.roomy }
+
 // track is the HTTP server's hook for connections that come and go.
 func (s *seats) track(_ net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		s.open.Add(1)
+		if s.open.Add(1) == s.roomy+1 && s.makeRoom != nil {
+			s.makeRoom()
+		}
 	case http.StateClosed, http.StateHijacked:
 		s.open.Add(-1)
 	}
--- a/internal/node/seats_test.go
+++ b/internal/node/seats_test.go
@@ -109,3 +109,31 @@
 		})
 	}
 }
+
+// TestSocketsAddUp: what is kept to workers, with all else, never takes more
+// sockets than there are, however many come in; who comes must find room.
+func TestSocketsAddUp(t *testing.T) {
+	for _, sockets := range []int{16, 64, 1000, 2928, 3500} {
+		d := divide(settings.Resources{Sockets: sockets})
+		rest := sockets / 16
+		if in := d.inbound + d.orders + d.few + rest; sockets >= 64 && in > sockets {
+			t.Errorf("%d sockets: %d with all that may come in", sockets, in)
+		}
+		if in := d.roomy + d.orders + d.kept + rest; sockets >= 64 && in > sockets {
+			t.Errorf("%d sockets: %d while many are kept", sockets, in)
+		}
+		hungUp := 0
+		s := &seats{roomy: int64(d.roomy), makeRoom: func() { hungUp++ }}
+		for range d.roomy {
+			s.track(nil, http.StateNew)
+		}
+		if s.Crowded() || hungUp != 0 {
+			t.Errorf("%d sockets: crowded with %d", sockets, d.roomy)
+		}
+		s.track(nil, http.StateNew)
+		s.track(nil, http.StateNew)
+		if !s.Crowded() || hungUp != 1 {
+			t.Errorf("%d sockets: crowded %v, hung up %d times, with two more", sockets, s.Crowded(), hungUp)
+		}
+	}
+}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -10,15 +10,23 @@
 	"time"
 )
 
+// bufferSize is for each connection both ways: there are many, and most messages
+// are short.
+const bufferSize = 2 << 10
+
 // NewClient makes a client that keeps up to idle connections to each address,
 // and up to total in all unless that is 0.
 func NewClient(idle, total int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		// Every call has a time limit, so that probes of idle connections would
+		// tell nothing; setting them up costs four system calls.
+		DialContext:         (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
 		MaxIdleConnsPerHost: idle,
 		MaxIdleConns:        total,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+		ReadBufferSize:      bufferSize,
+		WriteBufferSize:     bufferSize,
 	}}
 }
 
--- a/internal/peers/share.go
+++ b/internal/peers/share.go
@@ -18,7 +18,7 @@
 const (
 	// gather is the least time between two batches on a stream. Alone, a report
 	// leaves at once; the more there are, the more travel together.
-	gather = 20 * time.Millisecond
+	gather = 50 * time.Millisecond
 	// mute is how long a leader may answer nothing at all while reports wait.
 	// Then those that come are refused at once, so that their workers go on.
 	mute = 2 * time.Second
