--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -15,6 +15,10 @@
 	"leadproxy/internal/settings"
 )
 
+// window is how much may be on its way unread, both ways. A fixed one spares the
+// library's probing for a better one: a ping and its answer for every batch.
+const window = 1 << 20
+
 // Peers holds the connections to the other controllers.
 type Peers struct {
 	names   []string
@@ -30,6 +34,7 @@
 	for _, o := range others {
 		conn, err := grpc.NewClient("passthrough:///"+o.Addr,
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
 			grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: reconnect.MaxDelay}),
 			grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
 				var d net.Dialer
@@ -125,7 +130,7 @@
 // that have come straight here.
 func NewServer(in *intake.Service, reports Reports,
 	promise func(ctx context.Context, hold time.Duration) bool, heard func(within time.Duration) int) *grpc.Server {
-	g := grpc.NewServer()
+	g := grpc.NewServer(grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window))
 	peerpb.RegisterPeerServer(g, &server{intake: in, reports: reports, promise: promise, heard: heard})
 	return g
 }
