--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -54,6 +54,8 @@
 	base  string
 	http  *http.Client
 	pacer *pacer
+	// renewals is for Renew alone.
+	renewals straight
 }
 
 // timeout bounds one ordinary request.
@@ -63,9 +65,10 @@
 // service's limits, of which share is this node's at the start.
 func New(ctx context.Context, addr string, rps, wps, share float64, log *slog.Logger) *Client {
 	c := &Client{
-		base:  "http://" + addr,
-		http:  outbound.NewClient(16, 0),
-		pacer: newPacer(rps, wps, share, log),
+		base:     "http://" + addr,
+		http:     outbound.NewClient(16, 0),
+		pacer:    newPacer(rps, wps, share, log),
+		renewals: straight{addr: addr},
 	}
 	go c.pacer.run(ctx)
 	return c
@@ -218,12 +221,20 @@
 	return a.Lease, decode(answer, &a)
 }
 
-// Renew renews a lease.
+// Renew renews a lease. It waits for no grant and on no other goroutine of ours.
+// One goroutine at a time may call it.
 func (c *Client) Renew(ctx context.Context, lease uint64) error {
-	status, answer, err := c.do(ctx, Lease, 0, time.Second, http.MethodPost, "/leases/"+strconv.FormatUint(lease, 10)+"/renew", struct{}{})
+	status, answer, err := c.renewals.do(ctx, time.Second, http.MethodPost, "/leases/"+strconv.FormatUint(lease, 10)+"/renew", []byte("{}"))
+	c.pacer.spend()
+	served := err == nil && status != http.StatusServiceUnavailable
+	if err == nil || ctx.Err() == nil {
+		c.pacer.note(served)
+	}
 	switch {
 	case err != nil:
 		return err
+	case !served || status == http.StatusTooManyRequests:
+		return ErrRefused
 	case status == http.StatusOK:
 		return nil
 	case status == http.StatusNotFound:
--- a/internal/state/pacer.go
+++ b/internal/state/pacer.go
@@ -24,7 +24,8 @@
 	wishes    chan *grant
 	shares    chan float64
 	penalties chan struct{}
-	outcomes  chan bool // whether a request was served
+	spent     chan struct{} // requests that were sent without a grant
+	outcomes  chan bool     // whether a request was served
 	log       *slog.Logger
 
 	downSince       time.Time // zero while the service serves us
@@ -47,6 +48,7 @@
 func newPacer(rps, wps, share float64, log *slog.Logger) *pacer {
 	p := &pacer{
 		wishes: make(chan *grant), shares: make(chan float64), penalties: make(chan struct{}),
+		spent:    make(chan struct{}, 8),
 		outcomes: make(chan bool, 64), log: log,
 		rps: rps, wps: wps, share: share,
 	}
@@ -71,6 +73,14 @@
 
 func (p *pacer) penalise() { p.penalties <- struct{}{} }
 
+// spend counts a request that was sent without a grant.
+func (p *pacer) spend() {
+	select {
+	case p.spent <- struct{}{}:
+	default:
+	}
+}
+
 // note tells whether a request was served. Word of it may be dropped.
 func (p *pacer) note(served bool) {
 	select {
@@ -108,6 +118,8 @@
 			p.queues[g.priority] = append(p.queues[g.priority], g)
 		case s := <-p.shares:
 			p.share = s
+		case <-p.spent:
+			p.requests.level--
 		case <-p.penalties:
 			p.requests.level, p.writes.level = 0, 0
 			last = time.Now()
