Lines to workers are used by one goroutine each

And each command went through three goroutines. Now one goroutine writes the request and reads the answer, on a line that an owner keeps between two calls; whether the other side hung up is looked at before an idle line is used, since a command that breaks off may have been carried out. The renewals use the same. Before a command leaves the term is looked at once more, after connecting.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http"
+	"time"
 
 	"leadproxy/internal/outbound"
 )
@@ -16,35 +16,130 @@
 	Crowded   func() bool
 }
 
+// keepFor is how long a connection is kept unused.
+const keepFor = time.Minute
+
 // callers call workers. A new connection costs several times what a command
-// does, so they are kept as far as there are sockets.
+// does, so they are kept as far as there are sockets. Those that are idle are
+// owned by run.
 type callers struct {
-	lines Lines
-	turns chan struct{} // who has put something in may call, and takes it out
-	many  *http.Client
-	few   *http.Client
+	lines  Lines
+	turns  chan struct{} // who has put something in may call, and takes it out
+	takes  chan take
+	gives  chan given
+	shorts chan struct{}
+	ended  chan struct{}
+}
+
+type take struct {
+	addr string
+	line chan *outbound.Line
+}
+
+type given struct {
+	addr string
+	line *outbound.Line
 }
 
 func newCallers(l Lines) *callers {
-	return &callers{lines: l, turns: make(chan struct{}, l.AtOnce), many: outbound.NewClient(1, l.Kept), few: outbound.NewClient(1, l.Few)}
+	return &callers{lines: l, turns: make(chan struct{}, l.AtOnce), takes: make(chan take), gives: make(chan given), shorts: make(chan struct{}), ended: make(chan struct{})}
 }
 
-// line waits for a turn to call; done gives it back.
-func (c *callers) line(ctx context.Context) (done func(), ok bool) {
-	select {
-	case c.turns <- struct{}{}:
-		return func() { <-c.turns }, true
-	case <-ctx.Done():
-		return nil, false
+// run keeps idle connections until ctx ends.
+func (c *callers) run(ctx context.Context) {
+	defer close(c.ended)
+	idle := map[string]*outbound.Line{}
+	drop := func(addr string) {
+		idle[addr].Close()
+		delete(idle, addr)
+	}
+	tidy := time.NewTicker(keepFor / 4)
+	defer tidy.Stop()
+	for {
+		select {
+		case t := <-c.takes:
+			t.line <- idle[t.addr] // nil: none
+			delete(idle, t.addr)
+		case g := <-c.gives:
+			if idle[g.addr] != nil || len(idle) >= c.most() {
+				g.line.Close()
+				break
+			}
+			idle[g.addr] = g.line
+		case <-c.shorts:
+			for addr := range idle {
+				if len(idle) <= c.lines.Few {
+					break
+				}
+				drop(addr)
+			}
+		case <-tidy.C:
+			for addr, l := range idle {
+				if time.Since(l.IdleSince()) > keepFor {
+					drop(addr)
+				}
+			}
+		case <-ctx.Done():
+			for addr := range idle {
+				drop(addr)
+			}
+			return
+		}
 	}
 }
 
-func (c *callers) do(req *http.Request) (*http.Response, error) {
+func (c *callers) most() int {
 	if c.lines.Crowded() {
-		return c.few.Do(req)
+		return c.lines.Few
+	}
+	return c.lines.Kept
+}
+
+// hangUp has what is kept beyond few closed.
+func (c *callers) hangUp() {
+	select {
+	case c.shorts <- struct{}{}:
+	case <-c.ended:
 	}
-	return c.many.Do(req)
 }
 
-// hangUp closes what is kept beyond few.
-func (c *callers) hangUp() { c.many.CloseIdleConnections() }
+// call sends one request to a worker and waits for its answer. Once there is a
+// connection, may tells whether it may still be sent. With sent false it never
+// was.
+func (c *callers) call(ctx context.Context, addr, method, path string, payload []byte, may func() bool) (status int, answer []byte, sent bool, err error) {
+	select {
+	case c.turns <- struct{}{}:
+		defer func() { <-c.turns }()
+	case <-ctx.Done():
+		return 0, nil, false, ctx.Err()
+	}
+	end := time.Now().Add(directTimeout)
+	t := take{addr, make(chan *outbound.Line, 1)}
+	select {
+	case c.takes <- t:
+	case <-ctx.Done():
+		return 0, nil, false, ctx.Err()
+	}
+	line := <-t.line
+	if line == nil {
+		line = outbound.NewLine(addr)
+	}
+	defer func() {
+		if !line.IsOpen() {
+			return
+		}
+		select {
+		case c.gives <- given{addr, line}:
+		case <-ctx.Done():
+			line.Close()
+		}
+	}()
+	if err := line.Open(ctx, dialTimeout); err != nil {
+		return 0, nil, false, err
+	}
+	if !may() {
+		return 0, nil, false, ErrNotLeading
+	}
+	status, answer, err = line.Do(end, method, path, payload)
+	return status, answer, true, err
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -1,10 +1,8 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -168,6 +166,7 @@
 
 // Run serves terms until ctx ends.
 func (d *Desk) Run(ctx context.Context) {
+	go d.workers.run(ctx)
 	var stop context.CancelFunc
 	var ended chan struct{}
 	var current uint64
@@ -422,17 +421,15 @@
 	}
 }
 
-// directTimeout bounds a direct command. What is slower is settled through the
-// worker's reports.
-const directTimeout = 2 * time.Second
+// directTimeout bounds a direct command, dialTimeout the connecting for it. What
+// is slower is settled through the worker's reports.
+const (
+	directTimeout = 2 * time.Second
+	dialTimeout   = time.Second
+)
 
 // direct sends a command to a worker and brings its outcome back.
 func (d *Desk) direct(ctx context.Context, term uint64, e Direct) {
-	done, ok := d.workers.line(ctx)
-	if !ok {
-		return
-	}
-	defer done()
 	back := DirectBack{Call: e.Call}
 	back.Outcome, back.Report = d.command(ctx, term, e)
 	select {
@@ -444,36 +441,18 @@
 // inspect asks a worker what it is now.
 func (d *Desk) inspect(ctx context.Context, e Inspect) {
 	back := InspectBack{Machine: e.Machine}
-	defer func() {
-		select {
-		case d.inner <- back:
-		case <-ctx.Done():
-		}
-	}()
-	done, ok := d.workers.line(ctx)
-	if !ok {
-		return
-	}
-	defer done()
-	ctx, cancel := context.WithTimeout(ctx, directTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/inspect", nil)
-	if err != nil {
-		d.log.Error("worker not inspected", "machine", e.Machine, "error", err)
-		return
-	}
-	resp, err := d.workers.do(req)
-	if err != nil {
+	status, answer, _, err := d.workers.call(ctx, e.Address, http.MethodGet, "/inspect", nil, func() bool { return true })
+	switch {
+	case err != nil:
 		d.log.Debug("worker not inspected", "machine", e.Machine, "error", err)
-		return
-	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return
+	case status == http.StatusOK:
+		if back.Report, err = wire.ParseReport(answer); err != nil {
+			d.log.Info("worker's answer can't be read", "machine", e.Machine, "error", err)
+		}
 	}
-	if back.Report, err = wire.ParseReport(answer); err != nil {
-		d.log.Info("worker's answer can't be read", "machine", e.Machine, "error", err)
+	select {
+	case d.inner <- back:
+	case <-ctx.Done():
 	}
 }
 
@@ -483,34 +462,25 @@
 		d.log.Error("command not encoded", "machine", e.Machine, "error", err)
 		return DirectNotSent, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, directTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+"/commands", bytes.NewReader(payload))
-	if err != nil {
-		d.log.Error("command not sent", "machine", e.Machine, "error", err)
-		return DirectNotSent, nil
-	}
-	req.Header.Set("Content-Type", "application/json")
 	// Past the lease another leader may act: no order leaves here.
-	if !d.elector.InTerm(term) {
+	may := func() bool { return d.elector.InTerm(term) }
+	if !may() {
 		return DirectNotSent, nil
 	}
-	resp, err := d.workers.do(req)
-	if err != nil {
-		d.unanswered.Add(1)
-		if outbound.NeverSent(err) {
-			return DirectNotSent, nil
+	status, answer, sent, err := d.workers.call(ctx, e.Address, http.MethodPost, "/commands", payload, may)
+	switch {
+	case !sent:
+		if !errors.Is(err, ErrNotLeading) {
+			d.unanswered.Add(1)
 		}
+		return DirectNotSent, nil
+	case err != nil:
+		d.unanswered.Add(1)
 		return DirectUnknown, nil
 	}
 	d.unanswered.Store(0)
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return DirectUnknown, nil
-	}
 	var outcome DirectOutcome
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusOK:
 		outcome = DirectDone
 	case http.StatusConflict, http.StatusBadRequest:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,7 +66,7 @@
 func NewClient(addr string, rate float64) *Client {
 	return &Client{
 		base:  "http://" + addr,
-		http:  outbound.NewClient(8, 0),
+		http:  outbound.NewClient(8),
 		rate:  rate,
 		calls: make(chan Call, 256), Results: make(chan Result, 64),
 	}
--- /dev/null
+++ b/internal/outbound/line.go
@@ -0,0 +1,124 @@
+package outbound
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// Line is a connection that one goroutine at a time uses by itself, from the
+// request to the answer. An http.Client hands each request from goroutine to
+// goroutine, two for each connection that it keeps. On a controller that is short
+// of time each of those hands over only when all else that is ready has had its
+// turn: a leader that was busy with a thousand workers lost its lease over that.
+// And two goroutines with their buffers for each of a thousand machines take
+// 40 MB.
+type Line struct {
+	addr string
+	conn net.Conn
+	in   *bufio.Reader
+	used time.Time
+}
+
+// lineBuffer is for a line's answers. Most are shorter.
+const lineBuffer = 2 << 10
+
+// quietFor is how long a line may have been idle without being looked at before
+// it is used again.
+const quietFor = 500 * time.Millisecond
+
+// NewLine makes a line to an address, not open yet.
+func NewLine(addr string) *Line { return &Line{addr: addr} }
+
+// IsOpen tells whether there is a connection to be kept.
+func (l *Line) IsOpen() bool { return l.conn != nil }
+
+// IdleSince is when the line was last used.
+func (l *Line) IdleSince() time.Time { return l.used }
+
+// Close closes the connection.
+func (l *Line) Close() {
+	if l.conn != nil {
+		l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// Open sees to it that there is a connection. An error means that nothing was
+// sent.
+func (l *Line) Open(ctx context.Context, limit time.Duration) error {
+	if l.conn != nil && time.Since(l.used) > quietFor && hungUp(l.conn) {
+		l.Close()
+	}
+	if l.conn != nil {
+		return nil
+	}
+	conn, err := (&net.Dialer{Timeout: limit, KeepAlive: -1}).DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	l.conn, l.in, l.used = conn, bufio.NewReaderSize(conn, lineBuffer), time.Now()
+	return nil
+}
+
+// Do carries out one request on an open line, until end. After an error it may
+// have been carried out, and the line is closed.
+func (l *Line) Do(end time.Time, method, path string, payload []byte) (status int, answer []byte, err error) {
+	status, answer, closing, err := l.speak(end, method, path, payload)
+	if err != nil || closing {
+		l.Close()
+	}
+	l.used = time.Now()
+	return status, answer, err
+}
+
+func (l *Line) speak(end time.Time, method, path string, payload []byte) (status int, answer []byte, closing bool, err error) {
+	if err := l.conn.SetDeadline(end); err != nil {
+		return 0, nil, false, fmt.Errorf("line to %s: %w", l.addr, err)
+	}
+	req, err := http.NewRequest(method, "http://"+l.addr+path, bytes.NewReader(payload))
+	if err != nil {
+		return 0, nil, false, fmt.Errorf("line to %s: %w", l.addr, err)
+	}
+	if payload != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if err := req.Write(l.conn); err != nil {
+		return 0, nil, false, fmt.Errorf("line to %s: %w", l.addr, err)
+	}
+	resp, err := http.ReadResponse(l.in, req)
+	if err != nil {
+		return 0, nil, false, fmt.Errorf("line to %s: %w", l.addr, err)
+	}
+	defer resp.Body.Close()
+	answer, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, answer, resp.Close, err
+}
+
+// hungUp tells whether the other side has closed an idle connection: there is
+// something to be read, if only the end. A request on such a connection would be
+// lost, and nobody could tell whether it was carried out.
+func hungUp(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = err != syscall.EAGAIN
+		return true
+	})
+	return gone || err != nil
+}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -14,15 +14,13 @@
 // are short.
 const bufferSize = 2 << 10
 
-// NewClient makes a client that keeps up to idle connections to each address,
-// and up to total in all unless that is 0.
-func NewClient(idle, total int) *http.Client {
+// NewClient makes a client that keeps up to idle connections to each address.
+func NewClient(idle int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		// Every call has a time limit, so that probes of idle connections would
 		// tell nothing; setting them up costs four system calls.
 		DialContext:         (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
 		MaxIdleConnsPerHost: idle,
-		MaxIdleConns:        total,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 		ReadBufferSize:      bufferSize,
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -55,20 +55,23 @@
 	http  *http.Client
 	pacer *pacer
 	// renewals is for Renew alone.
-	renewals straight
+	renewals *outbound.Line
 }
 
-// timeout bounds one ordinary request.
-const timeout = 1500 * time.Millisecond
+// timeout bounds one ordinary request, renewTimeout a renewal.
+const (
+	timeout      = 1500 * time.Millisecond
+	renewTimeout = time.Second
+)
 
 // New makes a client whose pacer runs until ctx ends. rps and wps are the
 // service's limits, of which share is this node's at the start.
 func New(ctx context.Context, addr string, rps, wps, share float64, log *slog.Logger) *Client {
 	c := &Client{
 		base:     "http://" + addr,
-		http:     outbound.NewClient(16, 0),
+		http:     outbound.NewClient(16),
 		pacer:    newPacer(rps, wps, share, log),
-		renewals: straight{addr: addr},
+		renewals: outbound.NewLine(addr),
 	}
 	go c.pacer.run(ctx)
 	return c
@@ -224,15 +227,18 @@
 // Renew renews a lease. It waits for no grant and on no other goroutine of ours.
 // One goroutine at a time may call it.
 func (c *Client) Renew(ctx context.Context, lease uint64) error {
-	status, answer, err := c.renewals.do(ctx, time.Second, http.MethodPost, "/leases/"+strconv.FormatUint(lease, 10)+"/renew", []byte("{}"))
+	path := "/leases/" + strconv.FormatUint(lease, 10) + "/renew"
+	if err := c.renewals.Open(ctx, renewTimeout); err != nil {
+		c.pacer.note(false)
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
 	c.pacer.spend()
+	status, answer, err := c.renewals.Do(time.Now().Add(renewTimeout), http.MethodPost, path, []byte("{}"))
 	served := err == nil && status != http.StatusServiceUnavailable
-	if err == nil || ctx.Err() == nil {
-		c.pacer.note(served)
-	}
+	c.pacer.note(served)
 	switch {
 	case err != nil:
-		return err
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
 	case !served || status == http.StatusTooManyRequests:
 		return ErrRefused
 	case status == http.StatusOK:
