--- a/internal/node/crowd.go
+++ b/internal/node/crowd.go
@@ -6,16 +6,20 @@
 	"time"
 )
 
-// Workers stay with the node that answers them. After a failure most may have
-// come to the leader, whose time is the shortest: so it sends some of those that
-// are more than its share to nodes that carry reports to it.
+// Workers stay with the node that answers them. The leader's time is the
+// shortest: it has all the commands to workers, and the decisions. So of the
+// workers that come to it, it sends all but a few to nodes that carry reports to
+// it.
 
 // The times and bounds of sending workers away.
 const (
-	passEvery = 100 * time.Millisecond // one worker at a time
-	passAgain = 2 * time.Minute        // the same one: it may not reach the others
-	passSlack = 16                     // so many beyond its share a leader keeps
-	passed    = 4096                   // workers that are remembered at most
+	passEvery = 20 * time.Millisecond // one worker at a time
+	passAgain = 2 * time.Minute       // the same one: it may not reach the others
+	// A leader keeps a quarter of what would be an equal share, and so many more:
+	// the few of a small deployment are no burden.
+	leaderPart = 4
+	passSlack  = 16
+	passed     = 4096 // workers that are remembered at most
 )
 
 // crowd decides which workers a leader sends to whom. Its state is owned by run.
@@ -51,7 +55,7 @@
 // many connections open here and so many machines in all.
 func (c *crowd) pass(ctx context.Context, machine string, open, machines int) string {
 	n := int(c.sharing.Load())
-	if n == 0 || open <= machines/(n+1)+passSlack {
+	if n == 0 || open <= machines/(n+1)/leaderPart+passSlack {
 		return ""
 	}
 	p := passing{machine, make(chan string, 1)}
