Writes of a step travel together; hails go by how soon they are back

Cause, in a storm of reports after all controllers end (simulated): in 10 s the leader made 6,000 ledger writes, each with all hosts or all ended tasks of its job anew, and hailed 1,300 machines, 64 at once, while the same machines' reports waited. Hails begin with four at once, one more for each that is back within 150 ms, half for one that takes 500 ms.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -54,6 +54,7 @@
 	pools     []poolKey // by the index's numbers
 	poolAt    map[poolKey]int32
 	stale     []*machine // to be brought up to date in the index
+	unwritten []*job     // with something new for the ledger
 	reporting int        // machines that should be
 	openCores float64    // of the machines in the index
 	classUse  []float64  // booked cores, by class
@@ -69,6 +70,7 @@
 	holders     []*job       // jobs for which a machine is kept free
 	toHail      []*machine
 	hailing     int
+	hailsAtOnce int
 	inspects    int // workers that are being asked what they are
 	attempts    uint64
 	looks       uint64       // reports looked at
@@ -95,6 +97,7 @@
 	token    uint64
 	attempts []uint64
 	hail     bool
+	sent     time.Duration // of a hail
 }
 
 // NewCore starts a term from what the ledger holds. now is the node's steady
@@ -107,8 +110,8 @@
 		report:    settings.Seconds(w.ReportS),
 		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
 		typeAt: map[string]int32{}, teamAt: map[string]int32{},
-		goal:  slowfit.Goal{C: cfg.Operator.SlowFitC},
-		calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
+		goal:        slowfit.Goal{C: cfg.Operator.SlowFitC},
+		hailsAtOnce: fewHails, calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
 	}
 	for _, t := range cfg.Platform.Facts.Teams {
 		c.teamAt[t.Name] = int32(len(c.teams))
@@ -436,6 +439,7 @@
 		}
 		j.hostAt[m.index] = len(j.hosts)
 		j.hosts = append(j.hosts, host{machine: m.index, durable: true})
+		j.hostsPut = len(j.hosts)
 		m.hostOf++
 		if m.state == machineGone {
 			continue
@@ -620,17 +624,8 @@
 		c.finish(j, wire.Done)
 		return
 	}
-	chunk := int(n) / ledger.ChunkTasks
-	first := chunk * ledger.ChunkTasks
-	size := min(ledger.ChunkTasks, j.total-first)
-	var fresh []int32
-	for i := first; i < first+size; i++ {
-		if j.tasks[i].state == taskDone {
-			fresh = append(fresh, int32(i))
-		}
-	}
-	ranges := ledger.EncodeRanges(func(i int) bool { return j.tasks[first+i].state >= taskDone }, size)
-	c.put(ledger.Write{Key: ledger.FinKey(j.ref, chunk), Value: ranges, Tag: finTag{j.index, fresh}})
+	j.ended = append(j.ended, n)
+	c.unwrittenJob(j)
 }
 
 func (j *job) dropWaiting(n int32) {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -29,6 +29,7 @@
 	hires   []wire.Hire
 	deleted []string
 	writes  map[string]ledger.Write // the last by key
+	puts    int                     // writes so far
 }
 
 const testTerm = 7
@@ -60,6 +61,7 @@
 		case Put:
 			for _, w := range e.Writes {
 				g.writes[w.Key] = w
+				g.puts++
 				if w.Tag != nil {
 					tags = append(tags, w.Tag)
 				}
@@ -587,3 +589,50 @@
 	g.want("starts", len(g.starts()), 0)
 	g.want("settled", g.c.jobs[0].settled, true)
 }
+
+// TestWritesOfAStepTravelTogether: a step that brings a job many machines and many
+// ended tasks writes each of its keys once, with all of them, and every machine
+// still gets its starts only when it is in the ledger.
+func TestWritesOfAStepTravelTogether(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	const machines = ledger.ChunkHosts + 50
+	for i := range machines {
+		g.up(fmt.Sprintf("vm-%03d", i))
+	}
+	g.held = true
+	clear(g.writes)
+	puts := g.puts
+	g.submit(newTestJob("job-1", 4*machines, 1))
+	g.want("writes for all machines", g.puts-puts, 2)
+	g.want("hosts in the first", len(g.writes["host/job-1/0"].Value.([]string)), ledger.ChunkHosts)
+	g.want("hosts in the second", len(g.writes["host/job-1/1"].Value.([]string)), 50)
+	g.want("started before that is durable", len(g.starts()), 0)
+	g.release()
+	tasks := map[string][]wire.TaskReport{}
+	for _, d := range g.start {
+		for _, o := range d.Commands.Orders {
+			tasks[d.Machine] = append(tasks[d.Machine], taskIn(o, wire.TaskEnded, wire.WhyDone))
+		}
+	}
+	g.want("started then", len(g.starts()), 4*machines)
+	g.settle(DirectDone)
+
+	g.held = true
+	puts = g.puts
+	for _, name := range []string{"vm-001", "vm-002", "vm-003"} {
+		g.c.Step(ReportIn{Report: g.reportOf(name, ours, tasks[name]...), To: "w"}, g.now, g.now.Milliseconds())
+	}
+	g.take(g.c.Settle())
+	g.want("writes for the ended tasks of three machines", g.puts-puts, 1)
+	for _, o := range g.answered {
+		g.want("ordered before that is durable", o.Verb, "nothing")
+	}
+	g.release()
+	n := 0
+	for _, k := range g.c.jobs[0].tasks {
+		if k.state == taskDurable {
+			n++
+		}
+	}
+	g.want("durable", n, 12)
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -505,18 +506,69 @@
 	c.dirty = true
 }
 
-// addHost notes, durably before the first start, that a job's tasks may be on a
-// machine.
+// addHost notes that a job's tasks may be on a machine. That is written at the end
+// of the step, and durable before the first start there.
 func (c *Core) addHost(j *job, m *machine) {
-	n := len(j.hosts)
-	j.hostAt[m.index] = n
+	j.hostAt[m.index] = len(j.hosts)
 	j.hosts = append(j.hosts, host{machine: m.index})
 	m.hostOf++
-	all := make([]string, len(j.hosts))
-	for i, h := range j.hosts {
-		all[i] = c.machines[h.machine].name
+	c.unwrittenJob(j)
+}
+
+// unwrittenJob has what is new about a job written at the end of the step: a
+// burst brings dozens of machines and ended tasks of one job in a step, and each
+// by itself would be written with all that came before it.
+func (c *Core) unwrittenJob(j *job) {
+	if !j.unwritten {
+		j.unwritten = true
+		c.unwritten = append(c.unwritten, j)
+	}
+}
+
+// writeJobs writes what is new about jobs.
+func (c *Core) writeJobs() {
+	for _, j := range c.unwritten {
+		j.unwritten = false
+		if j.tasks != nil {
+			c.writeHosts(j)
+			c.writeDone(j)
+		}
+	}
+	clear(c.unwritten)
+	c.unwritten = c.unwritten[:0]
+}
+
+// writeHosts writes the chunks in which a job has new hosts.
+func (c *Core) writeHosts(j *job) {
+	for from := j.hostsPut; from < len(j.hosts); {
+		first := from / ledger.ChunkHosts * ledger.ChunkHosts
+		to := min(first+ledger.ChunkHosts, len(j.hosts))
+		names := make([]string, 0, to-first)
+		for _, h := range j.hosts[first:to] {
+			names = append(names, c.machines[h.machine].name)
+		}
+		c.put(ledger.Write{Key: ledger.HostKey(j.ref, first), Value: names, Urgent: true, Tag: hostTag{j.index, from, to}})
+		from = to
+	}
+	j.hostsPut = len(j.hosts)
+}
+
+// writeDone writes the chunks in which a job has tasks that have ended since they
+// were last written. Of a job that is over, its record tells all.
+func (c *Core) writeDone(j *job) {
+	ended := j.ended
+	j.ended = nil
+	if j.over() {
+		return
+	}
+	slices.Sort(ended)
+	for len(ended) > 0 {
+		chunk := int(ended[0]) / ledger.ChunkTasks
+		first := chunk * ledger.ChunkTasks
+		size := min(ledger.ChunkTasks, j.total-first)
+		n, _ := slices.BinarySearch(ended, int32(first+size))
+		ranges := ledger.EncodeRanges(func(i int) bool { return j.tasks[first+i].state >= taskDone }, size)
+		c.put(ledger.Write{Key: ledger.FinKey(j.ref, chunk), Value: ranges, Tag: finTag{j.index, ended[:n]}})
+		ended = ended[n:]
 	}
-	chunk := ledger.HostChunk(all, n)
-	from := n - len(chunk) + 1
-	c.put(ledger.Write{Key: ledger.HostKey(j.ref, n), Value: chunk, Urgent: true, Tag: hostTag{j.index, from, n + 1}})
 }
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -451,3 +451,36 @@
 		t.Errorf("asked %d times in a minute of late copies", count)
 	}
 }
+
+// TestHailsGoByHowSoonTheyAreBack: a new leader that is short of time must not
+// hail a thousand machines at once; one that is not must not take long over it.
+func TestHailsGoByHowSoonTheyAreBack(t *testing.T) {
+	cases := []struct {
+		name  string
+		takes time.Duration
+		most  int // on their way at once, at the end
+	}{
+		{"at once", 50 * time.Millisecond, mostHails},
+		{"neither soon nor late", 300 * time.Millisecond, fewHails},
+		{"late", time.Second, fewHails},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			var list []wire.ListedMachine
+			for i := range 300 {
+				list = append(list, wire.ListedMachine{Name: fmt.Sprintf("vm-%03d", i), Address: "10.1.0.1:9000", Type: "m4", Zone: "a", Status: wire.MachineUp, AgeS: 100})
+			}
+			g.now += time.Second
+			g.step(CloudBack{fleet.Result{Call: fleet.Call{List: true}, List: list}})
+			g.want("at first", len(g.start), fewHails)
+			most := 0
+			for len(g.start) > 0 && g.now < 8*time.Second {
+				most = max(most, len(g.start))
+				g.now += c.takes
+				g.settle(DirectDone)
+			}
+			g.want("at most", most, c.most)
+		})
+	}
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -38,6 +38,7 @@
 // with one into direct commands, each well below the protocol's bound on a
 // body.
 func (c *Core) flush() {
+	c.writeJobs()
 	c.giveAnswers()
 	for _, m := range c.outboxes {
 		orders := m.outbox
@@ -97,7 +98,7 @@
 	m := call.machine
 	m.directs--
 	if call.hail {
-		defer c.hailBack(m, e.Outcome)
+		defer c.hailBack(call, e.Outcome)
 	}
 	if m.state == machineGone {
 		return
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -162,9 +162,13 @@
 	zoneSought time.Duration
 	zoneWish   int32
 
-	hosts   []host
-	hostAt  map[int32]int
-	unclear map[int32]bool // machines that may run unseen tasks of it
+	hosts    []host
+	hostAt   map[int32]int
+	hostsPut int // how many of them have been written, or are being
+	// ended are tasks that have ended and are not written down yet.
+	ended     []int32
+	unwritten bool
+	unclear   map[int32]bool // machines that may run unseen tasks of it
 
 	fate        string // decided, being written or durable
 	fateDurable bool
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -114,12 +114,6 @@
 	return fmt.Sprintf("%s%s/%d", hostPrefix, ref, n/ChunkHosts)
 }
 
-// HostChunk returns the names that share the key of the n-th one.
-func HostChunk(hosts []string, n int) []string {
-	from := n / ChunkHosts * ChunkHosts
-	return hosts[from:min(from+ChunkHosts, len(hosts))]
-}
-
 // HostKeys are all keys that a job's hosts take.
 func HostKeys(ref string, hosts int) []string {
 	var out []string
