Answers wait briefly for starts whose machine is being written down

An answer now waits up to 0.4 s while starts for its machine are being written down, and they go with it, and with them what may be forgotten by then. Commands to a machine whose answer waits go with it as well. The worker has one report in flight as before: a newer report gives up the waiting one, which is then answered without orders.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"slices"
+	"time"
+
 	"leadproxy/internal/wire"
 )
 
@@ -10,6 +13,56 @@
 	to      any
 	machine *machine
 	report  *wire.Report // nil for a stale one
+	// until is when an answer that waits for starts to become durable is given
+	// without them; 0: it has not waited.
+	until time.Duration
+}
+
+// awaitFor is how long an answer waits for starts whose machine is being written
+// down. That mostly takes a tenth of it; the starts would else follow in a direct
+// command, which costs as much as several reports.
+const awaitFor = 400 * time.Millisecond
+
+// awaits keeps an answer back while starts for its machine are being written down.
+func (c *Core) awaits(a openAnswer) bool {
+	m := a.machine
+	if a.until > 0 || !m.known(c.term) || !m.planned() {
+		return false
+	}
+	a.until = c.now + awaitFor
+	m.asking, m.awaiting = 0, a.report
+	c.awaiting = append(c.awaiting, a)
+	return true
+}
+
+// planned tells whether starts for a machine are being written down.
+func (m *machine) planned() bool {
+	return slices.ContainsFunc(m.bookings, func(b *booking) bool { return b.state == bookPlanned })
+}
+
+// resumeAnswers has the answers given that need not wait any longer. One whose
+// worker has sent a newer report since goes without orders.
+func (c *Core) resumeAnswers() {
+	keep := c.awaiting[:0]
+	for _, a := range c.awaiting {
+		m := a.machine
+		if m.awaiting == a.report {
+			if c.now < a.until && m.state != machineGone && m.planned() {
+				keep = append(keep, a)
+				continue
+			}
+			m.awaiting = nil
+			m.asking = len(c.answers) + 1
+			if len(m.outbox) > 0 {
+				c.outboxes = append(c.outboxes, m) // for what does not go into the answer
+			}
+		} else {
+			a.report = nil
+		}
+		c.answers = append(c.answers, a)
+	}
+	clear(c.awaiting[len(keep):])
+	c.awaiting = keep
 }
 
 // giveAnswers answers the reports of this step. Only the newest report of a
@@ -21,7 +74,7 @@
 			c.emit(AnswerReport{To: a.to})
 			continue
 		}
-		if c.holdAnswer(a) {
+		if c.holdAnswer(a) || m.asking == i+1 && c.awaits(a) {
 			continue
 		}
 		answer := &wire.ReportAnswer{Token: m.token, Orders: []wire.Order{}}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -75,6 +75,7 @@
 	attempts    uint64
 	looks       uint64       // reports looked at
 	answers     []openAnswer // of this step
+	awaiting    []openAnswer // that wait for starts to be written down
 	outboxes    []*machine   // with orders of this step
 	calls       map[uint64]*directCall
 	callID      uint64
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -66,6 +66,13 @@
 	a := openAnswer{to: e.To, machine: m}
 	if c.observe(m, r, true) {
 		a.report = r
+		if m.awaiting != nil {
+			// Its worker has given up the answer to an earlier one.
+			m.awaiting = nil
+			if len(m.outbox) > 0 {
+				c.outboxes = append(c.outboxes, m)
+			}
+		}
 		m.asking = len(c.answers) + 1
 		c.probe(m)
 	} else {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -39,8 +39,12 @@
 // body.
 func (c *Core) flush() {
 	c.writeJobs()
+	c.resumeAnswers()
 	c.giveAnswers()
 	for _, m := range c.outboxes {
+		if m.awaiting != nil {
+			continue // they go with its answer
+		}
 		orders := m.outbox
 		m.outbox = nil
 		for len(orders) > 0 {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -281,6 +281,8 @@
 	cores  float64 // of it in openCores
 	stale  bool    // the index is to be brought up to date
 	asking int     // the answer that is open for it, from 1; 0: none
+	// awaiting is the report whose answer waits for starts to be written down.
+	awaiting *wire.Report
 
 	bookings []*booking
 	pending  map[uint64]uint64 // starts that may yet act: attempt -> fence
