--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -67,14 +67,17 @@
 
 // actor runs one function after another on a goroutine of its own, which is the
 // only one to touch its owner's state.
-type actor chan func()
+type actor struct {
+	work chan func()
+	stop <-chan struct{}
+}
 
 func newActor(stop <-chan struct{}) actor {
-	a := make(actor)
+	a := actor{make(chan func()), stop}
 	go func() {
 		for {
 			select {
-			case f := <-a:
+			case f := <-a.work:
 				f()
 			case <-stop:
 				return
@@ -84,9 +87,12 @@
 	return a
 }
 
-// do runs f on the actor and waits for it.
+// do runs f on the actor and waits for it, unless the test is over.
 func (a actor) do(f func()) {
 	done := make(chan struct{})
-	a <- func() { f(); close(done) }
-	<-done
+	select {
+	case a.work <- func() { f(); close(done) }:
+		<-done
+	case <-a.stop:
+	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -20,6 +20,7 @@
 	Report  time.Duration
 	Lease   time.Duration
 	Run     time.Duration // how long each task runs
+	Endless string        // the job whose tasks run for ever
 	Record  *Record
 	Trouble func(r *http.Request) Trouble // of direct commands
 }
@@ -183,6 +184,9 @@
 	w.tasks = append(w.tasks, wire.TaskReport{Task: o.Task, Attempt: o.Attempt, Status: wire.TaskRunning})
 	w.config.Record.begin(o.Task, w.name)
 	ctx, w.stops[o.Attempt] = context.WithCancel(ctx)
+	if ref, _, _ := wire.SplitTask(o.Task); ref == w.config.Endless {
+		return
+	}
 	go func() {
 		select {
 		case <-time.After(w.config.Run):
