A long body's room is taken as it comes

From reading: a report or submission that announces up to 64 KiB took that at once, before a byte of it had come; two thousand slow senders would have been more than a small controller's memory. Up to 4 KiB are still taken at once, which nearly all messages are. A table holds it.

--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -58,9 +58,13 @@
 	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
 }
 
+// usualBody is up to where a body's room is taken at once. A longer one gets its
+// room as it comes: thousands of slow senders must not hold what they only announce.
+const usualBody = 4 << 10
+
 // ReadBody reads a request's body up to the protocol's limit.
 func ReadBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
-	if n := req.ContentLength; n > 0 && n <= wire.MaxBody {
+	if n := req.ContentLength; n > 0 && n <= usualBody {
 		// The usual case, many hundred times a second: read into what it takes.
 		body := make([]byte, n)
 		if _, err := io.ReadFull(req.Body, body); err != nil {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -8,8 +8,10 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -152,3 +154,24 @@
 		})
 	}
 }
+
+// TestAnnouncedBodiesTakeNoRoom: a sender that announces a long body and is slow, or
+// breaks off, must not hold room for all of it; two thousand of them would be more
+// than the memory of a small controller.
+func TestAnnouncedBodiesTakeNoRoom(t *testing.T) {
+	read := func(announced int64, body string) (room uint64, err error) {
+		var before, after runtime.MemStats
+		req := httptest.NewRequest("POST", "/v1/report", io.MultiReader(strings.NewReader(body), iotest.ErrReader(io.ErrUnexpectedEOF)))
+		req.ContentLength = announced
+		w := httptest.NewRecorder()
+		runtime.ReadMemStats(&before)
+		_, err = ReadBody(w, req)
+		runtime.ReadMemStats(&after)
+		return after.TotalAlloc - before.TotalAlloc, err
+	}
+	for _, announced := range []int64{1000, wire.MaxBody, wire.MaxBody + 1, -1} {
+		if room, err := read(announced, "{"); err == nil || room > 16<<10 {
+			t.Errorf("%d bytes announced, one sent: %d bytes taken, error %v", announced, room, err)
+		}
+	}
+}
