--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -243,7 +243,7 @@
 	e.log.Info("leading", "term", term)
 	until := e.validUntil(sent)
 	e.begin(ctx, &View{Leader: e.node, Term: term, Mine: true, Until: until})
-	lapsed, vouching := false, false
+	lapsed, vouching, why := false, false, "nobody was asked"
 	for ctx.Err() == nil {
 		wait := e.ttl / 4
 		if lapsed || vouching || time.Until(until) < e.ttl/2 {
@@ -260,9 +260,9 @@
 		}
 		// The others are asked while the renewal is tried once more, since it
 		// may take as long as a promise holds.
-		var vouches chan time.Time
+		var vouches chan vouch
 		if vouching && !lapsed {
-			vouches = make(chan time.Time, 1)
+			vouches = make(chan vouch, 1)
 			go func() { vouches <- e.vouched(ctx) }()
 		}
 		sent := time.Now()
@@ -274,8 +274,10 @@
 		}
 		if err != nil {
 			if vouches != nil {
-				if end := <-vouches; end.After(until) && time.Now().Before(until) {
-					until = end
+				v := <-vouches
+				why = v.why
+				if v.until.After(until) && time.Now().Before(until) {
+					until = v.until
 					e.publish(&View{Leader: e.node, Term: term, Mine: true, Until: until})
 				}
 			} else if !lapsed && !vouching {
@@ -284,7 +286,7 @@
 			vouching = true
 			if !lapsed && !time.Now().Before(until) {
 				lapsed = true
-				e.log.Info("leadership suspended: the lease can't be renewed", "term", term, "error", err)
+				e.log.Info("leadership suspended: the lease can't be renewed", "term", term, "vouches", why, "error", err)
 			}
 			continue
 		}
--- a/internal/election/vouch.go
+++ b/internal/election/vouch.go
@@ -73,35 +73,45 @@
 	}
 }
 
-// vouched asks all others at once and returns until when their promises let
-// this node go on, or a time long past.
-func (e *Elector) vouched(ctx context.Context) time.Time {
+// vouch is what asking for promises has brought.
+type vouch struct {
+	until time.Time // this node may go on until then; a time long past: not at all
+	why   string    // who did not promise
+}
+
+// vouched asks all others at once.
+func (e *Elector) vouched(ctx context.Context) vouch {
 	if e.Others == nil || len(e.Others.Names()) == 0 {
-		return time.Time{}
+		return vouch{why: "there is nobody to ask"}
 	}
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, vouchFor/2)
 	defer cancel()
-	answers := make(chan bool)
+	type said struct {
+		node string
+		ok   bool
+		err  error
+	}
 	names := e.Others.Names()
+	answers := make(chan said, len(names))
 	for _, n := range names {
 		go func() {
 			ok, err := e.Others.Vouch(ctx, n, vouchFor)
-			select {
-			case answers <- ok && err == nil:
-			case <-ctx.Done():
-			}
+			answers <- said{n, ok, err}
 		}()
 	}
 	for range names {
 		select {
-		case ok := <-answers:
-			if !ok {
-				return time.Time{}
+		case s := <-answers:
+			if s.err != nil {
+				return vouch{why: s.node + " did not answer"}
+			}
+			if !s.ok {
+				return vouch{why: s.node + " did not promise"}
 			}
 		case <-ctx.Done():
-			return time.Time{}
+			return vouch{why: "not all have answered in time"}
 		}
 	}
-	return asked.Add(vouchFor - time.Duration(float64(vouchFor)*2*settings.Drift) - e.margin)
+	return vouch{until: asked.Add(vouchFor - time.Duration(float64(vouchFor)*2*settings.Drift) - e.margin)}
 }
