--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -220,3 +220,37 @@
 		t.Errorf("second batch %v", keys)
 	}
 }
+
+// BenchmarkRead is what a new leader makes of the ledger late in a day: two thousand
+// jobs, a fifth of them unfinished.
+func BenchmarkRead(b *testing.B) {
+	var entries []wire.Entry
+	add := func(key string, value any) {
+		text, err := json.Marshal(value)
+		if err != nil {
+			b.Fatal(err)
+		}
+		entries = append(entries, wire.Entry{Key: key, Value: text, Version: uint64(len(entries))})
+	}
+	for i := range 2000 {
+		ref := fmt.Sprintf("job-%06d", i)
+		if i%5 > 0 {
+			add(JobKey(ref), JobRecord{AcceptedMS: 1, Fate: wire.Done, Tasks: 120, Done: 120, Class: "c", Team: "t", Cores: 120, RunS: 15})
+			continue
+		}
+		add(JobKey(ref), JobRecord{AcceptedMS: 1, Job: &wire.Job{Ref: ref, Class: "c", Team: "t", Kind: "batch", Priority: "high", Tasks: 120, CPUs: 1, MemGB: 3, Image: "i", ImageGB: 1, Spot: true, EstimateS: 15}})
+		add(FinKey(ref, 0), EncodeRanges(func(i int) bool { return i%3 > 0 }, 120))
+		var hosts []string
+		for k := range 40 {
+			hosts = append(hosts, fmt.Sprintf("vm-%06d", 40*i+k))
+		}
+		add(HostKey(ref, 0), hosts)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if s, err := collect(entries); err != nil || len(s.Jobs) != 2000 {
+			b.Fatal(len(s.Jobs), err)
+		}
+	}
+}
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -52,12 +52,17 @@
 func alone(b *testing.B) string {
 	store := standin.NewState(b, nil)
 	cloud := standin.NewCloud(b, []wire.MachineType{{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"}}},
-		standin.WorkerConfig{}, nil)
+		standin.WorkerConfig{}, func(r *http.Request) standin.Trouble {
+			if r.URL.Path == "/machines" && r.Method == http.MethodPost {
+				return standin.Refused // the benchmark is the only worker
+			}
+			return standin.None
+		})
 	addrs := freeAddrs(b, 2)
 	p := &settings.Platform{Node: "n0", Zone: "a", Listen: addrs[0], Back: addrs[1], Services: settings.Services{State: store.Addr(), Cloud: cloud.Addr()}}
 	p.Facts = settings.Facts{Nodes: 1, Teams: []settings.Team{{Name: "t"}},
 		Workers:   settings.Workers{ReportS: 8, LeaseS: 36, CancelS: 56},
-		State:     settings.StateLimits{RPS: 400, WriteRPS: 300, ValueKB: 16, TxnOps: 32},
+		State:     settings.StateLimits{RPS: 1e6, WriteRPS: 1e6, ValueKB: 16, TxnOps: 32},
 		Cloud:     settings.CloudLimits{RPS: 20, ListLagS: 0.1},
 		Resources: settings.Resources{CPUShare: 1, RAMMB: 500, Sockets: 4000}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -112,3 +117,18 @@
 		}
 	}
 }
+
+// BenchmarkSubmission is a user's submission from its bytes to those of the answer,
+// with its record created in the state service.
+func BenchmarkSubmission(b *testing.B) {
+	addr := alone(b)
+	user := newVisitor(b, addr)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		job := fmt.Sprintf(`{"ref":"job-%09d","lane":"c","owner":"t","shape":"batch","urgency":"high","pieces":4,"vcpus":4,"gpus":0,"mem_gb":1,"bundle":"i","size_gb":1,"flavors":null,"room":null,"together":false,"spread":false,"loaners":true,"guess_s":20,"snapshot_s":0,"flush_s":0,"due_s":60}`, i)
+		if s := user.ask(b, "POST", "/v2/runs", job); s != http.StatusCreated {
+			b.Fatal(s)
+		}
+	}
+}
