--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -164,6 +164,14 @@
 	}
 }
 
+// decide hands the core an event that decisions need. It gives up only with ctx.
+func (d *Desk) decide(ctx context.Context, event any) {
+	select {
+	case d.inner <- event:
+	case <-ctx.Done():
+	}
+}
+
 // Run serves terms until ctx ends.
 func (d *Desk) Run(ctx context.Context) {
 	go d.workers.run(ctx)
@@ -401,12 +409,7 @@
 				// A suspended leader that deletes machines takes them from the
 				// next one. The core tries again later.
 				refused := CloudBack{fleet.Result{Call: e.Call, Err: fleet.ErrRefused}}
-				go func() {
-					select {
-					case d.inner <- refused:
-					case <-ctx.Done():
-					}
-				}()
+				go d.decide(ctx, refused)
 				continue
 			}
 			cloud.Put(ctx, e.Call)
@@ -432,10 +435,7 @@
 func (d *Desk) direct(ctx context.Context, term uint64, e Direct) {
 	back := DirectBack{Call: e.Call}
 	back.Outcome, back.Report = d.command(ctx, term, e)
-	select {
-	case d.inner <- back:
-	case <-ctx.Done():
-	}
+	d.decide(ctx, back)
 }
 
 // inspect asks a worker what it is now.
@@ -450,10 +450,7 @@
 			d.log.Info("worker's answer can't be read", "machine", e.Machine, "error", err)
 		}
 	}
-	select {
-	case d.inner <- back:
-	case <-ctx.Done():
-	}
+	d.decide(ctx, back)
 }
 
 func (d *Desk) command(ctx context.Context, term uint64, e Direct) (DirectOutcome, *wire.Report) {
@@ -545,8 +542,5 @@
 		d.log.Error("job record can't be read", "key", key, "error", err)
 		return
 	}
-	select {
-	case d.inner <- JobSeen{Ref: key[len(ledger.JobPrefix):], Record: rec, Version: version}:
-	case <-ctx.Done():
-	}
+	d.decide(ctx, JobSeen{Ref: key[len(ledger.JobPrefix):], Record: rec, Version: version})
 }
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -72,17 +71,18 @@
 			b.Error(err)
 		}
 	}()
-	for v, try := (*visitor)(nil), 0; try < 100; try++ {
+	var v *visitor
+	for range 100 {
 		time.Sleep(50 * time.Millisecond)
-		if c, err := net.Dial("tcp", p.Listen); err != nil {
-			continue
-		} else {
-			c.Close()
-		}
 		if v == nil {
-			v = newVisitor(b, p.Listen)
+			c, err := net.Dial("tcp", p.Listen)
+			if err != nil {
+				continue // it does not listen yet
+			}
+			b.Cleanup(func() { c.Close() })
+			v = &visitor{c, bufio.NewReader(c)}
 		}
-		if v.ask(b, "POST", "/v1/report", report("vm-999999", 1, 0)) == http.StatusOK {
+		if v.ask(b, "POST", "/v1/report", report("vm-999999", 1)) == http.StatusOK {
 			return p.Listen
 		}
 	}
@@ -90,14 +90,10 @@
 	return ""
 }
 
-// report is a worker's report with some finished tasks that we know nothing of.
-func report(machine string, seq, tasks int) string {
-	list := make([]string, tasks)
-	for i := range list {
-		list[i] = fmt.Sprintf(`{"piece":"job-%06d/%d","try":%d,"status":"running"}`, i, i, 16777216+i)
-	}
-	return fmt.Sprintf(`{"host":"%s","address":"10.1.0.232:9000","flavor":"m4","room":"a","loaners":true,"tenure":1,"tick":%d,"baton":16777216,"warning_s":null,"pieces":[%s]}`,
-		machine, seq, strings.Join(list, ","))
+// report is the report of a worker without tasks.
+func report(machine string, seq int) string {
+	return fmt.Sprintf(`{"host":"%s","address":"10.1.0.232:9000","flavor":"m4","room":"a","loaners":true,"tenure":1,"tick":%d,"baton":16777216,"warning_s":null,"pieces":[]}`,
+		machine, seq)
 }
 
 // BenchmarkReport is a worker's report from its bytes to those of the answer,
@@ -112,7 +108,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
-		if s := all[i%workers].ask(b, "POST", "/v1/report", report(fmt.Sprintf("vm-%06d", i%workers), 1+i/workers, 0)); s != http.StatusOK {
+		if s := all[i%workers].ask(b, "POST", "/v1/report", report(fmt.Sprintf("vm-%06d", i%workers), 1+i/workers)); s != http.StatusOK {
 			b.Fatal(s)
 		}
 	}
--- a/internal/node/crowd.go
+++ b/internal/node/crowd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -19,7 +20,7 @@
 	// the few of a small deployment are no burden.
 	leaderPart = 4
 	passSlack  = 16
-	passed     = 4096 // workers that are remembered at most
+	mostPassed = 4096 // workers that are remembered at most
 )
 
 // crowd decides which workers a leader sends to whom. Its state is owned by run.
@@ -91,12 +92,7 @@
 		case node := <-left:
 			if lines[node]--; lines[node] == 0 {
 				delete(lines, node)
-				for i, n := range nodes {
-					if n == node {
-						nodes = append(nodes[:i], nodes[i+1:]...)
-						break
-					}
-				}
+				nodes = slices.DeleteFunc(nodes, func(n string) bool { return n == node })
 			}
 		case p := <-c.asks:
 			now := time.Now()
@@ -104,7 +100,7 @@
 				p.to <- ""
 				break
 			}
-			if len(sent) >= passed {
+			if len(sent) >= mostPassed {
 				clear(sent)
 			}
 			sent[p.machine], last = now, now
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -21,16 +21,20 @@
 
 // Peers holds the connections to the other controllers.
 type Peers struct {
-	names   []string
-	clients map[string]peerpb.PeerClient // filled once, then only read
-	// couriers carry workers' reports, each to one node; as clients.
-	couriers map[string]*courier
+	names  []string
+	byName map[string]peer // filled once, then only read
+}
+
+// peer is what speaks to one other controller.
+type peer struct {
+	client  peerpb.PeerClient
+	courier *courier // of workers' reports
 }
 
 // Dial prepares a connection to each of the other controllers for the node of a
 // name, until ctx ends. Nothing is sent until the first request.
 func Dial(ctx context.Context, node string, others []settings.Peer) (*Peers, error) {
-	p := &Peers{clients: map[string]peerpb.PeerClient{}, couriers: map[string]*courier{}}
+	p := &Peers{byName: map[string]peer{}}
 	for _, o := range others {
 		conn, err := grpc.NewClient("passthrough:///"+o.Addr,
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -45,9 +49,9 @@
 		}
 		p.names = append(p.names, o.Node)
 		client := peerpb.NewPeerClient(conn)
-		p.clients[o.Node] = client
-		p.couriers[o.Node] = newCourier(node, func(ctx context.Context) (line, error) { return client.Share(ctx) })
-		go p.couriers[o.Node].run(ctx)
+		carrier := newCourier(node, func(ctx context.Context) (line, error) { return client.Share(ctx) })
+		p.byName[o.Node] = peer{client, carrier}
+		go carrier.run(ctx)
 	}
 	return p, nil
 }
@@ -55,21 +59,21 @@
 // Names lists the other controllers.
 func (p *Peers) Names() []string { return p.names }
 
-func (p *Peers) client(node string) (peerpb.PeerClient, error) {
-	c := p.clients[node]
-	if c == nil {
-		return nil, fmt.Errorf("node %q is not one of the others", node)
+func (p *Peers) find(node string) (peer, error) {
+	o, ok := p.byName[node]
+	if !ok {
+		return o, fmt.Errorf("node %q is not one of the others", node)
 	}
-	return c, nil
+	return o, nil
 }
 
 // Ask passes a user's request on to a node.
 func (p *Peers) Ask(ctx context.Context, node string, k intake.Kind, ref string, body []byte) (intake.Answer, error) {
-	c, err := p.client(node)
+	o, err := p.find(node)
 	if err != nil {
 		return intake.Answer{}, err
 	}
-	r, err := c.Ask(ctx, &peerpb.AskRequest{Kind: peerpb.AskRequest_Kind(k), Ref: ref, Body: body})
+	r, err := o.client.Ask(ctx, &peerpb.AskRequest{Kind: peerpb.AskRequest_Kind(k), Ref: ref, Body: body})
 	if err != nil {
 		return intake.Answer{}, fmt.Errorf("node %s: %w", node, err)
 	}
@@ -79,11 +83,11 @@
 // Ping asks whether a node answers, and how many reports workers have sent it
 // within a time.
 func (p *Peers) Ping(ctx context.Context, node string, within time.Duration) (reports int, err error) {
-	c, err := p.client(node)
+	o, err := p.find(node)
 	if err != nil {
 		return 0, err
 	}
-	r, err := c.Ping(ctx, &peerpb.PingRequest{WithinMs: within.Milliseconds()})
+	r, err := o.client.Ping(ctx, &peerpb.PingRequest{WithinMs: within.Milliseconds()})
 	if err != nil {
 		return 0, fmt.Errorf("node %s: %w", node, err)
 	}
@@ -92,11 +96,11 @@
 
 // Vouch asks a node to promise that it won't act as the leader for a while.
 func (p *Peers) Vouch(ctx context.Context, node string, hold time.Duration) (bool, error) {
-	c, err := p.client(node)
+	o, err := p.find(node)
 	if err != nil {
 		return false, err
 	}
-	r, err := c.Vouch(ctx, &peerpb.VouchRequest{ForMs: hold.Milliseconds()})
+	r, err := o.client.Vouch(ctx, &peerpb.VouchRequest{ForMs: hold.Milliseconds()})
 	if err != nil {
 		return false, fmt.Errorf("node %s: %w", node, err)
 	}
--- a/internal/peers/share.go
+++ b/internal/peers/share.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"leadproxy/internal/intake"
@@ -35,13 +34,13 @@
 
 // Report has the leader answer a worker's report.
 func (p *Peers) Report(ctx context.Context, node string, body []byte) (intake.Answer, error) {
-	c := p.couriers[node]
-	if c == nil {
-		return intake.Answer{}, fmt.Errorf("node %q is not one of the others", node)
+	o, err := p.find(node)
+	if err != nil {
+		return intake.Answer{}, err
 	}
 	e := errand{body: body, reply: make(chan reply, 1)}
 	select {
-	case c.errands <- e:
+	case o.courier.errands <- e:
 	case <-ctx.Done():
 		return intake.Answer{}, ctx.Err()
 	}
@@ -56,11 +55,13 @@
 // Greet opens the line to the leader before there is a report to carry, so that
 // it can send workers here.
 func (p *Peers) Greet(ctx context.Context, node string) {
-	if c := p.couriers[node]; c != nil {
-		select {
-		case c.errands <- errand{}:
-		case <-ctx.Done():
-		}
+	o, err := p.find(node)
+	if err != nil {
+		return // the state service names a leader that our settings don't
+	}
+	select {
+	case o.courier.errands <- errand{}:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/peers/share_test.go
+++ b/internal/peers/share_test.go
@@ -51,14 +51,15 @@
 		var l *wireLine
 		opened := 0
 		up := true
-		p := &Peers{couriers: map[string]*courier{"n1": newCourier("n0", func(ctx context.Context) (line, error) {
+		c := newCourier("n0", func(ctx context.Context) (line, error) {
 			if opened++; !up {
 				return nil, errors.New("refused")
 			}
 			l = &wireLine{ctx, make(chan *peerpb.ReportBatch, 100), make(chan *peerpb.AnswerBatch), make(chan struct{})}
 			return l, nil
-		})}}
-		go p.couriers["n1"].run(t.Context())
+		})
+		p := &Peers{byName: map[string]peer{"n1": {courier: c}}}
+		go c.run(t.Context())
 		results := make(chan string, 100)
 		carry := func(body string) {
 			go func() {
