A cancelled job's tasks are stopped when that is asked for, not when it is durable

Cause: the cancellation's write was carried out and only its answer was lost; other nodes read it and told the user, then the state service was out for all. Ruled out: another leader; the term was its own all the time.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -532,6 +532,25 @@
 	if !j.over() {
 		c.log.Debug("job is being cancelled", "job", j.ref)
 		c.finish(j, wire.Aborted)
+		// Its tasks are stopped now, not when that is durable: the write may be
+		// carried out and its answer lost, other nodes read it and tell the user,
+		// and we learn of it only after an outage. What its tasks do from here on
+		// is of no use to anybody.
+		c.stopTasks(j)
+	}
+}
+
+// stopTasks has all tasks of a job stopped.
+func (c *Core) stopTasks(j *job) {
+	if j.booked == 0 {
+		return
+	}
+	for _, m := range c.live {
+		for k := len(m.bookings) - 1; k >= 0; k-- {
+			if b := m.bookings[k]; b.job == j.index && !b.stopping {
+				c.stopBooking(m, b, 0)
+			}
+		}
 	}
 }
 
@@ -558,15 +577,7 @@
 		c.emit(AnswerUser{To: to, Known: true, Status: c.status(j)})
 	}
 	j.waiters = nil
-	if j.booked > 0 {
-		for _, m := range c.live {
-			for k := len(m.bookings) - 1; k >= 0; k-- {
-				if b := m.bookings[k]; b.job == j.index {
-					c.stopBooking(m, b, 0)
-				}
-			}
-		}
-	}
+	c.stopTasks(j)
 	c.dirty = true
 	c.settleJob(j)
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -447,6 +447,37 @@
 	g.want("bookings left", g.c.jobs[0].booked, 0)
 }
 
+// TestCancelStopsTasksAtOnce: the write of a cancellation may be carried out and its
+// answer lost. Other nodes then tell the user, while the leader, in an outage that
+// begins at that moment, goes on answering workers and learns of it only minutes
+// later. So the tasks are stopped when the cancellation is asked for.
+func TestCancelStopsTasksAtOnce(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 2, 1))
+	orders := g.starts()
+	g.settle(DirectDone)
+	g.held, g.out = true, nil
+	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	stops := ""
+	for _, d := range g.start {
+		for _, o := range d.Commands.Orders {
+			stops += o.Verb + " "
+		}
+	}
+	g.want("commands before it is durable", stops, "stop stop ")
+	for _, e := range g.out {
+		if a, ok := e.(AnswerUser); ok {
+			t.Errorf("told %+v before it is durable", a)
+		}
+	}
+	// A task that is found only now is not taken up either.
+	g.up("vm-2")
+	o := orders[0]
+	o.Attempt++
+	g.want("orders to another machine", verbs(g.report(g.reportOf("vm-2", ours, taskIn(o, wire.TaskRunning, "")))), "stop ")
+}
+
 func TestCancelOfADoneJobSaysDone(t *testing.T) {
 	g := newStage(t, ledger.Snapshot{})
 	g.up("vm-1")
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -245,7 +245,7 @@
 		return nil // over, and forgotten here
 	}
 	ts := &j.tasks[n]
-	if j.fateDurable {
+	if j.over() {
 		// It counts for its team until it is gone.
 		return c.book(m, j, n, t.Attempt, false)
 	}
