A fence keeps late copies of transactions from bringing deleted keys back

Cause: a transaction of unknown outcome that creates a key is repeated, the key is deleted later, and then the late copy finds the key missing, as it was. Every transaction now has the version of one key among its conditions, and what follows an unknown outcome sets that key. One condition more, and a write more only after an unknown outcome. TestBatchKeepsToTheLimits counts one condition more for it.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -39,8 +40,11 @@
 
 // Ledger writes for one term of leadership. It owns the versions of all keys
 // that the leader writes, commits waiting writes together, and has one
-// transaction on its way at a time, so that a late copy of an old transaction
-// always fails its conditions.
+// transaction on its way at a time. A late copy of an old transaction always
+// fails its conditions: each has the fence's version among them, and what follows
+// a transaction of unknown outcome moves the fence. Without it, a copy that
+// creates a key would find the key as it was before, missing, once it is deleted,
+// and bring it back.
 type Ledger struct {
 	term   uint64
 	store  Store
@@ -54,6 +58,7 @@
 	pending  map[string]*pendingWrite
 	urgent   []string
 	ordinary []string
+	doubt    bool    // a transaction's outcome is unknown: the fence is to be moved
 	allowed  float64 // ordinary writes that may go now
 	refilled time.Time
 }
@@ -112,6 +117,13 @@
 			}
 		}
 	}
+	_, found, version, err := l.store.Get(ctx, state.Leader, fenceKey)
+	switch {
+	case err != nil:
+		return Snapshot{}, fmt.Errorf("reading %s: %w", fenceKey, err)
+	case found:
+		l.versions[fenceKey] = version
+	}
 	s, err := collect(entries)
 	s.Revision = revision
 	return s, err
@@ -128,6 +140,7 @@
 type outcome struct {
 	keys   []string
 	writes []*pendingWrite
+	fenced bool // the fence was moved
 	ok     bool
 	answer wire.TxnAnswer
 	err    error
@@ -148,9 +161,10 @@
 		} else if !flying && len(l.pending) > 0 {
 			keys, writes, txn := l.batch()
 			flying = true
+			fenced := l.doubt
 			go func() {
 				o := l.commit(ctx, txn)
-				o.keys, o.writes = keys, writes
+				o.keys, o.writes, o.fenced = keys, writes, fenced
 				results <- o
 			}()
 		}
@@ -263,12 +277,17 @@
 
 // batch takes as many pending writes as one transaction may carry.
 func (l *Ledger) batch() ([]string, []*pendingWrite, wire.Txn) {
-	txn := wire.Txn{If: []wire.Condition{{Key: election.Key, Version: l.term}}}
+	txn := wire.Txn{If: []wire.Condition{{Key: election.Key, Version: l.term}, {Key: fenceKey, Version: l.versions[fenceKey]}}}
+	ops := l.limits.Ops
+	if l.doubt {
+		txn.Then = append(txn.Then, wire.Change{Set: fenceKey, Value: json.RawMessage(strconv.FormatUint(l.term, 10))})
+		ops--
+	}
 	var keys []string
 	var writes []*pendingWrite
 	size := 200
 	take := func(queue *[]string, most int) {
-		for len(*queue) > 0 && len(keys) < min(most, l.limits.Ops) {
+		for len(*queue) > 0 && len(keys) < min(most, ops) {
 			key := (*queue)[0]
 			p := l.pending[key]
 			if p == nil {
@@ -307,6 +326,9 @@
 // durable now. What is not goes back unless a later wish has replaced it.
 func (l *Ledger) settle(r outcome) ([]any, error) {
 	if r.err == nil && r.ok {
+		if r.fenced {
+			l.versions[fenceKey], l.doubt = r.answer.Revision, false
+		}
 		var tags []any
 		for i, key := range r.keys {
 			if r.writes[i].value == nil {
@@ -321,6 +343,9 @@
 	switch {
 	case errors.Is(r.err, ErrDeposed):
 		return nil, r.err
+	case errors.Is(r.err, state.ErrUnknown):
+		l.doubt = true
+		l.log.Debug("ledger write of unknown outcome", "keys", len(r.keys), "error", r.err)
 	case errors.Is(r.err, state.ErrBad):
 		l.log.Error("ledger write rejected", "keys", r.keys, "error", r.err)
 	case r.err != nil:
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -110,6 +110,11 @@
 	}
 	f.revision++
 	for _, c := range t.Then {
+		if c.Delete != "" {
+			delete(f.keys, c.Delete)
+			delete(f.values, c.Delete)
+			continue
+		}
 		f.keys[c.Set], f.values[c.Set] = f.revision, string(c.Value)
 	}
 	return true, wire.TxnAnswer{Revision: f.revision}
@@ -149,6 +154,40 @@
 	}
 }
 
+// TestLateCopyBringsNothingBack: a transaction that created a key had no answer,
+// was repeated, and the key has since been deleted. A copy that is carried out now
+// would find it missing, as it was, and bring back hosts or a hire that are long
+// settled.
+func TestLateCopyBringsNothingBack(t *testing.T) {
+	for _, fate := range []string{"hc", "hhc", "hlrc", "rhc"} {
+		t.Run(fate, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeStore{revision: 9, keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, fate: fate}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				l := New(5, f, Limits{Ops: 4, Bytes: 1 << 14}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				if _, err := l.Load(ctx); err != nil {
+					t.Fatal(err)
+				}
+				go func() { _ = l.Run(ctx) }()
+				for _, value := range []any{"hosts", nil} {
+					l.Put(ctx, []Write{{Key: "host/j/0", Value: value, Tag: 1}})
+					<-l.Durable
+				}
+				for _, txn := range f.held {
+					f.apply(txn)
+				}
+				if v, ok := f.values["host/j/0"]; ok {
+					t.Errorf("the key is back and holds %s", v)
+				}
+				// The fence stands in nobody's way.
+				l.Put(ctx, []Write{{Key: "host/k/0", Value: "hosts", Tag: 2}})
+				<-l.Durable
+			})
+		})
+	}
+}
+
 func TestDeposedLedgerEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{keys: map[string]uint64{election.Key: 6}, values: map[string]string{}}
@@ -213,7 +252,7 @@
 		}
 	}
 	keys, writes, txn := l.batch()
-	if !reflect.DeepEqual(keys, []string{"c", "a", "b"}) || string(writes[1].value) != "2" || len(txn.If) != 4 {
+	if !reflect.DeepEqual(keys, []string{"c", "a", "b"}) || string(writes[1].value) != "2" || len(txn.If) != 5 {
 		t.Errorf("batch %v, value of a %s, %d conditions", keys, writes[1].value, len(txn.If))
 	}
 	if keys, _, _ := l.batch(); !reflect.DeepEqual(keys, []string{"d"}) {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -23,6 +23,7 @@
 	hirePrefix   = "hire/"
 	gonePrefix   = "gone/"
 	silentPrefix = "silent/"
+	fenceKey     = "fence" // its version alone counts
 )
 
 // JobRecord is a job as accepted, with its terminal state once it has one.
