Questions and repetitions get through a storm of submissions

Cause: one-task jobs four a second on a small state service, users repeating. Now what only reads passes what waits for writes, and under pressure, or when a record can't be written, the job's record is looked at first. A repetition is answered with the state that the leader knows, also on other nodes.

--- a/internal/intake/clerk.go
+++ b/internal/intake/clerk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -39,8 +40,17 @@
 	ops    int
 	bytes  int // most bytes of one record
 	wishes chan *accept
+	// waiting is how many wait for their records.
+	waiting atomic.Int64
 }
 
+// manyWaiting is from how many on there is reason to think that the records come
+// faster than they can be written.
+const manyWaiting = 4
+
+// pressed tells whether many wait for their records.
+func (c *clerk) pressed() bool { return c.waiting.Load() >= manyWaiting }
+
 // maxBytes keeps a transaction below the service's 64 KiB.
 const maxBytes = 48 << 10
 
@@ -62,6 +72,8 @@
 	if len(value) > c.bytes {
 		return accepted{}, errLong
 	}
+	c.waiting.Add(1)
+	defer c.waiting.Add(-1)
 	a := &accept{key: ledger.JobKey(ref), value: value, result: make(chan accepted, 1)}
 	select {
 	case c.wishes <- a:
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -145,12 +145,24 @@
 		case err != nil:
 			return s.elsewhere(ctx, Submit, ref, body, local, noState)
 		case found:
-			return s.known(ctx, ref, rec)
+			return s.known(ctx, ref, rec, local)
 		}
 		return refusal
 	}
+	if s.clerk.pressed() {
+		// Users who were turned away repeat what may be recorded already. That
+		// would take of the writes of which there are too few.
+		if a, ok := s.repeated(ctx, ref, local); ok {
+			return a
+		}
+	}
 	rec := ledger.JobRecord{Job: job, AcceptedMS: time.Now().UnixMilli()}
 	a, err := s.clerk.create(ctx, ref, rec)
+	if err != nil && !errors.Is(err, errLong) {
+		if a, ok := s.repeated(ctx, ref, local); ok {
+			return a
+		}
+	}
 	switch {
 	case errors.Is(err, errLong):
 		return problem(http.StatusBadRequest, "%s", err)
@@ -167,19 +179,32 @@
 		if err != nil || !found {
 			return s.elsewhere(ctx, Submit, ref, body, local, noState)
 		}
-		return s.known(ctx, ref, rec)
+		return s.known(ctx, ref, rec, local)
 	}
 	s.log.Debug("submission recorded", "job", ref, "class", job.Class, "tasks", job.Tasks)
 	s.desk.Tell(dispatch.JobSeen{Ref: ref, Record: rec, Version: a.version})
 	return JSON(http.StatusCreated, wire.Accepted{Ref: ref, Status: wire.Queued})
 }
 
-// known answers the repetition of an accepted job.
-func (s *Service) known(ctx context.Context, ref string, rec ledger.JobRecord) Answer {
+// repeated answers a submission if its job is recorded already.
+func (s *Service) repeated(ctx context.Context, ref string, local bool) (Answer, bool) {
+	if st, found, err := s.fromDesk(ctx, ref); err == nil && found {
+		return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status}), true
+	}
+	rec, found, err := s.record(ctx, ref)
+	if err != nil || !found {
+		return Answer{}, false
+	}
+	return s.known(ctx, ref, rec, local), true
+}
+
+// known answers the repetition of an accepted job, whose record was read since
+// the user asked.
+func (s *Service) known(ctx context.Context, ref string, rec ledger.JobRecord, local bool) Answer {
 	status := rec.Fate
 	if status == "" {
 		status = wire.Queued
-		if st, found, err := s.fromDesk(ctx, ref); err == nil && found {
+		if st, ok := s.fromLeader(ctx, ref, local); ok {
 			status = st.Status
 		}
 	}
@@ -246,18 +271,30 @@
 	return st, found, err
 }
 
+// fromLeader asks the leader about a job, this node or another one. Unless local,
+// what another node can read itself counts as well.
+func (s *Service) fromLeader(ctx context.Context, ref string, local bool) (st wire.JobStatus, ok bool) {
+	if st, found, err := s.fromDesk(ctx, ref); err == nil && found {
+		return st, true
+	}
+	v := s.elector.View()
+	if local || v.Leader == "" || v.Leader == s.node {
+		return st, false
+	}
+	a, err := s.ask(ctx, 700*time.Millisecond, v.Leader, Status, ref, nil)
+	if err != nil || a.Status != http.StatusOK || json.Unmarshal(a.Body, &st) != nil {
+		return st, false
+	}
+	return st, true
+}
+
 func (s *Service) status(ctx context.Context, ref string, local bool) Answer {
 	if !wire.ValidRef(ref) {
 		return problem(http.StatusNotFound, "there is no such job")
 	}
-	if st, found, err := s.fromDesk(ctx, ref); err == nil && found {
+	if st, ok := s.fromLeader(ctx, ref, local); ok {
 		return JSON(http.StatusOK, st)
 	}
-	if v := s.elector.View(); !local && v.Leader != "" && v.Leader != s.node {
-		if a, err := s.ask(ctx, 700*time.Millisecond, v.Leader, Status, ref, nil); err == nil && a.Status == http.StatusOK {
-			return a
-		}
-	}
 	rec, found, err := s.record(ctx, ref)
 	switch {
 	case err != nil:
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -28,6 +28,7 @@
 type fakeStore struct {
 	records map[string]ledger.JobRecord
 	down    bool
+	busy    bool // there are no writes left
 }
 
 func (f *fakeStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
@@ -43,6 +44,9 @@
 	if f.down {
 		return false, wire.TxnAnswer{}, state.ErrRefused
 	}
+	if f.busy {
+		return false, wire.TxnAnswer{}, state.ErrBusy
+	}
 	for _, c := range t.If {
 		if _, ok := f.records[c.Key]; ok {
 			return false, wire.TxnAnswer{Failed: []string{c.Key}}, nil
@@ -93,7 +97,7 @@
 	const old = `"job-1"`
 	cases := []struct {
 		name, method, path, body string
-		down, untyped            bool
+		down, untyped, busy      bool
 		peer                     *Answer
 		status                   int
 		says                     string
@@ -103,6 +107,10 @@
 		{name: "a job that is done, again", method: "POST", path: "/v2/runs", body: body(old, `"job-7"`), status: 200, says: "done"},
 		{name: "an accepted job whose team is gone", method: "POST", path: "/v2/runs", body: body(old, `"job-7"`, `"t"`, `"x"`), status: 200, says: "done"},
 		{name: "an accepted job, broken since", method: "POST", path: "/v2/runs", body: body(old, `"job-7"`, `"high"`, `"soon"`), status: 200, says: "done"},
+		// Under a storm an accepted job's repetitions found no room among the writes,
+		// and its user never heard that it was accepted.
+		{name: "a repetition while nothing can be written", method: "POST", path: "/v2/runs", body: body(old, `"job-8"`), busy: true, status: 200, says: "queued"},
+		{name: "a new job while nothing can be written", method: "POST", path: "/v2/runs", body: body(), busy: true, status: 429, says: "more submissions", retry: true},
 		{name: "not JSON", method: "POST", path: "/v2/runs", body: "{", status: 400, says: "object"},
 		{name: "a field that is wrong", method: "POST", path: "/v2/runs", body: body(`"high"`, `"soon"`), status: 400, says: "urgency"},
 		{name: "a body too long", method: "POST", path: "/v2/runs", body: body() + strings.Repeat(" ", 70000), status: 400, says: "64 KiB"},
@@ -129,7 +137,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			log := slog.New(slog.NewTextHandler(io.Discard, nil))
-			store := &fakeStore{down: c.down, records: map[string]ledger.JobRecord{
+			store := &fakeStore{down: c.down, busy: c.busy, records: map[string]ledger.JobRecord{
 				"job/job-7": {Fate: wire.Done, Tasks: 2, Done: 2}, "job/job-8": {Job: &wire.Job{Ref: "job-8", Tasks: 1}}}}
 			p := &settings.Platform{Node: "n1", Facts: settings.Facts{Teams: []settings.Team{{Name: "t", CPUsMax: 6}},
 				State: settings.StateLimits{WriteRPS: 40, TxnOps: 8, ValueKB: 16}}}
--- a/internal/state/pacer.go
+++ b/internal/state/pacer.go
@@ -140,28 +140,46 @@
 	}
 }
 
-// serve grants what fits and tells how long until the next could.
-func (p *pacer) serve() time.Duration {
+// serve grants what fits and tells how long until the next could. A request that
+// waits for writes holds up all later ones that write, but none that only reads:
+// they take nothing that it waits for, and under a storm of submissions nobody's
+// question would be answered otherwise.
+func (p *pacer) serve() (wait time.Duration) {
+	writing := true // whether writes may still be granted
 	for i := range p.queues {
-		for len(p.queues[i]) > 0 {
-			g := p.queues[i][0]
+		keep := p.queues[i][:0]
+		for _, g := range p.queues[i] {
 			if g.ctx.Err() != nil {
-				p.queues[i] = p.queues[i][1:]
 				continue
 			}
 			// A transaction larger than the bucket waits for a full one and
 			// then leaves it in debt.
 			needW := min(float64(g.writes), p.wps*p.share)
-			// Lease traffic may borrow: a lost lease costs more than a 429.
-			if g.priority != Lease && (p.requests.level < 1 || p.writes.level < needW) {
-				lack := max((1-p.requests.level)/(p.rps*p.share), (needW-p.writes.level)/(p.wps*p.share))
-				return time.Duration(lack*float64(time.Second)) + time.Millisecond
+			lack := (1 - p.requests.level) / (p.rps * p.share)
+			if needW > 0 {
+				lack = max(lack, (needW-p.writes.level)/(p.wps*p.share))
+			}
+			switch {
+			case g.priority == Lease:
+				// Lease traffic may borrow: a lost lease costs more than a 429.
+			case needW > 0 && !writing:
+				keep = append(keep, g)
+				continue
+			case lack > 0:
+				next := time.Duration(lack*float64(time.Second)) + time.Millisecond
+				if wait == 0 || next < wait {
+					wait = next
+				}
+				writing = writing && needW == 0
+				keep = append(keep, g)
+				continue
 			}
 			p.requests.level--
 			p.writes.level -= float64(g.writes)
-			p.queues[i] = p.queues[i][1:]
 			g.ready <- nil
 		}
+		clear(p.queues[i][len(keep):])
+		p.queues[i] = keep
 	}
-	return 0
+	return wait
 }
--- a/internal/state/pacer_test.go
+++ b/internal/state/pacer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,6 +79,37 @@
 	})
 }
 
+// TestQuestionsPassWhatWaitsForWrites: under a storm of submissions there is always
+// one that waits for its turn to write. What only reads takes nothing of that; when
+// it waited as well, nobody's question was answered for minutes.
+func TestQuestionsPassWhatWaitsForWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPacer(t, 100, 1, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var written atomic.Int64
+		for range 50 {
+			go func() {
+				if p.wait(ctx, Accept, 1) == nil {
+					written.Add(1)
+				}
+			}()
+		}
+		synctest.Wait()
+		for range 20 {
+			before := time.Now()
+			if err := p.wait(ctx, Read, 0); err != nil || time.Since(before) > 100*time.Millisecond {
+				t.Errorf("a question waited %v: %v", time.Since(before), err)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if n := written.Load(); n < 8 || n > 11 {
+			t.Errorf("%d written in ten seconds, one a second allowed", n)
+		}
+	})
+}
+
 func TestFullQueueTurnsAwayAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := startPacer(t, 0.01, 1, 1)
