--- a/cmd/leadproxy/main.go
+++ b/cmd/leadproxy/main.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kong"
 
 	"leadproxy/internal/node"
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 )
 
@@ -54,7 +55,7 @@
 		fmt.Println("the settings are valid")
 		return nil
 	}
-	return node.Run(context.Background(), platform, operator, log)
+	return node.Run(context.Background(), outbound.TCP{}, platform, operator, log)
 }
 
 func newLog(level string) (*slog.Logger, error) {
--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -23,6 +23,7 @@
 // does, so they are kept as far as there are sockets. Those that are idle are
 // owned by run.
 type callers struct {
+	net    outbound.Network
 	lines  Lines
 	turns  chan struct{} // who has put something in may call, and takes it out
 	takes  chan take
@@ -41,8 +42,8 @@
 	line *outbound.Line
 }
 
-func newCallers(l Lines) *callers {
-	return &callers{lines: l, turns: make(chan struct{}, l.AtOnce), takes: make(chan take), gives: make(chan given), shorts: make(chan struct{}), ended: make(chan struct{})}
+func newCallers(n outbound.Network, l Lines) *callers {
+	return &callers{net: n, lines: l, turns: make(chan struct{}, l.AtOnce), takes: make(chan take), gives: make(chan given), shorts: make(chan struct{}), ended: make(chan struct{})}
 }
 
 // run keeps idle connections until ctx ends.
@@ -122,7 +123,7 @@
 	}
 	line := <-t.line
 	if line == nil {
-		line = outbound.NewLine(addr)
+		line = outbound.NewLine(c.net, addr)
 	}
 	defer func() {
 		if !line.IsOpen() {
--- a/internal/dispatch/callers_test.go
+++ b/internal/dispatch/callers_test.go
@@ -7,6 +7,8 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+
+	"leadproxy/internal/outbound"
 )
 
 // TestConnectionsToWorkers: they are kept as far as there are sockets, and no
@@ -25,7 +27,7 @@
 		defer workers[i].Close()
 	}
 	var crowded atomic.Bool
-	c := newCallers(Lines{AtOnce: 2, Kept: 3, Few: 1, Crowded: crowded.Load})
+	c := newCallers(outbound.TCP{}, Lines{AtOnce: 2, Kept: 3, Few: 1, Crowded: crowded.Load})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go c.run(ctx)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -28,6 +28,7 @@
 // Desk is where the rest of a node speaks to its dispatcher. It runs one core
 // for each term that this node leads and refuses everything in between.
 type Desk struct {
+	net      outbound.Network
 	platform *settings.Platform
 	operator settings.Operator
 	elector  *election.Elector
@@ -58,10 +59,10 @@
 type answerTo func(outcome any)
 
 // NewDesk makes a desk; Run starts it.
-func NewDesk(p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines Lines, log *slog.Logger) *Desk {
+func NewDesk(n outbound.Network, p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines Lines, log *slog.Logger) *Desk {
 	return &Desk{
-		platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
-		workers: newCallers(lines),
+		net: n, platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
+		workers: newCallers(n, lines),
 		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
 	}
 }
@@ -260,7 +261,7 @@
 			cancel()
 		}
 	}()
-	cloud := fleet.NewClient(d.platform.Services.Cloud, f.Cloud.RPS*0.85)
+	cloud := fleet.NewClient(d.net, d.platform.Services.Cloud, f.Cloud.RPS*0.85)
 	go cloud.Run(ctx)
 	go d.watchJobs(ctx, snapshot.Revision)
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,10 +63,10 @@
 }
 
 // NewClient makes a client with a share of the cloud's rate; Run starts it.
-func NewClient(addr string, rate float64) *Client {
+func NewClient(n outbound.Network, addr string, rate float64) *Client {
 	return &Client{
 		base:  "http://" + addr,
-		http:  outbound.NewClient(8),
+		http:  outbound.NewClient(n, 8),
 		rate:  rate,
 		calls: make(chan Call, 256), Results: make(chan Result, 64),
 	}
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/standin"
 	"leadproxy/internal/wire"
@@ -47,16 +48,34 @@
 	return resp.StatusCode
 }
 
+// freeAddrs finds addresses for nodes. They are not on 127.0.0.1, where a
+// connection of the stand-ins could take the port before the node does.
+func freeAddrs(t testing.TB, n int) []string {
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp", "127.7.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Only when all are found, or the next may be the same again.
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs
+}
+
 // alone starts one controller that leads, over our own stand-ins.
 func alone(b *testing.B) string {
-	store := standin.NewState(b, nil)
-	cloud := standin.NewCloud(b, []wire.MachineType{{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"}}},
-		standin.WorkerConfig{}, func(r *http.Request) standin.Trouble {
-			if r.URL.Path == "/machines" && r.Method == http.MethodPost {
-				return standin.Refused // the benchmark is the only worker
-			}
-			return standin.None
-		})
+	store := standin.NewState(b, outbound.TCP{}, "127.0.0.1:0", nil)
+	// The benchmark is the only worker.
+	refuse := func(_ string, r *http.Request) standin.Trouble {
+		if r.URL.Path == "/machines" && r.Method == http.MethodPost {
+			return standin.Trouble{Fate: standin.Refused}
+		}
+		return standin.Trouble{}
+	}
+	cloud := standin.NewCloud(b, outbound.TCP{}, "127.0.0.1:0", standin.CloudConfig{Trouble: refuse,
+		Types: []wire.MachineType{{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"}}}})
 	addrs := freeAddrs(b, 2)
 	p := &settings.Platform{Node: "n0", Zone: "a", Listen: addrs[0], Back: addrs[1], Services: settings.Services{State: store.Addr(), Cloud: cloud.Addr()}}
 	p.Facts = settings.Facts{Nodes: 1, Teams: []settings.Team{{Name: "t"}},
@@ -67,7 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b.Cleanup(cancel)
 	go func() {
-		if err := Run(ctx, p, settings.Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+		if err := Run(ctx, outbound.TCP{}, p, settings.Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
 			b.Error(err)
 		}
 	}()
--- /dev/null
+++ b/internal/node/meetings_test.go
@@ -0,0 +1,769 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"leadproxy/internal/standin"
+	"leadproxy/internal/wire"
+)
+
+// The meetings of troubles, each brought about with whole nodes. docs/meetings.md
+// tells which code answers each. What must hold is the same for all: the checker
+// looks at it all the time, and inCluster ends a test only when all that was
+// accepted is served.
+
+// stream submits n jobs, one each interval, and returns them.
+func (c *cluster) stream(first, n int, every time.Duration, change func(k int, j *wire.Job)) (jobs []*wire.Job) {
+	for k := range n {
+		j := job(fmt.Sprintf("job-%06d", first+k), 3, nil)
+		if change != nil {
+			change(k, j)
+		}
+		jobs = append(jobs, j)
+		c.submit(j)
+		time.Sleep(every)
+	}
+	return jobs
+}
+
+// long has all jobs whose number is even run for long, as their tasks would still
+// go on when all troubles are over.
+func long(d time.Duration) func(ref string) time.Duration {
+	return func(ref string) time.Duration {
+		if strings.HasSuffix(ref, "0") || strings.HasSuffix(ref, "2") || strings.HasSuffix(ref, "4") || strings.HasSuffix(ref, "6") || strings.HasSuffix(ref, "8") {
+			return d
+		}
+		return 8 * time.Second
+	}
+}
+
+// running waits until so many tasks are on machines.
+func (c *cluster) running(n int) {
+	c.await(fmt.Sprintf("%d tasks on machines", n), time.Minute, func() bool { on, _ := c.check.On(""); return on >= n })
+}
+
+// changed waits until another node leads than did, or the same in a new term.
+func (c *cluster) changed(version func() uint64) {
+	was := version()
+	c.await("another leader", 30*time.Second, func() bool { return c.leader() >= 0 && version() != was })
+}
+
+func (c *cluster) term() uint64 { return c.state.Version("leader") }
+
+// half is every other one.
+func half[T any](all []T) (out []T) {
+	for i := 0; i < len(all); i += 2 {
+		out = append(out, all[i])
+	}
+	return out
+}
+
+// eachSeed runs a scenario with several seeds, since where the troubles fall is
+// left to chance in some.
+func eachSeed(t *testing.T, p plan, scenario func(c *cluster, r *rand.Rand)) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			p := p
+			p.seed = seed
+			inCluster(t, p, func(c *cluster) { scenario(c, rand.New(rand.NewPCG(seed, 3))) })
+		})
+	}
+}
+
+// some picks a time between two.
+func some(r *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(r.Int64N(int64(most-least)))
+}
+
+// TestQuietMeeting: without troubles all is served, and what can't be is refused.
+func TestQuietMeeting(t *testing.T) {
+	inCluster(t, plan{}, func(c *cluster) {
+		c.stream(0, 6, time.Second, nil)
+		c.odd()
+		time.Sleep(30 * time.Second)
+		if _, done := c.check.On(""); done != 18 {
+			t.Errorf("%d tasks done", done)
+		}
+	})
+}
+
+// TestGapMeeting: the state service refuses the leader alone, cancellations are
+// confirmed through another node, and then the service is out for all for longer
+// than cancel_s, while workers keep reporting. Whoever goes on renewing leases
+// must know of the confirmations.
+func TestGapMeeting(t *testing.T) {
+	for _, gap := range []time.Duration{0, 200 * time.Millisecond, time.Second, 2 * time.Second, 2500 * time.Millisecond, 2800 * time.Millisecond,
+		2900 * time.Millisecond, 3 * time.Second, 3100 * time.Millisecond, 3300 * time.Millisecond, 3600 * time.Millisecond, 4 * time.Second, 5 * time.Second, 6 * time.Second} {
+		for _, then := range []string{"", "kill", "cut", "hang", "lost"} {
+			t.Run(fmt.Sprint(gap, then), func(t *testing.T) {
+				inCluster(t, plan{run: long(100 * time.Second)}, func(c *cluster) {
+					jobs := c.stream(0, 8, 300*time.Millisecond, nil)
+					c.running(10)
+					lead := c.leader()
+					c.state.Refuse(c.name(lead), true)
+					if then == "lost" {
+						c.writes.Store(c.share(1, standin.Unheard, 0, 0))
+					}
+					// Users call off half the jobs, again and again, while the leader is
+					// refused alone.
+					for _, j := range half(jobs) {
+						c.cancel(j)
+					}
+					time.Sleep(gap)
+					c.state.Outage(true)
+					c.writes.Store(nil)
+					switch now := c.leader(); then {
+					case "kill": // and back at once
+						c.restart(lead, 300*time.Millisecond)
+					case "cut":
+						if now >= 0 {
+							c.alone(now, true, true)
+						}
+					case "hang":
+						for _, w := range half(c.cloud.Workers()) {
+							w.Hang(true)
+						}
+					}
+					time.Sleep(15 * time.Second)
+					for _, w := range c.cloud.Workers() {
+						w.Hang(false)
+					}
+					time.Sleep(cancelLimit)
+					c.state.Refuse(c.name(lead), false)
+					c.state.Outage(false)
+					for i := range c.nodes {
+						c.alone(i, false, false)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestConfirmationReadMeeting: a cancellation is written by the leader, but only
+// that answer is lost; other nodes read it and tell users. Then the service is out
+// for all, and the leader goes on with the promises of all, for longer than
+// cancel_s, without ever learning that its write was carried out.
+func TestConfirmationReadMeeting(t *testing.T) {
+	inCluster(t, plan{run: long(100 * time.Second)}, func(c *cluster) {
+		jobs := c.stream(0, 8, 300*time.Millisecond, nil)
+		c.running(10)
+		c.writes.Store(c.share(1, standin.Unheard, 0, 0))
+		for _, j := range half(jobs) {
+			c.cancel(j)
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, j := range half(jobs) {
+			c.look(j.Ref, j)
+		}
+		time.Sleep(200 * time.Millisecond)
+		c.state.Outage(true)
+		c.writes.Store(nil)
+		time.Sleep(cancelLimit + 20*time.Second)
+		c.state.Outage(false)
+	})
+}
+
+// TestHandOverMeeting: controllers hand over and back, all end, and one returns,
+// also within a second.
+func TestHandOverMeeting(t *testing.T) {
+	eachSeed(t, plan{run: long(40 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		c.stream(0, 10, 300*time.Millisecond, nil)
+		for range 3 {
+			c.restart(c.leader(), some(r, 50*time.Millisecond, time.Second))
+			time.Sleep(some(r, 100*time.Millisecond, 6*time.Second))
+			c.await("a leader", 20*time.Second, func() bool { return c.leader() >= 0 })
+		}
+		for i := range c.nodes {
+			c.kill(i)
+		}
+		time.Sleep(some(r, 100*time.Millisecond, time.Second))
+		c.start(r.IntN(len(c.nodes)))
+		time.Sleep(some(r, 4*time.Second, 10*time.Second))
+		for i, n := range c.nodes {
+			if n.cancel == nil {
+				c.start(i)
+			}
+		}
+		c.stream(100, 4, 300*time.Millisecond, nil)
+	})
+}
+
+// TestOldReportsMeeting: an old report reaches every controller just as a new
+// leader begins, or after newer ones, also of an earlier session or attempt, or is
+// held back until a new leader has acted.
+func TestOldReportsMeeting(t *testing.T) {
+	for name, when := range map[string]func(c *cluster, deliver func()){
+		"as the leader begins": func(c *cluster, deliver func()) {
+			c.kill(c.leader())
+			c.changed(c.term)
+			deliver()
+		},
+		"after it has acted": func(c *cluster, deliver func()) {
+			c.kill(c.leader())
+			c.changed(c.term)
+			time.Sleep(8 * time.Second)
+			deliver()
+			time.Sleep(30 * time.Second)
+			deliver()
+		},
+		"after newer ones": func(_ *cluster, deliver func()) {
+			for range 5 {
+				time.Sleep(4 * time.Second)
+				deliver()
+			}
+		},
+		"after a session": func(c *cluster, deliver func()) {
+			workers := c.cloud.Workers()
+			for _, w := range workers {
+				w.Hang(true)
+			}
+			time.Sleep(workerLease + time.Second)
+			for _, w := range workers {
+				w.Hang(false)
+			}
+			for range 4 {
+				time.Sleep(700 * time.Millisecond)
+				deliver()
+			}
+			c.kill(c.leader())
+			c.changed(c.term)
+			deliver()
+		},
+		"all the time": func(c *cluster, deliver func()) {
+			for _, w := range c.cloud.Workers() {
+				w.Copies(func() time.Duration { return 2*time.Second + time.Duration(c.roll()*float64(40*time.Second)) })
+			}
+			time.Sleep(20 * time.Second)
+			c.kill(c.leader())
+			time.Sleep(20 * time.Second)
+			deliver()
+			for _, w := range c.cloud.Workers() {
+				w.Copies(nil)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, plan{run: long(30 * time.Second)}, func(c *cluster) {
+				jobs := c.stream(0, 10, 300*time.Millisecond, nil)
+				c.running(15)
+				workers := c.cloud.Workers()
+				for _, w := range workers {
+					w.Keep()
+				}
+				time.Sleep(10 * time.Second)
+				c.cancel(jobs[0])
+				when(c, func() {
+					for _, w := range workers {
+						w.Deliver()
+					}
+				})
+				c.stream(100, 4, 300*time.Millisecond, nil)
+				time.Sleep(time.Minute)
+				for i, n := range c.nodes {
+					if n.cancel == nil {
+						c.start(i)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestLostAnswersMeeting: a transaction is carried out at once and only its answer
+// is lost, while other nodes read what it wrote.
+func TestLostAnswersMeeting(t *testing.T) {
+	eachSeed(t, plan{run: long(20 * time.Second)}, func(c *cluster, _ *rand.Rand) {
+		c.writes.Store(c.share(0.3, standin.Unheard, 0, 0))
+		jobs := c.stream(0, 20, 400*time.Millisecond, nil)
+		for _, j := range half(jobs) {
+			c.cancel(j)
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		c.kill(c.leader())
+		time.Sleep(20 * time.Second)
+		c.writes.Store(nil)
+	})
+}
+
+// TestLateWritesMeeting: a transaction without an answer is carried out 2 to 12 s
+// later, after newer ones of the same controller; a note of silent machines and
+// its withdrawal among them.
+func TestLateWritesMeeting(t *testing.T) {
+	eachSeed(t, plan{run: long(20 * time.Second)}, func(c *cluster, _ *rand.Rand) {
+		c.writes.Store(c.share(0.25, standin.Held, 2*time.Second, 12*time.Second))
+		jobs := c.stream(0, 20, 400*time.Millisecond, nil)
+		for _, w := range half(c.cloud.Workers()) {
+			w.Mute(true)
+		}
+		for _, j := range half(jobs) {
+			c.cancel(j)
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(9 * time.Second)
+		for _, w := range c.cloud.Workers() {
+			w.Mute(false)
+		}
+		c.restart(c.leader(), 500*time.Millisecond)
+		c.stream(100, 10, 400*time.Millisecond, nil)
+		time.Sleep(20 * time.Second)
+		c.writes.Store(nil)
+	})
+}
+
+// TestAllAwayMeeting: all controllers are away for longer than the workers' lease.
+func TestAllAwayMeeting(t *testing.T) {
+	for _, away := range []time.Duration{workerLease - time.Second, workerLease + time.Second, 2 * workerLease} {
+		t.Run(fmt.Sprint(away), func(t *testing.T) {
+			inCluster(t, plan{run: long(50 * time.Second)}, func(c *cluster) {
+				jobs := c.stream(0, 10, 300*time.Millisecond, nil)
+				c.running(10)
+				c.cancel(jobs[0])
+				time.Sleep(100 * time.Millisecond)
+				for i := range c.nodes {
+					c.kill(i)
+				}
+				time.Sleep(away)
+				for i := range c.nodes {
+					c.start(i)
+				}
+			})
+		})
+	}
+}
+
+// TestNewMachinesMeeting: new machines are up within two seconds and get work at
+// once, while writes lag, and the leader ends: what is said of the hire and of the
+// hosts may have no answer yet.
+func TestNewMachinesMeeting(t *testing.T) {
+	eachSeed(t, plan{boot: time.Second, run: long(30 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		c.state.Slow(700 * time.Millisecond)
+		c.writes.Store(c.share(0.3, standin.Held, 2*time.Second, 8*time.Second))
+		c.hires.Store(c.share(0.3, standin.Unheard, 0, 0))
+		c.stream(0, 8, 200*time.Millisecond, func(_ int, j *wire.Job) { j.Tasks = 6 })
+		for range 3 {
+			time.Sleep(some(r, time.Second, 6*time.Second))
+			if l := c.leader(); l >= 0 {
+				c.restart(l, some(r, 100*time.Millisecond, 3*time.Second))
+			}
+		}
+		time.Sleep(10 * time.Second)
+		c.state.Slow(0)
+		c.writes.Store(nil)
+		c.hires.Store(nil)
+	})
+}
+
+// TestHeldCommandsMeeting: a command or its answer is held up for seconds, and the
+// machine then goes on; jobs are cancelled and the leader changes meanwhile.
+func TestHeldCommandsMeeting(t *testing.T) {
+	for _, fate := range []standin.Fate{standin.Held, standin.Unheard, standin.Lost, standin.Repeated} {
+		t.Run(fmt.Sprint(fate), func(t *testing.T) {
+			inCluster(t, plan{run: long(30 * time.Second)}, func(c *cluster) {
+				c.orders.Store(c.share(0.5, fate, 2*time.Second, 15*time.Second))
+				jobs := c.stream(0, 12, 300*time.Millisecond, nil)
+				time.Sleep(3 * time.Second)
+				for _, w := range half(c.cloud.Workers()) {
+					w.Hang(true)
+				}
+				for _, j := range half(jobs) {
+					c.cancel(j)
+				}
+				time.Sleep(7 * time.Second)
+				c.restart(c.leader(), time.Second)
+				for _, w := range c.cloud.Workers() {
+					w.Hang(false)
+				}
+				c.stream(100, 6, 300*time.Millisecond, nil)
+				time.Sleep(20 * time.Second)
+				c.orders.Store(nil)
+			})
+		})
+	}
+}
+
+// TestLastTaskMeeting: a cancellation, a question or a repeated submission meets
+// the end of a job's last task, with no other trouble.
+func TestLastTaskMeeting(t *testing.T) {
+	eachSeed(t, plan{run: func(string) time.Duration { return 4 * time.Second }}, func(c *cluster, r *rand.Rand) {
+		c.stream(0, 1, 20*time.Second, nil) // machines are up then
+		for k := range 30 {
+			j := job(fmt.Sprintf("job-%06d", 10+k), 1, nil)
+			c.submit(j)
+			done := func() bool { _, n := c.check.On(j.Ref); return n == 1 }
+			for end := time.Now().Add(30 * time.Second); !done() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(some(r, 0, 15*time.Millisecond))
+			c.cancel(j)
+			c.look(j.Ref, j)
+		}
+	})
+}
+
+// TestManySmallMeeting: one-task jobs come four a second for minutes, a quarter of
+// them cancelled, which wants more writes than a small state service takes.
+func TestManySmallMeeting(t *testing.T) {
+	inCluster(t, plan{writes: 30, run: func(string) time.Duration { return 5 * time.Second }}, func(c *cluster) {
+		for k := range 480 {
+			j := job(fmt.Sprintf("job-%06d", k), 1, nil)
+			c.submit(j)
+			if k%4 == 0 {
+				c.asking.Go(func() {
+					time.Sleep(time.Duration(c.roll() * float64(6*time.Second)))
+					c.cancel(j)
+				})
+			}
+			time.Sleep(250 * time.Millisecond)
+			if k == 240 {
+				c.kill(c.leader())
+			}
+		}
+		for i, n := range c.nodes {
+			if n.cancel == nil {
+				c.start(i)
+			}
+		}
+	})
+}
+
+// TestNoRoomMeeting: there is more work than room, urgent and not, over slow links.
+func TestNoRoomMeeting(t *testing.T) {
+	inCluster(t, plan{machines: 4, run: long(25 * time.Second)}, func(c *cluster) {
+		c.state.Slow(300 * time.Millisecond)
+		c.orders.Store(c.share(0.2, standin.Unheard, 0, 0))
+		jobs := c.stream(0, 24, 300*time.Millisecond, func(k int, j *wire.Job) {
+			j.Tasks, j.CPUs = 8, 2
+			j.Priority = []string{"idle", "standard", "high", "critical"}[k%4]
+		})
+		c.cancel(jobs[3])
+		time.Sleep(30 * time.Second)
+		c.kill(c.leader())
+		c.state.Slow(0)
+		c.orders.Store(nil)
+		time.Sleep(time.Minute)
+		for i, n := range c.nodes {
+			if n.cancel == nil {
+				c.start(i)
+			}
+		}
+	})
+}
+
+// TestSlowStateMeeting: the state service answers slowly, or refuses the leader
+// alone and then everybody for longer than cancel_s, while users cancel and ask.
+func TestSlowStateMeeting(t *testing.T) {
+	for _, slow := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 1600 * time.Millisecond} {
+		t.Run(fmt.Sprint(slow), func(t *testing.T) {
+			inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
+				jobs := c.stream(0, 10, 300*time.Millisecond, nil)
+				c.running(10)
+				c.state.Slow(slow)
+				for _, j := range half(jobs) {
+					c.cancel(j)
+					time.Sleep(time.Second)
+				}
+				lead := c.leader()
+				if lead >= 0 {
+					c.state.Refuse(c.name(lead), true)
+				}
+				for _, j := range jobs[:4] {
+					c.look(j.Ref, j)
+					time.Sleep(500 * time.Millisecond)
+				}
+				c.state.Outage(true)
+				for range 6 {
+					c.look(jobs[0].Ref, jobs[0])
+					c.cancel(jobs[1])
+					time.Sleep(cancelLimit / 5)
+				}
+				c.state.Slow(0)
+				c.state.Outage(false)
+				if lead >= 0 {
+					c.state.Refuse(c.name(lead), false)
+				}
+			})
+		})
+	}
+}
+
+// TestLimitMeeting: teams are at their limit while jobs are cancelled whose
+// machines are cut off, hang or can't be asked, and the leader changes: what frees
+// room in the limit must surely be gone.
+func TestLimitMeeting(t *testing.T) {
+	for name, away := range map[string]func(w *standin.Worker, on bool){
+		"hang": (*standin.Worker).Hang, "deaf": (*standin.Worker).Deaf, "mute": (*standin.Worker).Mute,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, plan{limits: map[string]float64{"tight": 12, "open": 24}, run: long(60 * time.Second)}, func(c *cluster) {
+				jobs := c.stream(0, 12, 200*time.Millisecond, func(k int, j *wire.Job) {
+					j.Tasks, j.Team = 6, []string{"tight", "open"}[k/2%2]
+				})
+				c.running(30)
+				workers := half(c.cloud.Workers())
+				for _, w := range workers {
+					away(w, true)
+				}
+				time.Sleep(time.Second)
+				for _, j := range jobs[:4] {
+					c.cancel(j)
+				}
+				time.Sleep(500 * time.Millisecond)
+				c.kill(c.leader())
+				for _, j := range jobs[4:6] {
+					c.cancel(j)
+				}
+				time.Sleep(12 * time.Second)
+				for _, w := range workers {
+					away(w, false)
+				}
+				for i, n := range c.nodes {
+					if n.cancel == nil {
+						c.start(i)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestUnreachableMeeting: a leader ends while machines with long tasks can't be
+// reached, or don't hear the new leader's answer; or workers reach no controller
+// while direct commands still reach them.
+func TestUnreachableMeeting(t *testing.T) {
+	for _, lasts := range []time.Duration{6 * time.Second, workerLease - 2*time.Second, workerLease + 5*time.Second} {
+		for name, away := range map[string]func(w *standin.Worker, on bool){
+			"hang": (*standin.Worker).Hang, "deaf": (*standin.Worker).Deaf, "mute": (*standin.Worker).Mute,
+		} {
+			t.Run(fmt.Sprint(name, lasts), func(t *testing.T) {
+				inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
+					c.stream(0, 10, 200*time.Millisecond, nil)
+					c.running(20)
+					workers := half(c.cloud.Workers())
+					for _, w := range workers {
+						away(w, true)
+					}
+					c.kill(c.leader())
+					c.changed(c.term)
+					time.Sleep(lasts)
+					for _, w := range workers {
+						away(w, false)
+					}
+					for i, n := range c.nodes {
+						if n.cancel == nil {
+							c.start(i)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestChangeOfHandsMeeting: jobs are cancelled in the seconds in which one
+// controller's work changes hands.
+func TestChangeOfHandsMeeting(t *testing.T) {
+	eachSeed(t, plan{run: long(60 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		jobs := c.stream(0, 16, 200*time.Millisecond, nil)
+		c.running(20)
+		c.asking.Go(func() {
+			for _, j := range half(jobs) {
+				c.cancel(j)
+				time.Sleep(some(r, 100*time.Millisecond, 900*time.Millisecond))
+			}
+		})
+		time.Sleep(500 * time.Millisecond)
+		c.restart(c.leader(), 800*time.Millisecond)
+		time.Sleep(4 * time.Second)
+		c.state.Refuse(c.name(max(c.leader(), 0)), true)
+		time.Sleep(5 * time.Second)
+		for i := range c.nodes {
+			c.state.Refuse(c.name(i), false)
+		}
+	})
+}
+
+// TestBoundToZonesMeeting: jobs bound to one zone, arrays that have to stay
+// together or be spread too, lose machines.
+func TestBoundToZonesMeeting(t *testing.T) {
+	eachSeed(t, plan{run: long(30 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		zone := "b"
+		c.stream(0, 12, 300*time.Millisecond, func(k int, j *wire.Job) {
+			j.Tasks = 5
+			switch k % 4 {
+			case 0:
+				j.Zone = &zone
+			case 1:
+				j.OneZone = true
+			case 2:
+				j.Spread = true
+			}
+		})
+		c.running(20)
+		for range 4 {
+			workers := c.cloud.Workers()
+			w := workers[r.IntN(len(workers))]
+			if r.IntN(2) == 0 {
+				c.cloud.Take(w.Name())
+			} else {
+				w.Hang(true)
+				c.asking.Go(func() { time.Sleep(25 * time.Second); w.Hang(false) })
+			}
+			time.Sleep(some(r, time.Second, 8*time.Second))
+		}
+		c.restart(c.leader(), time.Second)
+	})
+}
+
+// TestTenLeadersMeeting: leaders change ten times in two minutes, also inside an
+// outage.
+func TestTenLeadersMeeting(t *testing.T) {
+	eachSeed(t, plan{run: long(50 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		jobs := c.stream(0, 10, 200*time.Millisecond, nil)
+		for k := range 10 {
+			if l := c.leader(); l >= 0 {
+				c.restart(l, some(r, 100*time.Millisecond, 4*time.Second))
+			}
+			if k == 4 {
+				c.state.Outage(true)
+			}
+			if k == 6 {
+				c.state.Outage(false)
+			}
+			if k%3 == 0 {
+				c.cancel(jobs[k])
+			}
+			time.Sleep(some(r, 2*time.Second, 12*time.Second))
+		}
+		c.state.Outage(false)
+	})
+}
+
+// TestCutLeaderMeeting: a leader is cut from the state service and from the other
+// controllers while workers and users still reach it, and jobs are cancelled
+// through the new one.
+func TestCutLeaderMeeting(t *testing.T) {
+	for _, hold := range []bool{false, true} {
+		for _, lasts := range []time.Duration{5 * time.Second, workerLease + 3*time.Second, cancelLimit + 15*time.Second} {
+			t.Run(fmt.Sprint(hold, lasts), func(t *testing.T) {
+				inCluster(t, plan{run: long(80 * time.Second)}, func(c *cluster) {
+					jobs := c.stream(0, 10, 200*time.Millisecond, nil)
+					c.running(20)
+					lead := c.leader()
+					c.net.Cut(c.name(lead), "state", hold)
+					c.alone(lead, true, hold)
+					c.changed(c.term)
+					for _, j := range half(jobs) {
+						c.cancel(j)
+					}
+					time.Sleep(lasts)
+					c.net.Heal(c.name(lead), "state")
+					c.alone(lead, false, hold)
+				})
+			})
+		}
+	}
+}
+
+// TestFarApartMeeting: the tasks of jobs of two or three end far apart, across a
+// change of leader.
+func TestFarApartMeeting(t *testing.T) {
+	eachSeed(t, plan{machines: 2, run: long(40 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		// Too little room for all of a job at once.
+		c.stream(0, 5, 200*time.Millisecond, func(k int, j *wire.Job) { j.Tasks, j.CPUs = 2+k%2, 5 })
+		time.Sleep(some(r, 10*time.Second, 50*time.Second))
+		c.restart(c.leader(), some(r, 100*time.Millisecond, 6*time.Second))
+	})
+}
+
+// TestZoneCutMeeting: a zone with workers and a controller is cut off for longer
+// than the workers' lease; the controller there leads, or does not.
+func TestZoneCutMeeting(t *testing.T) {
+	for _, leads := range []bool{true, false} {
+		for _, hold := range []bool{true, false} {
+			t.Run(fmt.Sprint(leads, hold), func(t *testing.T) {
+				inCluster(t, plan{run: long(50 * time.Second)}, func(c *cluster) {
+					jobs := c.stream(0, 10, 200*time.Millisecond, nil)
+					c.running(20)
+					in := c.leader()
+					if !leads {
+						in = c.follower()
+					}
+					zone := c.nodes[in].platform.Zone
+					cut := func(do func(a, b string)) {
+						do(c.name(in), "state")
+						do(c.name(in), "cloud")
+						do(c.name(in), "users")
+						for i := range c.nodes {
+							if i != in {
+								do(c.name(in), c.name(i))
+							}
+						}
+						for _, w := range c.cloud.Workers() {
+							for i, n := range c.nodes {
+								if (n.platform.Zone == zone) != (w.Zone() == zone) {
+									do(w.Name(), c.name(i))
+								}
+							}
+						}
+					}
+					cut(func(a, b string) { c.net.Cut(a, b, hold) })
+					time.Sleep(3 * time.Second)
+					for _, j := range half(jobs) {
+						c.cancel(j)
+					}
+					time.Sleep(workerLease + 5*time.Second)
+					cut(c.net.Heal)
+				})
+			})
+		}
+	}
+}
+
+// TestJobsSurviveTheirLeader runs jobs while messages are lost, repeated and held,
+// ends the leader in the middle, then all nodes, and has every task run to its
+// end.
+func TestJobsSurviveTheirLeader(t *testing.T) {
+	every := func(pattern ...standin.Fate) *standin.Troubles {
+		n := make(chan int, 1)
+		n <- 0
+		f := standin.Troubles(func(string, *http.Request) standin.Trouble {
+			k := <-n
+			n <- k + 1
+			return standin.Trouble{Fate: pattern[k%len(pattern)], For: 3 * time.Second}
+		})
+		return &f
+	}
+	const ok = standin.Fine
+	inCluster(t, plan{run: func(ref string) time.Duration {
+		if ref == "job-000003" {
+			return time.Hour
+		}
+		return 700 * time.Millisecond
+	}}, func(c *cluster) {
+		c.writes.Store(every(ok, ok, ok, standin.Unheard, ok, ok, standin.Repeated, ok, ok, standin.Held, ok, ok, standin.Refused))
+		c.orders.Store(every(ok, ok, standin.Unheard, ok, standin.Lost, ok, ok, standin.Held, standin.Repeated))
+		c.hires.Store(every(ok, ok, standin.Unheard, ok, ok, ok, standin.Refused))
+		jobs := c.stream(1, 3, 0, func(_ int, j *wire.Job) { j.Tasks = 30 })
+		c.await("some tasks done", 30*time.Second, func() bool { _, done := c.check.On(""); return done > 10 })
+		lead := c.leader()
+		c.kill(lead)
+		c.cancel(jobs[2])
+		time.Sleep(5 * time.Second)
+		c.start(lead)
+		c.await("more tasks done", 60*time.Second, func() bool { _, done := c.check.On(""); return done > 30 })
+		for i := range c.nodes {
+			c.kill(i)
+		}
+		time.Sleep(6 * time.Second)
+		for i := range c.nodes {
+			c.start(i)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -25,22 +24,20 @@
 	"leadproxy/internal/wire"
 )
 
-// Run runs a controller until ctx ends or an address can't be served.
-func Run(ctx context.Context, p *settings.Platform, op settings.Operator, log *slog.Logger) error {
+// Run runs a controller on a network until ctx ends or an address can't be served.
+func Run(ctx context.Context, n outbound.Network, p *settings.Platform, op settings.Operator, log *slog.Logger) error {
 	f := p.Facts
 	// Memory is there to be used, the processor is short: collect seldom, but
 	// harder near the limit rather than have the process killed.
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(f.Resources.RAMMB * 0.7 * (1 << 20)))
 
-	// Who is silent for long is hung up on; probes besides would cost four system
-	// calls for each connection.
-	public, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", p.Listen)
+	public, err := n.Listen(ctx, p.Listen)
 	if err != nil {
 		return fmt.Errorf("public_addr %s: %w", p.Listen, err)
 	}
 	defer public.Close()
-	back, err := net.Listen("tcp", p.Back)
+	back, err := n.Listen(ctx, p.Back)
 	if err != nil {
 		return fmt.Errorf("back %s: %w", p.Back, err)
 	}
@@ -50,18 +47,18 @@
 	defer cancel()
 	share := divide(f.Resources)
 	rate := dispatch.FollowerShare(f.Nodes)
-	store := state.New(ctx, p.Services.State, f.State.RPS, f.State.WriteRPS, rate, log)
+	store := state.New(ctx, n, p.Services.State, f.State.RPS, f.State.WriteRPS, rate, log)
 	elector := election.New(p.Node, op, store, log)
 	seats := &seats{crowded: int64(share.crowded), roomy: int64(share.roomy)}
 	lines := dispatch.Lines{AtOnce: share.orders, Kept: share.kept, Few: share.few, Crowded: seats.Crowded}
-	desk := dispatch.NewDesk(p, op, elector, store, lines, log)
+	desk := dispatch.NewDesk(n, p, op, elector, store, lines, log)
 	seats.makeRoom = desk.HangUp
-	others, err := peers.Dial(ctx, p.Node, p.Peers)
+	others, err := peers.Dial(ctx, n, p.Node, p.Peers)
 	if err != nil {
 		return err
 	}
 	elector.Others = others
-	types := watchTypes(ctx, fleet.NewClient(p.Services.Cloud, f.Cloud.RPS), log)
+	types := watchTypes(ctx, fleet.NewClient(n, p.Services.Cloud, f.Cloud.RPS), log)
 	in := intake.New(ctx, p, elector, store, desk, others, types, rate, log)
 
 	router := httprouter.New()
--- a/internal/outbound/line.go
+++ b/internal/outbound/line.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 )
@@ -20,6 +22,7 @@
 // And two goroutines with their buffers for each of a thousand machines take
 // 40 MB.
 type Line struct {
+	net  Network
 	addr string
 	conn net.Conn
 	in   *bufio.Reader
@@ -34,7 +37,7 @@
 const quietFor = 500 * time.Millisecond
 
 // NewLine makes a line to an address, not open yet.
-func NewLine(addr string) *Line { return &Line{addr: addr} }
+func NewLine(n Network, addr string) *Line { return &Line{net: n, addr: addr} }
 
 // IsOpen tells whether there is a connection to be kept.
 func (l *Line) IsOpen() bool { return l.conn != nil }
@@ -59,7 +62,9 @@
 	if l.conn != nil {
 		return nil
 	}
-	conn, err := (&net.Dialer{Timeout: limit, KeepAlive: -1}).DialContext(ctx, "tcp", l.addr)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	conn, err := l.net.Dial(ctx, l.addr)
 	if err != nil {
 		return err
 	}
@@ -107,7 +112,12 @@
 func hungUp(conn net.Conn) bool {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		// Not a socket: a read that may not wait tells as much.
+		if err := conn.SetReadDeadline(time.Now()); err != nil {
+			return true
+		}
+		_, err := conn.Read(make([]byte, 1))
+		return !errors.Is(err, os.ErrDeadlineExceeded)
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -1,5 +1,5 @@
-// Package outbound has what all calls to other systems share: their HTTP
-// client, what a failed call proves, and waiting before the next.
+// Package outbound has what all calls to other systems share: the network, their
+// HTTP client, what a failed call proves, and waiting before the next.
 package outbound
 
 import (
@@ -14,12 +14,38 @@
 // are short.
 const bufferSize = 2 << 10
 
+// Network is how a node reaches others and is reached.
+type Network interface {
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+	Listen(ctx context.Context, addr string) (net.Listener, error)
+}
+
+// TCP is the network of the machine. Every call has a time limit and who is silent
+// for long is hung up on, so that probes of idle connections would tell nothing;
+// they cost four system calls for each connection.
+type TCP struct{}
+
+// Dial connects to an address.
+func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	return (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+}
+
+// Listen serves an address.
+func (TCP) Listen(ctx context.Context, addr string) (net.Listener, error) {
+	return (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", addr)
+}
+
+// dialLimit bounds how long a client tries to connect.
+const dialLimit = time.Second
+
 // NewClient makes a client that keeps up to idle connections to each address.
-func NewClient(idle int) *http.Client {
+func NewClient(n Network, idle int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		// Every call has a time limit, so that probes of idle connections would
-		// tell nothing; setting them up costs four system calls.
-		DialContext:         (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialLimit)
+			defer cancel()
+			return n.Dial(ctx, addr)
+		},
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -4,13 +4,13 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"leadproxy/internal/intake"
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/peers/peerpb"
 	"leadproxy/internal/settings"
 )
@@ -33,20 +33,18 @@
 
 // Dial prepares a connection to each of the other controllers for the node of a
 // name, until ctx ends. Nothing is sent until the first request.
-func Dial(ctx context.Context, node string, others []settings.Peer) (*Peers, error) {
+func Dial(ctx context.Context, n outbound.Network, node string, others []settings.Peer) (*Peers, error) {
 	p := &Peers{byName: map[string]peer{}}
 	for _, o := range others {
 		conn, err := grpc.NewClient("passthrough:///"+o.Addr,
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
 			grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: reconnect.MaxDelay}),
-			grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
-				var d net.Dialer
-				return d.DialContext(ctx, "tcp", addr)
-			}))
+			grpc.WithContextDialer(n.Dial))
 		if err != nil {
 			return nil, fmt.Errorf("peer %s: %w", o.Node, err)
 		}
+		context.AfterFunc(ctx, func() { conn.Close() })
 		p.names = append(p.names, o.Node)
 		client := peerpb.NewPeerClient(conn)
 		carrier := newCourier(node, func(ctx context.Context) (line, error) { return client.Share(ctx) })
--- /dev/null
+++ b/internal/standin/checker_test.go
@@ -0,0 +1,247 @@
+package standin
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"leadproxy/internal/wire"
+)
+
+// history is what a service does in a test of the checker.
+type history struct{ *Checker }
+
+func (h history) submit(ref string, tasks int, change func(j *wire.Job)) {
+	j := &wire.Job{Ref: ref, Team: "t", Tasks: tasks, CPUs: 2, MemGB: 1, Spot: true}
+	if change != nil {
+		change(j)
+	}
+	h.Submits(j, true)
+	h.answer(AskedSubmit, ref, 201, wire.Queued)
+}
+
+// answer is given to a question asked a second before.
+func (h history) answer(what Asked, ref string, code int, status string) {
+	h.Asks(ref)
+	if what == AskedCancel {
+		h.Cancels(ref)
+	}
+	asked := time.Now()
+	time.Sleep(time.Second)
+	h.Answered(what, ref, asked, code, status)
+}
+
+func (h history) run(task, machine string) {
+	h.Begins(task, machine, "m", "a", true)
+	time.Sleep(time.Second)
+	h.Ends(task, machine, true)
+}
+
+// TestChecker: each history breaks the rule that is named, and no other; the ones
+// without a name break none.
+func TestChecker(t *testing.T) {
+	zone := "b"
+	cases := []struct {
+		name, breaks string
+		play         func(h history)
+	}{
+		{"all is well", "", func(h history) {
+			h.submit("job-1", 2, nil)
+			h.run("job-1/0", "m1")
+			h.run("job-1/1", "m2")
+			h.answer(AskedStatus, "job-1", 200, wire.Done)
+			h.answer(AskedSubmit, "job-1", 200, wire.Done)
+			h.answer(AskedStatus, "job-9", 404, "")
+		}},
+		{"a task ends on one machine and starts on another", "", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.Begins("job-1/0", "m1", "m", "a", true)
+			h.Ends("job-1/0", "m1", false)
+			h.run("job-1/0", "m2")
+		}},
+		{"a task on two machines", "ran_twice", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.Begins("job-1/0", "m1", "m", "a", true)
+			h.Begins("job-1/0", "m2", "m", "a", true)
+		}},
+		{"more than the limit", "quota", func(h history) {
+			h.submit("job-1", 3, nil)
+			for _, task := range []string{"job-1/0", "job-1/1", "job-1/2"} {
+				h.Begins(task, "m1", "m", "a", true)
+			}
+		}},
+		{"a wrong zone", "wrong_place", func(h history) {
+			h.submit("job-1", 1, func(j *wire.Job) { j.Zone = &zone })
+			h.run("job-1/0", "m1")
+		}},
+		{"a wrong type", "wrong_place", func(h history) {
+			h.submit("job-1", 1, func(j *wire.Job) { j.Types = []string{"other"} })
+			h.run("job-1/0", "m1")
+		}},
+		{"a spot machine", "wrong_place", func(h history) {
+			h.submit("job-1", 1, func(j *wire.Job) { j.Spot = false })
+			h.run("job-1/0", "m1")
+		}},
+		{"not together", "wrong_place", func(h history) {
+			h.submit("job-1", 2, func(j *wire.Job) { j.OneZone = true })
+			h.Begins("job-1/0", "m1", "m", "a", true)
+			h.Begins("job-1/1", "m2", "m", "b", true)
+		}},
+		{"together, one after the other", "", func(h history) {
+			h.submit("job-1", 2, func(j *wire.Job) { j.OneZone = true })
+			h.run("job-1/0", "m1")
+			h.Begins("job-1/1", "m2", "m", "b", true)
+		}},
+		{"not spread", "wrong_place", func(h history) {
+			h.submit("job-1", 2, func(j *wire.Job) { j.Spread = true })
+			h.Begins("job-1/0", "m1", "m", "a", true)
+			h.Begins("job-1/1", "m2", "m", "a", true)
+		}},
+		{"goes on after the cancellation", "ran_cancelled", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.Begins("job-1/0", "m1", "m", "a", true)
+			h.answer(AskedCancel, "job-1", 200, wire.Aborted)
+			time.Sleep(41 * time.Second)
+			h.Look(time.Time{}, nil)
+		}},
+		{"ends late after the cancellation", "ran_cancelled", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.Begins("job-1/0", "m1", "m", "a", true)
+			h.answer(AskedStatus, "job-1", 200, wire.Queued)
+			h.answer(AskedCancel, "job-1", 200, wire.Aborted)
+			time.Sleep(41 * time.Second)
+			h.Ends("job-1/0", "m1", false)
+		}},
+		{"ends in time after the cancellation", "", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.Begins("job-1/0", "m1", "m", "a", true)
+			h.answer(AskedCancel, "job-1", 200, wire.Aborted)
+			time.Sleep(39 * time.Second)
+			h.Ends("job-1/0", "m1", false)
+		}},
+		{"starts long after the cancellation", "ran_cancelled", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.answer(AskedCancel, "job-1", 200, wire.Aborted)
+			time.Sleep(41 * time.Second)
+			h.Begins("job-1/0", "m1", "m", "a", true)
+		}},
+		{"an accepted job gets 404", "forgotten", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.answer(AskedStatus, "job-1", 404, "")
+		}},
+		{"its repetition gets 422", "forgotten", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.answer(AskedSubmit, "job-1", 422, "")
+		}},
+		{"no question is answered", "forgotten", func(h history) {
+			h.submit("job-1", 1, nil)
+			calm := time.Now()
+			for range 17 {
+				h.Asks("job-1")
+				time.Sleep(5 * time.Second)
+				h.Look(calm, nil)
+			}
+		}},
+		{"a question now and then is answered", "", func(h history) {
+			h.submit("job-1", 1, nil)
+			calm := time.Now()
+			for k := range 30 {
+				h.Asks("job-1")
+				if k%14 == 13 {
+					h.answer(AskedStatus, "job-1", 200, wire.Queued)
+				}
+				time.Sleep(5 * time.Second)
+				h.Look(calm, nil)
+			}
+		}},
+		{"nobody submitted it", "invented", func(h history) { h.answer(AskedStatus, "job-1", 200, wire.Queued) }},
+		{"nobody submitted what starts", "invented", func(h history) { h.Begins("job-1/0", "m1", "m", "a", true) }},
+		{"done too early", "not_done", func(h history) {
+			h.submit("job-1", 2, nil)
+			h.run("job-1/0", "m1")
+			h.answer(AskedStatus, "job-1", 200, wire.Done)
+		}},
+		{"queued after done", "went_back", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.run("job-1/0", "m1")
+			h.answer(AskedStatus, "job-1", 200, wire.Done)
+			h.answer(AskedSubmit, "job-1", 200, wire.Queued)
+		}},
+		{"aborted after done", "went_back", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.run("job-1/0", "m1")
+			h.Cancels("job-1")
+			h.answer(AskedStatus, "job-1", 200, wire.Done)
+			asked := time.Now().Add(-time.Hour)
+			h.Answered(AskedStatus, "job-1", asked, 200, wire.Aborted)
+		}},
+		{"cancelled by nobody", "went_back", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.answer(AskedStatus, "job-1", 200, wire.Aborted)
+		}},
+		{"an answer that was on its way", "", func(h history) {
+			h.submit("job-1", 1, nil)
+			asked := time.Now()
+			h.run("job-1/0", "m1")
+			h.answer(AskedStatus, "job-1", 200, wire.Done)
+			h.Answered(AskedStatus, "job-1", asked, 200, wire.Running)
+		}},
+		{"accepted though it can't run", "accepted_unfit", func(h history) {
+			h.Submits(&wire.Job{Ref: "job-1", Tasks: 1}, false)
+			h.answer(AskedSubmit, "job-1", 201, wire.Queued)
+		}},
+		{"refused though it can run", "refused_fit", func(h history) {
+			h.Submits(&wire.Job{Ref: "job-1", Tasks: 1}, true)
+			h.answer(AskedSubmit, "job-1", 422, "")
+		}},
+		{"waits although there is room", "left_waiting", func(h history) {
+			h.submit("job-1", 1, nil)
+			calm := time.Now()
+			for range 11 {
+				h.Look(calm, []Room{{Type: "m", Zone: "a", CPUs: 2, MemGB: 2}})
+				time.Sleep(10 * time.Second)
+			}
+		}},
+		{"waits since there is no room", "", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.submit("job-2", 1, func(j *wire.Job) { j.Zone = &zone })
+			h.submit("job-3", 1, func(j *wire.Job) { j.Spot = false })
+			calm := time.Now()
+			for range 30 {
+				h.Look(calm, []Room{{Type: "m", Zone: "a", CPUs: 1, MemGB: 2, Spot: true}, {Type: "m", Zone: "a", CPUs: 2, Spot: true}})
+				time.Sleep(10 * time.Second)
+			}
+		}},
+		{"waits since its team is at its limit", "", func(h history) {
+			h.submit("job-1", 3, nil)
+			h.Begins("job-1/0", "m1", "m", "a", true)
+			h.Begins("job-1/1", "m1", "m", "a", true)
+			calm := time.Now()
+			for range 30 {
+				h.Look(calm, []Room{{Type: "m", Zone: "a", CPUs: 20, MemGB: 20}})
+				time.Sleep(10 * time.Second)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := history{NewChecker(t, Limits{Cancel: 40 * time.Second, CPUs: map[string]float64{"t": 5}, Waiting: 90 * time.Second, Silent: 75 * time.Second})}
+				c.play(h)
+				broken := h.Broken()
+				switch {
+				case c.breaks == "" && len(broken) > 0:
+					t.Errorf("breaks %v", broken)
+				case c.breaks != "" && len(broken) == 0:
+					t.Errorf("breaks nothing, want %s", c.breaks)
+				}
+				for _, b := range broken {
+					if !strings.HasPrefix(b, c.breaks+":") {
+						t.Errorf("breaks %s, want %s", b, c.breaks)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -4,49 +4,65 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"sort"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/wire"
 )
 
-// Cloud stands in for the cloud. Its machines boot at once and run workers.
+// CloudConfig describes a cloud.
+type CloudConfig struct {
+	Types   []wire.MachineType
+	Boot    time.Duration // how long a machine takes to come up
+	ListLag time.Duration // how late a machine is listed
+	Most    int           // machines at the same time; 0: no bound
+	Worker  WorkerConfig
+	// Host makes the network of a machine, and its address there.
+	Host    func(name string) (n outbound.Network, addr string)
+	Trouble Troubles
+}
+
+// Cloud stands in for the cloud. Its machines run workers.
 type Cloud struct {
 	actor
 	t        testing.TB
-	server   *httptest.Server
-	types    []wire.MachineType
-	worker   WorkerConfig
+	addr     string
+	config   CloudConfig
 	hires    map[string][]string
 	machines map[string]*rented
 	count    int
+	boot     time.Duration
 }
 
 type rented struct {
 	listed wire.ListedMachine
-	worker *Worker
+	worker *Worker // nil while it boots
 	since  time.Time
+	gone   bool
 }
 
-// NewCloud starts a cloud whose machines' workers are made by config.
-func NewCloud(t testing.TB, types []wire.MachineType, config WorkerConfig, trouble func(r *http.Request) Trouble) *Cloud {
-	c := &Cloud{actor: newActor(t.Context().Done()), t: t, types: types, worker: config, hires: map[string][]string{}, machines: map[string]*rented{}}
+// NewCloud starts a cloud.
+func NewCloud(t testing.TB, n outbound.Network, addr string, config CloudConfig) *Cloud {
+	c := &Cloud{actor: newActor(t), t: t, config: config, hires: map[string][]string{}, machines: map[string]*rented{}, boot: config.Boot}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /flavors", func(w http.ResponseWriter, _ *http.Request) {
-		answer(w, http.StatusOK, wire.Flavors{Types: types})
+		answer(w, http.StatusOK, wire.Flavors{Types: config.Types})
 	})
 	mux.HandleFunc("POST /machines", c.hire)
 	mux.HandleFunc("POST /machines/delete", c.remove)
 	mux.HandleFunc("GET /machines", c.list)
-	c.server = httptest.NewServer(troubled(mux, trouble))
-	t.Cleanup(func() { c.server.CloseClientConnections(); c.server.Close() })
+	c.addr, _ = serve(t, n, addr, troubled(t.Context(), mux, config.Trouble))
 	return c
 }
 
 // Addr is where it listens.
-func (c *Cloud) Addr() string { return c.server.Listener.Addr().String() }
+func (c *Cloud) Addr() string { return c.addr }
+
+// Boot has machines that are hired from now on come up after so long.
+func (c *Cloud) Boot(d time.Duration) { c.do(func() { c.boot = d }) }
 
 func (c *Cloud) hire(w http.ResponseWriter, r *http.Request) {
 	var h wire.Hire
@@ -54,6 +70,11 @@
 		answer(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
 		return
 	}
+	at := slices.IndexFunc(c.config.Types, func(t wire.MachineType) bool { return t.Name == h.Type })
+	if at < 0 || h.Count < 1 || h.Count > 50 {
+		answer(w, http.StatusBadRequest, wire.Problem{Error: "no such type, or a wrong number"})
+		return
+	}
 	var names []string
 	c.do(func() {
 		if known, ok := c.hires[h.Request]; ok {
@@ -61,48 +82,115 @@
 			return
 		}
 		for range h.Count {
-			name := fmt.Sprintf("vm-%06d", c.count)
-			c.count++
-			worker := newWorker(c.t, name, h, c.worker)
-			c.machines[name] = &rented{worker: worker, since: time.Now(), listed: wire.ListedMachine{
-				Name: name, Address: worker.Addr(), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Status: wire.MachineUp}}
-			names = append(names, name)
+			if c.config.Most > 0 && len(c.machines) >= c.config.Most {
+				break
+			}
+			names = append(names, c.rent(h, c.config.Types[at]))
+		}
+		if len(names) > 0 {
+			c.hires[h.Request] = names
 		}
-		c.hires[h.Request] = names
 	})
+	if len(names) == 0 {
+		answer(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
+		return
+	}
 	answer(w, http.StatusOK, wire.Machines{Machines: names})
 }
 
+// rent has a machine come up.
+func (c *Cloud) rent(h wire.Hire, size wire.MachineType) string {
+	name := fmt.Sprintf("vm-%06d", c.count)
+	c.count++
+	n, addr := c.config.Host(name)
+	m := &rented{since: time.Now(), listed: wire.ListedMachine{Name: name, Address: addr, Type: h.Type, Zone: h.Zone, Spot: h.Spot, Status: wire.Booting}}
+	c.machines[name] = m
+	ctx, boot := c.t.Context(), c.boot
+	go func() {
+		outbound.Pause(ctx, boot)
+		c.do(func() {
+			if m.gone || ctx.Err() != nil {
+				return
+			}
+			m.worker = newWorker(c.t, n, addr, name, h, size, c.config.Worker)
+			m.listed.Address, m.listed.Status = m.worker.Addr(), wire.MachineUp
+		})
+	}()
+	return name
+}
+
 func (c *Cloud) remove(w http.ResponseWriter, r *http.Request) {
 	var m wire.Machines
 	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
 		answer(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
 		return
 	}
+	c.Take(m.Machines...)
+	answer(w, http.StatusOK, struct{}{})
+}
+
+// Take ends machines with everything on them.
+func (c *Cloud) Take(names ...string) {
 	var gone []*Worker
 	c.do(func() {
-		for _, name := range m.Machines {
-			if r := c.machines[name]; r != nil {
-				gone = append(gone, r.worker)
-				delete(c.machines, name)
+		for _, name := range names {
+			m := c.machines[name]
+			if m == nil {
+				continue
+			}
+			m.gone = true
+			if m.worker != nil {
+				gone = append(gone, m.worker)
 			}
+			delete(c.machines, name)
 		}
 	})
 	for _, g := range gone {
 		g.Kill()
 	}
-	answer(w, http.StatusOK, struct{}{})
+}
+
+// Workers lists the machines that are up, in the order of their names.
+func (c *Cloud) Workers() (up []*Worker) {
+	c.do(func() {
+		for _, m := range c.machines {
+			if m.worker != nil {
+				up = append(up, m.worker)
+			}
+		}
+	})
+	slices.SortFunc(up, func(a, b *Worker) int { return strings.Compare(a.name, b.name) })
+	return up
+}
+
+// Name is the machine's, and Zone where it is.
+func (w *Worker) Name() string { return w.name }
+
+// Zone is where the machine is.
+func (w *Worker) Zone() string { return w.hire.Zone }
+
+// Rooms tells what the machines that work and hear the controllers have free.
+func (c *Cloud) Rooms() (rooms []Room) {
+	for _, w := range c.Workers() {
+		if room, ok := w.hears(); ok {
+			rooms = append(rooms, room)
+		}
+	}
+	return rooms
 }
 
 func (c *Cloud) list(w http.ResponseWriter, _ *http.Request) {
 	list := wire.MachineList{Machines: []wire.ListedMachine{}}
 	c.do(func() {
 		for _, m := range c.machines {
+			if time.Since(m.since) < c.config.ListLag {
+				continue
+			}
 			l := m.listed
 			l.AgeS = time.Since(m.since).Seconds()
 			list.Machines = append(list.Machines, l)
 		}
 	})
-	sort.Slice(list.Machines, func(a, b int) bool { return list.Machines[a].Name < list.Machines[b].Name })
+	slices.SortFunc(list.Machines, func(a, b wire.ListedMachine) int { return strings.Compare(a.Name, b.Name) })
 	answer(w, http.StatusOK, list)
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -3,25 +3,28 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"sort"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"leadproxy/internal/outbound"
 	"leadproxy/internal/wire"
 )
 
 // State stands in for the state service.
 type State struct {
 	actor
-	server   *httptest.Server
+	addr     string
 	revision uint64
 	keys     map[string]wire.Entry
 	leases   map[uint64]*lease
 	history  []wire.Event
 	waiters  []chan struct{}
+	out      bool            // for everybody
+	refused  map[string]bool // hosts that are refused alone
+	slow     time.Duration
 }
 
 type lease struct {
@@ -30,8 +33,8 @@
 }
 
 // NewState starts a state service that lives as long as the test.
-func NewState(t testing.TB, trouble func(r *http.Request) Trouble) *State {
-	s := &State{actor: newActor(t.Context().Done()), keys: map[string]wire.Entry{}, leases: map[uint64]*lease{}}
+func NewState(t testing.TB, n outbound.Network, addr string, trouble Troubles) *State {
+	s := &State{actor: newActor(t), keys: map[string]wire.Entry{}, leases: map[uint64]*lease{}, refused: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /store/{key...}", s.get)
 	mux.HandleFunc("GET /store", s.list)
@@ -40,8 +43,7 @@
 	mux.HandleFunc("POST /leases/{id}/renew", s.renew)
 	mux.HandleFunc("DELETE /leases/{id}", s.endLease)
 	mux.HandleFunc("GET /changes", s.changes)
-	s.server = httptest.NewServer(troubled(mux, trouble))
-	t.Cleanup(func() { s.server.CloseClientConnections(); s.server.Close() })
+	s.addr, _ = serve(t, n, addr, troubled(t.Context(), s.gate(mux), trouble))
 	go func() {
 		tick := time.NewTicker(20 * time.Millisecond)
 		defer tick.Stop()
@@ -58,7 +60,56 @@
 }
 
 // Addr is where it listens.
-func (s *State) Addr() string { return s.server.Listener.Addr().String() }
+func (s *State) Addr() string { return s.addr }
+
+// Outage has the service refuse everybody, or ends that: then every lease has its
+// full time again.
+func (s *State) Outage(on bool) {
+	s.do(func() {
+		s.out = on
+		if !on {
+			for _, l := range s.leases {
+				l.end = time.Now().Add(l.ttl)
+			}
+			s.wake()
+		}
+	})
+}
+
+// Refuse has the service refuse one host, or ends that. Its leases run out.
+func (s *State) Refuse(host string, on bool) {
+	s.do(func() { s.refused[host] = on; s.wake() })
+}
+
+// Slow has every answer take so long.
+func (s *State) Slow(d time.Duration) { s.do(func() { s.slow = d }) }
+
+// refuses tells whether a host is refused.
+func (s *State) refuses(host string) bool { return s.out || s.refused[host] }
+
+// gate refuses whom it should. Watches that are open stay open.
+func (s *State) gate(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var refused bool
+		var slow time.Duration
+		s.do(func() { refused, slow = s.refuses(r.RemoteAddr), s.slow })
+		outbound.Pause(r.Context(), stateTakes+slow)
+		if refused {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// stateTakes is how long each request takes.
+const stateTakes = 2 * time.Millisecond
+
+// Value reads a key as the service has it.
+func (s *State) Value(key string) (value json.RawMessage) {
+	s.do(func() { value = s.keys[key].Value })
+	return value
+}
 
 // Count is how many keys there are under a prefix.
 func (s *State) Count(prefix string) (n int) {
@@ -72,7 +123,16 @@
 	return n
 }
 
+// Version is a key's version; 0: there is none.
+func (s *State) Version(key string) (version uint64) {
+	s.do(func() { version = s.keys[key].Version })
+	return version
+}
+
 func (s *State) expire() {
+	if s.out {
+		return // no lease ends in an outage
+	}
 	for id, l := range s.leases {
 		if time.Now().After(l.end) {
 			s.dropLease(id)
@@ -104,19 +164,17 @@
 			s.history = append(s.history, wire.Event{Delete: c.Delete, Version: s.revision})
 		}
 	}
+	s.wake()
+}
+
+// wake has all watches look again.
+func (s *State) wake() {
 	for _, w := range s.waiters {
 		close(w)
 	}
 	s.waiters = nil
 }
 
-func answer(w http.ResponseWriter, status int, body any) {
-	w.WriteHeader(status)
-	if err := json.NewEncoder(w).Encode(body); err != nil {
-		return // the caller has gone
-	}
-}
-
 func (s *State) get(w http.ResponseWriter, r *http.Request) {
 	var e wire.Entry
 	var found bool
@@ -231,11 +289,16 @@
 		answer(w, http.StatusBadRequest, wire.Problem{Error: "from and wait_ms must be numbers"})
 		return
 	}
-	over := time.After(time.Duration(wait) * time.Millisecond)
+	over := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer over.Stop()
 	for {
 		news := wire.News{Events: []wire.Event{}}
 		changed := make(chan struct{})
 		s.do(func() {
+			if s.refuses(r.RemoteAddr) {
+				s.waiters = append(s.waiters, changed)
+				return
+			}
 			news.Revision = s.revision
 			for _, e := range s.history {
 				if e.Version > from && strings.HasPrefix(e.Set+e.Delete, r.FormValue("under")) {
@@ -252,7 +315,12 @@
 		}
 		select {
 		case <-changed:
-		case <-over:
+		case <-over.C:
+			refused := false
+			s.do(func() { refused = s.refuses(r.RemoteAddr) })
+			if refused {
+				continue // it stays open until the trouble is over
+			}
 			answer(w, http.StatusOK, news)
 			return
 		case <-r.Context().Done():
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -1,34 +1,46 @@
-// Package standin has stand-ins for the outside systems, for tests: the state
-// service, the cloud and its workers. They speak the protocols over loopback
-// and can lose, repeat, delay and hold messages.
+// Package standin has stand-ins for the outside systems, for tests: the network,
+// the state service, the cloud and its workers. They speak the protocols and know
+// the troubles that the real ones have; a checker looks at what they see.
 package standin
 
 import (
 	"bytes"
+	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"testing"
 	"time"
+
+	"leadproxy/internal/outbound"
 )
 
-// Trouble is what happens to one message.
-type Trouble int
+// Fate is what becomes of one message.
+type Fate int
 
-// The troubles.
+// The fates of messages.
 const (
-	None     Trouble = iota
-	Lost             // not carried out, never answered
-	Unheard          // carried out, never answered
-	Repeated         // carried out twice, the second answer is given
-	Held             // not answered; carried out late, when the sender has gone
-	Refused          // 503 at once
+	Fine     Fate = iota
+	Lost          // not carried out, never answered
+	Unheard       // carried out, never answered
+	Repeated      // carried out twice, the second answer is given
+	Held          // not answered; carried out late, when the sender has gone
+	Refused       // 503 at once
 )
 
-// HoldFor is how late a held message is carried out.
-const HoldFor = 3 * time.Second
+// Trouble is what happens to one message, and for how long it is held.
+type Trouble struct {
+	Fate Fate
+	For  time.Duration
+}
+
+// Troubles decides what happens to a message from a host.
+type Troubles func(from string, r *http.Request) Trouble
 
-// troubled serves h, with trouble, unless nil, deciding the fate of each message.
-func troubled(h http.Handler, trouble func(r *http.Request) Trouble) http.Handler {
+// troubled serves h, with trouble, unless nil, deciding what becomes of each
+// message.
+func troubled(ctx context.Context, h http.Handler, trouble Troubles) http.Handler {
 	if trouble == nil {
 		return h
 	}
@@ -38,11 +50,11 @@
 			return
 		}
 		again := func() *http.Request {
-			c := r.Clone(r.Context())
+			c := r.Clone(ctx)
 			c.Body = io.NopCloser(bytes.NewReader(body))
 			return c
 		}
-		switch trouble(r) {
+		switch trouble := trouble(r.RemoteAddr, r); trouble.Fate {
 		case Lost:
 			<-r.Context().Done()
 		case Unheard:
@@ -53,18 +65,43 @@
 			h.ServeHTTP(w, again())
 		case Held:
 			go func() {
-				time.Sleep(HoldFor)
-				h.ServeHTTP(httptest.NewRecorder(), again())
+				outbound.Pause(ctx, trouble.For)
+				if ctx.Err() == nil {
+					h.ServeHTTP(httptest.NewRecorder(), again())
+				}
 			}()
 			<-r.Context().Done()
 		case Refused:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
-			h.ServeHTTP(w, again())
+			c := r.WithContext(r.Context())
+			c.Body = io.NopCloser(bytes.NewReader(body))
+			h.ServeHTTP(w, c)
 		}
 	})
 }
 
+// serve serves h at an address until the test ends or the result is called.
+func serve(t testing.TB, n outbound.Network, addr string, h http.Handler) (at string, end func()) {
+	l, err := n.Listen(t.Context(), addr)
+	if err != nil {
+		t.Error(err)
+		return addr, func() {}
+	}
+	s := &http.Server{Handler: h}
+	go s.Serve(l)
+	end = func() { s.Close() }
+	t.Cleanup(end)
+	return l.Addr().String(), end
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		return // the caller has gone
+	}
+}
+
 // actor runs one function after another on a goroutine of its own, which is the
 // only one to touch its owner's state.
 type actor struct {
@@ -72,7 +109,10 @@
 	stop <-chan struct{}
 }
 
-func newActor(stop <-chan struct{}) actor {
+// newActor starts an actor that outlives what was made later in the test.
+func newActor(t testing.TB) actor {
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
 	a := actor{make(chan func()), stop}
 	go func() {
 		for {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,12 +1,12 @@
 package standin
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
+	"hash/fnv"
+	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,278 +16,459 @@
 
 // WorkerConfig is what all workers of a cloud share.
 type WorkerConfig struct {
-	Nodes   map[string]string // addresses of the controllers by name
-	Report  time.Duration
-	Lease   time.Duration
-	Run     time.Duration // how long each task runs
-	Endless string        // the job whose tasks run for ever
-	Record  *Record
-	Trouble func(r *http.Request) Trouble // of direct commands
+	Nodes  []Node // the controllers
+	Report time.Duration
+	Lease  time.Duration
+	Fetch  time.Duration                  // how long an image takes
+	Run    func(ref string) time.Duration // how long a job's tasks run
+	Check  *Checker
+	// Trouble befalls direct commands.
+	Trouble Troubles
 }
 
-// Record is the truth about which tasks ran where.
-type Record struct {
-	actor
-	on       map[string]string // task -> machine it is on
-	finished map[string]int
-	Twice    []string
-	Late     []string // started after their job's cancellation was due
-	barred   map[string]bool
-}
-
-// NewRecord starts an empty record.
-func NewRecord(t testing.TB) *Record {
-	return &Record{actor: newActor(t.Context().Done()), on: map[string]string{}, finished: map[string]int{}, barred: map[string]bool{}}
-}
-
-func (r *Record) begin(task, machine string) {
-	r.do(func() {
-		if r.on[task] != "" {
-			r.Twice = append(r.Twice, task+" on "+machine+" while on "+r.on[task])
-		}
-		if ref, _, _ := wire.SplitTask(task); r.barred[ref] {
-			r.Late = append(r.Late, task)
-		}
-		r.on[task] = machine
-	})
-}
-
-func (r *Record) end(task, machine string, completed bool) {
-	r.do(func() {
-		if r.on[task] == machine {
-			delete(r.on, task)
-		}
-		if completed {
-			r.finished[task]++
-		}
-	})
-}
+// Node is a controller as workers know it.
+type Node struct{ Name, Addr string }
 
-// Bar notes that no task of a job may start any more.
-func (r *Record) Bar(ref string) { r.do(func() { r.barred[ref] = true }) }
-
-// Look reads the record.
-func (r *Record) Look() (running, finished int, twice, late []string) {
-	r.do(func() { running, finished, twice, late = len(r.on), len(r.finished), r.Twice, r.Late })
-	return
-}
-
-// Worker stands in for one machine's worker.
+// Worker stands in for one machine with its worker.
 type Worker struct {
 	actor
-	name    string
-	hire    wire.Hire
-	config  WorkerConfig
-	server  *httptest.Server
-	cancel  context.CancelFunc
-	changed chan struct{}
+	name   string
+	hire   wire.Hire
+	size   wire.MachineType
+	config WorkerConfig
+	host   *Host // nil on the machine's own network
+	net    outbound.Network
+	addr   string
+	hangUp func()
+	ctx    context.Context
+	cancel context.CancelFunc
+	chance *rand.Rand
 
+	changed             bool
 	session, seq, token uint64
-	renewed             time.Time
-	tasks               []wire.TaskReport
+	renewed             time.Time // when the last answered report was sent
+	ticked              time.Time
+	tasks               []*workerTask
 	known               map[uint64]bool
-	stops               map[uint64]context.CancelFunc
+	images              map[string]time.Time // when each is there
+
+	hung       chan struct{} // while it hangs; closed when it goes on
+	deaf, mute bool
+	copyAfter  func() time.Duration // late copies of reports; nil: none
+	kept       []byte               // a copy of the last report
+}
+
+type workerTask struct {
+	wire.TaskReport
+	job     *wire.Job
+	ran     time.Duration
+	stopped bool
 }
 
-func newWorker(t testing.TB, name string, hire wire.Hire, config WorkerConfig) *Worker {
+// workerTicks is the worker's own pace.
+const workerTicks = 250 * time.Millisecond
+
+func newWorker(t testing.TB, n outbound.Network, addr, name string, hire wire.Hire, size wire.MachineType, config WorkerConfig) *Worker {
 	ctx, cancel := context.WithCancel(t.Context())
-	w := &Worker{actor: newActor(t.Context().Done()), name: name, hire: hire, config: config, cancel: cancel, session: 1, renewed: time.Now(),
-		changed: make(chan struct{}, 1), known: map[uint64]bool{}, stops: map[uint64]context.CancelFunc{}}
+	seed := fnv.New64a()
+	seed.Write([]byte(name))
+	now := time.Now()
+	w := &Worker{actor: newActor(t), name: name, hire: hire, size: size, config: config, net: n, ctx: ctx, cancel: cancel,
+		chance: rand.New(rand.NewPCG(seed.Sum64(), 1)), session: 1, renewed: now, ticked: now,
+		known: map[uint64]bool{}, images: map[string]time.Time{}}
+	w.host, _ = n.(*Host)
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /commands", func(rw http.ResponseWriter, r *http.Request) { w.commands(ctx, rw, r) })
-	mux.HandleFunc("GET /inspect", func(rw http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("POST /commands", w.commands)
+	mux.HandleFunc("GET /inspect", func(rw http.ResponseWriter, r *http.Request) {
+		if !w.reachable(r.Context()) {
+			return
+		}
 		var report wire.Report
 		w.do(func() { report = w.report() })
 		answer(rw, http.StatusOK, report)
 	})
-	w.server = httptest.NewServer(troubled(mux, config.Trouble))
-	go w.reports(ctx)
+	w.addr, w.hangUp = serve(t, n, addr, troubled(ctx, mux, config.Trouble))
+	go w.pace()
+	go w.reports()
 	return w
 }
 
 // Addr is where it takes direct commands.
-func (w *Worker) Addr() string { return w.server.Listener.Addr().String() }
+func (w *Worker) Addr() string { return w.addr }
 
 // Kill ends the machine with everything on it.
 func (w *Worker) Kill() {
 	w.cancel()
-	w.do(func() { w.clear() })
-	w.server.CloseClientConnections()
+	w.do(w.clear)
+	if w.host != nil {
+		w.host.Kill()
+	}
+	w.hangUp()
+}
+
+// Hang stops the machine in its tracks, or has it go on.
+func (w *Worker) Hang(on bool) {
+	w.do(func() {
+		switch {
+		case on && w.hung == nil:
+			w.advance()
+			w.hung = make(chan struct{})
+		case !on && w.hung != nil:
+			close(w.hung)
+			w.hung = nil
+			w.ticked = time.Now()
+			w.expire()
+		}
+	})
+}
+
+// Deaf has the machine's reports arrive while answers and commands to it are lost.
+func (w *Worker) Deaf(on bool) { w.do(func() { w.deaf = on }) }
+
+// Mute has the machine reach no controller while commands still reach it.
+func (w *Worker) Mute(on bool) { w.do(func() { w.mute = on }) }
+
+// Copies has a copy of each report arrive again, as late as after tells. nil ends
+// that.
+func (w *Worker) Copies(after func() time.Duration) { w.do(func() { w.copyAfter = after }) }
+
+// Keep keeps a copy of the latest report; Deliver brings it to all controllers.
+func (w *Worker) Keep() { w.do(func() { w.kept = w.encode(w.report()) }) }
+
+// Deliver brings the copy that was kept to all controllers.
+func (w *Worker) Deliver() {
+	var body []byte
+	w.do(func() { body = w.kept })
+	if body == nil {
+		return
+	}
+	for _, n := range w.config.Nodes {
+		go w.post(n.Addr, body)
+	}
+}
+
+// Hears tells whether the machine works and has been answered lately.
+func (w *Worker) hears() (room Room, ok bool) {
+	w.do(func() {
+		ok = w.ctx.Err() == nil && w.hung == nil && !w.deaf && !w.mute && time.Since(w.renewed) < 2*w.config.Report+time.Second
+		room = Room{Type: w.hire.Type, Zone: w.hire.Zone, Spot: w.hire.Spot, CPUs: w.size.CPUs, MemGB: w.size.MemGB}
+		for _, t := range w.tasks {
+			if t.Status != wire.TaskEnded {
+				room.CPUs -= t.job.CPUs
+				room.MemGB -= t.job.MemGB
+			}
+		}
+	})
+	return room, ok
+}
+
+// reachable waits while the machine hangs and tells whether what was sent to it
+// arrives.
+func (w *Worker) reachable(ctx context.Context) bool {
+	for {
+		var hung chan struct{}
+		var deaf bool
+		w.do(func() { hung, deaf = w.hung, w.deaf })
+		switch {
+		case deaf:
+			<-ctx.Done()
+			return false
+		case hung == nil:
+			return w.ctx.Err() == nil
+		}
+		select {
+		case <-hung:
+		case <-w.ctx.Done():
+			return false
+		}
+	}
 }
 
 // clear ends all tasks at once, as the end of the lease does.
 func (w *Worker) clear() {
-	for _, stop := range w.stops {
-		stop()
+	for _, t := range w.tasks {
+		if t.Status == wire.TaskRunning {
+			w.config.Check.Ends(t.Task, w.name, false)
+		}
 	}
+	w.tasks, w.known = nil, map[uint64]bool{}
+}
+
+// expire begins a new session if the lease is over.
+func (w *Worker) expire() {
+	if time.Since(w.renewed) > w.config.Lease {
+		w.clear()
+		w.session++
+		w.seq, w.renewed, w.changed = 0, time.Now(), true
+	}
+}
+
+// pace has time do its work on the machine.
+func (w *Worker) pace() {
+	tick := time.NewTicker(workerTicks)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			w.do(func() {
+				switch {
+				case w.ctx.Err() != nil:
+				case w.hung == nil:
+					w.expire()
+					w.advance()
+				case time.Since(w.renewed) > w.config.Lease:
+					w.clear() // whatever it does when it goes on, it won't run these
+				}
+			})
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+// advance has tasks run on.
+func (w *Worker) advance() {
+	now := time.Now()
+	past := now.Sub(w.ticked)
+	w.ticked = now
 	for _, t := range w.tasks {
-		if t.Status != wire.TaskEnded {
-			w.config.Record.end(t.Task, w.name, false)
+		switch t.Status {
+		case wire.TaskFetching:
+			if !now.Before(w.images[t.job.Image]) {
+				w.begin(t)
+			}
+		case wire.TaskRunning:
+			if t.ran += past; t.ran >= w.config.Run(t.job.Ref) {
+				w.complete(t)
+			}
 		}
 	}
-	w.tasks, w.known, w.stops = nil, map[uint64]bool{}, map[uint64]context.CancelFunc{}
+}
+
+func (w *Worker) begin(t *workerTask) {
+	t.Status, w.changed = wire.TaskRunning, true
+	w.config.Check.Begins(t.Task, w.name, w.hire.Type, w.hire.Zone, w.hire.Spot)
+}
+
+func (w *Worker) complete(t *workerTask) {
+	t.Status, t.Why, w.changed = wire.TaskEnded, wire.WhyDone, true
+	w.config.Check.Ends(t.Task, w.name, true)
 }
 
 func (w *Worker) report() wire.Report {
 	w.seq++
-	return wire.Report{Machine: w.name, Address: w.Addr(), Type: w.hire.Type, Zone: w.hire.Zone, Spot: w.hire.Spot,
-		Session: w.session, Seq: w.seq, Token: w.token, Tasks: append([]wire.TaskReport{}, w.tasks...)}
+	r := wire.Report{Machine: w.name, Address: w.Addr(), Type: w.hire.Type, Zone: w.hire.Zone, Spot: w.hire.Spot,
+		Session: w.session, Seq: w.seq, Token: w.token, Tasks: []wire.TaskReport{}}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, t.TaskReport)
+	}
+	return r
 }
 
-func (w *Worker) touch() {
-	select {
-	case w.changed <- struct{}{}:
-	default:
+func (w *Worker) encode(r wire.Report) []byte {
+	body, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // a report of our own making
 	}
+	return body
 }
 
 // execute carries out orders, on the actor.
-func (w *Worker) execute(ctx context.Context, orders []wire.Order) {
+func (w *Worker) execute(orders []wire.Order) {
 	for _, o := range orders {
 		switch o.Verb {
 		case wire.Start:
-			w.start(ctx, o)
+			w.start(o)
 		case wire.Stop:
-			for i := range w.tasks {
-				if t := &w.tasks[i]; t.Task == o.Task && t.Attempt == o.Attempt && t.Status != wire.TaskEnded {
-					w.stops[o.Attempt]()
-					w.config.Record.end(t.Task, w.name, false)
-					t.Status, t.Why = wire.TaskEnded, wire.WhyStopped
+			for _, t := range w.tasks {
+				if t.Task != o.Task || t.Attempt != o.Attempt || t.Status == wire.TaskEnded {
+					continue
 				}
+				if t.Status == wire.TaskRunning {
+					w.config.Check.Ends(t.Task, w.name, false)
+				}
+				t.Status, t.Why, w.changed = wire.TaskEnded, wire.WhyStopped, true
 			}
 		case wire.Forget:
-			for i, t := range w.tasks {
-				if t.Attempt == o.Attempt && t.Status == wire.TaskEnded {
-					w.tasks = append(w.tasks[:i], w.tasks[i+1:]...)
+			w.tasks = slices.DeleteFunc(w.tasks, func(t *workerTask) bool {
+				forget := t.Task == o.Task && t.Attempt == o.Attempt && t.Status == wire.TaskEnded
+				if forget {
 					delete(w.known, o.Attempt)
-					break
+					w.changed = true
 				}
-			}
+				return forget
+			})
 		}
 	}
-	if len(orders) > 0 {
-		w.touch()
-	}
 }
 
-func (w *Worker) start(ctx context.Context, o wire.Order) {
+func (w *Worker) start(o wire.Order) {
 	if w.known[o.Attempt] {
 		return
 	}
-	w.known[o.Attempt] = true
-	for _, t := range w.tasks {
-		if t.Task == o.Task && t.Status != wire.TaskEnded {
-			w.tasks = append(w.tasks, wire.TaskReport{Task: o.Task, Attempt: o.Attempt, Status: wire.TaskEnded, Why: wire.WhyInUse})
+	w.known[o.Attempt], w.changed = true, true
+	t := &workerTask{TaskReport: wire.TaskReport{Task: o.Task, Attempt: o.Attempt, Status: wire.TaskEnded}}
+	w.tasks = append(w.tasks, t)
+	ref, _, _ := wire.SplitTask(o.Task)
+	if t.job = w.config.Check.Job(ref); t.job == nil {
+		t.Why = wire.WhyNoSuch
+		return
+	}
+	cpus, mem := t.job.CPUs, t.job.MemGB
+	for _, other := range w.tasks {
+		if other == t || other.Status == wire.TaskEnded {
+			continue
+		}
+		if other.Task == o.Task {
+			t.Why = wire.WhyInUse
 			return
 		}
+		cpus += other.job.CPUs
+		mem += other.job.MemGB
 	}
-	w.tasks = append(w.tasks, wire.TaskReport{Task: o.Task, Attempt: o.Attempt, Status: wire.TaskRunning})
-	w.config.Record.begin(o.Task, w.name)
-	ctx, w.stops[o.Attempt] = context.WithCancel(ctx)
-	if ref, _, _ := wire.SplitTask(o.Task); ref == w.config.Endless {
+	if cpus > w.size.CPUs || mem > w.size.MemGB {
+		t.Why = wire.WhyNoRoom
 		return
 	}
-	go func() {
-		select {
-		case <-time.After(w.config.Run):
-		case <-ctx.Done():
-			return
-		}
-		w.do(func() {
-			if ctx.Err() != nil {
-				return
-			}
-			for i := range w.tasks {
-				if t := &w.tasks[i]; t.Attempt == o.Attempt && t.Status == wire.TaskRunning {
-					t.Status, t.Why = wire.TaskEnded, wire.WhyDone
-					w.config.Record.end(t.Task, w.name, true)
-				}
-			}
-		})
-		w.touch()
-	}()
+	t.Status = wire.TaskFetching
+	if at, ok := w.images[t.job.Image]; !ok {
+		w.images[t.job.Image] = time.Now().Add(w.config.Fetch)
+	} else if !time.Now().Before(at) {
+		w.begin(t)
+	}
 }
 
-func (w *Worker) commands(ctx context.Context, rw http.ResponseWriter, r *http.Request) {
+func (w *Worker) commands(rw http.ResponseWriter, r *http.Request) {
 	var c wire.Commands
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
 		answer(rw, http.StatusBadRequest, wire.Problem{Error: err.Error()})
 		return
 	}
+	if !w.reachable(r.Context()) {
+		return
+	}
+	outbound.Pause(w.ctx, time.Millisecond)
 	status := http.StatusOK
 	var report wire.Report
 	w.do(func() {
-		if ctx.Err() != nil || c.Token < w.token || c.Session != w.session {
+		if w.ctx.Err() != nil || c.Token < w.token || c.Session != w.session {
 			status = http.StatusConflict
 		} else {
-			w.token = c.Token
-			w.execute(ctx, c.Orders)
+			w.hearToken(c.Token)
+			w.execute(c.Orders)
 		}
 		report = w.report()
 	})
 	answer(rw, status, report)
 }
 
-// reports tells the controllers, moving on as the protocol says.
-func (w *Worker) reports(ctx context.Context) {
-	var names []string
-	for n := range w.config.Nodes {
-		names = append(names, n)
+// hearToken notes the highest token. It counts as a change.
+func (w *Worker) hearToken(token uint64) {
+	if token > w.token {
+		w.token, w.changed = token, true
 	}
-	at := 0
-	client := &http.Client{Timeout: 2 * time.Second}
-	for ctx.Err() == nil {
-		var report wire.Report
-		w.do(func() {
-			if time.Since(w.renewed) > w.config.Lease {
-				w.clear()
-				w.session++
-				w.seq, w.renewed = 0, time.Now()
+}
+
+// The times of reporting, by the protocol.
+const (
+	leastReports = 500 * time.Millisecond
+	nextNode     = time.Second
+	patience     = 4 * time.Second
+)
+
+// reports tells the controllers, moving on as the protocol says.
+func (w *Worker) reports() {
+	at := w.chance.IntN(len(w.config.Nodes))
+	var last time.Time
+	for w.ctx.Err() == nil {
+		every := time.Duration(float64(w.config.Report) * (0.75 + w.chance.Float64()/2))
+		for w.ctx.Err() == nil {
+			var changed bool
+			w.do(func() { changed = w.changed })
+			if past := time.Since(last); past >= every || changed && past >= leastReports {
+				break
 			}
-			report = w.report()
-		})
-		sent := time.Now()
-		next, ok := w.tell(ctx, client, w.config.Nodes[names[at]], report, sent)
-		if !ok {
-			at = (at + 1) % len(names)
-			for i, n := range names {
-				if n == next {
-					at = i
-				}
+			outbound.Pause(w.ctx, 50*time.Millisecond)
+		}
+		var hung chan struct{}
+		var mute bool
+		w.do(func() { hung, mute = w.hung, w.mute })
+		if hung != nil {
+			select {
+			case <-hung:
+			case <-w.ctx.Done():
 			}
-			outbound.Pause(ctx, 100*time.Millisecond)
 			continue
 		}
-		select {
-		case <-w.changed:
-			outbound.Pause(ctx, 50*time.Millisecond)
-		case <-time.After(w.config.Report):
-		case <-ctx.Done():
+		boss, ok := "", false
+		last = time.Now()
+		if !mute {
+			boss, ok = w.tell(w.config.Nodes[at].Addr, last)
+		}
+		if ok {
+			continue
+		}
+		wait := nextNode
+		next := (at + 1) % len(w.config.Nodes)
+		if i := slices.IndexFunc(w.config.Nodes, func(n Node) bool { return n.Name == boss }); i >= 0 && i != at {
+			next, wait = i, time.Duration(w.chance.Int64N(int64(leastReports)))
 		}
+		at, last = next, time.Time{}
+		outbound.Pause(w.ctx, wait)
 	}
 }
 
-func (w *Worker) tell(ctx context.Context, client *http.Client, addr string, report wire.Report, sent time.Time) (next string, ok bool) {
-	body, err := json.Marshal(report)
-	if err != nil {
-		return "", false
+// post sends a report and returns what came back.
+func (w *Worker) post(addr string, body []byte) (status int, text []byte, err error) {
+	line := outbound.NewLine(w.net, addr)
+	defer line.Close()
+	end := time.Now().Add(patience)
+	if err := line.Open(w.ctx, patience); err != nil {
+		return 0, nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/report", bytes.NewReader(body))
-	if err != nil {
-		return "", false
+	return line.Do(end, http.MethodPost, "/v1/report", body)
+}
+
+// tell sends a report to a controller. It returns whom to go to if the answer
+// names somebody, and whether to stay.
+func (w *Worker) tell(addr string, sent time.Time) (boss string, ok bool) {
+	var report wire.Report
+	var body []byte
+	var copyAfter func() time.Duration
+	w.do(func() {
+		report = w.report()
+		w.changed, copyAfter = false, w.copyAfter
+		body = w.encode(report)
+	})
+	if copyAfter != nil {
+		after := copyAfter()
+		go func() {
+			outbound.Pause(w.ctx, after)
+			if w.ctx.Err() == nil {
+				w.post(addr, body)
+			}
+		}()
 	}
-	resp, err := client.Do(req)
-	if err != nil {
+	status, text, err := w.post(addr, body)
+	var hung chan struct{}
+	var deaf bool
+	w.do(func() { hung, deaf = w.hung, w.deaf })
+	if deaf {
+		outbound.Pause(w.ctx, max(0, patience-time.Since(sent)))
 		return "", false
 	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
+	if hung != nil {
+		select {
+		case <-hung:
+		case <-w.ctx.Done():
+		}
+	}
+	if err != nil || time.Since(sent) > patience {
 		return "", false
 	}
-	if resp.StatusCode != http.StatusOK {
+	if status != http.StatusOK {
 		var e wire.Elsewhere
-		if json.Unmarshal(text, &e) != nil {
+		if status != http.StatusMisdirectedRequest || json.Unmarshal(text, &e) != nil {
 			return "", false
 		}
 		return e.Leader, false
@@ -297,14 +478,13 @@
 		return "", false
 	}
 	w.do(func() {
-		if ctx.Err() != nil || a.Token < w.token || report.Session != w.session {
-			return
-		}
-		if a.Token > w.token {
-			w.touch()
+		w.expire()
+		if w.ctx.Err() != nil || a.Token < w.token || report.Session != w.session {
+			return // it is dropped
 		}
-		w.token, w.renewed = a.Token, sent
-		w.execute(ctx, a.Orders)
+		w.hearToken(a.Token)
+		w.renewed = sent
+		w.execute(a.Orders)
 	})
 	return "", true
 }
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -66,12 +66,12 @@
 
 // New makes a client whose pacer runs until ctx ends. rps and wps are the
 // service's limits, of which share is this node's at the start.
-func New(ctx context.Context, addr string, rps, wps, share float64, log *slog.Logger) *Client {
+func New(ctx context.Context, n outbound.Network, addr string, rps, wps, share float64, log *slog.Logger) *Client {
 	c := &Client{
 		base:     "http://" + addr,
-		http:     outbound.NewClient(16),
+		http:     outbound.NewClient(n, 16),
 		pacer:    newPacer(rps, wps, share, log),
-		renewals: outbound.NewLine(addr),
+		renewals: outbound.NewLine(n, addr),
 	}
 	go c.pacer.run(ctx)
 	return c
