--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -68,9 +68,10 @@
 	// Others vouch during outages of the state service; nil: nobody does.
 	Others Others
 	// turn is held by whoever publishes this node as the leader or makes a
-	// promise not to be it, and by whoever reads promised.
+	// promise not to be it, and by whoever looks at promised or won.
 	turn     chan struct{}
 	promised time.Time
+	won      bool // the key is this node's, whether or not it may act yet
 
 	resign chan uint64
 	// Having resigned, this node lets the others go first until aside, unless
@@ -215,6 +216,8 @@
 		}
 		return err
 	}
+	e.hold(true)
+	defer e.hold(false)
 	e.lead(ctx, answer.Revision, lease, sent)
 	return nil
 }
--- a/internal/election/vouch.go
+++ b/internal/election/vouch.go
@@ -43,13 +43,23 @@
 	}
 	e.turn <- struct{}{}
 	defer func() { <-e.turn }()
-	if e.View().Mine {
+	if e.won {
+		// The service has served us. What was promised before still holds us back;
+		// another promise, and the former leader could go on for ever that the
+		// service refuses, and nobody could confirm or write anything.
 		return false
 	}
 	e.promised = later(e.promised, time.Now().Add(hold))
 	return true
 }
 
+// hold notes whether this node has the key.
+func (e *Elector) hold(key bool) {
+	e.turn <- struct{}{}
+	e.won = key
+	<-e.turn
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -145,6 +145,50 @@
 	}
 }
 
+// TestSlowGapMeeting: the state service refuses the leader alone and is so slow with
+// the others that they promise not to act, since they can't tell that from an
+// outage; then one of them wins the election, and users cancel through it, while
+// half of the workers reach the former leader only. Either it stops answering them,
+// or nobody else confirms. And it must not take long until somebody does.
+func TestSlowGapMeeting(t *testing.T) {
+	for _, slow := range []time.Duration{250 * time.Millisecond, 350 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(fmt.Sprint(slow), func(t *testing.T) {
+			inCluster(t, plan{run: long(100 * time.Second)}, func(c *cluster) {
+				jobs := c.stream(0, 8, 300*time.Millisecond, nil)
+				c.running(20)
+				lead := c.leader()
+				workers := half(c.cloud.Workers())
+				for _, w := range workers {
+					for i := range c.nodes {
+						if i != lead {
+							c.net.Cut(w.Name(), c.name(i), false)
+						}
+					}
+				}
+				c.state.Slow(slow)
+				c.state.Refuse(c.name(lead), true)
+				began := time.Now()
+				for _, j := range half(jobs) {
+					for c.cancelAt((lead+1)%len(c.nodes), j) == false && time.Since(began) < time.Minute {
+						time.Sleep(500 * time.Millisecond)
+					}
+				}
+				if took := time.Since(began); took > 40*time.Second {
+					t.Errorf("cancellations took %s", took)
+				}
+				time.Sleep(cancelLimit + 10*time.Second)
+				c.state.Slow(0)
+				c.state.Refuse(c.name(lead), false)
+				for _, w := range workers {
+					for i := range c.nodes {
+						c.net.Heal(w.Name(), c.name(i))
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestConfirmationReadMeeting: a cancellation is written by the leader, but only
 // that answer is lost; other nodes read it and tell users. Then the service is out
 // for all, and the leader goes on with the promises of all, for longer than
@@ -275,6 +319,40 @@
 	}
 }
 
+// TestReportFromBeforeMeeting: a report from before a machine had its tasks reaches
+// the new leader again and again, while the machine hangs within its lease. What it
+// lacks is not over.
+func TestReportFromBeforeMeeting(t *testing.T) {
+	inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
+		c.stream(0, 1, time.Second, func(_ int, j *wire.Job) { j.Tasks = 20 })
+		c.running(20)
+		c.await("the first job's end", 2*time.Minute, func() bool { on, _ := c.check.On(""); return on == 0 })
+		workers := c.cloud.Workers()
+		for _, w := range workers {
+			w.Keep()
+		}
+		c.stream(10, 8, 200*time.Millisecond, func(k int, j *wire.Job) { j.Ref = fmt.Sprintf("job-%06d", 10+2*k) })
+		c.running(20)
+		time.Sleep(4 * time.Second)
+		workers = half(workers)
+		for _, w := range workers {
+			w.Hang(true)
+		}
+		lead := c.leader()
+		c.kill(lead)
+		for range 100 {
+			for _, w := range workers {
+				w.Deliver()
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, w := range workers {
+			w.Hang(false)
+		}
+		c.start(lead)
+	})
+}
+
 // TestLostAnswersMeeting: a transaction is carried out at once and only its answer
 // is lost, while other nodes read what it wrote.
 func TestLostAnswersMeeting(t *testing.T) {
