Names: terminal state, probe, group commit, balancer, socket use, quiet period

Words of our own that hid the field's terms (fate, hail, clerk, crowd, seats, lull), as this code is touched. What is stored and sent keeps its names.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -170,7 +170,7 @@
 	if _, unsettled := m.pending[t.Attempt]; unsettled || !m.known(c.term) {
 		return false
 	}
-	if t.Why != wire.WhyDone || j.fateDurable {
+	if t.Why != wire.WhyDone || j.terminalDurable {
 		return true
 	}
 	return n < len(j.tasks) && j.tasks[n].state == taskDurable
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -64,23 +64,23 @@
 	nextNotes time.Duration
 	// How many tags of writes are not durable yet, and since when none has
 	// become so.
-	wantDurable int
-	durableAt   time.Duration
-	held        []openAnswer // to machines that are noted as silent
-	holders     []*job       // jobs for which a machine is kept free
-	toHail      []*machine
-	hailing     int
-	hailsAtOnce int
-	inspects    int // workers that are being asked what they are
-	attempts    uint64
-	looks       uint64       // reports looked at
-	answers     []openAnswer // of this step
-	awaiting    []openAnswer // that wait for starts to be written down
-	outboxes    []*machine   // with orders of this step
-	calls       map[uint64]*directCall
-	callID      uint64
-	dirty       bool
-	fleet       fleetState
+	wantDurable  int
+	durableAt    time.Duration
+	held         []openAnswer // to machines that are noted as silent
+	holders      []*job       // jobs for which a machine is kept free
+	toProbe      []*machine
+	probing      int
+	probesAtOnce int
+	inspects     int // workers that are being asked what they are
+	attempts     uint64
+	looks        uint64       // reports looked at
+	answers      []openAnswer // of this step
+	awaiting     []openAnswer // that wait for starts to be written down
+	outboxes     []*machine   // with orders of this step
+	calls        map[uint64]*directCall
+	callID       uint64
+	dirty        bool
+	fleet        fleetState
 
 	out []any
 }
@@ -97,8 +97,8 @@
 	session  uint64
 	token    uint64
 	attempts []uint64
-	hail     bool
-	sent     time.Duration // of a hail
+	probe    bool
+	sent     time.Duration // of a probe
 }
 
 // NewCore starts a term from what the ledger holds. now is the node's steady
@@ -111,8 +111,8 @@
 		report:    settings.Seconds(w.ReportS),
 		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
 		typeAt: map[string]int32{}, teamAt: map[string]int32{},
-		goal:        slowfit.Goal{C: cfg.Operator.SlowFitC},
-		hailsAtOnce: fewHails, calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
+		goal:         slowfit.Goal{C: cfg.Operator.SlowFitC},
+		probesAtOnce: fewProbes, calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
 	}
 	for _, t := range cfg.Platform.Facts.Teams {
 		c.teamAt[t.Name] = int32(len(c.teams))
@@ -299,7 +299,7 @@
 
 func (c *Core) newJob(ref string, rec ledger.JobRecord, version uint64) *job {
 	j := &job{index: int32(len(c.jobs)), ref: ref, spec: rec.Job, version: version, accept: rec.AcceptedMS,
-		fate: rec.Fate, fateDurable: rec.Fate != "", total: rec.Tasks, done: rec.Done, due: math.MaxInt64, zone: -1}
+		terminal: rec.Terminal, terminalDurable: rec.Terminal != "", total: rec.Tasks, done: rec.Done, due: math.MaxInt64, zone: -1}
 	c.jobIndex[ref] = j.index
 	c.jobs = append(c.jobs, j)
 	s := rec.Job
@@ -387,7 +387,7 @@
 
 // restore takes a job from the ledger at the start of a term.
 func (c *Core) restore(s *ledger.SavedJob) {
-	if s.Record.Job == nil && s.Record.Fate == "" {
+	if s.Record.Job == nil && s.Record.Terminal == "" {
 		// Ranges or hosts whose job record is missing: records are never
 		// deleted, so there is nothing that could run.
 		c.log.Error("ledger has traces of a job without a record", "job", s.Ref)
@@ -478,7 +478,7 @@
 		return
 	}
 	j := c.jobs[i]
-	c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(j), Deciding: j.over() && !j.fateDurable})
+	c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(j), Deciding: j.over() && !j.terminalDurable})
 }
 
 // status is what may be told about a job: a terminal state only once it is
@@ -486,9 +486,9 @@
 func (c *Core) status(j *job) wire.JobStatus {
 	s := wire.JobStatus{Ref: j.ref, Status: wire.Queued, Done: j.done}
 	switch {
-	case j.fateDurable:
-		s.Status = j.fate
-		if j.fate == wire.Done {
+	case j.terminalDurable:
+		s.Status = j.terminal
+		if j.terminal == wire.Done {
 			s.Done = j.total
 		}
 	default:
@@ -524,7 +524,7 @@
 		return
 	}
 	j := c.jobs[i]
-	if j.fateDurable {
+	if j.terminalDurable {
 		c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(j)})
 		return
 	}
@@ -554,25 +554,25 @@
 	}
 }
 
-// finish decides a job's fate and writes it. It is told, and acted on, when it
+// finish decides a job's terminal state and writes it. It is told when it
 // is durable.
-func (c *Core) finish(j *job, fate string) {
-	j.fate = fate
-	rec := ledger.JobRecord{AcceptedMS: j.accept, Fate: fate, Tasks: j.total, Done: j.done}
-	if fate == wire.Aborted {
+func (c *Core) finish(j *job, terminal string) {
+	j.terminal = terminal
+	rec := ledger.JobRecord{AcceptedMS: j.accept, Terminal: terminal, Tasks: j.total, Done: j.done}
+	if terminal == wire.Aborted {
 		// The description stays: a new leader charges the team for tasks that
 		// it has not yet seen gone.
 		rec.Job = j.spec
 	} else {
 		rec.Class, rec.Team, rec.Cores, rec.RunS = j.spec.Class, j.spec.Team, j.size.CPUs*float64(j.total), c.expectedRun(j).Seconds()
 	}
-	c.put(ledger.Write{Key: ledger.JobKey(j.ref), Value: rec, Urgent: true, Version: j.version, Tag: fateTag{j.index}})
+	c.put(ledger.Write{Key: ledger.JobKey(j.ref), Value: rec, Urgent: true, Version: j.version, Tag: terminalTag{j.index}})
 }
 
-func (c *Core) fateIsDurable(j *job) {
-	j.fateDurable = true
+func (c *Core) terminalIsDurable(j *job) {
+	j.terminalDurable = true
 	j.waiting = nil
-	c.log.Debug("job is over", "job", j.ref, "fate", j.fate, "seconds", (c.now - j.arrived).Seconds(), "late", c.now > j.due)
+	c.log.Debug("job is over", "job", j.ref, "state", j.terminal, "seconds", (c.now - j.arrived).Seconds(), "late", c.now > j.due)
 	for _, to := range j.waiters {
 		c.emit(AnswerUser{To: to, Known: true, Status: c.status(j)})
 	}
@@ -585,7 +585,7 @@
 // settleJob drops what is kept for a job that is over, once nothing of it is on
 // any machine any more.
 func (c *Core) settleJob(j *job) {
-	if !j.fateDurable || j.settled || j.booked > 0 || len(j.unclear) > 0 {
+	if !j.terminalDurable || j.settled || j.booked > 0 || len(j.unclear) > 0 {
 		return
 	}
 	j.settled = true
@@ -680,8 +680,8 @@
 				j.tasks[n].state = taskDurable
 			}
 		}
-	case fateTag:
-		c.fateIsDurable(c.jobs[t.job])
+	case terminalTag:
+		c.terminalIsDurable(c.jobs[t.job])
 	case hireTag:
 		c.hireDurable(t.name)
 	case noteTag:
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -568,7 +568,7 @@
 	var s ledger.Snapshot
 	for i := range 30 {
 		s.Jobs = append(s.Jobs, ledger.SavedJob{Ref: fmt.Sprintf("job-%d", i), Record: ledger.JobRecord{
-			AcceptedMS: int64(i-30) * 10000, Fate: wire.Done, Tasks: 1, Done: 1, Class: "c", Cores: 8, RunS: 20}})
+			AcceptedMS: int64(i-30) * 10000, Terminal: wire.Done, Tasks: 1, Done: 1, Class: "c", Cores: 8, RunS: 20}})
 	}
 	g := newStage(t, s)
 	mean, _ := fleet.Demand(0, g.c.fleet.streams)
@@ -613,7 +613,7 @@
 // job's cancellation and deleting its ranges. The next one counted the finished
 // tasks twice and ended on that, as did every one after it.
 func TestCancelledJobWhoseRangesAreStillThere(t *testing.T) {
-	rec := ledger.JobRecord{Job: newTestJob("job-1", 3, 1), Fate: wire.Aborted, Tasks: 3, Done: 2}
+	rec := ledger.JobRecord{Job: newTestJob("job-1", 3, 1), Terminal: wire.Aborted, Tasks: 3, Done: 2}
 	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: []string{"vm-1"}, Finished: map[int]ledger.Ranges{0: {0, 1}}}}})
 	g.want("state", g.jobStatus("job-1"), wire.Aborted)
 	g.up("vm-1")
--- a/internal/dispatch/echo.go
+++ b/internal/dispatch/echo.go
@@ -10,17 +10,17 @@
 // it has echoed a higher token. That its reports come in shows nothing.
 func (c *Core) unheard(m *machine) {
 	m.token++
-	m.probed, m.doubted = c.now, true
+	m.raisedAt, m.doubted = c.now, true
 	c.touch(m)
 }
 
-// probe raises a machine's token now and then: the worker's next report echoes
+// raiseToken raises a machine's token now and then: the worker's next report echoes
 // it if the answer has arrived. Not while a command is on its way there, which
 // would then be refused.
-func (c *Core) probe(m *machine) {
-	if m.known(c.term) && m.directs == 0 && m.echo >= m.token && c.now-m.probed >= c.leaseTime/4 {
+func (c *Core) raiseToken(m *machine) {
+	if m.known(c.term) && m.directs == 0 && m.echo >= m.token && c.now-m.raisedAt >= c.leaseTime/4 {
 		m.token++
-		m.probed = c.now
+		m.raisedAt = c.now
 	}
 }
 
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -519,7 +519,7 @@
 		}
 		m.missing = 0
 		if l.Status == wire.MachineUp && settings.Seconds(l.AgeS) > c.now-c.began {
-			c.hail(m)
+			c.probe(m)
 		}
 		if l.Status == wire.MachineFailed {
 			// It has stopped on its own, and all on it with it.
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -74,7 +74,7 @@
 			}
 		}
 		m.asking = len(c.answers) + 1
-		c.probe(m)
+		c.raiseToken(m)
 	} else {
 		c.staleReport(m, r)
 	}
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -172,7 +172,7 @@
 			g.echo("vm-3")
 		}
 	}
-	tell(19 * time.Second) // a quarter of a lease until it is probed, two rounds to wait
+	tell(19 * time.Second) // a quarter of a lease until it is raisedAt, two rounds to wait
 	g.want("deaf machine is closed", g.c.machines[0].isOpen, false)
 	g.submit(newTestJob("job-2", 2, 4))
 	for _, d := range g.start {
@@ -365,9 +365,9 @@
 	}
 }
 
-// TestANewLeaderHailsMachines: it need not wait until the workers' reports find
+// TestANewLeaderProbesMachines: it need not wait until the workers' reports find
 // it.
-func TestANewLeaderHailsMachines(t *testing.T) {
+func TestANewLeaderProbesMachines(t *testing.T) {
 	cases := []struct {
 		name   string
 		answer func(g *stage, d Direct)
@@ -398,7 +398,7 @@
 				{Name: "vm-1", Address: "10.1.0.1:9000", Type: "m4", Zone: "a", Spot: true, Status: wire.MachineUp, AgeS: 90},
 				{Name: "vm-2", Address: "10.1.0.2:9000", Type: "m4", Zone: "a", Spot: true, Status: wire.Booting, AgeS: 90}}}})
 			if len(g.start) != 1 || g.start[0].Machine != "vm-1" || len(g.start[0].Commands.Orders) != 0 {
-				t.Fatalf("hailed with %+v, want vm-1 without orders", g.start)
+				t.Fatalf("probed with %+v, want vm-1 without orders", g.start)
 			}
 			c.answer(g, g.start[0])
 			g.want("starts", len(g.starts()), c.starts)
@@ -452,17 +452,17 @@
 	}
 }
 
-// TestHailsGoByHowSoonTheyAreBack: a new leader that is short of time must not
-// hail a thousand machines at once; one that is not must not take long over it.
-func TestHailsGoByHowSoonTheyAreBack(t *testing.T) {
+// TestProbesGoByHowSoonTheyAreBack: a new leader that is short of time must not
+// probe a thousand machines at once; one that is not must not take long over it.
+func TestProbesGoByHowSoonTheyAreBack(t *testing.T) {
 	cases := []struct {
 		name  string
 		takes time.Duration
 		most  int // on their way at once, at the end
 	}{
-		{"at once", 50 * time.Millisecond, mostHails},
-		{"neither soon nor late", 300 * time.Millisecond, fewHails},
-		{"late", time.Second, fewHails},
+		{"at once", 50 * time.Millisecond, mostProbes},
+		{"neither soon nor late", 300 * time.Millisecond, fewProbes},
+		{"late", time.Second, fewProbes},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -473,7 +473,7 @@
 			}
 			g.now += time.Second
 			g.step(CloudBack{fleet.Result{Call: fleet.Call{List: true}, List: list}})
-			g.want("at first", len(g.start), fewHails)
+			g.want("at first", len(g.start), fewProbes)
 			most := 0
 			for len(g.start) > 0 && g.now < 8*time.Second {
 				most = max(most, len(g.start))
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -101,8 +101,8 @@
 	}
 	m := call.machine
 	m.directs--
-	if call.hail {
-		defer c.hailBack(call, e.Outcome)
+	if call.probe {
+		defer c.probeBack(call, e.Outcome)
 	}
 	if m.state == machineGone {
 		return
@@ -134,7 +134,7 @@
 				c.release(m, b)
 			}
 		}
-		if e.Outcome == DirectRefused && !call.hail {
+		if e.Outcome == DirectRefused && !call.probe {
 			c.log.Info("direct command refused", "machine", m.name, "token", call.token, "session", call.session)
 		}
 	case DirectDone:
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -120,7 +120,7 @@
 func (c *Core) uncertainUse() []units {
 	use := make([]units, len(c.teams))
 	for _, j := range c.active {
-		if len(j.unclear) > 0 && j.fate != wire.Done {
+		if len(j.unclear) > 0 && j.terminal != wire.Done {
 			n := j.total - j.done - j.booked
 			use[j.team] = use[j.team].plus(unitsOf(j.size).times(max(n, 0)))
 		}
--- /dev/null
+++ b/internal/dispatch/probe.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"time"
+
+	"leadproxy/internal/wire"
+)
+
+// A new leader can use a machine, and settle what an earlier leader started
+// there, only once the machine has echoed its token. Waiting for reports takes
+// as long as the workers take to find the new leader, up to a report's interval
+// and more. So machines that the cloud lists as running are probed: a direct
+// command without orders carries the token there, and its answer is the echo.
+
+// The bounds of the probes on their way. A probe costs as much as several reports,
+// and probing all machines at once held up a small controller for seconds, with
+// reports that would have brought the same. So there are few at first, one more
+// for each that is back soon, and fewer again when they come back late.
+const (
+	fewProbes  = 4
+	mostProbes = 64
+	probeSoon  = 150 * time.Millisecond
+	probeLate  = 500 * time.Millisecond
+)
+
+// probeFor is how long after the beginning of a term machines are probed. What
+// is silent then is treated as silent.
+const probeFor = 20 * time.Second
+
+// probe has a machine of an earlier term told our token.
+func (c *Core) probe(m *machine) {
+	if m.probes > 0 || m.known(c.term) || m.address == "" || c.now-c.began > probeFor {
+		return
+	}
+	m.probes = 1
+	c.toProbe = append(c.toProbe, m)
+	c.sendProbes()
+}
+
+func (c *Core) sendProbes() {
+	for len(c.toProbe) > 0 && c.probing < c.probesAtOnce {
+		m := c.toProbe[0]
+		c.toProbe = c.toProbe[1:]
+		if m.known(c.term) || m.state == machineGone || m.state == machineDeleting {
+			continue
+		}
+		c.probing++
+		// Its session is not known before its first word; nearly all are in
+		// their first.
+		c.send(&directCall{machine: m, session: max(m.session, 1), token: m.token, probe: true, sent: c.now}, []wire.Order{})
+	}
+}
+
+// probeBack follows up on a probe: one that named the wrong session is repeated
+// once with the right one.
+func (c *Core) probeBack(call *directCall, outcome DirectOutcome) {
+	m := call.machine
+	c.probing--
+	switch took := c.now - call.sent; {
+	case outcome == DirectUnknown || outcome == DirectNotSent:
+		// It tells of that machine only.
+	case took <= probeSoon:
+		c.probesAtOnce = min(c.probesAtOnce+1, mostProbes)
+	case took >= probeLate:
+		c.probesAtOnce = max(c.probesAtOnce/2, fewProbes)
+	}
+	if outcome == DirectRefused && m.probes == 1 && !m.known(c.term) {
+		m.probes++
+		c.toProbe = append(c.toProbe, m)
+	}
+	c.sendProbes()
+}
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -146,11 +146,11 @@
 			m.address = "10.1.0.1:9000"
 			g.c.send(&directCall{machine: m, session: 2, token: m.token}, []wire.Order{})
 			g.take(g.c.Settle())
-			hail := g.start[len(g.start)-1]
+			probe := g.start[len(g.start)-1]
 			g.start = nil
 			r := g.reportOf("vm-1", ours)
 			r.Session = 2
-			g.step(DirectBack{Call: hail.Call, Outcome: DirectDone, Report: r})
+			g.step(DirectBack{Call: probe.Call, Outcome: DirectDone, Report: r})
 			g.submit(newTestJob("job-1", 1, 1))
 			g.want("started there", len(g.starts()), 1)
 			g.settle(DirectDone)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -170,10 +170,10 @@
 	unwritten bool
 	unclear   map[int32]bool // machines that may run unseen tasks of it
 
-	fate        string // decided, being written or durable
-	fateDurable bool
-	settled     bool // all that a terminal state requires is done
-	waiters     []any
+	terminal        string // decided, being written or durable
+	terminalDurable bool
+	settled         bool // all that a terminal state requires is done
+	waiters         []any
 
 	begun  bool          // some task of it has been seen running, or is done
 	held   *machine      // kept free for its first task
@@ -186,7 +186,7 @@
 	failedOn  map[int32]bool
 }
 
-func (j *job) over() bool { return j.fate != "" }
+func (j *job) over() bool { return j.terminal != "" }
 
 // placeable tells whether waiting tasks may be started now.
 func (j *job) placeable(now time.Duration) bool {
@@ -259,8 +259,8 @@
 	echoed       time.Duration // when it last showed that it hears us
 	doubted      bool          // it has not echoed since a sign that it does not
 	begun        time.Duration // when this leader first heard of its present life
-	probed       time.Duration // when its token was last raised
-	hails        int           // empty commands sent to make it echo
+	raisedAt     time.Duration // when its token was last raised
+	probes       int           // empty commands sent to make it echo
 	directs      int           // commands on their way to it
 	answered     time.Duration // last report answered in this term
 	over         uint64        // sessions up to this one have certainly ended
@@ -401,7 +401,7 @@
 		job   int32
 		tasks []int32
 	}
-	fateTag struct{ job int32 }
-	hireTag struct{ name string }
-	noteTag struct{ key string }
+	terminalTag struct{ job int32 }
+	hireTag     struct{ name string }
+	noteTag     struct{ key string }
 )
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -15,9 +15,9 @@
 	burstDoubt  = 1.3
 )
 
-// lull is how many mean gaps without an arrival end a class's demand: with
+// quietPeriod is how many mean gaps without an arrival end a class's demand: with
 // arrivals at random a gap that long comes once in some four hundred.
-const lull = 6
+const quietPeriod = 6
 
 // settling is how long a class must have been seen before its rate is fully
 // believed: a service that starts finds a first crowd of jobs, whose gaps say
@@ -58,7 +58,7 @@
 // jobs that come at random, each taking all its cores for its run, amount to.
 func (s *Stream) Cores(now time.Duration) (mean, variance float64) {
 	since := (now - s.last).Seconds()
-	if s.seen < 3 || since > max(lull*s.gap, settling.Seconds()) {
+	if s.seen < 3 || since > max(quietPeriod*s.gap, settling.Seconds()) {
 		return 0, 0
 	}
 	// A gap that is already longer than the mean counts as what it is.
--- a/internal/fleet/demand_test.go
+++ b/internal/fleet/demand_test.go
@@ -18,7 +18,7 @@
 		{"the present gap is not yet long", 600, 20 * time.Second, 16},
 		{"a long gap counts as what it is", 600, 40 * time.Second, 8},
 		{"a first crowd is not taken for a rate", -4, 15 * time.Second, 4 * 160 / 60.0},
-		{"a lull ends the demand", 600, 61 * time.Second, 0},
+		{"a quiet period ends the demand", 600, 61 * time.Second, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/intake/clerk.go
+++ b/internal/intake/groupcommit.go
@@ -33,9 +33,9 @@
 	err     error
 }
 
-// clerk creates job records, those that wait at the same time in one
+// groupCommit creates job records, those that wait at the same time in one
 // transaction.
-type clerk struct {
+type groupCommit struct {
 	store  Store
 	ops    int
 	bytes  int // most bytes of one record
@@ -49,13 +49,13 @@
 const manyWaiting = 4
 
 // pressed tells whether many wait for their records.
-func (c *clerk) pressed() bool { return c.waiting.Load() >= manyWaiting }
+func (c *groupCommit) pressed() bool { return c.waiting.Load() >= manyWaiting }
 
 // maxBytes keeps a transaction below the service's 64 KiB.
 const maxBytes = 48 << 10
 
-func newClerk(store Store, ops, bytes int) *clerk {
-	return &clerk{store: store, ops: ops, bytes: bytes, wishes: make(chan *accept, 256)}
+func newGroupCommit(store Store, ops, bytes int) *groupCommit {
+	return &groupCommit{store: store, ops: ops, bytes: bytes, wishes: make(chan *accept, 256)}
 }
 
 var (
@@ -64,7 +64,7 @@
 )
 
 // create has a job record created unless there is one.
-func (c *clerk) create(ctx context.Context, ref string, rec ledger.JobRecord) (accepted, error) {
+func (c *groupCommit) create(ctx context.Context, ref string, rec ledger.JobRecord) (accepted, error) {
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return accepted{}, err
@@ -88,7 +88,7 @@
 	}
 }
 
-func (c *clerk) run(ctx context.Context) {
+func (c *groupCommit) run(ctx context.Context) {
 	for {
 		var batch []*accept
 		size := 0
@@ -118,7 +118,7 @@
 
 // commit creates a batch of records. Those that exist already are told so and
 // the rest is tried once more without them.
-func (c *clerk) commit(ctx context.Context, batch []*accept) {
+func (c *groupCommit) commit(ctx context.Context, batch []*accept) {
 	ctx, cancel := context.WithTimeout(ctx, commitLimit)
 	defer cancel()
 	for len(batch) > 0 {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -67,21 +67,21 @@
 	desk    Desk
 	peers   Peers
 	types   Types
-	clerk   *clerk
+	commits *groupCommit
 	log     *slog.Logger
 	// Healthy tells whether this node can serve users at all; nil: always.
 	Healthy func() bool
 }
 
-// New makes the service and starts its clerk, which runs until ctx ends.
+// New makes the service and starts its group commit, which runs until ctx ends.
 func New(ctx context.Context, p *settings.Platform, e *election.Elector, store Store, desk Desk, peers Peers, types Types, share float64, log *slog.Logger) *Service {
 	s := &Service{node: p.Node, teams: map[string]settings.Team{}, elector: e, store: store, desk: desk,
 		peers: peers, types: types, log: log}
 	for _, t := range p.Facts.Teams {
 		s.teams[t.Name] = t
 	}
-	s.clerk = newClerk(store, max(1, min(p.Facts.State.TxnOps, int(p.Facts.State.WriteRPS*share))), int(p.Facts.State.ValueKB*1024))
-	go s.clerk.run(ctx)
+	s.commits = newGroupCommit(store, max(1, min(p.Facts.State.TxnOps, int(p.Facts.State.WriteRPS*share))), int(p.Facts.State.ValueKB*1024))
+	go s.commits.run(ctx)
 	return s
 }
 
@@ -149,7 +149,7 @@
 		}
 		return refusal
 	}
-	if s.clerk.pressed() {
+	if s.commits.pressed() {
 		// Users who were turned away repeat what may be recorded already. That
 		// would take of the writes of which there are too few.
 		if a, ok := s.repeated(ctx, ref, local); ok {
@@ -157,7 +157,7 @@
 		}
 	}
 	rec := ledger.JobRecord{Job: job, AcceptedMS: time.Now().UnixMilli()}
-	a, err := s.clerk.create(ctx, ref, rec)
+	a, err := s.commits.create(ctx, ref, rec)
 	if err != nil && !errors.Is(err, errLong) {
 		if a, ok := s.repeated(ctx, ref, local); ok {
 			return a
@@ -201,7 +201,7 @@
 // known answers the repetition of an accepted job, whose record was read since
 // the user asked.
 func (s *Service) known(ctx context.Context, ref string, rec ledger.JobRecord, local bool) Answer {
-	status := rec.Fate
+	status := rec.Terminal
 	if status == "" {
 		status = wire.Queued
 		if st, ok := s.fromLeader(ctx, ref, local); ok {
@@ -302,8 +302,8 @@
 	case !found:
 		return problem(http.StatusNotFound, "there is no such job")
 	}
-	st := wire.JobStatus{Ref: ref, Status: rec.Fate, Done: rec.Done}
-	if rec.Fate == "" {
+	st := wire.JobStatus{Ref: ref, Status: rec.Terminal, Done: rec.Done}
+	if rec.Terminal == "" {
 		st.Status = wire.Queued
 	}
 	return JSON(http.StatusOK, st)
@@ -325,11 +325,11 @@
 			}
 		}
 		// Without a leader, what is over already can still be told.
-		if rec, found, err := s.record(ctx, ref); err == nil && (!found || rec.Fate != "") {
+		if rec, found, err := s.record(ctx, ref); err == nil && (!found || rec.Terminal != "") {
 			if !found {
 				return problem(http.StatusNotFound, "there is no such job")
 			}
-			return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: rec.Fate})
+			return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: rec.Terminal})
 		}
 		return later(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -138,7 +138,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			log := slog.New(slog.NewTextHandler(io.Discard, nil))
 			store := &fakeStore{down: c.down, busy: c.busy, records: map[string]ledger.JobRecord{
-				"job/job-7": {Fate: wire.Done, Tasks: 2, Done: 2}, "job/job-8": {Job: &wire.Job{Ref: "job-8", Tasks: 1}}}}
+				"job/job-7": {Terminal: wire.Done, Tasks: 2, Done: 2}, "job/job-8": {Job: &wire.Job{Ref: "job-8", Tasks: 1}}}}
 			p := &settings.Platform{Node: "n1", Facts: settings.Facts{Teams: []settings.Team{{Name: "t", CPUsMax: 6}},
 				State: settings.StateLimits{WriteRPS: 40, TxnOps: 8, ValueKB: 16}}}
 			types := func() ([]wire.MachineType, bool) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -274,7 +274,7 @@
 	for i := range 2000 {
 		ref := fmt.Sprintf("job-%06d", i)
 		if i%5 > 0 {
-			add(JobKey(ref), JobRecord{AcceptedMS: 1, Fate: wire.Done, Tasks: 120, Done: 120, Class: "c", Team: "t", Cores: 120, RunS: 15})
+			add(JobKey(ref), JobRecord{AcceptedMS: 1, Terminal: wire.Done, Tasks: 120, Done: 120, Class: "c", Team: "t", Cores: 120, RunS: 15})
 			continue
 		}
 		add(JobKey(ref), JobRecord{AcceptedMS: 1, Job: &wire.Job{Ref: ref, Class: "c", Team: "t", Kind: "batch", Priority: "high", Tasks: 120, CPUs: 1, MemGB: 3, Image: "i", ImageGB: 1, Spot: true, EstimateS: 15}})
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -31,11 +31,11 @@
 	Job *wire.Job `json:"job,omitempty"`
 	// AcceptedMS is the time of day of the acceptance.
 	AcceptedMS int64 `json:"accepted_ms"`
-	// Fate is empty, wire.Done or wire.Aborted. A record is never deleted;
+	// Terminal is empty, wire.Done or wire.Aborted. A record is never deleted;
 	// with a fate it shrinks to what queries need.
-	Fate  string `json:"fate,omitempty"`
-	Tasks int    `json:"tasks,omitempty"`
-	Done  int    `json:"done,omitempty"`
+	Terminal string `json:"fate,omitempty"`
+	Tasks    int    `json:"tasks,omitempty"`
+	Done     int    `json:"done,omitempty"`
 	// What a finished job asked for, from which a new leader learns the demand.
 	Class string  `json:"class,omitempty"`
 	Team  string  `json:"team,omitempty"`
--- a/internal/node/crowd.go
+++ b/internal/node/balancer.go
@@ -23,8 +23,8 @@
 	mostPassed = 4096 // workers that are remembered at most
 )
 
-// crowd decides which workers a leader sends to whom. Its state is owned by run.
-type crowd struct {
+// balancer decides which workers a leader sends to whom. Its state is owned by run.
+type balancer struct {
 	sharing atomic.Int64 // nodes that carry reports here
 	joins   chan partner
 	asks    chan passing
@@ -40,12 +40,12 @@
 	to      chan string
 }
 
-func newCrowd() *crowd {
-	return &crowd{joins: make(chan partner), asks: make(chan passing)}
+func newBalancer() *balancer {
+	return &balancer{joins: make(chan partner), asks: make(chan passing)}
 }
 
 // join notes a node that carries reports here until ctx ends.
-func (c *crowd) join(ctx context.Context, node string) {
+func (c *balancer) join(ctx context.Context, node string) {
 	select {
 	case c.joins <- partner{node, ctx.Done()}:
 	case <-ctx.Done():
@@ -54,7 +54,7 @@
 
 // pass names the node that a worker is sent to, or "" when it is to stay: with so
 // many connections open here and so many machines in all.
-func (c *crowd) pass(ctx context.Context, machine string, open, machines int) string {
+func (c *balancer) pass(ctx context.Context, machine string, open, machines int) string {
 	n := int(c.sharing.Load())
 	if n == 0 || open <= machines/(n+1)/leaderPart+passSlack {
 		return ""
@@ -69,7 +69,7 @@
 }
 
 // run decides until ctx ends.
-func (c *crowd) run(ctx context.Context) {
+func (c *balancer) run(ctx context.Context) {
 	var nodes []string // with a line to here, in the order of joining
 	left := make(chan string)
 	lines := map[string]int{}
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -37,20 +37,20 @@
 // nodes carry them to the leader, and its answers back, and send the workers to
 // it when they can't.
 type gate struct {
-	node    string
-	elector *election.Elector
-	desk    reporter
-	peers   carrier
-	log     *slog.Logger
-	seats   *seats
-	crowd   *crowd
-	heard   *tally // reports that have come straight here
-	carried *tally // reports that other nodes have carried here
+	node      string
+	elector   *election.Elector
+	desk      reporter
+	peers     carrier
+	log       *slog.Logger
+	socketUse *socketUse
+	balancer  *balancer
+	heard     *tally // reports that have come straight here
+	carried   *tally // reports that other nodes have carried here
 }
 
-func newGate(ctx context.Context, node string, e *election.Elector, desk reporter, peers carrier, s *seats, log *slog.Logger) *gate {
-	g := &gate{node: node, elector: e, desk: desk, peers: peers, log: log, seats: s, crowd: newCrowd(), heard: newTally(), carried: newTally()}
-	go g.crowd.run(ctx)
+func newGate(ctx context.Context, node string, e *election.Elector, desk reporter, peers carrier, s *socketUse, log *slog.Logger) *gate {
+	g := &gate{node: node, elector: e, desk: desk, peers: peers, log: log, socketUse: s, balancer: newBalancer(), heard: newTally(), carried: newTally()}
+	go g.balancer.run(ctx)
 	return g
 }
 
@@ -117,7 +117,7 @@
 }
 
 // Partner notes that another node carries reports here, until ctx ends.
-func (g *gate) Partner(ctx context.Context, node string) { g.crowd.join(ctx, node) }
+func (g *gate) Partner(ctx context.Context, node string) { g.balancer.join(ctx, node) }
 
 // answer answers a report if this node leads, and else sends the worker
 // elsewhere.
@@ -126,7 +126,7 @@
 	if !v.InTerm(time.Now()) {
 		return sendTo(g.elsewhereLeads())
 	}
-	if to := g.crowd.pass(ctx, report.Machine, int(g.seats.open.Load()), g.desk.Machines()); to != "" {
+	if to := g.balancer.pass(ctx, report.Machine, int(g.socketUse.open.Load()), g.desk.Machines()); to != "" {
 		return sendTo(to)
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportLimit)
@@ -158,7 +158,7 @@
 	}
 	g.heard.add()
 	a := g.take(req.Context(), body)
-	g.seats.yield(w)
+	g.socketUse.yield(w)
 	intake.Write(w, a)
 }
 
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -53,7 +53,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := newGate(t.Context(), "n0", nil, nil, c.line, &seats{}, quiet)
+				g := newGate(t.Context(), "n0", nil, nil, c.line, &socketUse{}, quiet)
 				began := time.Now()
 				a := g.carry(t.Context(), "n1", []byte("{}"))
 				if a.Status != c.status || string(a.Body) != c.body || time.Since(began) != c.within {
@@ -71,7 +71,7 @@
 // those.
 func TestWhoIsSentAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCrowd()
+		c := newBalancer()
 		go c.run(t.Context())
 		pass := func(machine string, open int) string {
 			time.Sleep(passEvery)
@@ -119,7 +119,7 @@
 // no orders, so that they find another node before their leases end.
 func TestNoAnswerPastTheTerm(t *testing.T) {
 	e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, quiet)
-	g := newGate(t.Context(), "n1", e, eager{}, nil, &seats{}, quiet)
+	g := newGate(t.Context(), "n1", e, eager{}, nil, &socketUse{}, quiet)
 	body := []byte(`{"host":"vm-1","address":"10.1.0.1:9000","flavor":"m","room":"a","tenure":1,"tick":4,"baton":0,"pieces":[]}`)
 	check := func(how string, a intake.Answer) {
 		if a.Status != http.StatusMisdirectedRequest || strings.Contains(string(a.Body), "boss") || strings.Contains(string(a.Body), "start") {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,10 +49,10 @@
 	rate := dispatch.FollowerShare(f.Nodes)
 	store := state.New(ctx, n, p.Services.State, f.State.RPS, f.State.WriteRPS, rate, log)
 	elector := election.New(p.Node, op, store, log)
-	seats := &seats{crowded: int64(share.crowded), roomy: int64(share.roomy)}
-	lines := dispatch.Lines{AtOnce: share.orders, Kept: share.kept, Few: share.few, Crowded: seats.Crowded}
+	socketUse := &socketUse{crowded: int64(share.crowded), roomy: int64(share.roomy)}
+	lines := dispatch.Lines{AtOnce: share.orders, Kept: share.kept, Few: share.few, Crowded: socketUse.Crowded}
 	desk := dispatch.NewDesk(n, p, op, elector, store, lines, log)
-	seats.makeRoom = desk.HangUp
+	socketUse.makeRoom = desk.HangUp
 	others, err := peers.Dial(ctx, n, p.Node, p.Peers)
 	if err != nil {
 		return err
@@ -65,7 +65,7 @@
 	fit := &health{serving: store.Serving, peers: others, log: log}
 	in.Healthy = fit.OK
 	in.Routes(router)
-	gate := newGate(ctx, p.Node, elector, desk, others, seats, log)
+	gate := newGate(ctx, p.Node, elector, desk, others, socketUse, log)
 	go gate.greet(ctx)
 	router.POST("/v1/report", gate.serve)
 
@@ -78,7 +78,7 @@
 	failed := make(chan error, 2)
 	grpcServer := peers.NewServer(in, gate, elector.Promise, gate.heard.last)
 	go func() { failed <- grpcServer.Serve(back) }()
-	web := newServer(router, seats, settings.Seconds(f.Workers.LeaseS), log)
+	web := newServer(router, socketUse, settings.Seconds(f.Workers.LeaseS), log)
 	go func() { failed <- web.Serve(netutil.LimitListener(public, share.inbound)) }()
 	select {
 	case err := <-failed:
--- a/internal/node/seats.go
+++ b/internal/node/sockets.go
@@ -33,8 +33,8 @@
 	return s
 }
 
-// seats counts the connections of users and workers.
-type seats struct {
+// socketUse counts the connections of users and workers.
+type socketUse struct {
 	open     atomic.Int64
 	crowded  int64
 	roomy    int64
@@ -42,10 +42,10 @@
 }
 
 // Crowded tells whether connections to workers are not to be kept.
-func (s *seats) Crowded() bool { return s.open.Load() > s.roomy }
+func (s *socketUse) Crowded() bool { return s.open.Load() > s.roomy }
 
 // track is the HTTP server's hook for connections that come and go.
-func (s *seats) track(_ net.Conn, state http.ConnState) {
+func (s *socketUse) track(_ net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		if s.open.Add(1) == s.roomy+1 && s.makeRoom != nil {
@@ -58,7 +58,7 @@
 
 // newServer makes the server for users and workers. Who has been silent for a
 // worker's lease is gone.
-func newServer(h http.Handler, s *seats, lease time.Duration, log *slog.Logger) *http.Server {
+func newServer(h http.Handler, s *socketUse, lease time.Duration, log *slog.Logger) *http.Server {
 	return &http.Server{Handler: h, ConnState: s.track, IdleTimeout: lease,
 		ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second, WriteTimeout: 20 * time.Second,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
@@ -66,7 +66,7 @@
 
 // yield asks a worker to hang up where connections are short: it comes back for
 // its next report, and between two of them somebody else can be served.
-func (s *seats) yield(w http.ResponseWriter) {
+func (s *socketUse) yield(w http.ResponseWriter) {
 	if s.open.Load() > s.crowded {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/node/seats_test.go
+++ b/internal/node/sockets_test.go
@@ -45,7 +45,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				share := divide(settings.Resources{Sockets: c.sockets})
-				s := &seats{crowded: int64(share.crowded)}
+				s := &socketUse{crowded: int64(share.crowded)}
 				l := make(pipes, 1000)
 				web := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 					s.yield(w)
@@ -123,7 +123,7 @@
 			t.Errorf("%d sockets: %d while many are kept", sockets, in)
 		}
 		hungUp := 0
-		s := &seats{roomy: int64(d.roomy), makeRoom: func() { hungUp++ }}
+		s := &socketUse{roomy: int64(d.roomy), makeRoom: func() { hungUp++ }}
 		for range d.roomy {
 			s.track(nil, http.StateNew)
 		}
