Reports of a worker's earlier life are not believed once it has begun anew

Cause: a machine is back within a moment, its worker counts from 1, which the leader finds out by asking. Now only what has seen the token that was raised at that moment counts. New meetings: reboots, mute workers without a change of leader, cancellation in the moment of acceptance.

--- a/internal/dispatch/echo.go
+++ b/internal/dispatch/echo.go
@@ -74,6 +74,9 @@
 		}
 		m.session, m.seq, m.over, m.echo, m.begun = r.Session, 0, 0, 0, c.now
 		c.unheard(m)
+		// A late report of the life that is over looks newer than all that comes
+		// from now on.
+		m.floor = m.token
 		for a := range m.pending {
 			m.pending[a] = m.token
 		}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -98,6 +98,12 @@
 	if r.Session <= m.over || !(stamp{m.session, m.seq}).before(stamp{r.Session, r.Seq}) {
 		return false
 	}
+	if r.Token < m.floor {
+		// Its worker has begun anew and not yet heard of us, or this is from before.
+		m.heard = c.now
+		c.lives(m)
+		return false
+	}
 	// A machine that opens to work, at its first echo or after a silence, may
 	// be what waiting tasks wait for.
 	wasOpen := c.open(m)
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -309,6 +309,19 @@
 			}
 			g.want("started anew", len(g.starts()), c.starts)
 			g.want("bookings", g.c.jobs[0].booked, 1)
+			if c.starts == 0 {
+				return
+			}
+			// A report of the life that is over looks newer than all that comes now:
+			// it says that the new attempt is not there, and the task was started on
+			// another machine as well.
+			n := g.starts()[0]
+			g.settle(DirectDone)
+			old := *g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, ""))
+			old.Seq = 41
+			g.report(&old)
+			g.want("bookings after an old report", g.c.jobs[0].booked, 1)
+			g.want("the new attempt", g.c.machineNamed("vm-1").booking(n.Attempt) != nil, true)
 		})
 	}
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -255,6 +255,7 @@
 	session, seq uint64
 	token        uint64 // the token of our orders to it
 	echo         uint64 // the highest token that it has reported
+	floor        uint64 // what has seen only lower tokens comes from a life of the worker that is over
 	heard        time.Duration
 	echoed       time.Duration // when it last showed that it hears us
 	doubted      bool          // it has not echoed since a sign that it does not
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -644,6 +644,87 @@
 	}
 }
 
+// TestMuteMeeting: workers can't open connections to any controller, while direct
+// commands still reach them, for less and for longer than their lease; jobs are
+// cancelled meanwhile.
+func TestMuteMeeting(t *testing.T) {
+	for _, lasts := range []time.Duration{8 * time.Second, workerLease + 4*time.Second, cancelLimit + 10*time.Second} {
+		t.Run(fmt.Sprint(lasts), func(t *testing.T) {
+			inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
+				jobs := c.stream(0, 10, 200*time.Millisecond, nil)
+				c.running(20)
+				workers := c.cloud.Workers()
+				for _, w := range workers {
+					w.Mute(true)
+				}
+				time.Sleep(2 * time.Second)
+				for _, j := range half(jobs) {
+					c.cancel(j)
+				}
+				time.Sleep(lasts)
+				for _, w := range workers {
+					w.Mute(false)
+				}
+			})
+		})
+	}
+}
+
+// TestRebootMeeting: machines end and are back within a fraction of a second, their
+// workers counting from the beginning, while old reports arrive and the leader ends.
+// Commands are not held up here: a worker that has forgotten the tokens it saw
+// carries out whatever comes, however old, and no controller can help that.
+func TestRebootMeeting(t *testing.T) {
+	eachSeed(t, plan{run: long(30 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		jobs := c.stream(0, 12, 300*time.Millisecond, nil)
+		c.running(15)
+		for _, w := range c.cloud.Workers() {
+			w.Keep()
+		}
+		for k := range 6 {
+			workers := c.cloud.Workers()
+			for _, w := range half(workers) {
+				w.Reboot()
+			}
+			c.cancel(jobs[2*k])
+			time.Sleep(some(r, 100*time.Millisecond, 5*time.Second))
+			for _, w := range workers {
+				w.Deliver()
+			}
+			if k%2 == 0 {
+				c.restart(c.leader(), some(r, 100*time.Millisecond, time.Second))
+				c.await("a leader", 20*time.Second, func() bool { return c.leader() >= 0 })
+			}
+		}
+	})
+}
+
+// TestCancelAtOnceMeeting: users cancel a job in the moment in which it is accepted,
+// through other nodes, and ask and repeat everywhere.
+func TestCancelAtOnceMeeting(t *testing.T) {
+	eachSeed(t, plan{}, func(c *cluster, r *rand.Rand) {
+		for k := range 30 {
+			j := job(fmt.Sprintf("job-%06d", k), 2, nil)
+			c.submit(j)
+			time.Sleep(some(r, 0, 12*time.Millisecond))
+			for i := range c.nodes {
+				c.asking.Go(func() { c.call(i, standin.AskedCancel, j.Ref, nil) })
+			}
+			c.look(j.Ref, j)
+			c.cancel(j)
+			time.Sleep(some(r, 100*time.Millisecond, 2*time.Second))
+			if k == 15 {
+				c.kill(c.leader())
+			}
+		}
+		for i, n := range c.nodes {
+			if n.cancel == nil {
+				c.start(i)
+			}
+		}
+	})
+}
+
 // TestChangeOfHandsMeeting: jobs are cancelled in the seconds in which one
 // controller's work changes hands.
 func TestChangeOfHandsMeeting(t *testing.T) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -122,6 +122,16 @@
 	})
 }
 
+// Reboot has the machine end and be back at once: everything on it is gone, and its
+// worker counts from the beginning.
+func (w *Worker) Reboot() {
+	w.do(func() {
+		w.clear()
+		w.session, w.seq, w.token, w.renewed, w.changed = 1, 0, 0, time.Now(), true
+		w.images = map[string]time.Time{}
+	})
+}
+
 // Deaf has the machine's reports arrive while answers and commands to it are lost.
 func (w *Worker) Deaf(on bool) { w.do(func() { w.deaf = on }) }
 
