--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -47,7 +46,8 @@
 	teamAt    map[string]int32
 	spareTeam int32 // for jobs of teams that the settings no longer name
 
-	active    []*job // jobs that are not settled
+	active    []*job             // jobs that are not settled
+	unseen    map[string][]int32 // jobs that wait for one that this leader has not seen
 	goal      slowfit.Goal
 	calmSince time.Duration
 	index     slowfit.Index
@@ -109,6 +109,7 @@
 		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now,
 		leaseTime: settings.Stretch(settings.Seconds(w.LeaseS)) + 250*time.Millisecond,
 		report:    settings.Seconds(w.ReportS),
+		unseen:    map[string][]int32{},
 		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
 		typeAt: map[string]int32{}, teamAt: map[string]int32{},
 		goal:         slowfit.Goal{C: cfg.Operator.SlowFitC},
@@ -129,6 +130,7 @@
 	for i := range s.Jobs {
 		c.restore(&s.Jobs[i])
 	}
+	c.restoreLinks()
 	for _, h := range s.Hires {
 		c.restoreHire(h)
 	}
@@ -161,6 +163,13 @@
 		}
 	case CloudBack:
 		c.cloudBack(e.Result)
+	case Formats:
+		c.cfg.ValueBytes = e.ValueBytes
+	case Rejected:
+		c.wantDurable -= len(e.Tags)
+		for _, tag := range e.Tags {
+			c.rejected(tag)
+		}
 	case Tick:
 		c.tick()
 	}
@@ -299,7 +308,10 @@
 
 func (c *Core) newJob(ref string, rec ledger.JobRecord, version uint64) *job {
 	j := &job{index: int32(len(c.jobs)), ref: ref, spec: rec.Job, version: version, accept: rec.AcceptedMS,
-		terminal: rec.Terminal, terminalDurable: rec.Terminal != "", total: rec.Tasks, done: rec.Done, due: math.MaxInt64, zone: -1}
+		terminal: rec.Terminal, terminalDurable: rec.Terminal != "", total: rec.Tasks, done: rec.Done, due: never, zone: -1}
+	if rec.EndedMS > 0 {
+		j.doneAt = c.ago(rec.EndedMS)
+	}
 	c.jobIndex[ref] = j.index
 	c.jobs = append(c.jobs, j)
 	s := rec.Job
@@ -307,7 +319,7 @@
 		j.settled = true
 		return j
 	}
-	j.arrived = c.now - max(0, time.Duration(c.wall-rec.AcceptedMS)*time.Millisecond)
+	j.arrived = c.ago(rec.AcceptedMS)
 	if s.DeadlineS != nil {
 		j.due = j.arrived + settings.Seconds(*s.DeadlineS)
 	}
@@ -326,6 +338,11 @@
 	return j
 }
 
+// ago is the steady time of a moment in the past, given by the time of day in ms.
+func (c *Core) ago(ms int64) time.Duration {
+	return c.now - max(0, time.Duration(c.wall-ms)*time.Millisecond)
+}
+
 // classAims is what the settings ask for a class.
 type classAims struct {
 	wait time.Duration // its tasks should have started by then; 0: no aim
@@ -371,16 +388,25 @@
 		return c.jobs[i]
 	}
 	j := c.newJob(e.Ref, e.Record, e.Version)
-	if j.settled {
-		return j
-	}
 	j.fillWaiting()
-	if j.over() {
+	c.link(j)
+	if j.terminalDurable {
+		// Its end was written while this leader had not seen it yet.
+		c.releaseDependents(j)
+	}
+	switch {
+	case j.settled:
+		return j
+	case j.over():
 		c.settleJob(j)
 		return j
 	}
-	c.arrived(j)
 	c.log.Debug("job accepted", "job", j.ref, "tasks", j.total, "cpus", j.size.CPUs, "class", j.spec.Class)
+	c.settleLinks(j)
+	if !j.over() && !j.blocked() {
+		c.arrived(j)
+	}
+	c.raiseBy(j)
 	c.dirty = true
 	return j
 }
@@ -400,13 +426,19 @@
 	}
 	if j.spec == nil {
 		// It is done; an earlier leader was stopped while it tidied up.
-		c.dropKeys(s.Ref, len(s.Hosts), slices.Collect(maps.Keys(s.Finished)))
+		for _, h := range s.Hosts {
+			c.emit(Put{Writes: []ledger.Write{{Key: h.Key}}})
+		}
+		for _, f := range s.Finished {
+			c.emit(Put{Writes: []ledger.Write{{Key: f.Key}}})
+		}
 		return
 	}
 	finished := 0
-	for chunk, ranges := range s.Finished {
-		ranges.Each(func(i int) {
-			if n := chunk*ledger.ChunkTasks + i; n < len(j.tasks) && j.tasks[n].state != taskDurable {
+	for _, f := range s.Finished {
+		j.fin(f.Key)
+		f.Ranges.Each(func(i int) {
+			if n := f.Chunk*ledger.ChunkTasks + i; n < len(j.tasks) && j.tasks[n].state != taskDurable {
 				j.tasks[n].state = taskDurable
 				finished++
 			}
@@ -419,7 +451,9 @@
 	j.fillWaiting()
 	j.begun = j.done > 0 || len(s.Hosts) > 0
 	c.restoreHosts(j, s.Hosts)
-	c.arrived(j)
+	if !waitsFor(&s.Record) {
+		c.arrived(j)
+	}
 	switch {
 	case j.over():
 		c.settleJob(j)
@@ -432,7 +466,17 @@
 // restoreHosts notes the machines that a job's tasks may be on. Until each has
 // been heard of, or must have ended them, unseen tasks are neither placed
 // again nor taken for free.
-func (c *Core) restoreHosts(j *job, hosts []string) {
+func (c *Core) restoreHosts(j *job, chunks []ledger.SavedHosts) {
+	for _, chunk := range chunks {
+		// A key that is missing, as its deletion was under way, keeps its number.
+		for len(j.hostChunks) <= chunk.Chunk {
+			j.hostChunks = append(j.hostChunks, len(j.hosts))
+		}
+		c.restoreChunk(j, chunk.Machines)
+	}
+}
+
+func (c *Core) restoreChunk(j *job, hosts []string) {
 	for _, name := range hosts {
 		m := c.machineNamed(name)
 		if _, ok := j.hostAt[m.index]; ok {
@@ -558,18 +602,26 @@
 // is durable.
 func (c *Core) finish(j *job, terminal string) {
 	j.terminal = terminal
-	rec := ledger.JobRecord{AcceptedMS: j.accept, Terminal: terminal, Tasks: j.total, Done: j.done}
-	if terminal == wire.Aborted {
-		// The description stays: a new leader charges the team for tasks that
-		// it has not yet seen gone.
-		rec.Job = j.spec
+	c.writeTerminal(j, true)
+}
+
+// writeTerminal writes a job's terminal state.
+func (c *Core) writeTerminal(j *job, urgent bool) {
+	rec := ledger.JobRecord{AcceptedMS: j.accept, Terminal: j.terminal, Tasks: j.total, Done: j.done, EndedMS: c.wall}
+	if j.terminal == wire.Aborted {
+		// What a new leader needs stays: it charges the team for tasks that it has
+		// not yet seen gone. The whole description may be more than fits by now.
+		rec.Job = j.spec.Essence()
 	} else {
 		rec.Class, rec.Team, rec.Cores, rec.RunS = j.spec.Class, j.spec.Team, j.size.CPUs*float64(j.total), c.expectedRun(j).Seconds()
 	}
-	c.put(ledger.Write{Key: ledger.JobKey(j.ref), Value: rec, Urgent: true, Version: j.version, Tag: terminalTag{j.index}})
+	c.put(ledger.Write{Key: ledger.JobKey(j.ref), Value: rec, Urgent: urgent, Version: j.version, Tag: terminalTag{j.index}})
 }
 
 func (c *Core) terminalIsDurable(j *job) {
+	if j.terminalDurable {
+		return // it followed from another job's end before its own record was written
+	}
 	j.terminalDurable = true
 	j.waiting = nil
 	c.log.Debug("job is over", "job", j.ref, "state", j.terminal, "seconds", (c.now - j.arrived).Seconds(), "late", c.now > j.due)
@@ -579,6 +631,7 @@
 	j.waiters = nil
 	c.stopTasks(j)
 	c.dirty = true
+	c.releaseDependents(j)
 	c.settleJob(j)
 }
 
@@ -589,31 +642,29 @@
 		return
 	}
 	j.settled = true
-	var chunks []int
-	for chunk := 0; chunk*ledger.ChunkTasks < j.total; chunk++ {
-		used := false
-		for n := chunk * ledger.ChunkTasks; n < min(j.total, (chunk+1)*ledger.ChunkTasks) && n < len(j.tasks); n++ {
-			used = used || j.tasks[n].state >= taskDone
-		}
-		if used {
-			chunks = append(chunks, chunk)
-		}
-	}
-	c.dropKeys(j.ref, len(j.hosts), chunks)
+	c.dropKeys(j)
 	for _, h := range j.hosts {
 		c.machines[h.machine].hostOf--
 	}
-	j.tasks, j.hosts, j.hostAt, j.failedOn = nil, nil, nil, nil
+	j.tasks, j.hosts, j.hostAt, j.failedOn, j.hostChunks, j.finKeys = nil, nil, nil, nil, nil, nil
+}
+
+// fin notes a key of finished tasks.
+func (j *job) fin(key string) {
+	if j.finKeys == nil {
+		j.finKeys = map[string]bool{}
+	}
+	j.finKeys[key] = true
 }
 
 // dropKeys deletes what the ledger holds of a finished job besides its record.
-func (c *Core) dropKeys(ref string, hosts int, chunks []int) {
+func (c *Core) dropKeys(j *job) {
 	var writes []ledger.Write
-	for _, key := range ledger.HostKeys(ref, hosts) {
-		writes = append(writes, ledger.Write{Key: key})
+	for chunk := range j.hostChunks {
+		writes = append(writes, ledger.Write{Key: ledger.HostKey(j.ref, chunk)})
 	}
-	for _, chunk := range chunks {
-		writes = append(writes, ledger.Write{Key: ledger.FinKey(ref, chunk)})
+	for _, key := range slices.Sorted(maps.Keys(j.finKeys)) {
+		writes = append(writes, ledger.Write{Key: key})
 	}
 	if len(writes) > 0 {
 		c.emit(Put{Writes: writes})
@@ -659,6 +710,38 @@
 	c.dirty = true
 }
 
+// rejected has what was too large for a value written in smaller pieces.
+func (c *Core) rejected(tag any) {
+	switch t := tag.(type) {
+	case hostTag:
+		j := c.jobs[t.job]
+		if j.hosts == nil {
+			return
+		}
+		// What is durable stays where it is; what comes after it begins a new key.
+		first := slices.IndexFunc(j.hosts, func(h host) bool { return !h.durable })
+		if first < 0 {
+			return
+		}
+		j.hostChunks = slices.DeleteFunc(j.hostChunks, func(from int) bool { return from >= first })
+		j.hostChunks = append(j.hostChunks, first)
+		j.hostsPut = first
+		c.unwrittenJob(j)
+	case finTag:
+		j := c.jobs[t.job]
+		if j.tasks != nil {
+			j.ended = append(j.ended, t.tasks...)
+			c.unwrittenJob(j)
+		}
+	case terminalTag:
+		j := c.jobs[t.job]
+		c.log.Error("the end of a job takes more than a value may hold", "job", j.ref)
+		c.writeTerminal(j, true)
+	case hireTag:
+		c.log.Error("a hire takes more than a value may hold", "hire", t.name)
+	}
+}
+
 func (c *Core) durable(tag any) {
 	switch t := tag.(type) {
 	case hostTag:
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -34,6 +34,18 @@
 
 const testTerm = 7
 
+// savedHosts and savedRanges are what the ledger holds of one job in one key.
+func savedHosts(machines ...string) []ledger.SavedHosts {
+	if len(machines) == 0 {
+		return nil
+	}
+	return []ledger.SavedHosts{{Chunk: 0, Machines: machines}}
+}
+
+func savedRanges(firstAndLast ...int) []ledger.SavedRanges {
+	return []ledger.SavedRanges{{Key: "fin/job-1/0", Ranges: firstAndLast}}
+}
+
 func newStage(t *testing.T, s ledger.Snapshot, teams ...settings.Team) *stage {
 	if len(teams) == 0 {
 		teams = []settings.Team{{Name: "t"}}
@@ -42,7 +54,7 @@
 		Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}}}
 	g := &stage{t: t, seq: map[string]uint64{}, writes: map[string]ledger.Write{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	g.c = NewCore(Config{Term: testTerm, Platform: p, Operator: settings.Defaults()}, s, 0, 0, log)
+	g.c = NewCore(Config{Term: testTerm, Platform: p, Operator: settings.Defaults(), ValueBytes: 16 << 10}, s, 0, 0, log)
 	g.take(g.c.TakeStart())
 	g.step(CloudBack{fleet.Result{Call: fleet.Call{Types: true}, Types: []wire.MachineType{
 		{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, Price: 1, SpotPrice: 0.5, BootS: 40, Zones: []string{"a", "b"}}}}})
@@ -382,7 +394,7 @@
 func TestTakeover(t *testing.T) {
 	saved := func(hosts ...string) ledger.Snapshot {
 		return ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 2, 1)},
-			Hosts: hosts, Finished: map[int]ledger.Ranges{0: {0, 0}}}}}
+			Hosts: savedHosts(hosts...), Finished: savedRanges(0, 0)}}}
 	}
 	old := wire.Order{Task: "job-1/1", Attempt: 6<<tokenBits | 1}
 	gone := saved("vm-1")
@@ -506,7 +518,7 @@
 }
 
 func TestLimits(t *testing.T) {
-	unseen := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-9", Record: ledger.JobRecord{Job: newTestJob("job-9", 1, 1)}, Hosts: []string{"vm-7"}}}}
+	unseen := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-9", Record: ledger.JobRecord{Job: newTestJob("job-9", 1, 1)}, Hosts: savedHosts("vm-7")}}}
 	cases := []struct {
 		name   string
 		saved  ledger.Snapshot
@@ -590,10 +602,10 @@
 		{"accepted during the takeover: only the watch tells of it", ledger.Snapshot{}, func(g *stage) {
 			g.step(JobSeen{Ref: "job-1", Record: rec, Version: 3})
 		}},
-		{"all its machines are gone", ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: []string{"vm-7", "vm-8"}}}}, func(g *stage) {
+		{"all its machines are gone", ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: savedHosts("vm-7", "vm-8")}}}, func(g *stage) {
 			g.wait(31 * time.Second)
 		}},
-		{"its machines were deleted by an earlier leader", ledger.Snapshot{Gone: []string{"vm-7"}, Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: []string{"vm-7"}}}}, func(g *stage) {}},
+		{"its machines were deleted by an earlier leader", ledger.Snapshot{Gone: []string{"vm-7"}, Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: savedHosts("vm-7")}}}, func(g *stage) {}},
 		{"told of twice", ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec}}}, func(g *stage) {
 			g.step(JobSeen{Ref: "job-1", Record: rec, Version: 3})
 		}},
@@ -614,7 +626,7 @@
 // tasks twice and ended on that, as did every one after it.
 func TestCancelledJobWhoseRangesAreStillThere(t *testing.T) {
 	rec := ledger.JobRecord{Job: newTestJob("job-1", 3, 1), Terminal: wire.Aborted, Tasks: 3, Done: 2}
-	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: []string{"vm-1"}, Finished: map[int]ledger.Ranges{0: {0, 1}}}}})
+	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: savedHosts("vm-1"), Finished: savedRanges(0, 1)}}})
 	g.want("state", g.jobStatus("job-1"), wire.Aborted)
 	g.up("vm-1")
 	g.want("starts", len(g.starts()), 0)
--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -90,7 +89,7 @@
 func (c *Core) placeOwed(queue []*job, uncertain []units) {
 	classes, teams := map[int32]bool{}, map[int32]bool{}
 	for _, j := range c.active {
-		if !j.over() {
+		if !j.over() && !j.blocked() {
 			classes[j.class], teams[j.team] = true, true
 		}
 	}
@@ -114,7 +113,7 @@
 	switch age := c.now - j.arrived; {
 	case age >= beginWithin:
 		return -age
-	case j.due != math.MaxInt64 && j.due-c.now < c.expectedRun(j):
+	case j.due != never && j.due-c.now < c.expectedRun(j):
 		return turnLate
 	}
 	return turnInTime
--- /dev/null
+++ b/internal/dispatch/graph.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/wire"
+)
+
+// A job may name others that have to be done before any of its tasks starts. This
+// is the one place that knows the dependency graph: each job's predecessors and
+// dependents by index, and how many predecessors are open.
+//
+// A predecessor is done only once its record says so durably: until then a new
+// leader may run its last task again. One that this leader has not seen yet, since
+// another node has just accepted it, is open.
+//
+// An open job with a cancelled ancestor is cancelled. That follows from durable
+// facts alone: a record says aborted or done, never first one and then the other,
+// and a job whose ancestor never ends never starts. So it holds from the moment in
+// which the ancestor's record is durable, whoever leads and whichever node is asked;
+// the dependents' own records follow when there are writes for them.
+
+// dependencies is what a job has in the graph.
+type dependencies struct {
+	needs    []int32 // predecessors that have been seen
+	children []int32 // jobs that wait for this one
+	open     int     // predecessors that are not done, seen or not
+}
+
+// blocked tells whether a job waits for others. It takes no part of its team's
+// limit or guarantee, is in no queue, and hires nothing.
+func (j *job) blocked() bool { return j.deps.open > 0 }
+
+// link brings a new job into the graph, as a job that needs others and as one that
+// others wait for.
+func (c *Core) link(j *job) {
+	if j.spec != nil && !j.over() {
+		for _, ref := range j.spec.WaitsOn {
+			if at, ok := c.jobIndex[ref]; ok {
+				c.needs(j, c.jobs[at])
+				continue
+			}
+			j.deps.open++
+			c.unseen[ref] = append(c.unseen[ref], j.index)
+		}
+	}
+	for _, at := range c.unseen[j.ref] {
+		child := c.jobs[at]
+		child.deps.open-- // counted while it was not seen
+		c.needs(child, j)
+		if !child.blocked() && !child.over() {
+			c.becomesReady(child, c.now)
+		}
+	}
+	delete(c.unseen, j.ref)
+}
+
+// needs notes that a job waits for another one.
+func (c *Core) needs(j, p *job) {
+	j.deps.needs = append(j.deps.needs, p.index)
+	if p.terminalDurable && p.terminal == wire.Done {
+		return
+	}
+	j.deps.open++
+	p.deps.children = append(p.deps.children, j.index)
+}
+
+// settleLinks draws the conclusions for a job that has been linked: it may be
+// cancelled with an ancestor, ready, or raise those that it waits for.
+func (c *Core) settleLinks(j *job) {
+	for _, at := range j.deps.needs {
+		if p := c.jobs[at]; p.terminalDurable && p.terminal == wire.Aborted {
+			c.abortWith(j, p)
+			return
+		}
+	}
+	c.raise(j)
+	if j.blocked() {
+		c.log.Debug("job waits for others", "job", j.ref, "open", j.deps.open, "first", c.firstOpen(j))
+	}
+}
+
+// firstOpen names a job that another one waits for.
+func (c *Core) firstOpen(j *job) string {
+	for _, ref := range j.spec.WaitsOn {
+		at, ok := c.jobIndex[ref]
+		if !ok {
+			return ref + " (not seen yet)"
+		}
+		if p := c.jobs[at]; !p.terminalDurable {
+			return ref
+		}
+	}
+	return ""
+}
+
+// raise has all that a job needs, directly or through others, be as urgent as the
+// job is: its priority, and in time for its deadline, less what lies between.
+func (c *Core) raise(j *job) {
+	todo := []*job{j}
+	for len(todo) > 0 {
+		j, todo = todo[len(todo)-1], todo[:len(todo)-1]
+		due := j.due
+		if due != never {
+			due -= c.expectedRun(j)
+		}
+		for _, at := range j.deps.needs {
+			p := c.jobs[at]
+			if p.over() || p.spec == nil || p.rank <= j.rank && p.due <= due {
+				continue
+			}
+			p.rank, p.due = min(p.rank, j.rank), min(p.due, due)
+			c.dirty = true
+			todo = append(todo, p)
+		}
+	}
+}
+
+// raiseBy has a job that was seen late be as urgent as those that wait for it.
+func (c *Core) raiseBy(p *job) {
+	for _, at := range p.deps.children {
+		c.raise(c.jobs[at])
+	}
+}
+
+// releaseDependents tells a job's dependents that it is durably over.
+func (c *Core) releaseDependents(p *job) {
+	children := p.deps.children
+	p.deps.children = nil
+	for _, at := range children {
+		j := c.jobs[at]
+		if p.terminal == wire.Aborted {
+			c.abortWith(j, p)
+			continue
+		}
+		if j.deps.open--; j.deps.open == 0 && !j.over() {
+			c.becomesReady(j, c.now)
+		}
+	}
+}
+
+// becomesReady counts a job's waits, and what it asks for, from a moment on.
+func (c *Core) becomesReady(j *job, at time.Duration) {
+	j.arrived = at
+	c.arrived(j)
+	c.dirty = true
+	c.log.Debug("all that a job waits for is done", "job", j.ref, "tasks", j.total)
+}
+
+// abortWith cancels a job since another one that it needs is cancelled.
+func (c *Core) abortWith(j, p *job) {
+	if j.terminalDurable {
+		return
+	}
+	c.log.Debug("job is cancelled with one that it needs", "job", j.ref, "needs", p.ref)
+	if !j.over() {
+		j.terminal = wire.Aborted
+		c.writeTerminal(j, false)
+	}
+	c.terminalIsDurable(j)
+}
+
+// readySince is when the last of a restored job's predecessors was done.
+func (c *Core) readySince(j *job) time.Duration {
+	last := j.arrived
+	for _, at := range j.deps.needs {
+		last = max(last, c.jobs[at].doneAt)
+	}
+	return min(last, c.now)
+}
+
+// restoreLinks builds the graph from what the ledger holds, before anything is
+// started.
+func (c *Core) restoreLinks() {
+	for _, j := range c.jobs {
+		c.link(j)
+	}
+	for _, j := range slices.Clone(c.jobs) {
+		if j.spec == nil || len(j.spec.WaitsOn) == 0 || j.over() {
+			continue
+		}
+		c.settleLinks(j)
+		if !j.over() && !j.blocked() {
+			c.becomesReady(j, c.readySince(j))
+		}
+	}
+}
+
+// waitsFor tells whether a restored or new job has others to wait for.
+func waitsFor(rec *ledger.JobRecord) bool { return rec.Job != nil && len(rec.Job.WaitsOn) > 0 }
--- /dev/null
+++ b/internal/dispatch/graph_test.go
@@ -0,0 +1,273 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
+)
+
+// after is a job of one task that waits for others.
+func after(ref string, others ...string) *wire.Job {
+	j := newTestJob(ref, 1, 1)
+	j.WaitsOn = others
+	return j
+}
+
+// finishTask has a machine report the one task of a job as done.
+func (g *stage) finishTask(machine, ref string) {
+	g.t.Helper()
+	var tasks []wire.TaskReport
+	there := false
+	for _, b := range g.c.machineNamed(machine).bookings {
+		t := taskIn(wire.Order{Task: g.c.taskName(b), Attempt: b.attempt}, wire.TaskRunning, "")
+		if t.Task == ref+"/0" {
+			t.Status, t.Why, there = wire.TaskEnded, wire.WhyDone, true
+		}
+		tasks = append(tasks, t)
+	}
+	g.want(ref+" is on "+machine, there, true)
+	g.echo(machine, tasks...)
+}
+
+// started tells which jobs' tasks have been started since the last look.
+func (g *stage) started() string {
+	var refs []string
+	for _, o := range g.starts() {
+		ref, _, _ := wire.SplitTask(o.Task)
+		refs = append(refs, ref)
+	}
+	g.settle(DirectDone)
+	return strings.Join(refs, " ")
+}
+
+// TestDependents: nothing of a job starts before all that it needs is durably done;
+// until then it is queued and takes nothing of its team's limit.
+func TestDependents(t *testing.T) {
+	t.Run("a diamond", func(t *testing.T) {
+		g := newStage(t, ledger.Snapshot{}, settings.Team{Name: "t", CPUsMax: 2})
+		g.up("vm-1")
+		g.submit(after("job-1"))
+		g.submit(after("job-2", "job-1"))
+		g.submit(after("job-3", "job-1"))
+		g.submit(after("job-4", "job-2", "job-3"))
+		g.want("started at first", g.started(), "job-1")
+		g.want("state of what waits", g.jobStatus("job-4"), wire.Queued)
+		g.want("demand for it", len(g.c.queue()), 0)
+		g.held = true
+		g.finishTask("vm-1", "job-1")
+		g.want("started before the end is durable", g.started(), "")
+		g.release()
+		g.want("started after it", g.started(), "job-2 job-3")
+		g.finishTask("vm-1", "job-2")
+		g.want("started after one of two", g.started(), "")
+		g.finishTask("vm-1", "job-3")
+		g.want("started at last", g.started(), "job-4")
+		g.finishTask("vm-1", "job-4")
+		g.want("state at last", g.jobStatus("job-4"), wire.Done)
+	})
+	t.Run("a predecessor that is done already, and one seen later", func(t *testing.T) {
+		g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-0", Record: ledger.JobRecord{Terminal: wire.Done, Tasks: 1, Done: 1}}}})
+		g.up("vm-1")
+		g.submit(after("job-2", "job-0", "job-1"))
+		g.want("started", g.started(), "")
+		g.submit(after("job-1"))
+		g.want("started", g.started(), "job-1")
+		g.finishTask("vm-1", "job-1")
+		g.want("started", g.started(), "job-2")
+	})
+	t.Run("a predecessor whose end is seen first", func(t *testing.T) {
+		g := newStage(t, ledger.Snapshot{})
+		g.up("vm-1")
+		g.submit(after("job-2", "job-1"))
+		g.submit(after("job-4", "job-3"))
+		g.step(JobSeen{Ref: "job-1", Record: ledger.JobRecord{Terminal: wire.Done, Tasks: 1, Done: 1}, Version: 4})
+		g.step(JobSeen{Ref: "job-3", Record: ledger.JobRecord{Job: after("job-3"), Terminal: wire.Aborted}, Version: 4})
+		g.want("started", g.started(), "job-2")
+		g.want("state of the other", g.jobStatus("job-4"), wire.Aborted)
+	})
+	t.Run("a long chain and a wide fan", func(t *testing.T) {
+		g := newStage(t, ledger.Snapshot{})
+		g.up("vm-1")
+		const n = 3000
+		g.submit(after("job-0"))
+		for i := range n {
+			g.submit(after(fmt.Sprintf("job-1%d", i), "job-0"))
+			before := "job-0"
+			if i > 0 {
+				before = fmt.Sprintf("job-2%d", i-1)
+			}
+			g.submit(after(fmt.Sprintf("job-2%d", i), before))
+		}
+		g.step(CancelAsked{Ref: "job-0", To: "u"})
+		g.want("the last of the fan", g.jobStatus(fmt.Sprintf("job-1%d", n-1)), wire.Aborted)
+		g.want("the last of the chain", g.jobStatus(fmt.Sprintf("job-2%d", n-1)), wire.Aborted)
+		g.want("what the ledger has of it", g.writes[fmt.Sprintf("job/job-2%d", n-1)].Value.(ledger.JobRecord).Terminal, wire.Aborted)
+	})
+}
+
+// TestDependentsOfACancelledJob: they are told as cancelled from the moment in which
+// that of their ancestor is durable, without writes of their own, and stay so.
+func TestDependentsOfACancelledJob(t *testing.T) {
+	open := func(ref string, needs ...string) ledger.SavedJob {
+		return ledger.SavedJob{Ref: ref, Version: 3, Record: ledger.JobRecord{Job: after(ref, needs...), AcceptedMS: 1}}
+	}
+	cancelled := ledger.SavedJob{Ref: "job-1", Version: 3, Record: ledger.JobRecord{Job: after("job-1").Essence(), Terminal: wire.Aborted}}
+	cases := []struct {
+		name  string
+		saved []ledger.SavedJob
+		play  func(g *stage)
+		want  string // the state of job-3, which needs job-2, which needs job-1
+	}{
+		{"before it is durable", nil, func(g *stage) { g.held = true; g.step(CancelAsked{Ref: "job-1", To: "u"}) }, wire.Queued},
+		{"once it is durable", nil, func(g *stage) { g.step(CancelAsked{Ref: "job-1", To: "u"}) }, wire.Aborted},
+		{"the one between", nil, func(g *stage) { g.step(CancelAsked{Ref: "job-2", To: "u"}) }, wire.Aborted},
+		{"the last alone", nil, func(g *stage) { g.step(CancelAsked{Ref: "job-3", To: "u"}) }, wire.Aborted},
+		{"done before", nil, func(g *stage) {
+			g.finishTask("vm-1", "job-1")
+			g.step(CancelAsked{Ref: "job-1", To: "u"})
+		}, wire.Queued},
+		{"the leader ended between its write and theirs", []ledger.SavedJob{open("job-3", "job-2"), open("job-2", "job-1"), cancelled}, nil, wire.Aborted},
+		{"submitted after it", []ledger.SavedJob{cancelled}, func(g *stage) {
+			g.submit(after("job-2", "job-1"))
+			g.submit(after("job-3", "job-2"))
+		}, wire.Aborted},
+		{"a takeover without it", []ledger.SavedJob{open("job-3", "job-2"), open("job-2", "job-1"), open("job-1")}, nil, wire.Queued},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{Jobs: c.saved})
+			g.up("vm-1")
+			if c.saved == nil {
+				g.submit(after("job-1"))
+				g.submit(after("job-2", "job-1"))
+				g.submit(after("job-3", "job-2"))
+				g.settle(DirectDone)
+			}
+			if c.play != nil {
+				c.play(g)
+			}
+			g.want("state of the last", g.jobStatus("job-3"), c.want)
+			g.settle(DirectDone)
+			g.wait(time.Second)
+			for _, o := range g.starts() {
+				if ref, _, _ := wire.SplitTask(o.Task); ref == "job-3" {
+					t.Errorf("%s was started", o.Task)
+				}
+			}
+		})
+	}
+}
+
+// TestUrgencyComesFromTheEnd: a job is as urgent as any that needs it, and in time
+// for its deadline; waits count from when it is ready.
+func TestUrgencyComesFromTheEnd(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.submit(newTestJob("job-7", 1, 1))
+	first := after("job-1")
+	first.Priority = "idle"
+	g.submit(first)
+	g.submit(after("job-2", "job-1"))
+	of := func(ref string) *job { return g.c.jobs[g.c.jobIndex[ref]] }
+	g.want("without an end", of("job-1").rank > of("job-2").rank, false)
+	g.want("its deadline", of("job-1").due, never)
+	last := after("job-3", "job-2")
+	last.Priority = "critical"
+	due := 100.0
+	last.DeadlineS = &due
+	g.submit(last)
+	for _, ref := range []string{"job-1", "job-2", "job-3"} {
+		g.want("rank of "+ref, of(ref).rank, 0)
+	}
+	g.want("due of the last", of("job-3").due, 100*time.Second)
+	g.want("due of the one before", of("job-2").due, 90*time.Second)
+	g.want("due of the first", of("job-1").due, 80*time.Second)
+	g.want("first in the queue", g.c.queue()[0].ref, "job-1")
+	g.want("rank of another job", of("job-7").rank, 2)
+	g.now += 3 * time.Minute
+	g.up("vm-1")
+	g.settle(DirectDone)
+	g.finishTask("vm-1", "job-1")
+	g.want("when the second became ready", of("job-2").arrived, g.now)
+}
+
+// TestSmallValues: when the state service takes small values only, finished tasks,
+// hosts and notes are written in pieces, also what is rejected, and a new leader
+// reads them all.
+func TestSmallValues(t *testing.T) {
+	const limit, tasks, machines = 1024, 600, 150
+	g := newStage(t, ledger.Snapshot{})
+	for i := range machines {
+		g.up(fmt.Sprintf("vm-%06d", i))
+	}
+	g.submit(newTestJob("job-1", tasks, 1))
+	g.settle(DirectDone)
+	hosts := g.writes["host/job-1/0"]
+	g.want("hosts in one key at first", len(hosts.Value.([]string)), machines)
+	g.step(Formats{ValueBytes: limit})
+	// The write was not carried out: everything of it goes in pieces.
+	j := g.c.jobs[0]
+	for i := range j.hosts {
+		j.hosts[i].durable = false
+	}
+	clear(g.writes)
+	g.step(Rejected{Tags: []any{hosts.Tag}})
+	for i := 0; i < machines; i++ {
+		name := fmt.Sprintf("vm-%06d", i)
+		var reports []wire.TaskReport
+		for _, b := range g.c.machineNamed(name).bookings {
+			status, why := wire.TaskRunning, ""
+			if b.task%2 == 0 {
+				status, why = wire.TaskEnded, wire.WhyDone
+			}
+			reports = append(reports, taskIn(wire.Order{Task: g.c.taskName(b), Attempt: b.attempt}, status, why))
+		}
+		g.echo(name, reports...)
+	}
+	saved := ledger.SavedJob{Ref: "job-1", Record: ledger.JobRecord{Job: j.spec}}
+	found := map[string]bool{}
+	for key, w := range g.writes {
+		switch v := w.Value.(type) {
+		case []string:
+			var chunk int
+			if _, err := fmt.Sscanf(key, "host/job-1/%d", &chunk); err != nil {
+				t.Fatal(err)
+			}
+			size := 2
+			for _, name := range v {
+				size += len(name) + 3
+				found[name] = true
+			}
+			if size > limit {
+				t.Errorf("%s takes %d bytes", key, size)
+			}
+			saved.Hosts = append(saved.Hosts, ledger.SavedHosts{Key: key, Chunk: chunk, Machines: v})
+		case ledger.Ranges:
+			if v.Size() > limit {
+				t.Errorf("%s takes %d bytes", key, v.Size())
+			}
+			saved.Finished = append(saved.Finished, ledger.SavedRanges{Key: key, Ranges: v})
+		}
+	}
+	g.want("hosts in all pieces", len(found), machines)
+	n := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{saved}})
+	g.want("done for a new leader", n.c.jobs[0].done, tasks/2)
+	g.want("its hosts", len(n.c.jobs[0].hosts), machines)
+	// All of it is deleted with the job.
+	n.step(CancelAsked{Ref: "job-1", To: "u"})
+	n.wait(40 * time.Second)
+	for _, h := range saved.Hosts {
+		if w, ok := n.writes[h.Key]; !ok || w.Value != nil {
+			t.Errorf("%s is not deleted", h.Key)
+		}
+	}
+	for _, f := range saved.Finished {
+		if w, ok := n.writes[f.Key]; !ok || w.Value != nil {
+			t.Errorf("%s is not deleted", f.Key)
+		}
+	}
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -554,18 +554,38 @@
 // writeHosts writes the chunks in which a job has new hosts.
 func (c *Core) writeHosts(j *job) {
 	for from := j.hostsPut; from < len(j.hosts); {
-		first := from / ledger.ChunkHosts * ledger.ChunkHosts
-		to := min(first+ledger.ChunkHosts, len(j.hosts))
-		names := make([]string, 0, to-first)
-		for _, h := range j.hosts[first:to] {
-			names = append(names, c.machines[h.machine].name)
+		chunk := len(j.hostChunks) - 1
+		var to int
+		if chunk >= 0 {
+			to = c.chunkEnd(j, j.hostChunks[chunk])
 		}
-		c.put(ledger.Write{Key: ledger.HostKey(j.ref, first), Value: names, Urgent: true, Tag: hostTag{j.index, from, to}})
+		if to <= from {
+			// There is none, or the last one is full.
+			j.hostChunks = append(j.hostChunks, from)
+			chunk++
+			to = c.chunkEnd(j, from)
+		}
+		c.put(ledger.Write{Key: ledger.HostKey(j.ref, chunk), Value: c.hostNames(j, j.hostChunks[chunk], to), Urgent: true, Tag: hostTag{j.index, from, to}})
 		from = to
 	}
 	j.hostsPut = len(j.hosts)
 }
 
+// chunkEnd is where the chunk of a job's hosts that begins with one of them ends, at
+// the latest.
+func (c *Core) chunkEnd(j *job, first int) int {
+	names := c.hostNames(j, first, min(first+ledger.ChunkHosts, len(j.hosts)))
+	return first + ledger.NamesFit(names, c.cfg.ValueBytes)
+}
+
+func (c *Core) hostNames(j *job, from, to int) []string {
+	names := make([]string, 0, to-from)
+	for _, h := range j.hosts[from:to] {
+		names = append(names, c.machines[h.machine].name)
+	}
+	return names
+}
+
 // writeDone writes the chunks in which a job has tasks that have ended since they
 // were last written. Of a job that is over, its record tells all.
 func (c *Core) writeDone(j *job) {
@@ -577,11 +597,45 @@
 	slices.Sort(ended)
 	for len(ended) > 0 {
 		chunk := int(ended[0]) / ledger.ChunkTasks
-		first := chunk * ledger.ChunkTasks
-		size := min(ledger.ChunkTasks, j.total-first)
-		n, _ := slices.BinarySearch(ended, int32(first+size))
-		ranges := ledger.EncodeRanges(func(i int) bool { return j.tasks[first+i].state >= taskDone }, size)
-		c.put(ledger.Write{Key: ledger.FinKey(j.ref, chunk), Value: ranges, Tag: finTag{j.index, ended[:n]}})
+		n, _ := slices.BinarySearch(ended, int32((chunk+1)*ledger.ChunkTasks))
+		c.writeChunk(j, chunk, ended[:n])
+		ended = ended[n:]
+	}
+}
+
+// writeChunk writes the finished tasks of one chunk, some of which are new.
+func (c *Core) writeChunk(j *job, chunk int, ended []int32) {
+	first := chunk * ledger.ChunkTasks
+	size := min(ledger.ChunkTasks, j.total-first)
+	done := func(i int) bool { return j.tasks[first+i].state >= taskDone }
+	ranges := ledger.EncodeRanges(done, size)
+	if ranges.Size() <= c.cfg.ValueBytes {
+		key := ledger.FinKey(j.ref, chunk)
+		j.fin(key)
+		c.put(ledger.Write{Key: key, Value: ranges, Tag: finTag{j.index, ended}})
+		return
+	}
+	// It has to be written in parts; all of them the first time, since the chunk's
+	// own key may not hold what has ended since it was last written.
+	all := !j.inParts[chunk]
+	if j.inParts == nil {
+		j.inParts = map[int]bool{}
+	}
+	j.inParts[chunk] = true
+	part := ledger.PartTasks(c.cfg.ValueBytes)
+	for from := 0; from < size; from += part {
+		to := min(from+part, size)
+		n, _ := slices.BinarySearch(ended, int32(first+to))
+		ranges := ledger.EncodeRanges(func(i int) bool { return i >= from && done(i) }, to)
+		if len(ranges) > 0 && (all || n > 0) {
+			key := ledger.FinPartKey(j.ref, chunk, from)
+			j.fin(key)
+			w := ledger.Write{Key: key, Value: ranges}
+			if n > 0 {
+				w.Tag = finTag{j.index, ended[:n]}
+			}
+			c.put(w)
+		}
 		ended = ended[n:]
 	}
 }
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -146,7 +146,7 @@
 }
 
 func TestUnheardHostAfterATakeoverIsDeleted(t *testing.T) {
-	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}})
+	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: savedHosts("vm-1")}}})
 	g.wait(13 * time.Second)
 	g.want("asked to delete", g.deleted, []string{"vm-1"})
 }
@@ -238,7 +238,7 @@
 			g.want("state", g.c.machines[0].state, machineGone)
 		}},
 		{"from before a takeover: it ends no doubt and books nothing", func(g *stage) {
-			saved := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}}
+			saved := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: savedHosts("vm-1")}}}
 			g2 := newStage(t, saved)
 			g2.up("vm-9")
 			old := wire.Order{Task: "job-1/0", Attempt: 6<<tokenBits | 1}
@@ -405,7 +405,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}})
+			g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: savedHosts("vm-1")}}})
 			g.now += time.Second
 			g.step(CloudBack{fleet.Result{Call: fleet.Call{List: true}, List: []wire.ListedMachine{
 				{Name: "vm-1", Address: "10.1.0.1:9000", Type: "m4", Zone: "a", Spot: true, Status: wire.MachineUp, AgeS: 90},
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -53,7 +52,7 @@
 // mayAwaitImage tells whether a job has time to let others go first: more than
 // fetching its image would take, or none at all any more.
 func (c *Core) mayAwaitImage(j *job) bool {
-	if j.due == math.MaxInt64 {
+	if j.due == never {
 		return true
 	}
 	slack := j.due - c.now - c.expectedRun(j)
@@ -78,7 +77,7 @@
 	var queue []*job
 	demand := make([]units, len(c.teams))
 	for _, j := range c.active {
-		if !j.over() {
+		if !j.over() && !j.blocked() {
 			demand[j.team] = demand[j.team].plus(unitsOf(j.size).times(j.total - j.done))
 		}
 		if j.placeable(c.now) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -36,6 +36,9 @@
 	log      *slog.Logger
 	started  time.Time
 	workers  *callers
+	// Upgraded tells whether all nodes run a version that knows what this one
+	// writes; nil: no.
+	Upgraded func() bool
 	// machines is how many should be reporting to this leader; unanswered is how
 	// many direct commands in a row no worker has answered.
 	machines   atomic.Int64
@@ -239,9 +242,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f := d.platform.Facts
-	writes := f.State.WriteRPS * leaderShare(f.Nodes)
-	limits := ledger.Limits{Ops: min(f.State.TxnOps, int(writes)), Bytes: 48 << 10, Ordinary: writes / 4}
-	book := ledger.New(term, d.store, limits, d.log)
+	bounds := func() ledger.Limits {
+		now := d.store.Limits()
+		writes := now.WriteRPS * leaderShare(f.Nodes)
+		return ledger.Limits{Ops: max(2, min(now.Ops, int(writes))), Bytes: 48 << 10, Value: now.ValueBytes, Ordinary: writes / 4}
+	}
+	book := ledger.New(term, d.store, bounds, d.log)
 	var snapshot ledger.Snapshot
 	for {
 		var err error
@@ -266,7 +272,8 @@
 	go d.watchJobs(ctx, snapshot.Revision)
 
 	now, wall := d.clocks()
-	core := NewCore(Config{Term: term, Platform: d.platform, Operator: d.operator}, snapshot, now, wall, d.log)
+	size := d.valueBytes()
+	core := NewCore(Config{Term: term, Platform: d.platform, Operator: d.operator, ValueBytes: size}, snapshot, now, wall, d.log)
 	d.carryOut(ctx, term, core.TakeStart(), book, cloud)
 	defer d.machines.Store(0)
 	tick := time.NewTicker(250 * time.Millisecond)
@@ -282,6 +289,11 @@
 		// along: under load many events share one placement, and one answer
 		// carries all that follows from them.
 		var enough <-chan time.Time
+		if s := d.valueBytes(); s != size {
+			size = s
+			now, wall := d.clocks()
+			core.Step(Formats{ValueBytes: size}, now, wall)
+		}
 		for n := 1; ok; n++ {
 			if _, tick := event.(Tick); !tick || d.elector.InTerm(term) {
 				// Suspended, another leader may have begun. What time alone would
@@ -307,6 +319,18 @@
 	}
 }
 
+// valueBytes is how many bytes a value of the ledger may have. What an older version
+// can't read, such as finished tasks in parts, is written only if the value has no
+// place otherwise, or if no node of that version can be up any more; then there is
+// nothing to be rewritten when the limits fall.
+func (d *Desk) valueBytes() int {
+	size := d.store.Limits().ValueBytes
+	if next := d.platform.Facts.State.Next; next != nil && d.Upgraded != nil && d.Upgraded() {
+		size = min(size, int(next.ValueKB*1024))
+	}
+	return size
+}
+
 // mostAtOnce bounds the events that share a placement.
 const mostAtOnce = 256
 
@@ -349,6 +373,8 @@
 		return a.event, true
 	case tags := <-book.Durable:
 		return NowDurable{tags}, true
+	case tags := <-book.Rejected:
+		return Rejected{tags}, true
 	case r := <-cloud.Results:
 		return CloudBack{r}, true
 	case e := <-d.inner:
@@ -379,6 +405,8 @@
 		return a.event, true
 	case tags := <-book.Durable:
 		return NowDurable{tags}, true
+	case tags := <-book.Rejected:
+		return Rejected{tags}, true
 	case r := <-cloud.Results:
 		return CloudBack{r}, true
 	case e := <-d.inner:
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -43,12 +43,19 @@
 		}
 	}
 	for len(silent) > 0 {
-		n := min(len(silent), ledger.ChunkHosts)
+		names := make([]string, min(len(silent), ledger.ChunkHosts))
+		for i := range names {
+			names[i] = silent[i].name
+		}
+		n := ledger.NamesFit(names, c.cfg.ValueBytes-noteFrame)
 		c.writeNote(silent[:n])
 		silent = silent[n:]
 	}
 }
 
+// noteFrame is what a note takes besides the machines' names.
+const noteFrame = 64
+
 func (c *Core) writeNote(machines []*machine) {
 	n := &note{key: c.noteKey(), machines: machines}
 	c.notes = append(c.notes, n)
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -78,7 +78,7 @@
 func TestANewLeaderBelievesTheNotes(t *testing.T) {
 	key := ledger.SilentKey("6-1")
 	saved := func(over time.Duration, machines ...string) ledger.Snapshot {
-		s := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: []string{"vm-1"}}}}
+		s := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: savedHosts("vm-1")}}}
 		if machines != nil {
 			s.Silent = map[string]ledger.SilentRecord{key: {OverMS: over.Milliseconds(), Machines: machines}}
 		}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -21,6 +21,8 @@
 	Term     uint64
 	Platform *settings.Platform
 	Operator settings.Operator
+	// ValueBytes is how many bytes a value may have.
+	ValueBytes int
 }
 
 // tokenBits is the room that a token and an attempt leave for the counter
@@ -66,6 +68,11 @@
 		Machine string
 		Report  *wire.Report // nil: no answer
 	}
+	// Formats tells how many bytes a value may have from now on.
+	Formats struct{ ValueBytes int }
+	// Rejected tells tags of writes that were not carried out, since their values
+	// are larger than the state service takes any more.
+	Rejected struct{ Tags []any }
 	// Tick comes a few times a second.
 	Tick struct{}
 )
@@ -141,14 +148,18 @@
 	version uint64
 	accept  int64 // acceptedMS of the record
 	arrived time.Duration
-	due     time.Duration // math.MaxInt64 without a deadline
-	rank    int
-	size    slowfit.Size
-	team    int32
-	class   int32
-	image   int32
-	zone    int32 // -1: any
-	types   []int32
+	// due and rank are its own, or those of a job that needs it where that is more
+	// urgent.
+	due    time.Duration // never without a deadline
+	rank   int
+	doneAt time.Duration // for one that was done when this term began
+	deps   dependencies
+	size   slowfit.Size
+	team   int32
+	class  int32
+	image  int32
+	zone   int32 // -1: any
+	types  []int32
 
 	tasks   []task
 	waiting []int32 // indices of waiting tasks, the last one goes first
@@ -165,6 +176,11 @@
 	hosts    []host
 	hostAt   map[int32]int
 	hostsPut int // how many of them have been written, or are being
+	// hostChunks are the first hosts of the keys that hold them. finKeys are the
+	// keys of finished tasks, inParts the chunks that are written in parts.
+	hostChunks []int
+	finKeys    map[string]bool
+	inParts    map[int]bool
 	// ended are tasks that have ended and are not written down yet.
 	ended     []int32
 	unwritten bool
@@ -190,13 +206,16 @@
 
 // placeable tells whether waiting tasks may be started now.
 func (j *job) placeable(now time.Duration) bool {
-	return !j.over() && len(j.waiting) > 0 && len(j.unclear) == 0 && now >= j.notBefore
+	return !j.over() && !j.blocked() && len(j.waiting) > 0 && len(j.unclear) == 0 && now >= j.notBefore
 }
 
+// never is the deadline of a job without one.
+const never = time.Duration(math.MaxInt64)
+
 // slack is the time left until the deadline beyond the estimated run.
 func (j *job) slack(now time.Duration) time.Duration {
-	if j.due == math.MaxInt64 {
-		return math.MaxInt64
+	if j.due == never {
+		return never
 	}
 	return j.due - now - settings.Seconds(j.spec.EstimateS)
 }
--- a/internal/intake/groupcommit.go
+++ b/internal/intake/groupcommit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 type Store interface {
 	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, uint64, error)
 	Txn(ctx context.Context, p state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error)
+	Limits() state.Limits
 }
 
 // accept is one job that wants its record created.
@@ -37,8 +39,8 @@
 // transaction.
 type groupCommit struct {
 	store  Store
-	ops    int
-	bytes  int // most bytes of one record
+	share  float64 // of the state service's writes
+	bytes  int     // most bytes of one record
 	wishes chan *accept
 	// waiting is how many wait for their records.
 	waiting atomic.Int64
@@ -54,8 +56,14 @@
 // maxBytes keeps a transaction below the service's 64 KiB.
 const maxBytes = 48 << 10
 
-func newGroupCommit(store Store, ops, bytes int) *groupCommit {
-	return &groupCommit{store: store, ops: ops, bytes: bytes, wishes: make(chan *accept, 256)}
+func newGroupCommit(store Store, share float64, bytes int) *groupCommit {
+	return &groupCommit{store: store, share: share, bytes: bytes, wishes: make(chan *accept, 256)}
+}
+
+// ops is how many records go into one transaction.
+func (c *groupCommit) ops() int {
+	l := c.store.Limits()
+	return max(1, min(l.Ops, int(l.WriteRPS*c.share)))
 }
 
 var (
@@ -99,7 +107,7 @@
 			return
 		}
 	gather:
-		for len(batch) < c.ops && size < maxBytes-(4<<10) {
+		for ops := c.ops(); len(batch) < ops && size < maxBytes-(4<<10); {
 			select {
 			case a := <-c.wishes:
 				batch = append(batch, a)
@@ -137,6 +145,12 @@
 			txn.Then = append(txn.Then, wire.Change{Set: a.key, Value: a.value})
 		}
 		ok, answer, err := c.store.Txn(ctx, state.Accept, txn)
+		if ops := c.ops(); errors.Is(err, state.ErrLimits) && len(batch) > ops {
+			for part := range slices.Chunk(batch, ops) {
+				c.commit(ctx, part)
+			}
+			return
+		}
 		if errors.Is(err, state.ErrUnknown) && ctx.Err() == nil {
 			// Creating is safe to repeat: what was carried out is then known.
 			continue
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -67,8 +67,10 @@
 	desk    Desk
 	peers   Peers
 	types   Types
-	commits *groupCommit
-	log     *slog.Logger
+	// Upgraded tells whether all nodes know jobs that wait for others.
+	Upgraded func() bool
+	commits  *groupCommit
+	log      *slog.Logger
 	// Healthy tells whether this node can serve users at all; nil: always.
 	Healthy func() bool
 }
@@ -76,11 +78,16 @@
 // New makes the service and starts its group commit, which runs until ctx ends.
 func New(ctx context.Context, p *settings.Platform, e *election.Elector, store Store, desk Desk, peers Peers, types Types, share float64, log *slog.Logger) *Service {
 	s := &Service{node: p.Node, teams: map[string]settings.Team{}, elector: e, store: store, desk: desk,
-		peers: peers, types: types, log: log}
+		peers: peers, types: types, log: log, Upgraded: func() bool { return false }}
 	for _, t := range p.Facts.Teams {
 		s.teams[t.Name] = t
 	}
-	s.commits = newGroupCommit(store, max(1, min(p.Facts.State.TxnOps, int(p.Facts.State.WriteRPS*share))), int(p.Facts.State.ValueKB*1024))
+	// What is accepted now has to fit when the limits have fallen.
+	value := p.Facts.State.ValueKB
+	if next := p.Facts.State.Next; next != nil {
+		value = min(value, next.ValueKB)
+	}
+	s.commits = newGroupCommit(store, share, int(value*1024))
 	go s.commits.run(ctx)
 	return s
 }
@@ -130,22 +137,24 @@
 	if ref == "" {
 		return problem(http.StatusBadRequest, "%s", err)
 	}
-	refusal := Answer{}
+	// undecided: another node may know more of the jobs that it waits for.
+	refusal, cancelled, undecided := Answer{}, false, false
 	if err != nil {
 		refusal = problem(http.StatusBadRequest, "%s", err)
 	} else {
-		refusal = s.judge(job)
+		if refusal = s.judge(job); refusal.Status == 0 {
+			refusal, cancelled = s.judgeAncestors(ctx, job, local)
+			undecided = refusal.Status == http.StatusServiceUnavailable && s.Upgraded()
+		}
 	}
 	if refusal.Status != 0 {
 		// A job accepted before stays accepted, whatever we would say now.
 		rec, found, err := s.record(ctx, ref)
 		switch {
-		case err != nil && refusal.Status == http.StatusServiceUnavailable:
-			return refusal
-		case err != nil:
-			return s.elsewhere(ctx, Submit, ref, body, local, noState)
-		case found:
+		case err == nil && found:
 			return s.known(ctx, ref, rec, local)
+		case undecided, err != nil && refusal.Status != http.StatusServiceUnavailable:
+			return s.elsewhere(ctx, Submit, ref, body, local, noState)
 		}
 		return refusal
 	}
@@ -183,6 +192,10 @@
 	}
 	s.log.Debug("submission recorded", "job", ref, "class", job.Class, "tasks", job.Tasks)
 	s.desk.Tell(dispatch.JobSeen{Ref: ref, Record: rec, Version: a.version})
+	if cancelled {
+		// From its first moment on: that follows from what is durable.
+		return JSON(http.StatusCreated, wire.Accepted{Ref: ref, Status: wire.Aborted})
+	}
 	return JSON(http.StatusCreated, wire.Accepted{Ref: ref, Status: wire.Queued})
 }
 
@@ -203,12 +216,23 @@
 func (s *Service) known(ctx context.Context, ref string, rec ledger.JobRecord, local bool) Answer {
 	status := rec.Terminal
 	if status == "" {
-		status = wire.Queued
 		if st, ok := s.fromLeader(ctx, ref, local); ok {
-			status = st.Status
+			return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
+		}
+		var err error
+		if status, err = s.ended(ctx, &rec); err != nil {
+			return noState
 		}
 	}
-	return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: status})
+	return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: orQueued(status)})
+}
+
+// orQueued is the state of a job of which the record alone tells.
+func orQueued(terminal string) string {
+	if terminal == "" {
+		return wire.Queued
+	}
+	return terminal
 }
 
 // judge tells why a job can never run, or that this can't be told yet. A zero
@@ -302,11 +326,11 @@
 	case !found:
 		return problem(http.StatusNotFound, "there is no such job")
 	}
-	st := wire.JobStatus{Ref: ref, Status: rec.Terminal, Done: rec.Done}
-	if rec.Terminal == "" {
-		st.Status = wire.Queued
+	status, err := s.ended(ctx, &rec)
+	if err != nil {
+		return s.elsewhere(ctx, Status, ref, nil, local, noState)
 	}
-	return JSON(http.StatusOK, st)
+	return JSON(http.StatusOK, wire.JobStatus{Ref: ref, Status: orQueued(status), Done: rec.Done})
 }
 
 // --- cancellations ---
@@ -325,11 +349,14 @@
 			}
 		}
 		// Without a leader, what is over already can still be told.
-		if rec, found, err := s.record(ctx, ref); err == nil && (!found || rec.Terminal != "") {
-			if !found {
-				return problem(http.StatusNotFound, "there is no such job")
+		rec, found, err := s.record(ctx, ref)
+		if err == nil && !found {
+			return problem(http.StatusNotFound, "there is no such job")
+		}
+		if err == nil {
+			if status, err := s.ended(ctx, &rec); err == nil && status != "" {
+				return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: status})
 			}
-			return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: rec.Terminal})
 		}
 		return later(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -40,6 +41,10 @@
 	return wire.Entry{Key: key, Value: value, Version: 3}, ok, 3, err
 }
 
+func (f *fakeStore) Limits() state.Limits {
+	return state.Limits{Ops: 8, ValueBytes: 16 << 10, WriteRPS: 40}
+}
+
 func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
 	if f.down {
 		return false, wire.TxnAnswer{}, state.ErrRefused
@@ -98,6 +103,7 @@
 	cases := []struct {
 		name, method, path, body string
 		down, untyped, busy      bool
+		mixed                    bool // another version may be up
 		peer                     *Answer
 		status                   int
 		says                     string
@@ -109,6 +115,19 @@
 		{name: "an accepted job, broken since", method: "POST", path: "/v2/runs", body: body(old, `"job-7"`, `"high"`, `"soon"`), status: 200, says: "done"},
 		// Under a storm an accepted job's repetitions found no room among the writes,
 		// and its user never heard that it was accepted.
+		{name: "a job that waits for others", method: "POST", path: "/v2/runs", body: body(`"due_s":null`, `"due_s":null,"waits_on":["job-7","job-8"]`), status: 201, says: "queued"},
+		{name: "it waits for a cancelled one", method: "POST", path: "/v2/runs", body: body(`"due_s":null`, `"due_s":null,"waits_on":["job-7","job-6"]`), status: 201, says: "aborted"},
+		{name: "through another one", method: "POST", path: "/v2/runs", body: body(`"due_s":null`, `"due_s":null,"waits_on":["job-5"]`), status: 201, says: "aborted"},
+		{name: "it waits for what nobody submitted", method: "POST", path: "/v2/runs", body: body(`"due_s":null`, `"due_s":null,"waits_on":["job-7","job-99"]`), status: 422, says: "job-99"},
+		{name: "it waits for itself", method: "POST", path: "/v2/runs", body: body(`"due_s":null`, `"due_s":null,"waits_on":["job-1"]`), status: 422, says: "itself"},
+		{name: "a repetition that names what nobody submitted", method: "POST", path: "/v2/runs", body: body(old, `"job-7"`, `"due_s":null`, `"due_s":null,"waits_on":["job-99"]`), status: 200, says: "done"},
+		{name: "it can't be told whom it waits for", method: "POST", path: "/v2/runs", body: body(`"due_s":null`, `"due_s":null,"waits_on":["job-7"]`), down: true, status: 503, retry: true},
+		{name: "it can be told elsewhere", method: "POST", path: "/v2/runs", body: body(`"due_s":null`, `"due_s":null,"waits_on":["job-7"]`), down: true, peer: &elsewhere, status: 201, says: "queued"},
+		{name: "not all nodes would have it wait", method: "POST", path: "/v2/runs", body: body(`"due_s":null`, `"due_s":null,"waits_on":["job-7"]`), mixed: true, peer: &elsewhere, status: 503, says: "upgraded", retry: true},
+		{name: "a job whose ancestor is cancelled", method: "GET", path: "/v2/runs/job-5", status: 200, says: "aborted"},
+		{name: "its repetition", method: "POST", path: "/v2/runs", body: body(old, `"job-5"`), status: 200, says: "aborted"},
+		{name: "cancelling it", method: "POST", path: "/v2/runs/job-5/cancel", status: 200, says: "aborted"},
+		{name: "a job whose ancestors are more than are read", method: "GET", path: "/v2/runs/job-4", status: 503, retry: true},
 		{name: "a repetition while nothing can be written", method: "POST", path: "/v2/runs", body: body(old, `"job-8"`), busy: true, status: 200, says: "queued"},
 		{name: "a new job while nothing can be written", method: "POST", path: "/v2/runs", body: body(), busy: true, status: 429, says: "more submissions", retry: true},
 		{name: "not JSON", method: "POST", path: "/v2/runs", body: "{", status: 400, says: "object"},
@@ -138,7 +157,18 @@
 		t.Run(c.name, func(t *testing.T) {
 			log := slog.New(slog.NewTextHandler(io.Discard, nil))
 			store := &fakeStore{down: c.down, busy: c.busy, records: map[string]ledger.JobRecord{
-				"job/job-7": {Terminal: wire.Done, Tasks: 2, Done: 2}, "job/job-8": {Job: &wire.Job{Ref: "job-8", Tasks: 1}}}}
+				"job/job-7": {Terminal: wire.Done, Tasks: 2, Done: 2}, "job/job-8": {Job: &wire.Job{Ref: "job-8", Tasks: 1}},
+				"job/job-6":  {Terminal: wire.Aborted, Job: &wire.Job{Ref: "job-6", Tasks: 1}},
+				"job/job-5":  {Job: &wire.Job{Ref: "job-5", Tasks: 1, WaitsOn: []string{"job-7", "job-51"}}},
+				"job/job-51": {Job: &wire.Job{Ref: "job-51", Tasks: 1, WaitsOn: []string{"job-6"}}},
+				"job/job-4":  {Job: &wire.Job{Ref: "job-4", Tasks: 1}}}}
+			many := []string{}
+			for i := range mostAncestors + 1 {
+				ref := fmt.Sprintf("job-4%d", i)
+				many = append(many, ref)
+				store.records["job/"+ref] = ledger.JobRecord{Job: &wire.Job{Ref: ref, Tasks: 1}}
+			}
+			store.records["job/job-4"].Job.WaitsOn = many
 			p := &settings.Platform{Node: "n1", Facts: settings.Facts{Teams: []settings.Team{{Name: "t", CPUsMax: 6}},
 				State: settings.StateLimits{WriteRPS: 40, TxnOps: 8, ValueKB: 16}}}
 			types := func() ([]wire.MachineType, bool) {
@@ -146,6 +176,7 @@
 			}
 			e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, log)
 			s := New(t.Context(), p, e, store, fakeDesk{}, &fakePeers{c.peer}, types, 0.5, log)
+			s.Upgraded = func() bool { return !c.mixed }
 			router := httprouter.New()
 			s.Routes(router)
 			w := httptest.NewRecorder()
--- /dev/null
+++ b/internal/intake/pipeline.go
@@ -0,0 +1,103 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/wire"
+)
+
+// mostAncestors bounds how many records are read to tell the state of a job that
+// waits for others, where the leader can't be asked.
+const mostAncestors = 64
+
+// errAncestors: whether a job is cancelled with one that it needs can't be told.
+var errAncestors = errors.New("too many jobs to look at")
+
+// notUpgraded tells a user to come again when all nodes know jobs that wait for
+// others: one that does not would start them at once.
+var notUpgraded = later(http.StatusServiceUnavailable, 3, "not all controllers are known to have been upgraded to jobs that wait for others")
+
+// judgeAncestors refuses a job that names one that was never accepted, or of which
+// that can't be told at the moment; a zero answer is no refusal. It also tells whether
+// one that it needs is cancelled, and the job with it as soon as it is accepted.
+func (s *Service) judgeAncestors(ctx context.Context, j *wire.Job, local bool) (refusal Answer, cancelled bool) {
+	if len(j.WaitsOn) == 0 {
+		return Answer{}, false
+	}
+	if !s.Upgraded() {
+		return notUpgraded, false
+	}
+	if slices.Contains(j.WaitsOn, j.Ref) {
+		return problem(http.StatusUnprocessableEntity, "waits_on names the job itself"), false
+	}
+	type look struct {
+		ref    string
+		found  bool
+		status string
+		err    error
+	}
+	looks := make(chan look, len(j.WaitsOn))
+	for _, ref := range j.WaitsOn {
+		go func() {
+			if st, ok := s.fromLeader(ctx, ref, local); ok {
+				looks <- look{ref, true, st.Status, nil}
+				return
+			}
+			rec, found, err := s.record(ctx, ref)
+			status := ""
+			if err == nil && found {
+				status, err = s.ended(ctx, &rec)
+			}
+			looks <- look{ref, found, status, err}
+		}()
+	}
+	for range j.WaitsOn {
+		l := <-looks
+		switch {
+		case l.err != nil:
+			// Another one may be unknown for certain, but the user comes again.
+			refusal = noState
+		case !l.found && refusal.Status == 0:
+			refusal = problem(http.StatusUnprocessableEntity, "waits_on names %s, which was never accepted", l.ref)
+		}
+		cancelled = cancelled || l.status == wire.Aborted
+	}
+	return refusal, cancelled
+}
+
+// ended is the terminal state of a job as its record and those of its ancestors tell
+// it: an open job is cancelled when one that it needs, directly or through others, is.
+// "" means open.
+func (s *Service) ended(ctx context.Context, rec *ledger.JobRecord) (string, error) {
+	if rec.Terminal != "" || rec.Job == nil {
+		return rec.Terminal, nil
+	}
+	seen := map[string]bool{}
+	todo := slices.Clone(rec.Job.WaitsOn)
+	for len(todo) > 0 {
+		ref := todo[0]
+		todo = todo[1:]
+		if seen[ref] {
+			continue
+		}
+		if len(seen) >= mostAncestors {
+			return "", errAncestors
+		}
+		seen[ref] = true
+		p, found, err := s.record(ctx, ref)
+		switch {
+		case err != nil:
+			return "", err
+		case !found || p.Terminal == wire.Done:
+		case p.Terminal == wire.Aborted:
+			return wire.Aborted, nil
+		case p.Job != nil:
+			todo = append(todo, p.Job.WaitsOn...)
+		}
+	}
+	return "", nil
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -48,18 +48,26 @@
 type Ledger struct {
 	term   uint64
 	store  Store
-	limits Limits
+	bounds func() Limits // those that hold at the moment
+	limits Limits        // as last asked for
 	log    *slog.Logger
 	wishes chan []Write
+	// retries brings back what the service has rejected.
+	retries chan outcome
 	// Durable tells the tags of writes that are now durable.
 	Durable chan []any
+	// Rejected tells the tags of writes whose values are larger than the service
+	// takes any more. They are not carried out, nor tried again.
+	Rejected chan []any
 
 	versions map[string]uint64
 	pending  map[string]*pendingWrite
 	urgent   []string
 	ordinary []string
-	doubt    bool    // a transaction's outcome is unknown: the fence is to be moved
-	allowed  float64 // ordinary writes that may go now
+	resting  map[string]*pendingWrite // what the service rejects even so
+	singly   map[string]bool          // keys that the service rejected: each goes by itself
+	doubt    bool                     // a transaction's outcome is unknown: the fence is to be moved
+	allowed  float64                  // ordinary writes that may go now
 	refilled time.Time
 }
 
@@ -67,6 +75,7 @@
 type Limits struct {
 	Ops   int
 	Bytes int
+	Value int // most bytes of one value
 	// Ordinary is how many ordinary writes a second there may be; 0: as many
 	// as go. Under load there is always another finished task to write down,
 	// and together they would leave nothing of the service's rate for urgent
@@ -84,12 +93,12 @@
 	urgent bool
 }
 
-// New makes the ledger of a term; Load, then Run.
-func New(term uint64, store Store, limits Limits, log *slog.Logger) *Ledger {
+// New makes the ledger of a term, within bounds that may change; Load, then Run.
+func New(term uint64, store Store, bounds func() Limits, log *slog.Logger) *Ledger {
 	return &Ledger{
-		term: term, store: store, limits: limits, log: log,
-		wishes: make(chan []Write, 64), Durable: make(chan []any, 64),
-		versions: map[string]uint64{}, pending: map[string]*pendingWrite{},
+		term: term, store: store, bounds: bounds, limits: bounds(), log: log,
+		wishes: make(chan []Write, 64), retries: make(chan outcome), Durable: make(chan []any, 64), Rejected: make(chan []any, 64),
+		versions: map[string]uint64{}, pending: map[string]*pendingWrite{}, singly: map[string]bool{}, resting: map[string]*pendingWrite{},
 	}
 }
 
@@ -152,10 +161,11 @@
 func (l *Ledger) Run(ctx context.Context) error {
 	results := make(chan outcome, 1)
 	flying := false
-	var told []any
+	var told, refused []any
 	later := time.NewTimer(time.Hour)
 	defer later.Stop()
 	for {
+		l.limits = l.bounds()
 		if wait := l.wait(time.Now()); !flying && wait > 0 {
 			later.Reset(wait)
 		} else if !flying && len(l.pending) > 0 {
@@ -172,6 +182,10 @@
 		if len(told) > 0 {
 			durable = l.Durable
 		}
+		var rejected chan []any
+		if len(refused) > 0 {
+			rejected = l.Rejected
+		}
 		select {
 		case ws := <-l.wishes:
 			for _, w := range ws {
@@ -181,13 +195,25 @@
 			}
 		case r := <-results:
 			flying = false
-			tags, err := l.settle(r)
+			if errors.Is(r.err, state.ErrBad) && len(r.keys) == 1 {
+				l.resting[r.keys[0]] = r.writes[0]
+				go l.rest(ctx, r)
+				continue
+			}
+			tags, tooLarge, err := l.settle(r)
 			if err != nil {
 				return err
 			}
-			told = append(told, tags...)
+			told, refused = append(told, tags...), append(refused, tooLarge...)
+		case rejected <- refused:
+			refused = nil
 		case durable <- told:
 			told = nil
+		case r := <-l.retries:
+			if key := r.keys[0]; l.resting[key] == r.writes[0] {
+				delete(l.resting, key)
+				l.back(key, r.writes[0])
+			}
 		case <-later.C:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -195,6 +221,34 @@
 	}
 }
 
+// restFor is how long a write rests that the service rejects by itself.
+const restFor = 10 * time.Second
+
+// rest has a write that the service rejects tried again later, so that it holds up no
+// other.
+func (l *Ledger) rest(ctx context.Context, r outcome) {
+	l.log.Error("ledger write rejected", "key", r.keys[0], "error", r.err)
+	outbound.Pause(ctx, restFor)
+	select {
+	case l.retries <- r:
+	case <-ctx.Done():
+	}
+}
+
+// back puts a write back unless a later wish has replaced it.
+func (l *Ledger) back(key string, old *pendingWrite) {
+	if p := l.pending[key]; p != nil {
+		p.tags = append(old.tags, p.tags...)
+		return
+	}
+	l.pending[key] = old
+	if old.urgent {
+		l.urgent = append(l.urgent, key)
+	} else {
+		l.ordinary = append(l.ordinary, key)
+	}
+}
+
 // commit carries out one transaction and, where it fails, does the waiting
 // that must not hold up the ledger's mailbox.
 func (l *Ledger) commit(ctx context.Context, txn wire.Txn) outcome {
@@ -251,6 +305,11 @@
 	if _, ok := l.versions[w.Key]; !ok && w.Version > 0 {
 		l.versions[w.Key] = w.Version
 	}
+	if old := l.resting[w.Key]; old != nil {
+		// What the service has rejected of it is replaced.
+		delete(l.resting, w.Key)
+		p.tags = append(p.tags, old.tags...)
+	}
 	if w.Tag != nil {
 		p.tags = append(p.tags, w.Tag)
 	}
@@ -294,6 +353,9 @@
 				*queue = (*queue)[1:]
 				continue
 			}
+			if l.singly[key] && len(keys) > 0 || len(keys) == 1 && l.singly[keys[0]] {
+				return
+			}
 			cost := len(p.value) + 2*len(key) + 100
 			if len(keys) > 0 && size+cost > l.limits.Bytes {
 				return
@@ -323,8 +385,9 @@
 }
 
 // settle takes the outcome of a transaction and returns the tags of what is
-// durable now. What is not goes back unless a later wish has replaced it.
-func (l *Ledger) settle(r outcome) ([]any, error) {
+// durable now, and of what is too large to become so. What is neither goes back
+// unless a later wish has replaced it.
+func (l *Ledger) settle(r outcome) (durable, tooLarge []any, err error) {
 	if r.err == nil && r.ok {
 		if r.fenced {
 			l.versions[fenceKey], l.doubt = r.answer.Revision, false
@@ -336,18 +399,24 @@
 			} else {
 				l.versions[key] = r.answer.Revision
 			}
+			delete(l.singly, key)
 			tags = append(tags, r.writes[i].tags...)
 		}
-		return tags, nil
+		return tags, nil, nil
 	}
 	switch {
 	case errors.Is(r.err, ErrDeposed):
-		return nil, r.err
+		return nil, nil, r.err
 	case errors.Is(r.err, state.ErrUnknown):
 		l.doubt = true
 		l.log.Debug("ledger write of unknown outcome", "keys", len(r.keys), "error", r.err)
+	case errors.Is(r.err, state.ErrLimits):
+		l.limits = l.bounds()
 	case errors.Is(r.err, state.ErrBad):
-		l.log.Error("ledger write rejected", "keys", r.keys, "error", r.err)
+		// One of them is at fault: they are tried singly from now on.
+		for _, key := range r.keys {
+			l.singly[key] = true
+		}
 	case r.err != nil:
 		l.log.Debug("ledger write failed", "keys", len(r.keys), "error", r.err)
 	}
@@ -356,16 +425,12 @@
 	}
 	for i, key := range r.keys {
 		old := r.writes[i]
-		if p := l.pending[key]; p != nil {
-			p.tags = append(old.tags, p.tags...)
+		if errors.Is(r.err, state.ErrLimits) && l.limits.Value > 0 && len(old.value) > l.limits.Value {
+			l.log.Info("value is larger than the state service takes any more", "key", key, "bytes", len(old.value))
+			tooLarge = append(tooLarge, old.tags...)
 			continue
 		}
-		l.pending[key] = old
-		if old.urgent {
-			l.urgent = append(l.urgent, key)
-		} else {
-			l.ordinary = append(l.ordinary, key)
-		}
+		l.back(key, old)
 	}
-	return nil, nil
+	return nil, tooLarge, nil
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"reflect"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,8 @@
 	"leadproxy/internal/wire"
 )
 
+func fixed(l Limits) func() Limits { return func() Limits { return l } }
+
 func TestRanges(t *testing.T) {
 	cases := []struct {
 		done string
@@ -58,6 +61,8 @@
 	held []wire.Txn
 	// turn, unless nil, is held by whoever looks at or changes the rest.
 	turn chan struct{}
+	// rejects is a key that the service finds malformed.
+	rejects string
 }
 
 // take waits for the turn; the result gives it back.
@@ -87,10 +92,19 @@
 	switch fate {
 	case 'l':
 		return false, wire.TxnAnswer{}, state.ErrUnknown
+	case 'b':
+		return false, wire.TxnAnswer{}, state.ErrBad
+	case 'z':
+		return false, wire.TxnAnswer{}, state.ErrLimits
 	case 'h':
 		f.held = append(f.held, t)
 		return false, wire.TxnAnswer{}, state.ErrUnknown
 	}
+	for _, c := range t.Then {
+		if f.rejects != "" && c.Set == f.rejects {
+			return false, wire.TxnAnswer{}, state.ErrBad
+		}
+	}
 	ok, a := f.apply(t)
 	if fate == 'r' {
 		return false, wire.TxnAnswer{}, state.ErrUnknown
@@ -127,7 +141,7 @@
 				f := &fakeStore{revision: 9, keys: map[string]uint64{election.Key: 5, "job/j": 3}, values: map[string]string{}, fate: fate}
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				l := New(5, f, Limits{Ops: 4, Bytes: 1 << 14}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				l := New(5, f, fixed(Limits{Ops: 4, Bytes: 1 << 14}), slog.New(slog.NewTextHandler(io.Discard, nil)))
 				go func() { _ = l.Run(ctx) }()
 				l.Put(ctx, []Write{{Key: "job/j", Value: "old", Version: 3, Tag: 1}})
 				if tags := <-l.Durable; !reflect.DeepEqual(tags, []any{1}) {
@@ -165,7 +179,7 @@
 				f := &fakeStore{revision: 9, keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, fate: fate}
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				l := New(5, f, Limits{Ops: 4, Bytes: 1 << 14}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				l := New(5, f, fixed(Limits{Ops: 4, Bytes: 1 << 14}), slog.New(slog.NewTextHandler(io.Discard, nil)))
 				if _, err := l.Load(ctx); err != nil {
 					t.Fatal(err)
 				}
@@ -188,10 +202,59 @@
 	}
 }
 
+// TestValuesThatAreTooLarge: when the limits fall, what is too large by now is given
+// back to be written in smaller pieces, and holds up nothing else.
+func TestValuesThatAreTooLarge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, fate: "z"}
+		bounds := make(chan Limits, 1)
+		bounds <- Limits{Ops: 9, Bytes: 1 << 14, Value: 100}
+		l := New(5, f, func() Limits {
+			b := <-bounds
+			defer func() { bounds <- b }()
+			return b
+		}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = l.Run(ctx) }()
+		l.Put(ctx, []Write{{Key: "a", Value: "small", Tag: 1}, {Key: "b", Value: strings.Repeat("x", 50), Tag: 2}, {Key: "c", Value: "small", Tag: 3}})
+		synctest.Wait()
+		<-bounds
+		bounds <- Limits{Ops: 1, Bytes: 1 << 14, Value: 20}
+		if tags := <-l.Rejected; !reflect.DeepEqual(tags, []any{2}) {
+			t.Errorf("given back: %v", tags)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if len(f.values) != 2 || f.values["b"] != "" {
+			t.Errorf("written: %v", f.values)
+		}
+	})
+}
+
+// TestRejectedWriteHoldsUpNoOther: one of several writes is malformed to the service.
+func TestRejectedWriteHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, fate: "b"}
+		f.rejects = "b"
+		l := New(5, f, fixed(Limits{Ops: 9, Bytes: 1 << 14}), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = l.Run(ctx) }()
+		l.Put(ctx, []Write{{Key: "a", Value: 1, Urgent: true}, {Key: "b", Value: 2, Urgent: true}, {Key: "c", Value: 3}})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if f.values["a"] != "1" || f.values["c"] != "3" {
+			t.Errorf("written: %v", f.values)
+		}
+		cancel()
+	})
+}
+
 func TestDeposedLedgerEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{keys: map[string]uint64{election.Key: 6}, values: map[string]string{}}
-		l := New(5, f, Limits{Ops: 4, Bytes: 1 << 14}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		l := New(5, f, fixed(Limits{Ops: 4, Bytes: 1 << 14}), slog.New(slog.NewTextHandler(io.Discard, nil)))
 		go l.Put(t.Context(), []Write{{Key: "a", Value: 1}})
 		if err := l.Run(t.Context()); !errors.Is(err, ErrDeposed) {
 			t.Errorf("ended with %v", err)
@@ -209,7 +272,7 @@
 			defer f.take()()
 			return len(f.values), f.values["job/j"] != ""
 		}
-		l := New(5, f, Limits{Ops: 40, Bytes: 1 << 14, Ordinary: 10}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		l := New(5, f, fixed(Limits{Ops: 40, Bytes: 1 << 14, Ordinary: 10}), slog.New(slog.NewTextHandler(io.Discard, nil)))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() { _ = l.Run(ctx) }()
@@ -245,7 +308,7 @@
 }
 
 func TestBatchKeepsToTheLimits(t *testing.T) {
-	l := New(5, nil, Limits{Ops: 3, Bytes: 1000}, nil)
+	l := New(5, nil, fixed(Limits{Ops: 3, Bytes: 1000}), nil)
 	for _, w := range []Write{{Key: "a", Value: 1}, {Key: "b", Value: 1}, {Key: "a", Value: 2}, {Key: "c", Value: 1, Urgent: true}, {Key: "d", Value: 1}} {
 		if err := l.enqueue(w); err != nil {
 			t.Fatal(err)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -36,6 +36,8 @@
 	Terminal string `json:"fate,omitempty"`
 	Tasks    int    `json:"tasks,omitempty"`
 	Done     int    `json:"done,omitempty"`
+	// EndedMS is the time of day of the terminal state.
+	EndedMS int64 `json:"ended_ms,omitempty"`
 	// What a finished job asked for, from which a new leader learns the demand.
 	Class string  `json:"class,omitempty"`
 	Team  string  `json:"team,omitempty"`
@@ -76,6 +78,33 @@
 // SilentKey is the key of one such record.
 func SilentKey(name string) string { return silentPrefix + name }
 
+// FinPartKey is the key of the part of a chunk that begins with its task first. A
+// chunk whose ranges are more than a value may hold is written in parts. What the
+// chunk's own key holds besides stays true: a task that is done remains done.
+func FinPartKey(ref string, chunk, first int) string {
+	return fmt.Sprintf("%s.%d", FinKey(ref, chunk), first)
+}
+
+// PartTasks is how many tasks a part has so that its ranges fit a value of so many
+// bytes in the worst case, every other task done: five bytes each. It is a power of
+// two.
+func PartTasks(bytes int) int {
+	n := ChunkTasks
+	for n > 1 && n*5+16 > bytes {
+		n /= 2
+	}
+	return n
+}
+
+// Size is how many bytes the ranges take.
+func (r Ranges) Size() int {
+	n := 2
+	for _, v := range r {
+		n += len(strconv.Itoa(v)) + 1
+	}
+	return n
+}
+
 // FinKey is the key of one chunk of a job's finished tasks.
 func FinKey(ref string, chunk int) string { return fmt.Sprintf("%s%s/%d", finPrefix, ref, chunk) }
 
@@ -110,27 +139,44 @@
 // ChunkHosts is how many machine names one key holds.
 const ChunkHosts = 200
 
-// HostKey is the key that holds the n-th machine a job's tasks may be on.
-func HostKey(ref string, n int) string {
-	return fmt.Sprintf("%s%s/%d", hostPrefix, ref, n/ChunkHosts)
-}
+// HostKey is the key of one chunk of the machines a job's tasks may be on.
+func HostKey(ref string, chunk int) string { return fmt.Sprintf("%s%s/%d", hostPrefix, ref, chunk) }
 
-// HostKeys are all keys that a job's hosts take.
-func HostKeys(ref string, hosts int) []string {
-	var out []string
-	for n := 0; n < hosts; n += ChunkHosts {
-		out = append(out, HostKey(ref, n))
+// NamesFit is how many of some names, from the first on, fit a value of so many
+// bytes; at least one.
+func NamesFit(names []string, bytes int) int {
+	size := 2
+	for i, name := range names {
+		if size += len(name) + 3; size > bytes && i > 0 {
+			return i
+		}
 	}
-	return out
+	return len(names)
 }
 
 // SavedJob is a job as the ledger holds it.
 type SavedJob struct {
-	Ref      string
-	Version  uint64
-	Record   JobRecord
-	Finished map[int]Ranges
-	Hosts    []string
+	Ref     string
+	Version uint64
+	Record  JobRecord
+	// Finished and Hosts are as they are kept, by chunk and part.
+	Finished []SavedRanges
+	Hosts    []SavedHosts
+}
+
+// SavedRanges is one key of finished tasks; the ranges count from the chunk's first
+// task.
+type SavedRanges struct {
+	Key    string
+	Chunk  int
+	Ranges Ranges
+}
+
+// SavedHosts is one key of hosts.
+type SavedHosts struct {
+	Key      string
+	Chunk    int
+	Machines []string
 }
 
 // Snapshot is the whole ledger, read at the start of a term.
@@ -148,10 +194,9 @@
 func collect(entries []wire.Entry) (Snapshot, error) {
 	s := Snapshot{Silent: map[string]SilentRecord{}}
 	jobs := map[string]*SavedJob{}
-	hosts := map[string]map[int][]string{}
 	job := func(ref string) *SavedJob {
 		if jobs[ref] == nil {
-			jobs[ref] = &SavedJob{Ref: ref, Finished: map[int]Ranges{}}
+			jobs[ref] = &SavedJob{Ref: ref}
 		}
 		return jobs[ref]
 	}
@@ -166,16 +211,15 @@
 			ref, chunk, ok := numbered(e.Key, finPrefix)
 			var r Ranges
 			if err = json.Unmarshal(e.Value, &r); err == nil && ok {
-				job(ref).Finished[chunk] = r
+				j := job(ref)
+				j.Finished = append(j.Finished, SavedRanges{e.Key, chunk, r})
 			}
 		case strings.HasPrefix(e.Key, hostPrefix):
 			ref, chunk, ok := numbered(e.Key, hostPrefix)
 			var names []string
 			if err = json.Unmarshal(e.Value, &names); err == nil && ok {
-				if hosts[ref] == nil {
-					hosts[ref] = map[int][]string{}
-				}
-				hosts[ref][chunk] = names
+				j := job(ref)
+				j.Hosts = append(j.Hosts, SavedHosts{e.Key, chunk, names})
 			}
 		case strings.HasPrefix(e.Key, gonePrefix):
 			s.Gone = append(s.Gone, strings.TrimPrefix(e.Key, gonePrefix))
@@ -194,13 +238,8 @@
 			return s, fmt.Errorf("ledger key %s: %w", e.Key, err)
 		}
 	}
-	for ref, chunks := range hosts {
-		j := job(ref)
-		for i := 0; i < len(chunks); i++ {
-			j.Hosts = append(j.Hosts, chunks[i]...)
-		}
-	}
 	for _, j := range jobs {
+		sort.Slice(j.Hosts, func(a, b int) bool { return j.Hosts[a].Chunk < j.Hosts[b].Chunk })
 		s.Jobs = append(s.Jobs, *j)
 	}
 	// One order everywhere, so that a replay decides the same.
@@ -219,6 +258,10 @@
 	if !ok {
 		return "", 0, false
 	}
+	num, part, parted := strings.Cut(num, ".")
 	n, err := strconv.Atoi(num)
+	if _, perr := strconv.Atoi(part); parted && perr != nil {
+		return "", 0, false
+	}
 	return ref, n, err == nil && n >= 0
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -49,8 +49,10 @@
 	boot     time.Duration
 	machines int // the most there may be
 	limits   map[string]float64
-	run      func(ref string) time.Duration
+	run      func(task string) time.Duration
 	writes   float64 // the state service's rate of writes
+	next     *settings.StateLimits
+	absent   int // nodes that are not up yet
 	seed     uint64
 }
 
@@ -72,14 +74,28 @@
 // inCluster runs a scenario on a cluster of its own and then sees to it that all
 // that was accepted is served, with the troubles over.
 func inCluster(t *testing.T, p plan, scenario func(c *cluster)) {
+	t.Parallel()
+	for _, name := range []string{"jobs", "pipelines"} {
+		t.Run(name, func(t *testing.T) { playCluster(t, p, name == "pipelines", scenario) })
+	}
+}
+
+// playCluster plays a scenario once; with pipelines, users also submit jobs that wait
+// for others all the time.
+func playCluster(t *testing.T, p plan, pipelines bool, scenario func(c *cluster)) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, p)
-		for i := range c.nodes {
+		for i := range len(c.nodes) - p.absent {
 			c.start(i)
 		}
 		c.await("a leader", 20*time.Second, func() bool { return c.leader() >= 0 })
+		stop := func() {}
+		if pipelines {
+			stop = c.pipelines()
+		}
 		scenario(c)
+		stop()
 		c.finish()
 		for i := range c.nodes {
 			c.kill(i)
@@ -118,7 +134,7 @@
 	for i := range p.nodes {
 		f := settings.Facts{Nodes: p.nodes, Zones: p.zones, ClockErrorMS: 5,
 			Workers:   settings.Workers{ReportS: reportEvery.Seconds(), LeaseS: workerLease.Seconds(), CancelS: cancelLimit.Seconds()},
-			State:     settings.StateLimits{RPS: 2 * p.writes, WriteRPS: p.writes, ValueKB: 16, TxnOps: 32},
+			State:     settings.StateLimits{RPS: 2 * p.writes, WriteRPS: p.writes, ValueKB: 16, TxnOps: 32, Next: p.next},
 			Cloud:     settings.CloudLimits{RPS: 5, ListLagS: 2},
 			Resources: settings.Resources{CPUShare: 1, RAMMB: 500, Sockets: 2000}}
 		for _, name := range []string{"open", "tight"} {
@@ -372,6 +388,77 @@
 	})
 }
 
+// accept has a user submit a job until it is accepted.
+func (c *cluster) accept(j *wire.Job) bool {
+	c.check.Submits(j, true)
+	code, _ := c.until(standin.AskedSubmit, j.Ref, j)
+	return code == 200 || code == 201
+}
+
+// poll has a user ask about a job until it is over.
+func (c *cluster) poll(j *wire.Job) {
+	c.asking.Go(func() {
+		for c.t.Context().Err() == nil {
+			time.Sleep(5 * time.Second)
+			if code, status := c.call(c.any(), standin.AskedStatus, j.Ref, nil); code == 200 && (status == wire.Done || status == wire.Aborted) {
+				c.look(j.Ref, j)
+				return
+			}
+		}
+	})
+}
+
+// pipelines has users submit pipelines one after the other until the result is
+// called: a first stage, two that need it, and a last one, with the deadline and the
+// priority, that needs both, and sometimes a job that is over long since. Of some, one
+// stage is cancelled; of some, the last is submitted late.
+func (c *cluster) pipelines() (stop func()) {
+	ended := make(chan struct{})
+	var old []string // last stages of earlier pipelines
+	stages := func(n int) {
+		ref := func(stage int) string { return fmt.Sprintf("job-5%04d%d", n, stage) }
+		due := 60.0
+		earlier := []string{ref(1), ref(2)}
+		if len(old) > 0 && c.roll() < 0.3 {
+			earlier = append(earlier, old[int(c.roll()*float64(len(old)))])
+		}
+		jobs := []*wire.Job{
+			job(ref(0), 2, func(j *wire.Job) { j.Priority = "idle" }),
+			job(ref(1), 3, func(j *wire.Job) { j.Priority, j.WaitsOn = "idle", []string{ref(0)} }),
+			job(ref(2), 1, func(j *wire.Job) { j.Team, j.WaitsOn = "tight", []string{ref(0), ref(0)} }),
+			job(ref(3), 2, func(j *wire.Job) { j.Priority, j.WaitsOn, j.DeadlineS = "high", earlier, &due }),
+		}
+		for i, j := range jobs {
+			if i == 3 && c.roll() < 0.2 {
+				time.Sleep(time.Duration(c.roll() * float64(30*time.Second)))
+			}
+			if !c.accept(j) {
+				return // the user gives the rest up
+			}
+			c.poll(j)
+		}
+		old = append(old, ref(3))
+		if c.roll() < 0.4 {
+			at := jobs[int(c.roll()*float64(len(jobs)))]
+			c.asking.Go(func() {
+				time.Sleep(time.Duration(c.roll() * float64(30*time.Second)))
+				c.cancel(at)
+			})
+		}
+	}
+	c.asking.Go(func() {
+		for n := 0; ; n++ {
+			stages(n)
+			select {
+			case <-ended:
+				return
+			case <-time.After(time.Duration(c.roll() * float64(8*time.Second))):
+			}
+		}
+	})
+	return func() { close(ended) }
+}
+
 // cancel has a user cancel a job until that is answered, and look at it from
 // everywhere.
 func (c *cluster) cancel(j *wire.Job) {
@@ -407,6 +494,8 @@
 			line.Close()
 		}
 		for n, change := range []func(j *wire.Job){
+			func(j *wire.Job) { j.WaitsOn = []string{"job-930000"} },
+			func(j *wire.Job) { j.WaitsOn = []string{j.Ref} },
 			func(j *wire.Job) { j.CPUs = 9 },
 			func(j *wire.Job) { j.Team = "nobody" },
 			func(j *wire.Job) { j.Types = []string{"other"} },
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"leadproxy/internal/settings"
 	"leadproxy/internal/standin"
 	"leadproxy/internal/wire"
 )
@@ -32,10 +33,11 @@
 }
 
 // long has all jobs whose number is even run for long, as their tasks would still
-// go on when all troubles are over.
-func long(d time.Duration) func(ref string) time.Duration {
-	return func(ref string) time.Duration {
-		if strings.HasSuffix(ref, "0") || strings.HasSuffix(ref, "2") || strings.HasSuffix(ref, "4") || strings.HasSuffix(ref, "6") || strings.HasSuffix(ref, "8") {
+// go on when all troubles are over. Pipelines are short.
+func long(d time.Duration) func(task string) time.Duration {
+	return func(task string) time.Duration {
+		ref, _, _ := wire.SplitTask(task)
+		if strings.HasPrefix(ref, "job-0") && strings.Contains("02468", ref[len(ref)-1:]) {
 			return d
 		}
 		return 8 * time.Second
@@ -86,8 +88,10 @@
 		c.stream(0, 6, time.Second, nil)
 		c.odd()
 		time.Sleep(30 * time.Second)
-		if _, done := c.check.On(""); done != 18 {
-			t.Errorf("%d tasks done", done)
+		for k := range 6 {
+			if _, done := c.check.On(fmt.Sprintf("job-%06d", k)); done != 3 {
+				t.Errorf("%d tasks of job %d done", done, k)
+			}
 		}
 	})
 }
@@ -326,7 +330,7 @@
 	inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
 		c.stream(0, 1, time.Second, func(_ int, j *wire.Job) { j.Tasks = 20 })
 		c.running(20)
-		c.await("the first job's end", 2*time.Minute, func() bool { on, _ := c.check.On(""); return on == 0 })
+		c.await("the first job's end", 2*time.Minute, func() bool { _, done := c.check.On("job-000000"); return done == 20 })
 		workers := c.cloud.Workers()
 		for _, w := range workers {
 			w.Keep()
@@ -885,6 +889,73 @@
 	}
 }
 
+// TestLimitsFallMeeting: the state service takes smaller values, smaller transactions
+// and fewer writes from some moment on, without notice: in the middle of work, as a
+// leader ends, at the end of an outage, or before all nodes are known to be upgraded.
+func TestLimitsFallMeeting(t *testing.T) {
+	low := settings.StateLimits{RPS: 200, WriteRPS: 40, ValueKB: 1, TxnOps: 5}
+	for name, when := range map[string]func(c *cluster, fall func()){
+		"in the middle": func(_ *cluster, fall func()) { fall() },
+		"as the leader ends": func(c *cluster, fall func()) {
+			fall()
+			c.restart(c.leader(), 2*time.Second)
+		},
+		"just before it ends": func(c *cluster, fall func()) {
+			c.kill(c.leader())
+			fall()
+		},
+		"at the end of an outage": func(c *cluster, fall func()) {
+			c.state.Outage(true)
+			time.Sleep(15 * time.Second)
+			fall()
+			c.state.Outage(false)
+		},
+		"while a node is missing": func(c *cluster, fall func()) {
+			c.kill(c.follower())
+			fall()
+		},
+		"before all nodes are known": func(_ *cluster, fall func()) {
+			time.Sleep(6 * time.Second)
+			fall()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// Every other task ends soon, and of the rest every other one a little later:
+			// their ranges are more than a small value holds.
+			run := func(task string) time.Duration {
+				_, n, _ := wire.SplitTask(task)
+				return []time.Duration{3 * time.Second, 25 * time.Second, 3 * time.Second, 63 * time.Second}[n%4]
+			}
+			absent := 0
+			if name == "before all nodes are known" {
+				absent = 1
+			}
+			inCluster(t, plan{next: &low, machines: 40, run: run, absent: absent}, func(c *cluster) {
+				jobs := c.stream(0, 3, 500*time.Millisecond, func(_ int, j *wire.Job) { j.Tasks, j.CPUs = 600, 0.25 })
+				c.running(300)
+				when(c, func() { c.state.Limit(low) })
+				time.Sleep(20 * time.Second)
+				if large := c.state.Largest("fin/"); large > 1024 && absent == 0 {
+					t.Errorf("%d bytes of finished tasks in a value, all nodes being upgraded", large)
+				} else if large <= 1024 && absent > 0 {
+					t.Error("nothing was written as an older version reads it")
+				}
+				if c.state.Count("fin/job-000000/0.") == 0 {
+					t.Error("no finished tasks are written in parts")
+				}
+				c.cancel(jobs[2])
+				c.stream(100, 6, 500*time.Millisecond, nil)
+				time.Sleep(20 * time.Second)
+				for i, n := range c.nodes {
+					if n.cancel == nil {
+						c.start(i)
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestJobsSurviveTheirLeader runs jobs while messages are lost, repeated and held,
 // ends the leader in the middle, then all nodes, and has every task run to its
 // end.
@@ -900,8 +971,8 @@
 		return &f
 	}
 	const ok = standin.Fine
-	inCluster(t, plan{run: func(ref string) time.Duration {
-		if ref == "job-000003" {
+	inCluster(t, plan{run: func(task string) time.Duration {
+		if strings.HasPrefix(task, "job-000003/") {
 			return time.Hour
 		}
 		return 700 * time.Millisecond
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"leadproxy/internal/peers"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/state"
+	"leadproxy/internal/upgrade"
 	"leadproxy/internal/wire"
 )
 
@@ -47,7 +48,7 @@
 	defer cancel()
 	share := divide(f.Resources)
 	rate := dispatch.FollowerShare(f.Nodes)
-	store := state.New(ctx, n, p.Services.State, f.State.RPS, f.State.WriteRPS, rate, log)
+	store := state.New(ctx, n, p.Services.State, f.State, rate, log)
 	elector := election.New(p.Node, op, store, log)
 	socketUse := &socketUse{crowded: int64(share.crowded), roomy: int64(share.roomy)}
 	lines := dispatch.Lines{AtOnce: share.orders, Kept: share.kept, Few: share.few, Crowded: socketUse.Crowded}
@@ -58,8 +59,12 @@
 		return err
 	}
 	elector.Others = others
+	versions := upgrade.New(p.Node, others.Names(), store, log)
+	desk.Upgraded = versions.Done
+	go versions.Run(ctx)
 	types := watchTypes(ctx, fleet.NewClient(n, p.Services.Cloud, f.Cloud.RPS), log)
 	in := intake.New(ctx, p, elector, store, desk, others, types, rate, log)
+	in.Upgraded = versions.Done
 
 	router := httprouter.New()
 	fit := &health{serving: store.Serving, peers: others, log: log}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,6 +82,9 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next holds the limits that the service will have from some moment on,
+	// without notice; nil: none are announced.
+	Next *StateLimits `toml:"next"`
 }
 
 // CloudLimits are the cloud's limits.
@@ -212,6 +215,23 @@
 	if f.State.TxnOps < 2 {
 		bad("facts.state.txn_ops", f.State.TxnOps, "2 or more")
 	}
+	if n := f.State.Next; n != nil {
+		// What is not announced stays as it is.
+		for _, l := range []struct{ next, now *float64 }{{&n.RPS, &f.State.RPS}, {&n.WriteRPS, &f.State.WriteRPS}, {&n.ValueKB, &f.State.ValueKB}} {
+			if *l.next == 0 {
+				*l.next = *l.now
+			}
+		}
+		if n.TxnOps == 0 {
+			n.TxnOps = f.State.TxnOps
+		}
+		positive("facts.state.next.rps", n.RPS)
+		positive("facts.state.next.write_rps", n.WriteRPS)
+		positive("facts.state.next.value_kb", n.ValueKB)
+		if n.TxnOps < 2 {
+			bad("facts.state.next.txn_ops", n.TxnOps, "2 or more")
+		}
+	}
 	if f.Resources.Sockets < 16 {
 		bad("facts.resources.sockets", f.Resources.Sockets, "16 or more")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,6 +41,9 @@
 		{"a negative guarantee", "cpus = 4.0", "cpus = -4.0", "facts.teams[0].cpus"},
 		{"no lease", "lease_s = 36.0", "lease_s = 0.0", "facts.workers.lease_s"},
 		{"a text for a number", "lease_s = 36.0", `lease_s = "long"`, "lease_s"},
+		{"limits that will fall", "[facts.workers]", "[facts.state.next]\nwrite_rps = 20.0\nvalue_kb = 2.0\ntxn_ops = 6\n[facts.workers]", ""},
+		{"values of no size", "[facts.workers]", "[facts.state.next]\nvalue_kb = -2.0\n[facts.workers]", "facts.state.next.value_kb"},
+		{"transactions of one change", "[facts.workers]", "[facts.state.next]\ntxn_ops = 1\n[facts.workers]", "facts.state.next.txn_ops"},
 		{"broken TOML", "nodes = 2", "nodes = ", "p.toml:"},
 	}
 	for _, c := range cases {
@@ -53,6 +56,17 @@
 	}
 }
 
+// TestNextLimits: what is not announced stays as it is.
+func TestNextLimits(t *testing.T) {
+	p, err := ParsePlatform("p.toml", strings.Replace(platform, "[facts.workers]", "[facts.state]\nrps = 90.0\nwrite_rps = 30.0\n[facts.state.next]\nwrite_rps = 20.0\n[facts.workers]", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := p.Facts.State.Next; n == nil || n.WriteRPS != 20 || n.RPS != 90 || n.ValueKB != 16 || n.TxnOps != 16 {
+		t.Errorf("next limits: %+v", n)
+	}
+}
+
 func TestParseOperator(t *testing.T) {
 	cases := []struct {
 		name, text, bad string
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -151,6 +151,9 @@
 		c.breaks("went_back", "%s: %s after %s", ref, status, j.told)
 	}
 	if status != wire.Done && status != wire.Aborted {
+		if p, since := c.cancelledBefore(j); p != "" && asked.Sub(since) > c.limits.Cancel {
+			c.breaks("orphaned", "%s is %s %s after %s was told as cancelled", ref, status, asked.Sub(since), p)
+		}
 		return
 	}
 	if j.told != "" && status != j.told {
@@ -159,7 +162,7 @@
 	if status == wire.Done && len(j.done) < j.job.Tasks {
 		c.breaks("not_done", "%s: %d of %d", ref, len(j.done), j.job.Tasks)
 	}
-	if status == wire.Aborted && j.cancelled.IsZero() {
+	if status == wire.Aborted && !c.wished(j) {
 		c.breaks("went_back", "%s: cancelled by nobody", ref)
 	}
 	if j.told == "" {
@@ -167,6 +170,39 @@
 	}
 }
 
+// ancestors calls f for all jobs that one needs, directly or through others.
+func (c *Checker) ancestors(j *checkedJob, f func(ref string, p *checkedJob)) {
+	seen := map[string]bool{}
+	todo := slices.Clone(j.job.WaitsOn)
+	for len(todo) > 0 {
+		ref := todo[0]
+		todo = todo[1:]
+		if p := c.jobs[ref]; p != nil && !seen[ref] {
+			seen[ref] = true
+			f(ref, p)
+			todo = append(todo, p.job.WaitsOn...)
+		}
+	}
+}
+
+// cancelledBefore is a job that another one needs and that was told as cancelled, the
+// first of them, and since when.
+func (c *Checker) cancelledBefore(j *checkedJob) (first string, since time.Time) {
+	c.ancestors(j, func(ref string, p *checkedJob) {
+		if p.told == wire.Aborted && (first == "" || p.toldAt.Before(since)) {
+			first, since = ref, p.toldAt
+		}
+	})
+	return first, since
+}
+
+// wished tells whether a user has asked to cancel a job or one that it needs.
+func (c *Checker) wished(j *checkedJob) bool {
+	wished := !j.cancelled.IsZero()
+	c.ancestors(j, func(_ string, p *checkedJob) { wished = wished || !p.cancelled.IsZero() })
+	return wished
+}
+
 // cancelDue tells whether a job's tasks must be gone.
 func (c *Checker) cancelDue(j *checkedJob) bool {
 	return j.told == wire.Aborted && time.Since(j.toldAt) > c.limits.Cancel
@@ -184,6 +220,11 @@
 		if p, ok := c.on[task]; ok {
 			c.breaks("ran_twice", "%s starts on %s while on %s", task, machine, p.machine)
 		}
+		c.ancestors(j, func(ref string, p *checkedJob) {
+			if len(p.done) < p.job.Tasks {
+				c.breaks("too_early", "%s starts, and %s has %d of %d done", task, ref, len(p.done), p.job.Tasks)
+			}
+		})
 		if j.told == wire.Aborted {
 			c.lateStarts++
 			if c.cancelDue(j) {
@@ -323,7 +364,12 @@
 
 // waits tells whether tasks of a job that should run are on no machine.
 func (c *Checker) waits(ref string, j *checkedJob) bool {
-	if j.told != "" || !j.cancelled.IsZero() {
+	if j.told != "" || c.wished(j) {
+		return false
+	}
+	blocked := false
+	c.ancestors(j, func(_ string, p *checkedJob) { blocked = blocked || len(p.done) < p.job.Tasks })
+	if blocked {
 		return false
 	}
 	there := len(j.done)
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -195,6 +195,54 @@
 			h.Submits(&wire.Job{Ref: "job-1", Tasks: 1}, true)
 			h.answer(AskedSubmit, "job-1", 422, "")
 		}},
+		{"starts before what it needs is done", "too_early", func(h history) {
+			h.submit("job-1", 2, nil)
+			h.submit("job-2", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-1"} })
+			h.run("job-1/0", "m1")
+			h.run("job-2/0", "m1")
+		}},
+		{"starts before what it needs through another is done", "too_early", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.submit("job-2", 0, func(j *wire.Job) { j.WaitsOn = []string{"job-1"} })
+			h.submit("job-3", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-2"} })
+			h.run("job-3/0", "m1")
+		}},
+		{"starts when what it needs is done", "", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.submit("job-2", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-1"} })
+			h.run("job-1/0", "m1")
+			h.run("job-2/0", "m1")
+		}},
+		{"queued long after what it needs was cancelled", "orphaned", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.submit("job-2", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-1"} })
+			h.submit("job-3", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-2"} })
+			h.answer(AskedCancel, "job-1", 200, wire.Aborted)
+			time.Sleep(41 * time.Second)
+			h.answer(AskedStatus, "job-3", 200, wire.Queued)
+		}},
+		{"cancelled with what it needs", "", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.submit("job-2", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-1"} })
+			h.answer(AskedCancel, "job-1", 200, wire.Aborted)
+			h.answer(AskedStatus, "job-2", 200, wire.Queued)
+			h.answer(AskedStatus, "job-2", 200, wire.Aborted)
+		}},
+		{"cancelled with what needs it", "went_back", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.submit("job-2", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-1"} })
+			h.answer(AskedCancel, "job-2", 200, wire.Aborted)
+			h.answer(AskedStatus, "job-1", 200, wire.Aborted)
+		}},
+		{"waits for others although there is room", "", func(h history) {
+			h.submit("job-1", 1, func(j *wire.Job) { j.Zone = &zone })
+			h.submit("job-2", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-1"} })
+			calm := time.Now()
+			for range 30 {
+				h.Look(calm, []Room{{Type: "m", Zone: "a", CPUs: 2, MemGB: 2}})
+				time.Sleep(10 * time.Second)
+			}
+		}},
 		{"waits although there is room", "left_waiting", func(h history) {
 			h.submit("job-1", 1, nil)
 			calm := time.Now()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"leadproxy/internal/outbound"
+	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
 )
 
@@ -25,6 +27,9 @@
 	out      bool            // for everybody
 	refused  map[string]bool // hosts that are refused alone
 	slow     time.Duration
+	limits   settings.StateLimits // none where 0
+	level    float64              // writes that are left of the rate
+	filled   time.Time
 }
 
 type lease struct {
@@ -84,6 +89,30 @@
 // Slow has every answer take so long.
 func (s *State) Slow(d time.Duration) { s.do(func() { s.slow = d }) }
 
+// Limit has the service refuse larger values and transactions, and writes beyond the
+// rate, from now on. What is stored stays readable.
+func (s *State) Limit(l settings.StateLimits) {
+	s.do(func() { s.limits, s.level, s.filled = l, l.WriteRPS, time.Now() })
+}
+
+// tooMuch tells how a transaction is refused for the limits; 0: it is not.
+func (s *State) tooMuch(t *wire.Txn) int {
+	if s.limits.TxnOps == 0 {
+		return 0
+	}
+	now := time.Now()
+	s.level = min(s.level+s.limits.WriteRPS*now.Sub(s.filled).Seconds(), s.limits.WriteRPS)
+	s.filled = now
+	if len(t.Then) > s.limits.TxnOps || slices.ContainsFunc(t.Then, func(c wire.Change) bool { return len(c.Value) > int(s.limits.ValueKB*1024) }) {
+		return http.StatusBadRequest
+	}
+	if s.level < float64(len(t.Then)) {
+		return http.StatusTooManyRequests
+	}
+	s.level -= float64(len(t.Then))
+	return 0
+}
+
 // refuses tells whether a host is refused.
 func (s *State) refuses(host string) bool { return s.out || s.refused[host] }
 
@@ -123,6 +152,18 @@
 	return n
 }
 
+// Largest is the size of the largest value under a prefix.
+func (s *State) Largest(prefix string) (bytes int) {
+	s.do(func() {
+		for k, e := range s.keys {
+			if strings.HasPrefix(k, prefix) {
+				bytes = max(bytes, len(e.Value))
+			}
+		}
+	})
+	return bytes
+}
+
 // Version is a key's version; 0: there is none.
 func (s *State) Version(key string) (version uint64) {
 	s.do(func() { version = s.keys[key].Version })
@@ -216,6 +257,10 @@
 	}
 	status, body := http.StatusOK, any(nil)
 	s.do(func() {
+		if refused := s.tooMuch(&t); refused != 0 {
+			status, body = refused, wire.Problem{Error: "beyond the limits"}
+			return
+		}
 		for _, c := range t.Then {
 			if c.Lease != 0 && s.leases[c.Lease] == nil {
 				status, body = http.StatusBadRequest, wire.Problem{Error: "no such lease"}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -19,8 +19,8 @@
 	Nodes  []Node // the controllers
 	Report time.Duration
 	Lease  time.Duration
-	Fetch  time.Duration                  // how long an image takes
-	Run    func(ref string) time.Duration // how long a job's tasks run
+	Fetch  time.Duration                   // how long an image takes
+	Run    func(task string) time.Duration // how long a task runs
 	Check  *Checker
 	// Trouble befalls direct commands.
 	Trouble Troubles
@@ -248,7 +248,7 @@
 				w.begin(t)
 			}
 		case wire.TaskRunning:
-			if t.ran += past; t.ran >= w.config.Run(t.job.Ref) {
+			if t.ran += past; t.ran >= w.config.Run(t.Task) {
 				w.complete(t)
 			}
 		}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -12,12 +12,14 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/segmentio/encoding/json"
 
 	"leadproxy/internal/outbound"
+	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
 )
 
@@ -35,8 +37,27 @@
 	ErrBusy = errors.New("too many state requests are waiting")
 	// ErrBad: the service found the request malformed.
 	ErrBad = errors.New("state service rejected the request")
+	// ErrLimits: the request was not carried out, since the service's limits have
+	// fallen below it. Limits tells the new ones.
+	ErrLimits = errors.New("the state service's limits have fallen")
 )
 
+// Limits are the bounds of a transaction that hold at the moment, as far as known.
+type Limits struct {
+	Ops        int
+	ValueBytes int
+	WriteRPS   float64
+}
+
+func limitsOf(l settings.StateLimits) *Limits {
+	return &Limits{Ops: l.TxnOps, ValueBytes: int(l.ValueKB * 1024), WriteRPS: l.WriteRPS}
+}
+
+// exceeds tells whether a transaction is more than the limits allow.
+func (l *Limits) exceeds(t *wire.Txn) bool {
+	return len(t.Then) > l.Ops || slices.ContainsFunc(t.Then, func(c wire.Change) bool { return len(c.Value) > l.ValueBytes })
+}
+
 // Priority ranks requests when the rate is short.
 type Priority int
 
@@ -64,13 +85,13 @@
 	renewTimeout = time.Second
 )
 
-// New makes a client whose pacer runs until ctx ends. rps and wps are the
-// service's limits, of which share is this node's at the start.
-func New(ctx context.Context, n outbound.Network, addr string, rps, wps, share float64, log *slog.Logger) *Client {
+// New makes a client whose pacer runs until ctx ends. Of the service's limits share
+// is this node's at the start.
+func New(ctx context.Context, n outbound.Network, addr string, l settings.StateLimits, share float64, log *slog.Logger) *Client {
 	c := &Client{
 		base:     "http://" + addr,
 		http:     outbound.NewClient(n, 16),
-		pacer:    newPacer(rps, wps, share, log),
+		pacer:    newPacer(l, share, log),
 		renewals: outbound.NewLine(n, addr),
 	}
 	go c.pacer.run(ctx)
@@ -80,6 +101,12 @@
 // SetShare changes this node's part of the service's rate.
 func (c *Client) SetShare(share float64) { c.pacer.shares <- share }
 
+// Limits are the service's limits as far as they have shown themselves.
+func (c *Client) Limits() Limits { return *c.pacer.limits.Load() }
+
+// Fallen tells whether the limits that were announced have come.
+func (c *Client) Fallen() bool { return c.pacer.fallen() }
+
 // Serving tells whether the service has served this node when it last answered,
 // or not at all.
 func (c *Client) Serving() bool { return c.pacer.serving.Load() }
@@ -99,7 +126,7 @@
 		status, answer, err := c.once(ctx, limit, method, path, payload)
 		if err == nil && status == http.StatusTooManyRequests {
 			// Another node uses more than its share at the moment: step back.
-			c.pacer.penalise()
+			c.pacer.penalise(writes)
 			continue
 		}
 		refused := err == nil && status == http.StatusServiceUnavailable
@@ -208,6 +235,11 @@
 	if bytes.Contains(answer, []byte("no such lease")) {
 		return false, a, ErrNoLease
 	}
+	// The service does not say which limit it is, nor when they fall.
+	if next := c.pacer.next; status == http.StatusBadRequest && next != nil && next.exceeds(&t) {
+		c.pacer.fall("a transaction was too large")
+		return false, a, ErrLimits
+	}
 	return false, a, unexpected(status, answer)
 }
 
--- a/internal/state/pacer.go
+++ b/internal/state/pacer.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"sync/atomic"
 	"time"
+
+	"leadproxy/internal/settings"
 )
 
 // maxWaiting bounds the requests of one priority that wait for their grant.
@@ -23,13 +25,18 @@
 type pacer struct {
 	wishes    chan *grant
 	shares    chan float64
-	penalties chan struct{}
+	penalties chan int      // requests that were refused for the rate, with their writes
+	falls     chan struct{} // the limits have fallen
 	spent     chan struct{} // requests that were sent without a grant
 	outcomes  chan bool     // whether a request was served
 	log       *slog.Logger
 
-	downSince       time.Time // zero while the service serves us
-	serving         atomic.Bool
+	downSince time.Time // zero while the service serves us
+	serving   atomic.Bool
+	// limits are those that hold, next those that are announced, nil: none.
+	limits          atomic.Pointer[Limits]
+	next            *Limits
+	tooFast         []time.Time // when writes were refused for the rate
 	rps, wps, share float64
 	requests        bucket
 	writes          bucket
@@ -45,12 +52,16 @@
 	b.level = min(b.level+rate*d.Seconds(), rate)
 }
 
-func newPacer(rps, wps, share float64, log *slog.Logger) *pacer {
+func newPacer(l settings.StateLimits, share float64, log *slog.Logger) *pacer {
 	p := &pacer{
-		wishes: make(chan *grant), shares: make(chan float64), penalties: make(chan struct{}),
+		wishes: make(chan *grant), shares: make(chan float64), penalties: make(chan int), falls: make(chan struct{}, 1),
 		spent:    make(chan struct{}, 8),
 		outcomes: make(chan bool, 64), log: log,
-		rps: rps, wps: wps, share: share,
+		rps: l.RPS, wps: l.WriteRPS, share: share,
+	}
+	p.limits.Store(limitsOf(l))
+	if l.Next != nil {
+		p.next = limitsOf(*l.Next)
 	}
 	p.serving.Store(true)
 	return p
@@ -71,7 +82,41 @@
 	}
 }
 
-func (p *pacer) penalise() { p.penalties <- struct{}{} }
+func (p *pacer) penalise(writes int) { p.penalties <- writes }
+
+// fallen tells whether the limits that were announced have come.
+func (p *pacer) fallen() bool { return p.next != nil && p.limits.Load() == p.next }
+
+// fall has the limits that were announced hold from now on.
+func (p *pacer) fall(why string) {
+	if p.next == nil || p.limits.Swap(p.next) == p.next {
+		return
+	}
+	p.log.Info("the state service's limits have fallen as announced", "why", why, "value_bytes", p.next.ValueBytes, "ops", p.next.Ops, "write_rps", p.next.WriteRPS)
+	select {
+	case p.falls <- struct{}{}:
+	default:
+	}
+}
+
+// Now and then a write is refused for the rate though all keep to their shares, as
+// when the leader changes. So many within so long show that the rate has fallen.
+const (
+	tooFastTimes  = 5
+	tooFastWithin = 10 * time.Second
+)
+
+// refusedWrites notes that writes were refused for the rate.
+func (p *pacer) refusedWrites(now time.Time) {
+	p.tooFast = append(p.tooFast, now)
+	for now.Sub(p.tooFast[0]) > tooFastWithin {
+		p.tooFast = p.tooFast[1:]
+	}
+	if len(p.tooFast) >= tooFastTimes {
+		p.fall("writes were refused for the rate")
+		p.tooFast = nil
+	}
+}
 
 // spend counts a request that was sent without a grant.
 func (p *pacer) spend() {
@@ -120,9 +165,14 @@
 			p.share = s
 		case <-p.spent:
 			p.requests.level--
-		case <-p.penalties:
+		case writes := <-p.penalties:
 			p.requests.level, p.writes.level = 0, 0
 			last = time.Now()
+			if writes > 0 && !p.fallen() {
+				p.refusedWrites(last)
+			}
+		case <-p.falls:
+			p.wps = p.next.WriteRPS
 		case served := <-p.outcomes:
 			p.judge(served, time.Now())
 			continue
--- a/internal/state/pacer_test.go
+++ b/internal/state/pacer_test.go
@@ -9,10 +9,13 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
 )
 
 func startPacer(t *testing.T, rps, wps, share float64) *pacer {
-	p := newPacer(rps, wps, share, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	p := newPacer(settings.StateLimits{RPS: rps, WriteRPS: wps, TxnOps: 32, ValueKB: 16}, share, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	go p.run(t.Context())
 	return p
 }
@@ -110,6 +113,62 @@
 	})
 }
 
+// TestLimitsThatFall: writes that are refused for the rate again and again, or a
+// transaction that is larger than what is announced, show that the limits have
+// fallen. A refusal now and then does not, nor anything where nothing is announced.
+func TestLimitsThatFall(t *testing.T) {
+	next := &settings.StateLimits{RPS: 100, WriteRPS: 20, TxnOps: 5, ValueKB: 2}
+	cases := []struct {
+		name   string
+		next   *settings.StateLimits
+		writes int
+		times  int
+		every  time.Duration
+		fallen bool
+	}{
+		{"writes in a row", next, 3, 5, time.Second, true},
+		{"now and then", next, 3, 20, 4 * time.Second, false},
+		{"what only reads", next, 0, 20, time.Second, false},
+		{"nothing is announced", nil, 3, 20, time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPacer(settings.StateLimits{RPS: 100, WriteRPS: 40, TxnOps: 32, ValueKB: 16, Next: c.next}, 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				go p.run(t.Context())
+				for range c.times {
+					p.penalise(c.writes)
+					time.Sleep(c.every)
+				}
+				synctest.Wait()
+				if l := p.limits.Load(); p.fallen() != c.fallen || (l.Ops == 5) != c.fallen {
+					t.Errorf("fallen: %v, limits %+v", p.fallen(), l)
+				}
+				granted := 0
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				for ctx.Err() == nil {
+					if p.wait(ctx, Leader, 1) == nil {
+						granted++
+					}
+				}
+				if (granted < 300) != c.fallen {
+					t.Errorf("%d writes granted in ten seconds", granted)
+				}
+			})
+		})
+	}
+	l := limitsOf(*next)
+	for _, large := range []wire.Txn{{Then: make([]wire.Change, 6)}, {Then: []wire.Change{{Set: "a", Value: make([]byte, 2049)}}}} {
+		if !l.exceeds(&large) {
+			t.Errorf("%d changes are within the limits", len(large.Then))
+		}
+	}
+	if l.exceeds(&wire.Txn{Then: make([]wire.Change, 5)}) {
+		t.Error("five changes are beyond the limits")
+	}
+}
+
 func TestFullQueueTurnsAwayAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := startPacer(t, 0.01, 1, 1)
--- /dev/null
+++ b/internal/upgrade/upgrade_test.go
@@ -0,0 +1,92 @@
+package upgrade
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// fakeStore holds announcements; while down it refuses everything.
+type fakeStore struct {
+	keys chan map[string]string
+	down bool
+}
+
+func (f *fakeStore) List(context.Context, state.Priority, string, string, int) (wire.Entries, error) {
+	if f.down {
+		return wire.Entries{}, state.ErrRefused
+	}
+	keys := <-f.keys
+	defer func() { f.keys <- keys }()
+	var page wire.Entries
+	for k, v := range keys {
+		page.Items = append(page.Items, wire.Entry{Key: k, Value: json.RawMessage(v), Version: 1})
+	}
+	return page, nil
+}
+
+func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
+	keys := <-f.keys
+	defer func() { f.keys <- keys }()
+	for _, c := range t.Then {
+		keys[c.Set] = string(c.Value)
+	}
+	return true, wire.TxnAnswer{}, nil
+}
+
+// TestAllHaveToAnnounceThemselves: only announcements count, and only those of all
+// nodes of the settings; one that is silent, or whose key says less, may be old.
+func TestAllHaveToAnnounceThemselves(t *testing.T) {
+	cases := []struct {
+		name   string
+		others map[string]string
+		down   bool
+		done   bool
+	}{
+		{"all", map[string]string{"node/n2": `{"level":1}`, "node/n3": `{"level":2,"more":7}`}, false, true},
+		{"one is missing", map[string]string{"node/n2": `{"level":1}`}, false, false},
+		{"one knows less", map[string]string{"node/n2": `{"level":1}`, "node/n3": `{"level":0}`}, false, false},
+		{"one can't be read", map[string]string{"node/n2": `{"level":1}`, "node/n3": `7`}, false, false},
+		{"another name", map[string]string{"node/n2": `{"level":1}`, "node/n4": `{"level":1}`}, false, false},
+		{"the state service is out", map[string]string{"node/n2": `{"level":1}`, "node/n3": `{"level":1}`}, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeStore{keys: make(chan map[string]string, 1), down: c.down}
+				f.keys <- c.others
+				w := New("n1", []string{"n2", "n3"}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				go w.Run(t.Context())
+				time.Sleep(3 * lookEvery)
+				synctest.Wait()
+				if w.Done() != c.done {
+					t.Errorf("done: %v, want %v", w.Done(), c.done)
+				}
+				keys := <-f.keys
+				if got := keys["node/n1"]; (got == `{"level":1}`) == c.down {
+					t.Errorf("announced as %q", got)
+				}
+				if c.done || c.down {
+					f.keys <- keys
+					return
+				}
+				// The last one comes up with the new version.
+				keys["node/n3"] = `{"level":1}`
+				f.keys <- keys
+				time.Sleep(2 * lookEvery)
+				synctest.Wait()
+				if !w.Done() {
+					t.Error("not done when all are there")
+				}
+			})
+		})
+	}
+}
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -42,6 +43,16 @@
 	CheckpointS float64  `json:"snapshot_s"`
 	SaveS       float64  `json:"flush_s"`
 	DeadlineS   *float64 `json:"due_s"`
+	// WaitsOn names the jobs that have to be done before any task of this one
+	// starts, each once.
+	WaitsOn []string `json:"waits_on,omitempty"`
+}
+
+// Essence is what is kept of the description of a cancelled job: a new leader
+// charges the job's team for tasks that it has not seen gone.
+func (j *Job) Essence() *Job {
+	return &Job{Ref: j.Ref, Class: j.Class, Team: j.Team, Kind: j.Kind, Priority: j.Priority, Tasks: j.Tasks,
+		CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB, OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, EstimateS: j.EstimateS}
 }
 
 // Rank is the job's priority as a number, 0 the most urgent.
@@ -138,6 +149,7 @@
 		v := r.number("due_s", 0, 1e9, false)
 		j.DeadlineS = &v
 	}
+	j.WaitsOn = r.refs("waits_on")
 	if r.err != nil {
 		return nil, ref, r.err
 	}
@@ -196,6 +208,21 @@
 	}
 }
 
+// refs reads a list of job ids, each once; absent, null and empty mean none.
+func (r *reader) refs(key string) []string {
+	var all, once []string
+	r.optional(key, &all, "a list of job ids, or null")
+	for _, ref := range all {
+		if !ValidRef(ref) {
+			r.fail(key, "a list of job ids, or null")
+		}
+		if !slices.Contains(once, ref) {
+			once = append(once, ref)
+		}
+	}
+	return once
+}
+
 // ParseReport reads a worker's report. What it returns shares the body's memory:
 // the body must not change afterwards, and what is kept for long is to be cloned.
 func ParseReport(body []byte) (*Report, error) {
