--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -36,6 +36,7 @@
 	users outbound.Network
 	// What befalls writes to the state service, direct commands, and hires.
 	writes, orders, hires atomic.Pointer[standin.Troubles]
+	held                  bool // commands were held up: starts may come late
 	// asking is done when no user is on the way any more.
 	asking sync.WaitGroup
 	calm   chan time.Time // holds since when there are no troubles; zero: there are
@@ -237,6 +238,15 @@
 	c.start(i)
 }
 
+// revive starts all nodes that are down.
+func (c *cluster) revive() {
+	for i, n := range c.nodes {
+		if n.cancel == nil {
+			c.start(i)
+		}
+	}
+}
+
 // leader is the node that the state service names, or -1.
 func (c *cluster) leader() int {
 	var h struct {
@@ -538,4 +548,7 @@
 	for _, b := range c.check.Broken() {
 		c.t.Error(b)
 	}
+	if n := c.check.LateStarts(); n > 0 && !c.held {
+		c.t.Errorf("%d starts after a confirmed cancellation, none of them on its way for long", n)
+	}
 }
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -233,11 +233,7 @@
 		time.Sleep(some(r, 100*time.Millisecond, time.Second))
 		c.start(r.IntN(len(c.nodes)))
 		time.Sleep(some(r, 4*time.Second, 10*time.Second))
-		for i, n := range c.nodes {
-			if n.cancel == nil {
-				c.start(i)
-			}
-		}
+		c.revive()
 		c.stream(100, 4, 300*time.Millisecond, nil)
 	})
 }
@@ -313,11 +309,7 @@
 				})
 				c.stream(100, 4, 300*time.Millisecond, nil)
 				time.Sleep(time.Minute)
-				for i, n := range c.nodes {
-					if n.cancel == nil {
-						c.start(i)
-					}
-				}
+				c.revive()
 			})
 		})
 	}
@@ -448,6 +440,7 @@
 	for _, fate := range []standin.Fate{standin.Held, standin.Unheard, standin.Lost, standin.Repeated} {
 		t.Run(fmt.Sprint(fate), func(t *testing.T) {
 			inCluster(t, plan{run: long(30 * time.Second)}, func(c *cluster) {
+				c.held = true
 				c.orders.Store(c.share(0.5, fate, 2*time.Second, 15*time.Second))
 				jobs := c.stream(0, 12, 300*time.Millisecond, nil)
 				time.Sleep(3 * time.Second)
@@ -507,11 +500,7 @@
 				c.kill(c.leader())
 			}
 		}
-		for i, n := range c.nodes {
-			if n.cancel == nil {
-				c.start(i)
-			}
-		}
+		c.revive()
 	})
 }
 
@@ -519,6 +508,7 @@
 func TestNoRoomMeeting(t *testing.T) {
 	inCluster(t, plan{machines: 4, run: long(25 * time.Second)}, func(c *cluster) {
 		c.state.Slow(300 * time.Millisecond)
+		c.held = true
 		c.orders.Store(c.share(0.2, standin.Unheard, 0, 0))
 		jobs := c.stream(0, 24, 300*time.Millisecond, func(k int, j *wire.Job) {
 			j.Tasks, j.CPUs = 8, 2
@@ -530,11 +520,7 @@
 		c.state.Slow(0)
 		c.orders.Store(nil)
 		time.Sleep(time.Minute)
-		for i, n := range c.nodes {
-			if n.cancel == nil {
-				c.start(i)
-			}
-		}
+		c.revive()
 	})
 }
 
@@ -605,11 +591,7 @@
 				for _, w := range workers {
 					away(w, false)
 				}
-				for i, n := range c.nodes {
-					if n.cancel == nil {
-						c.start(i)
-					}
-				}
+				c.revive()
 			})
 		})
 	}
@@ -637,11 +619,7 @@
 					for _, w := range workers {
 						away(w, false)
 					}
-					for i, n := range c.nodes {
-						if n.cancel == nil {
-							c.start(i)
-						}
-					}
+					c.revive()
 				})
 			})
 		}
@@ -721,11 +699,7 @@
 				c.kill(c.leader())
 			}
 		}
-		for i, n := range c.nodes {
-			if n.cancel == nil {
-				c.start(i)
-			}
-		}
+		c.revive()
 	})
 }
 
@@ -946,11 +920,7 @@
 				c.cancel(jobs[2])
 				c.stream(100, 6, 500*time.Millisecond, nil)
 				time.Sleep(20 * time.Second)
-				for i, n := range c.nodes {
-					if n.cancel == nil {
-						c.start(i)
-					}
-				}
+				c.revive()
 			})
 		})
 	}
@@ -978,6 +948,7 @@
 		return 700 * time.Millisecond
 	}}, func(c *cluster) {
 		c.writes.Store(every(ok, ok, ok, standin.Unheard, ok, ok, standin.Repeated, ok, ok, standin.Held, ok, ok, standin.Refused))
+		c.held = true
 		c.orders.Store(every(ok, ok, standin.Unheard, ok, standin.Lost, ok, ok, standin.Held, standin.Repeated))
 		c.hires.Store(every(ok, ok, standin.Unheard, ok, ok, ok, standin.Refused))
 		jobs := c.stream(1, 3, 0, func(_ int, j *wire.Job) { j.Tasks = 30 })
