--- a/internal/intake/groupcommit.go
+++ b/internal/intake/groupcommit.go
@@ -19,6 +19,7 @@
 	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, uint64, error)
 	Txn(ctx context.Context, p state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error)
 	Limits() state.Limits
+	Serving() bool
 }
 
 // accept is one job that wants its record created.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -137,6 +137,9 @@
 	if ref == "" {
 		return problem(http.StatusBadRequest, "%s", err)
 	}
+	if a, ok := s.servedElsewhere(ctx, Submit, ref, body, &local); err == nil && ok {
+		return a
+	}
 	// undecided: another node may know more of the jobs that it waits for.
 	refusal, cancelled, undecided := Answer{}, false, false
 	if err != nil {
@@ -167,7 +170,7 @@
 	}
 	rec := ledger.JobRecord{Job: job, AcceptedMS: time.Now().UnixMilli()}
 	a, err := s.commits.create(ctx, ref, rec)
-	if err != nil && !errors.Is(err, errLong) {
+	if errors.Is(err, errFull) || errors.Is(err, state.ErrBusy) {
 		if a, ok := s.repeated(ctx, ref, local); ok {
 			return a
 		}
@@ -319,6 +322,9 @@
 	if st, ok := s.fromLeader(ctx, ref, local); ok {
 		return JSON(http.StatusOK, st)
 	}
+	if a, ok := s.servedElsewhere(ctx, Status, ref, nil, &local); ok {
+		return a
+	}
 	rec, found, err := s.record(ctx, ref)
 	switch {
 	case err != nil:
@@ -394,6 +400,19 @@
 	return s.peers.Ask(ctx, node, k, ref, body)
 }
 
+// servedElsewhere lets another node answer at once when the state service does not
+// serve this one: behind a cut that swallows packets, finding that out anew takes
+// seconds for each request. Where no other node answers either, this one has a try, and
+// goes no further with it: local is set then.
+func (s *Service) servedElsewhere(ctx context.Context, k Kind, ref string, body []byte, local *bool) (Answer, bool) {
+	if *local || s.store.Serving() {
+		return Answer{}, false
+	}
+	a := s.elsewhere(ctx, k, ref, body, false, Answer{})
+	*local = true
+	return a, a.Status != 0
+}
+
 // elsewhere lets another node answer what this one can't, as when the state
 // service refuses this node alone.
 func (s *Service) elsewhere(ctx context.Context, k Kind, ref string, body []byte, local bool, otherwise Answer) Answer {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -30,9 +31,16 @@
 	records map[string]ledger.JobRecord
 	down    bool
 	busy    bool // there are no writes left
+	// unserved is set while the service does not serve this node: a request hangs
+	// until its user gives up.
+	unserved bool
 }
 
-func (f *fakeStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
+func (f *fakeStore) Get(ctx context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
+	if f.unserved {
+		<-ctx.Done()
+		return wire.Entry{}, false, 0, state.ErrUnknown
+	}
 	if f.down {
 		return wire.Entry{}, false, 0, state.ErrRefused
 	}
@@ -41,11 +49,17 @@
 	return wire.Entry{Key: key, Value: value, Version: 3}, ok, 3, err
 }
 
+func (f *fakeStore) Serving() bool { return !f.unserved }
+
 func (f *fakeStore) Limits() state.Limits {
 	return state.Limits{Ops: 8, ValueBytes: 16 << 10, WriteRPS: 40}
 }
 
-func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
+func (f *fakeStore) Txn(ctx context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
+	if f.unserved {
+		<-ctx.Done()
+		return false, wire.TxnAnswer{}, state.ErrUnknown
+	}
 	if f.down {
 		return false, wire.TxnAnswer{}, state.ErrRefused
 	}
@@ -194,6 +208,39 @@
 	}
 }
 
+// TestUnservedNodePassesOnAtOnce: behind a cut that swallows what is sent to the state
+// service, each submission took two seconds to find that out before another node had
+// it.
+func TestUnservedNodePassesOnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &settings.Platform{Node: "n1", Facts: settings.Facts{Teams: []settings.Team{{Name: "t"}}, State: settings.StateLimits{WriteRPS: 40, TxnOps: 8, ValueKB: 16}}}
+		types := func() ([]wire.MachineType, bool) {
+			return []wire.MachineType{{Name: "m", CPUs: 8, MemGB: 32, Zones: []string{"a"}}}, true
+		}
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, log)
+		other := Answer{Status: http.StatusCreated, Body: []byte(`{"ref":"job-1","status":"queued"}`)}
+		body := []byte(`{"ref":"job-1","lane":"c","owner":"t","shape":"batch","urgency":"high","pieces":2,"vcpus":2,"gpus":0,"mem_gb":4,
+			"bundle":"i","size_gb":1,"together":false,"spread":false,"loaners":true,"guess_s":5,"snapshot_s":0,"flush_s":0}`)
+		for _, k := range []Kind{Submit, Status} {
+			for _, answers := range []bool{true, false} {
+				peers := &fakePeers{}
+				if answers {
+					peers.answer = &other
+				}
+				s := New(t.Context(), p, e, &fakeStore{unserved: true}, fakeDesk{}, peers, types, 0.5, log)
+				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+				began := time.Now()
+				a := s.Handle(ctx, k, "job-1", body, false)
+				cancel()
+				if took := time.Since(began); answers && (a.Status != http.StatusCreated || took > 10*time.Millisecond) || !answers && a.Status != http.StatusServiceUnavailable {
+					t.Errorf("kind %d, another node answers: %v: %d after %v", k, answers, a.Status, took)
+				}
+			}
+		}
+	})
+}
+
 // TestAnnouncedBodiesTakeNoRoom: a sender that announces a long body and is slow, or
 // breaks off, must not hold room for all of it; two thousand of them would be more
 // than the memory of a small controller.
