A job is undecided while the cancellation of one that it needs is being written

The leader's write of a cancellation was carried out and its answer lost; another node had told the user, and the leader went on to call a job that needs it queued. Now such a job is for the records alone to tell, as its ancestor is. Brought about by TestConfirmationReadMeeting, which failed before.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -522,7 +522,7 @@
 		return
 	}
 	j := c.jobs[i]
-	c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(j), Deciding: j.over() && !j.terminalDurable})
+	c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(j), Deciding: c.deciding(j)})
 }
 
 // status is what may be told about a job: a terminal state only once it is
--- a/internal/dispatch/graph.go
+++ b/internal/dispatch/graph.go
@@ -162,6 +162,35 @@
 	c.terminalIsDurable(j)
 }
 
+// deciding tells whether the state service may know more of a job's end than this
+// leader does: its own end is being written, or the cancellation of one that it needs,
+// directly or through others. That may have been carried out and its answer lost;
+// another node has then read it and told a user, and "queued" would go back on that.
+func (c *Core) deciding(j *job) bool {
+	if j.terminalDurable {
+		return false
+	}
+	if j.over() {
+		return true
+	}
+	seen := map[int32]bool{}
+	todo := slices.Clone(j.deps.needs)
+	for len(todo) > 0 {
+		at := todo[len(todo)-1]
+		todo = todo[:len(todo)-1]
+		p := c.jobs[at]
+		if p.terminalDurable || seen[at] {
+			continue
+		}
+		if p.terminal == wire.Aborted {
+			return true
+		}
+		seen[at] = true
+		todo = append(todo, p.deps.needs...)
+	}
+	return false
+}
+
 // readySince is when the last of a restored job's predecessors was done.
 func (c *Core) readySince(j *job) time.Duration {
 	last := j.arrived
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -201,6 +201,16 @@
 	inCluster(t, plan{run: long(100 * time.Second)}, func(c *cluster) {
 		jobs := c.stream(0, 8, 300*time.Millisecond, nil)
 		c.running(10)
+		for k, j := range half(jobs) {
+			before := j.Ref
+			for i := range 2 { // one that needs it, and one that needs that
+				child := job(fmt.Sprintf("job-%06d", 200+100*i+k), 1, func(j *wire.Job) { j.WaitsOn = []string{before} })
+				if c.accept(child) {
+					c.poll(child)
+				}
+				before = child.Ref
+			}
+		}
 		c.writes.Store(c.share(1, standin.Unheard, 0, 0))
 		for _, j := range half(jobs) {
 			c.cancel(j)
