--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -204,9 +204,7 @@
 
 // repeated answers a submission if its job is recorded already.
 func (s *Service) repeated(ctx context.Context, ref string, local bool) (Answer, bool) {
-	if st, found, err := s.fromDesk(ctx, ref); err == nil && found {
-		return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status}), true
-	}
+	// Not the dispatcher: what is new, as most is, it does not know, and it may be busy.
 	rec, found, err := s.record(ctx, ref)
 	if err != nil || !found {
 		return Answer{}, false
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -46,11 +46,12 @@
 type Limits struct {
 	Ops        int
 	ValueBytes int
+	RPS        float64
 	WriteRPS   float64
 }
 
 func limitsOf(l settings.StateLimits) *Limits {
-	return &Limits{Ops: l.TxnOps, ValueBytes: int(l.ValueKB * 1024), WriteRPS: l.WriteRPS}
+	return &Limits{Ops: l.TxnOps, ValueBytes: int(l.ValueKB * 1024), RPS: l.RPS, WriteRPS: l.WriteRPS}
 }
 
 // exceeds tells whether a transaction is more than the limits allow.
--- a/internal/state/pacer.go
+++ b/internal/state/pacer.go
@@ -172,7 +172,7 @@
 				p.refusedWrites(last)
 			}
 		case <-p.falls:
-			p.wps = p.next.WriteRPS
+			p.rps, p.wps = p.next.RPS, p.next.WriteRPS
 		case served := <-p.outcomes:
 			p.judge(served, time.Now())
 			continue
