--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -54,7 +54,9 @@
 	writes   float64 // the state service's rate of writes
 	next     *settings.StateLimits
 	absent   int // nodes that are not up yet
-	seed     uint64
+	// ledger is what the state service holds at first.
+	ledger map[string]string
+	seed   uint64
 }
 
 // The times of a cluster.
@@ -131,6 +133,9 @@
 	c.users = c.net.Host("users")
 	c.check = standin.NewChecker(t, standin.Limits{Cancel: cancelLimit, CPUs: p.limits, Waiting: 90 * time.Second, Silent: 75 * time.Second})
 	c.state = standin.NewState(t, c.net.Host("state"), "state:1", only("/txn", &c.writes))
+	for key, value := range p.ledger {
+		c.state.Put(key, value)
+	}
 	var workers []standin.Node
 	for i := range p.nodes {
 		f := settings.Facts{Nodes: p.nodes, Zones: p.zones, ClockErrorMS: 5,
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -936,6 +936,48 @@
 	}
 }
 
+// TestTakeoverFromProduction: the version in production has led until now, and left its
+// keys as it writes them. All of it is taken over: an open job goes on where it was,
+// on machines that may still run its tasks, what is over stays so, and new jobs wait
+// for it.
+func TestTakeoverFromProduction(t *testing.T) {
+	open := `{"job":{"ref":"job-800001","lane":"c","owner":"open","shape":"batch","urgency":"high","pieces":5,"vcpus":1,"gpus":0,"mem_gb":2,` +
+		`"bundle":"i","size_gb":0.5,"flavors":["m8"],"room":"a","together":false,"spread":false,"loaners":true,"guess_s":8,"snapshot_s":0,"flush_s":0,"due_s":90},"accepted_ms":946684790123}`
+	aborted := strings.Replace(strings.Replace(open, "job-800001", "job-800002", 1), `"accepted_ms":946684790123}`, `"accepted_ms":946684790123,"fate":"aborted","tasks":5,"done":2}`, 1)
+	ledger := map[string]string{
+		"job/job-800001": open, "fin/job-800001/0": `[0,1,4,4]`, "host/job-800001/0": `["vm-900001","vm-900002"]`,
+		"job/job-800002": aborted, "host/job-800002/0": `["vm-900002"]`,
+		"job/job-800003": `{"accepted_ms":946684790123,"fate":"done","tasks":5,"done":5,"class":"c","team":"open","cores":7.5,"run_s":8.25}`,
+		"gone/vm-900002": `true`, "silent/7-1": `{"over_ms":946684800500,"machines":["vm-900001"]}`, "silent/7-2": `{"over_ms":0,"machines":[]}`,
+		"hire/h7-1": `{"hire":{"hire":"h7-1","flavor":"m8","room":"a","loaners":true,"number":2}}`,
+	}
+	inCluster(t, plan{ledger: ledger}, func(c *cluster) {
+		for _, ref := range []string{"job-800001", "job-800002", "job-800003"} {
+			c.check.Submits(job(ref, 5, nil), true)
+		}
+		for _, task := range []string{"1/0", "1/1", "1/4", "3/0", "3/1", "3/2", "3/3", "3/4"} {
+			c.check.Ends("job-80000"+task, "vm-900001", true)
+		}
+		c.check.Cancels("job-800002")
+		c.call(0, standin.AskedStatus, "job-800001", nil)
+		for ref, want := range map[string]string{"job-800002": wire.Aborted, "job-800003": wire.Done} {
+			if _, status := c.until(standin.AskedStatus, ref, nil); status != want {
+				t.Errorf("%s is %s, want %s", ref, status, want)
+			}
+		}
+		time.Sleep(5 * time.Second) // all nodes know of one another
+		c.submit(job("job-800004", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800001", "job-800003"} }))
+		c.submit(job("job-800005", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800002"} }))
+		c.await("the open job done", time.Minute, func() bool {
+			_, status := c.call(1, standin.AskedStatus, "job-800001", nil)
+			return status == wire.Done
+		})
+		if _, done := c.check.On("job-800001"); done != 5 {
+			t.Errorf("%d tasks done", done)
+		}
+	})
+}
+
 // TestJobsSurviveTheirLeader runs jobs while messages are lost, repeated and held,
 // ends the leader in the middle, then all nodes, and has every task run to its
 // end.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -164,6 +164,11 @@
 	return bytes
 }
 
+// Put writes a key as if a controller had, long ago.
+func (s *State) Put(key, value string) {
+	s.do(func() { s.apply([]wire.Change{{Set: key, Value: json.RawMessage(value)}}) })
+}
+
 // Version is a key's version; 0: there is none.
 func (s *State) Version(key string) (version uint64) {
 	s.do(func() { version = s.keys[key].Version })
