--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -328,7 +328,9 @@
 	if next := d.platform.Facts.State.Next; next != nil && d.Upgraded != nil && d.Upgraded() {
 		size = min(size, int(next.ValueKB*1024))
 	}
-	return size
+	// The service may count a value as it keeps it, with more between its parts than
+	// we write.
+	return size - size/8
 }
 
 // mostAtOnce bounds the events that share a placement.
