--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -48,6 +48,7 @@
 
 	active    []*job             // jobs that are not settled
 	unseen    map[string][]int32 // jobs that wait for one that this leader has not seen
+	aborting  map[int32]bool     // jobs whose cancellation is being written
 	goal      slowfit.Goal
 	calmSince time.Duration
 	index     slowfit.Index
@@ -109,8 +110,8 @@
 		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now,
 		leaseTime: settings.Stretch(settings.Seconds(w.LeaseS)) + 250*time.Millisecond,
 		report:    settings.Seconds(w.ReportS),
-		unseen:    map[string][]int32{},
-		jobIndex:  map[string]int32{}, machineAt: map[string]int32{},
+		unseen:    map[string][]int32{}, aborting: map[int32]bool{},
+		jobIndex: map[string]int32{}, machineAt: map[string]int32{},
 		typeAt: map[string]int32{}, teamAt: map[string]int32{},
 		goal:         slowfit.Goal{C: cfg.Operator.SlowFitC},
 		probesAtOnce: fewProbes, calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
@@ -602,6 +603,9 @@
 // is durable.
 func (c *Core) finish(j *job, terminal string) {
 	j.terminal = terminal
+	if terminal == wire.Aborted {
+		c.aborting[j.index] = true
+	}
 	c.writeTerminal(j, true)
 }
 
@@ -623,6 +627,7 @@
 		return // it followed from another job's end before its own record was written
 	}
 	j.terminalDurable = true
+	delete(c.aborting, j.index)
 	j.waiting = nil
 	c.log.Debug("job is over", "job", j.ref, "state", j.terminal, "seconds", (c.now - j.arrived).Seconds(), "late", c.now > j.due)
 	for _, to := range j.waiters {
--- a/internal/dispatch/graph.go
+++ b/internal/dispatch/graph.go
@@ -173,6 +173,9 @@
 	if j.over() {
 		return true
 	}
+	if len(c.aborting) == 0 {
+		return false // as nearly always; an ancestor need not be looked for
+	}
 	seen := map[int32]bool{}
 	todo := slices.Clone(j.deps.needs)
 	for len(todo) > 0 {
@@ -182,7 +185,7 @@
 		if p.terminalDurable || seen[at] {
 			continue
 		}
-		if p.terminal == wire.Aborted {
+		if c.aborting[at] {
 			return true
 		}
 		seen[at] = true
