A report with an older token than its worker has shown is from an earlier life

A machine was back within a moment before a new term; a late report of its earlier life, which the new leader had never seen, had higher counts and the former term's token. The machine had echoed our term by then, so the report was believed, and what it lacked was started elsewhere. A worker never forgets a token while it lives: a lower one than it has shown tells nothing, and has it asked.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -98,10 +98,10 @@
 	if r.Session <= m.over || !(stamp{m.session, m.seq}).before(stamp{r.Session, r.Seq}) {
 		return false
 	}
-	if r.Token < m.floor {
-		// Its worker has begun anew and not yet heard of us, or this is from before.
-		m.heard = c.now
-		c.lives(m)
+	if r.Token < max(m.floor, m.echo) {
+		// A worker never forgets a token while it lives. So this is from an earlier
+		// life, whose counts may be higher than those of the present one, or its worker
+		// has begun anew and not yet heard of us. The answer tells it our token.
 		return false
 	}
 	// A machine that opens to work, at its first echo or after a silence, may
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -326,6 +326,28 @@
 	}
 }
 
+// TestReportOfALifeBeforeOurTerm: a machine was back within a moment before our term
+// began, and counts anew. A late report of its earlier life, which we never saw, has
+// higher counts and an older token: it does not tell what runs there.
+func TestReportOfALifeBeforeOurTerm(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	g.starts()
+	g.settle(DirectDone)
+	old := *g.reportOf("vm-1", (testTerm-1)<<tokenBits)
+	old.Seq = 90
+	g.report(&old)
+	g.want("bookings after it", g.c.jobs[0].booked, 1)
+	g.want("started elsewhere", len(g.starts()), 0)
+	// Its worker may truly have begun anew with higher counts: it says so again with
+	// the token that the answer gave it.
+	again := *g.reportOf("vm-1", g.c.machineNamed("vm-1").token)
+	again.Seq = 91
+	g.report(&again)
+	g.want("started anew", len(g.starts()), 1)
+}
+
 // TestIdleMachineThatWaitingTasksCanNotUseGoesBack: on a large site something
 // always waits, and it kept every idle machine.
 func TestIdleMachineThatWaitingTasksCanNotUseGoesBack(t *testing.T) {
@@ -438,7 +460,7 @@
 	for i := range machines {
 		copies[name(i)] = g.reportOf(name(i), 0)
 		g.up(name(i))
-		g.up(name(i))
+		g.report(g.reportOf(name(i), ours))
 	}
 	g.out = nil
 	for i := range machines {
