After a read-over: one piece where the change had two, and nothing that is not used

A job's state by the records alone is told in one place (status, cancellations, repetitions, predecessors); keys are read page by page in one place (ledger, upgrade); the pacer's rates are those of the limits that hold, without a copy and a message of their own; the value that fits now and later is reckoned in the settings; the names of a key of hosts are listed once. Unused: Client.Fallen, parts of the stand-ins and of the cluster in tests. A malformed submission no longer asks other nodes in vain before it is refused where the state service does not serve this node; there it is passed on again, and not answered 503. Nothing else behaves otherwise, and no assertion of a test has changed.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -428,10 +428,10 @@
 	if j.spec == nil {
 		// It is done; an earlier leader was stopped while it tidied up.
 		for _, h := range s.Hosts {
-			c.emit(Put{Writes: []ledger.Write{{Key: h.Key}}})
+			c.put(ledger.Write{Key: h.Key})
 		}
 		for _, f := range s.Finished {
-			c.emit(Put{Writes: []ledger.Write{{Key: f.Key}}})
+			c.put(ledger.Write{Key: f.Key})
 		}
 		return
 	}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -554,36 +554,31 @@
 // writeHosts writes the chunks in which a job has new hosts.
 func (c *Core) writeHosts(j *job) {
 	for from := j.hostsPut; from < len(j.hosts); {
-		chunk := len(j.hostChunks) - 1
-		var to int
-		if chunk >= 0 {
-			to = c.chunkEnd(j, j.hostChunks[chunk])
+		first, names := 0, []string(nil)
+		if n := len(j.hostChunks); n > 0 {
+			first = j.hostChunks[n-1]
+			names = c.chunkFrom(j, first)
 		}
-		if to <= from {
+		if first+len(names) <= from {
 			// There is none, or the last one is full.
 			j.hostChunks = append(j.hostChunks, from)
-			chunk++
-			to = c.chunkEnd(j, from)
+			first, names = from, c.chunkFrom(j, from)
 		}
-		c.put(ledger.Write{Key: ledger.HostKey(j.ref, chunk), Value: c.hostNames(j, j.hostChunks[chunk], to), Urgent: true, Tag: hostTag{j.index, from, to}})
+		to := first + len(names)
+		c.put(ledger.Write{Key: ledger.HostKey(j.ref, len(j.hostChunks)-1), Value: names, Urgent: true, Tag: hostTag{j.index, from, to}})
 		from = to
 	}
 	j.hostsPut = len(j.hosts)
 }
 
-// chunkEnd is where the chunk of a job's hosts that begins with one of them ends, at
-// the latest.
-func (c *Core) chunkEnd(j *job, first int) int {
-	names := c.hostNames(j, first, min(first+ledger.ChunkHosts, len(j.hosts)))
-	return first + ledger.NamesFit(names, c.cfg.ValueBytes)
-}
-
-func (c *Core) hostNames(j *job, from, to int) []string {
-	names := make([]string, 0, to-from)
-	for _, h := range j.hosts[from:to] {
-		names = append(names, c.machines[h.machine].name)
+// chunkFrom names the hosts of a job, from one of them on, that go into one key.
+func (c *Core) chunkFrom(j *job, first int) []string {
+	hosts := j.hosts[first:min(first+ledger.ChunkHosts, len(j.hosts))]
+	names := make([]string, len(hosts))
+	for i, h := range hosts {
+		names[i] = c.machines[h.machine].name
 	}
-	return names
+	return names[:ledger.NamesFit(names, c.cfg.ValueBytes)]
 }
 
 // writeDone writes the chunks in which a job has tasks that have ended since they
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -37,7 +37,7 @@
 	started  time.Time
 	workers  *callers
 	// Upgraded tells whether all nodes run a version that knows what this one
-	// writes; nil: no.
+	// writes.
 	Upgraded func() bool
 	// machines is how many should be reporting to this leader; unanswered is how
 	// many direct commands in a row no worker has answered.
@@ -65,7 +65,7 @@
 func NewDesk(n outbound.Network, p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines Lines, log *slog.Logger) *Desk {
 	return &Desk{
 		net: n, platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
-		workers: newCallers(n, lines),
+		workers: newCallers(n, lines), Upgraded: func() bool { return false },
 		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
 	}
 }
@@ -325,8 +325,8 @@
 // nothing to be rewritten when the limits fall.
 func (d *Desk) valueBytes() int {
 	size := d.store.Limits().ValueBytes
-	if next := d.platform.Facts.State.Next; next != nil && d.Upgraded != nil && d.Upgraded() {
-		size = min(size, int(next.ValueKB*1024))
+	if d.Upgraded() {
+		size = min(size, d.platform.Facts.State.LeastValueBytes())
 	}
 	// The service may count a value as it keeps it, with more between its parts than
 	// we write.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -83,11 +83,7 @@
 		s.teams[t.Name] = t
 	}
 	// What is accepted now has to fit when the limits have fallen.
-	value := p.Facts.State.ValueKB
-	if next := p.Facts.State.Next; next != nil {
-		value = min(value, next.ValueKB)
-	}
-	s.commits = newGroupCommit(store, share, int(value*1024))
+	s.commits = newGroupCommit(store, share, p.Facts.State.LeastValueBytes())
 	go s.commits.run(ctx)
 	return s
 }
@@ -137,8 +133,10 @@
 	if ref == "" {
 		return problem(http.StatusBadRequest, "%s", err)
 	}
-	if a, ok := s.servedElsewhere(ctx, Submit, ref, body, &local); err == nil && ok {
-		return a
+	if err == nil {
+		if a, ok := s.servedElsewhere(ctx, Submit, ref, body, &local); ok {
+			return a
+		}
 	}
 	// undecided: another node may know more of the jobs that it waits for.
 	refusal, cancelled, undecided := Answer{}, false, false
@@ -215,25 +213,16 @@
 // known answers the repetition of an accepted job, whose record was read since
 // the user asked.
 func (s *Service) known(ctx context.Context, ref string, rec ledger.JobRecord, local bool) Answer {
-	status := rec.Terminal
-	if status == "" {
+	if rec.Terminal == "" {
 		if st, ok := s.fromLeader(ctx, ref, local); ok {
 			return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
 		}
-		var err error
-		if status, err = s.ended(ctx, &rec); err != nil {
-			return noState
-		}
 	}
-	return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: orQueued(status)})
-}
-
-// orQueued is the state of a job of which the record alone tells.
-func orQueued(terminal string) string {
-	if terminal == "" {
-		return wire.Queued
+	status, err := s.recorded(ctx, &rec)
+	if err != nil {
+		return noState
 	}
-	return terminal
+	return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: status})
 }
 
 // judge tells why a job can never run, or that this can't be told yet. A zero
@@ -323,18 +312,14 @@
 	if a, ok := s.servedElsewhere(ctx, Status, ref, nil, &local); ok {
 		return a
 	}
-	rec, found, err := s.record(ctx, ref)
+	st, found, err := s.fromRecords(ctx, ref)
 	switch {
 	case err != nil:
 		return s.elsewhere(ctx, Status, ref, nil, local, noState)
 	case !found:
 		return problem(http.StatusNotFound, "there is no such job")
 	}
-	status, err := s.ended(ctx, &rec)
-	if err != nil {
-		return s.elsewhere(ctx, Status, ref, nil, local, noState)
-	}
-	return JSON(http.StatusOK, wire.JobStatus{Ref: ref, Status: orQueued(status), Done: rec.Done})
+	return JSON(http.StatusOK, st)
 }
 
 // --- cancellations ---
@@ -353,14 +338,11 @@
 			}
 		}
 		// Without a leader, what is over already can still be told.
-		rec, found, err := s.record(ctx, ref)
-		if err == nil && !found {
+		switch st, found, err := s.fromRecords(ctx, ref); {
+		case err == nil && !found:
 			return problem(http.StatusNotFound, "there is no such job")
-		}
-		if err == nil {
-			if status, err := s.ended(ctx, &rec); err == nil && status != "" {
-				return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: status})
-			}
+		case err == nil && st.Status != wire.Queued:
+			return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
 		}
 		return later(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
 	}
--- a/internal/intake/pipeline.go
+++ b/internal/intake/pipeline.go
@@ -47,12 +47,8 @@
 				looks <- look{ref, true, st.Status, nil}
 				return
 			}
-			rec, found, err := s.record(ctx, ref)
-			status := ""
-			if err == nil && found {
-				status, err = s.ended(ctx, &rec)
-			}
-			looks <- look{ref, found, status, err}
+			st, found, err := s.fromRecords(ctx, ref)
+			looks <- look{ref, found, st.Status, err}
 		}()
 	}
 	for range j.WaitsOn {
@@ -69,13 +65,26 @@
 	return refusal, cancelled
 }
 
-// ended is the terminal state of a job as its record and those of its ancestors tell
-// it: an open job is cancelled when one that it needs, directly or through others, is.
-// "" means open.
-func (s *Service) ended(ctx context.Context, rec *ledger.JobRecord) (string, error) {
-	if rec.Terminal != "" || rec.Job == nil {
+// fromRecords tells a job's state by its record and those of its ancestors alone.
+func (s *Service) fromRecords(ctx context.Context, ref string) (st wire.JobStatus, found bool, err error) {
+	rec, found, err := s.record(ctx, ref)
+	if err != nil || !found {
+		return st, false, err
+	}
+	status, err := s.recorded(ctx, &rec)
+	return wire.JobStatus{Ref: ref, Status: status, Done: rec.Done}, true, err
+}
+
+// recorded is the state of a job as its record and those of its ancestors tell it: an
+// open job is cancelled when one that it needs, directly or through others, is, and
+// else called queued.
+func (s *Service) recorded(ctx context.Context, rec *ledger.JobRecord) (string, error) {
+	if rec.Terminal != "" {
 		return rec.Terminal, nil
 	}
+	if rec.Job == nil {
+		return wire.Queued, nil
+	}
 	seen := map[string]bool{}
 	todo := slices.Clone(rec.Job.WaitsOn)
 	for len(todo) > 0 {
@@ -99,5 +108,5 @@
 			todo = append(todo, p.Job.WaitsOn...)
 		}
 	}
-	return "", nil
+	return wire.Queued, nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -107,24 +107,17 @@
 	var entries []wire.Entry
 	var revision uint64
 	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix, silentPrefix} {
-		after := ""
-		for {
-			page, err := l.store.List(ctx, state.Leader, prefix, after, 1000)
-			if err != nil {
-				return Snapshot{}, fmt.Errorf("reading %s: %w", prefix, err)
-			}
-			if revision == 0 {
-				revision = page.Revision
-			}
-			for _, e := range page.Items {
-				l.versions[e.Key] = e.Version
-				after = e.Key
-			}
-			entries = append(entries, page.Items...)
-			if !page.More || len(page.Items) == 0 {
-				break
-			}
+		under, began, err := state.ListAll(ctx, l.store, state.Leader, prefix)
+		if err != nil {
+			return Snapshot{}, fmt.Errorf("reading %s: %w", prefix, err)
+		}
+		if revision == 0 {
+			revision = began
+		}
+		for _, e := range under {
+			l.versions[e.Key] = e.Version
 		}
+		entries = append(entries, under...)
 	}
 	_, found, version, err := l.store.Get(ctx, state.Leader, fenceKey)
 	switch {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -27,7 +27,6 @@
 // test does with it, the checker holds it to the rules.
 type cluster struct {
 	t     *testing.T
-	plan  plan
 	net   *standin.Net
 	state *standin.State
 	cloud *standin.Cloud
@@ -45,8 +44,6 @@
 
 // plan is what a cluster is made of. Zero values stand for the usual.
 type plan struct {
-	nodes    int
-	zones    []string
 	boot     time.Duration
 	machines int // the most there may be
 	limits   map[string]float64
@@ -108,12 +105,6 @@
 }
 
 func newCluster(t *testing.T, p plan) *cluster {
-	if p.nodes == 0 {
-		p.nodes = 3
-	}
-	if p.zones == nil {
-		p.zones = []string{"a", "b", "c"}
-	}
 	if p.boot == 0 {
 		p.boot = 5 * time.Second
 	}
@@ -126,7 +117,7 @@
 	if p.writes == 0 {
 		p.writes = 100
 	}
-	c := &cluster{t: t, plan: p, calm: make(chan time.Time, 1), chance: make(chan *rand.Rand, 1)}
+	c := &cluster{t: t, calm: make(chan time.Time, 1), chance: make(chan *rand.Rand, 1)}
 	c.calm <- time.Time{}
 	c.chance <- rand.New(rand.NewPCG(p.seed, 7))
 	c.net = standin.NewNet(t)
@@ -137,8 +128,9 @@
 		c.state.Put(key, value)
 	}
 	var workers []standin.Node
-	for i := range p.nodes {
-		f := settings.Facts{Nodes: p.nodes, Zones: p.zones, ClockErrorMS: 5,
+	zones := []string{"a", "b", "c"}
+	for i, zone := range zones { // a node in each
+		f := settings.Facts{Nodes: len(zones), Zones: zones, ClockErrorMS: 5,
 			Workers:   settings.Workers{ReportS: reportEvery.Seconds(), LeaseS: workerLease.Seconds(), CancelS: cancelLimit.Seconds()},
 			State:     settings.StateLimits{RPS: 2 * p.writes, WriteRPS: p.writes, ValueKB: 16, TxnOps: 32, Next: p.next},
 			Cloud:     settings.CloudLimits{RPS: 5, ListLagS: 2},
@@ -147,7 +139,7 @@
 			f.Teams = append(f.Teams, settings.Team{Name: name, CPUsMax: p.limits[name]})
 		}
 		name := fmt.Sprintf("n%d", i)
-		c.nodes = append(c.nodes, &controller{platform: &settings.Platform{Node: name, Zone: p.zones[i%len(p.zones)],
+		c.nodes = append(c.nodes, &controller{platform: &settings.Platform{Node: name, Zone: zone,
 			Listen: name + ":80", Back: name + ":81", Facts: f, Services: settings.Services{State: "state:1", Cloud: "cloud:1"}}})
 		workers = append(workers, standin.Node{Name: name, Addr: name + ":80"})
 	}
@@ -159,7 +151,7 @@
 		}
 	}
 	c.cloud = standin.NewCloud(t, c.net.Host("cloud"), "cloud:1", standin.CloudConfig{
-		Types: []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: p.zones}},
+		Types: []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: zones}},
 		Boot:  p.boot, ListLag: 2 * time.Second, Most: p.machines,
 		Worker: standin.WorkerConfig{Nodes: workers, Report: reportEvery, Lease: workerLease, Fetch: 500 * time.Millisecond,
 			Run: p.run, Check: c.check, Trouble: only("/commands", &c.orders)},
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"leadproxy/internal/election"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/standin"
 	"leadproxy/internal/wire"
@@ -50,12 +51,15 @@
 }
 
 // changed waits until another node leads than did, or the same in a new term.
-func (c *cluster) changed(version func() uint64) {
-	was := version()
-	c.await("another leader", 30*time.Second, func() bool { return c.leader() >= 0 && version() != was })
+func (c *cluster) changed() {
+	was := c.state.Version(election.Key)
+	c.await("another leader", 30*time.Second, func() bool { return c.leader() >= 0 && c.state.Version(election.Key) != was })
 }
 
-func (c *cluster) term() uint64 { return c.state.Version("leader") }
+// away are the ways in which a machine can't be reached.
+var away = map[string]func(w *standin.Worker, on bool){
+	"hang": (*standin.Worker).Hang, "deaf": (*standin.Worker).Deaf, "mute": (*standin.Worker).Mute,
+}
 
 // half is every other one.
 func half[T any](all []T) (out []T) {
@@ -255,12 +259,12 @@
 	for name, when := range map[string]func(c *cluster, deliver func()){
 		"as the leader begins": func(c *cluster, deliver func()) {
 			c.kill(c.leader())
-			c.changed(c.term)
+			c.changed()
 			deliver()
 		},
 		"after it has acted": func(c *cluster, deliver func()) {
 			c.kill(c.leader())
-			c.changed(c.term)
+			c.changed()
 			time.Sleep(8 * time.Second)
 			deliver()
 			time.Sleep(30 * time.Second)
@@ -286,7 +290,7 @@
 				deliver()
 			}
 			c.kill(c.leader())
-			c.changed(c.term)
+			c.changed()
 			deliver()
 		},
 		"all the time": func(c *cluster, deliver func()) {
@@ -575,9 +579,7 @@
 // machines are cut off, hang or can't be asked, and the leader changes: what frees
 // room in the limit must surely be gone.
 func TestLimitMeeting(t *testing.T) {
-	for name, away := range map[string]func(w *standin.Worker, on bool){
-		"hang": (*standin.Worker).Hang, "deaf": (*standin.Worker).Deaf, "mute": (*standin.Worker).Mute,
-	} {
+	for name, away := range away {
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, plan{limits: map[string]float64{"tight": 12, "open": 24}, run: long(60 * time.Second)}, func(c *cluster) {
 				jobs := c.stream(0, 12, 200*time.Millisecond, func(k int, j *wire.Job) {
@@ -612,9 +614,7 @@
 // while direct commands still reach them.
 func TestUnreachableMeeting(t *testing.T) {
 	for _, lasts := range []time.Duration{6 * time.Second, workerLease - 2*time.Second, workerLease + 5*time.Second} {
-		for name, away := range map[string]func(w *standin.Worker, on bool){
-			"hang": (*standin.Worker).Hang, "deaf": (*standin.Worker).Deaf, "mute": (*standin.Worker).Mute,
-		} {
+		for name, away := range away {
 			t.Run(fmt.Sprint(name, lasts), func(t *testing.T) {
 				inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
 					c.stream(0, 10, 200*time.Millisecond, nil)
@@ -624,7 +624,7 @@
 						away(w, true)
 					}
 					c.kill(c.leader())
-					c.changed(c.term)
+					c.changed()
 					time.Sleep(lasts)
 					for _, w := range workers {
 						away(w, false)
@@ -805,7 +805,7 @@
 					lead := c.leader()
 					c.net.Cut(c.name(lead), "state", hold)
 					c.alone(lead, true, hold)
-					c.changed(c.term)
+					c.changed()
 					for _, j := range half(jobs) {
 						c.cancel(j)
 					}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -87,6 +87,16 @@
 	Next *StateLimits `toml:"next"`
 }
 
+// LeastValueBytes is how many bytes a value may have both now and when the limits
+// have fallen.
+func (l StateLimits) LeastValueBytes() int {
+	kb := l.ValueKB
+	if l.Next != nil {
+		kb = min(kb, l.Next.ValueKB)
+	}
+	return int(kb * 1024)
+}
+
 // CloudLimits are the cloud's limits.
 type CloudLimits struct {
 	RPS      float64 `toml:"rps"`
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -34,7 +34,6 @@
 	hires    map[string][]string
 	machines map[string]*rented
 	count    int
-	boot     time.Duration
 }
 
 type rented struct {
@@ -46,7 +45,7 @@
 
 // NewCloud starts a cloud.
 func NewCloud(t testing.TB, n outbound.Network, addr string, config CloudConfig) *Cloud {
-	c := &Cloud{actor: newActor(t), t: t, config: config, hires: map[string][]string{}, machines: map[string]*rented{}, boot: config.Boot}
+	c := &Cloud{actor: newActor(t), t: t, config: config, hires: map[string][]string{}, machines: map[string]*rented{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /flavors", func(w http.ResponseWriter, _ *http.Request) {
 		answer(w, http.StatusOK, wire.Flavors{Types: config.Types})
@@ -61,9 +60,6 @@
 // Addr is where it listens.
 func (c *Cloud) Addr() string { return c.addr }
 
-// Boot has machines that are hired from now on come up after so long.
-func (c *Cloud) Boot(d time.Duration) { c.do(func() { c.boot = d }) }
-
 func (c *Cloud) hire(w http.ResponseWriter, r *http.Request) {
 	var h wire.Hire
 	if err := json.NewDecoder(r.Body).Decode(&h); err != nil {
@@ -105,9 +101,9 @@
 	n, addr := c.config.Host(name)
 	m := &rented{since: time.Now(), listed: wire.ListedMachine{Name: name, Address: addr, Type: h.Type, Zone: h.Zone, Spot: h.Spot, Status: wire.Booting}}
 	c.machines[name] = m
-	ctx, boot := c.t.Context(), c.boot
+	ctx := c.t.Context()
 	go func() {
-		outbound.Pause(ctx, boot)
+		outbound.Pause(ctx, c.config.Boot)
 		c.do(func() {
 			if m.gone || ctx.Err() != nil {
 				return
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -22,7 +22,7 @@
 type Net struct {
 	actor
 	listeners map[string]*netListener // by address
-	links     map[link]*cut
+	cuts      map[link]bool
 	conns     map[*netConn]struct{}
 }
 
@@ -36,12 +36,9 @@
 	return link{a, b}
 }
 
-// cut is one link's cut; healed is closed at its end.
-type cut struct{ healed chan struct{} }
-
 // NewNet starts a network that lives as long as the test.
 func NewNet(t testing.TB) *Net {
-	return &Net{actor: newActor(t), listeners: map[string]*netListener{}, links: map[link]*cut{}, conns: map[*netConn]struct{}{}}
+	return &Net{actor: newActor(t), listeners: map[string]*netListener{}, cuts: map[link]bool{}, conns: map[*netConn]struct{}{}}
 }
 
 // Host is one process or machine on the network. It is an outbound.Network.
@@ -86,10 +83,10 @@
 // when the cut ends; otherwise connections are reset.
 func (n *Net) Cut(a, b string, hold bool) {
 	n.do(func() {
-		if n.links[linkOf(a, b)] != nil {
+		if n.cuts[linkOf(a, b)] {
 			return
 		}
-		n.links[linkOf(a, b)] = &cut{make(chan struct{})}
+		n.cuts[linkOf(a, b)] = true
 		for c := range n.conns {
 			if linkOf(c.host.name, c.other.host.name) != linkOf(a, b) {
 				continue
@@ -106,12 +103,10 @@
 // Heal ends the cut between two hosts.
 func (n *Net) Heal(a, b string) {
 	n.do(func() {
-		k := n.links[linkOf(a, b)]
-		if k == nil {
+		if !n.cuts[linkOf(a, b)] {
 			return
 		}
-		delete(n.links, linkOf(a, b))
-		close(k.healed)
+		delete(n.cuts, linkOf(a, b))
 		for c := range n.conns {
 			if linkOf(c.host.name, c.other.host.name) == linkOf(a, b) {
 				c.in.hold(false)
@@ -142,7 +137,7 @@
 	}
 	var l *netListener
 	var c, s *netConn
-	var behind *cut
+	behind := false
 	h.net.do(func() {
 		if h.IsDown() {
 			return
@@ -150,14 +145,14 @@
 		if l = h.net.listeners[addr]; l == nil {
 			return
 		}
-		if behind = h.net.links[linkOf(h.name, l.host.name)]; behind != nil {
+		if behind = h.net.cuts[linkOf(h.name, l.host.name)]; behind {
 			return
 		}
 		c, s = pair(h, l.host)
 		h.net.conns[c], h.net.conns[s] = struct{}{}, struct{}{}
 	})
 	switch {
-	case behind != nil:
+	case behind:
 		<-ctx.Done() // an attempt that was given up never completes later
 		return nil, dialError(addr, ctx.Err())
 	case c == nil:
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -60,9 +60,8 @@
 
 type workerTask struct {
 	wire.TaskReport
-	job     *wire.Job
-	ran     time.Duration
-	stopped bool
+	job *wire.Job
+	ran time.Duration
 }
 
 // workerTicks is the worker's own pace.
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -105,9 +105,6 @@
 // Limits are the service's limits as far as they have shown themselves.
 func (c *Client) Limits() Limits { return *c.pacer.limits.Load() }
 
-// Fallen tells whether the limits that were announced have come.
-func (c *Client) Fallen() bool { return c.pacer.fallen() }
-
 // Serving tells whether the service has served this node when it last answered,
 // or not at all.
 func (c *Client) Serving() bool { return c.pacer.serving.Load() }
@@ -219,6 +216,30 @@
 	return page, decode(answer, &page)
 }
 
+// Lister reads pages of keys.
+type Lister interface {
+	List(ctx context.Context, p Priority, under, after string, limit int) (wire.Entries, error)
+}
+
+// ListAll reads all keys under a prefix, page by page, and the service's revision
+// when that began.
+func ListAll(ctx context.Context, l Lister, p Priority, under string) (entries []wire.Entry, revision uint64, err error) {
+	for after := ""; ; {
+		page, err := l.List(ctx, p, under, after, 1000)
+		if err != nil {
+			return nil, 0, err
+		}
+		if revision == 0 {
+			revision = page.Revision
+		}
+		entries = append(entries, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return entries, revision, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
 // Txn carries out a transaction. ok is false when a condition failed.
 func (c *Client) Txn(ctx context.Context, p Priority, t wire.Txn) (ok bool, a wire.TxnAnswer, err error) {
 	if t.Then == nil {
--- a/internal/state/pacer.go
+++ b/internal/state/pacer.go
@@ -26,7 +26,6 @@
 	wishes    chan *grant
 	shares    chan float64
 	penalties chan int      // requests that were refused for the rate, with their writes
-	falls     chan struct{} // the limits have fallen
 	spent     chan struct{} // requests that were sent without a grant
 	outcomes  chan bool     // whether a request was served
 	log       *slog.Logger
@@ -34,13 +33,13 @@
 	downSince time.Time // zero while the service serves us
 	serving   atomic.Bool
 	// limits are those that hold, next those that are announced, nil: none.
-	limits          atomic.Pointer[Limits]
-	next            *Limits
-	tooFast         []time.Time // when writes were refused for the rate
-	rps, wps, share float64
-	requests        bucket
-	writes          bucket
-	queues          [priorities][]*grant
+	limits   atomic.Pointer[Limits]
+	next     *Limits
+	tooFast  []time.Time // when writes were refused for the rate
+	share    float64
+	requests bucket
+	writes   bucket
+	queues   [priorities][]*grant
 }
 
 // bucket is a token bucket that holds at most one second's worth.
@@ -54,10 +53,10 @@
 
 func newPacer(l settings.StateLimits, share float64, log *slog.Logger) *pacer {
 	p := &pacer{
-		wishes: make(chan *grant), shares: make(chan float64), penalties: make(chan int), falls: make(chan struct{}, 1),
+		wishes: make(chan *grant), shares: make(chan float64), penalties: make(chan int),
 		spent:    make(chan struct{}, 8),
 		outcomes: make(chan bool, 64), log: log,
-		rps: l.RPS, wps: l.WriteRPS, share: share,
+		share: share,
 	}
 	p.limits.Store(limitsOf(l))
 	if l.Next != nil {
@@ -93,10 +92,12 @@
 		return
 	}
 	p.log.Info("the state service's limits have fallen as announced", "why", why, "value_bytes", p.next.ValueBytes, "ops", p.next.Ops, "write_rps", p.next.WriteRPS)
-	select {
-	case p.falls <- struct{}{}:
-	default:
-	}
+}
+
+// rates are this node's shares of the service's rates.
+func (p *pacer) rates() (requests, writes float64) {
+	l := p.limits.Load()
+	return l.RPS * p.share, l.WriteRPS * p.share
 }
 
 // Now and then a write is refused for the rate though all keep to their shares, as
@@ -151,7 +152,8 @@
 	last := time.Now()
 	// The buckets start with a part of a second only: a node that was just
 	// restarted does not know what it used a moment ago.
-	p.requests.level, p.writes.level = p.rps*p.share/4, p.wps*p.share/4
+	rps, wps := p.rates()
+	p.requests.level, p.writes.level = rps/4, wps/4
 	timer := time.NewTimer(time.Hour)
 	for {
 		select {
@@ -171,8 +173,6 @@
 			if writes > 0 && !p.fallen() {
 				p.refusedWrites(last)
 			}
-		case <-p.falls:
-			p.rps, p.wps = p.next.RPS, p.next.WriteRPS
 		case served := <-p.outcomes:
 			p.judge(served, time.Now())
 			continue
@@ -181,8 +181,9 @@
 			return
 		}
 		now := time.Now()
-		p.requests.refill(p.rps*p.share, now.Sub(last))
-		p.writes.refill(p.wps*p.share, now.Sub(last))
+		rps, wps := p.rates()
+		p.requests.refill(rps, now.Sub(last))
+		p.writes.refill(wps, now.Sub(last))
 		last = now
 		if d := p.serve(); d > 0 {
 			timer.Reset(d)
@@ -195,6 +196,7 @@
 // they take nothing that it waits for, and under a storm of submissions nobody's
 // question would be answered otherwise.
 func (p *pacer) serve() (wait time.Duration) {
+	rps, wps := p.rates()
 	writing := true // whether writes may still be granted
 	for i := range p.queues {
 		keep := p.queues[i][:0]
@@ -204,10 +206,10 @@
 			}
 			// A transaction larger than the bucket waits for a full one and
 			// then leaves it in debt.
-			needW := min(float64(g.writes), p.wps*p.share)
-			lack := (1 - p.requests.level) / (p.rps * p.share)
+			needW := min(float64(g.writes), wps)
+			lack := (1 - p.requests.level) / rps
 			if needW > 0 {
-				lack = max(lack, (needW-p.writes.level)/(p.wps*p.share))
+				lack = max(lack, (needW-p.writes.level)/wps)
 			}
 			switch {
 			case g.priority == Lease:
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -83,26 +83,19 @@
 // announced themselves.
 func (w *Watch) look(ctx context.Context) (left []string, err error) {
 	left = slices.Clone(w.all)
-	after := ""
+	entries, _, err := state.ListAll(ctx, w.store, state.Read, Prefix)
+	if err != nil {
+		return nil, err
+	}
 	var own uint64
-	for {
-		page, err := w.store.List(ctx, state.Read, Prefix, after, 1000)
-		if err != nil {
-			return nil, err
-		}
-		for _, e := range page.Items {
-			after = e.Key
-			name := strings.TrimPrefix(e.Key, Prefix)
-			var a announcement
-			if name == w.node {
-				own = e.Version
-			}
-			if json.Unmarshal(e.Value, &a) == nil && a.Level >= Level {
-				left = slices.DeleteFunc(left, func(n string) bool { return n == name })
-			}
+	for _, e := range entries {
+		name := strings.TrimPrefix(e.Key, Prefix)
+		var a announcement
+		if name == w.node {
+			own = e.Version
 		}
-		if !page.More || len(page.Items) == 0 {
-			break
+		if json.Unmarshal(e.Value, &a) == nil && a.Level >= Level {
+			left = slices.DeleteFunc(left, func(n string) bool { return n == name })
 		}
 	}
 	if !slices.Contains(left, w.node) {
