--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -6,10 +6,8 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -32,14 +30,11 @@
 	cloud *standin.Cloud
 	check *standin.Checker
 	nodes []*controller
-	users outbound.Network
+	users *standin.Users
 	// What befalls writes to the state service, direct commands, and hires.
 	writes, orders, hires atomic.Pointer[standin.Troubles]
-	held                  bool // commands were held up: starts may come late
-	// asking is done when no user is on the way any more.
-	asking sync.WaitGroup
-	calm   chan time.Time // holds since when there are no troubles; zero: there are
-	chance chan *rand.Rand
+	held                  bool           // commands were held up: starts may come late
+	calm                  chan time.Time // holds since when there are no troubles; zero: there are
 }
 
 // plan is what a cluster is made of. Zero values stand for the usual.
@@ -92,7 +87,7 @@
 		c.await("a leader", 20*time.Second, func() bool { return c.leader() >= 0 })
 		stop := func() {}
 		if pipelines {
-			stop = c.pipelines()
+			stop = c.users.Pipelines()
 		}
 		scenario(c)
 		stop()
@@ -117,11 +112,9 @@
 	if p.writes == 0 {
 		p.writes = 100
 	}
-	c := &cluster{t: t, calm: make(chan time.Time, 1), chance: make(chan *rand.Rand, 1)}
+	c := &cluster{t: t, calm: make(chan time.Time, 1)}
 	c.calm <- time.Time{}
-	c.chance <- rand.New(rand.NewPCG(p.seed, 7))
 	c.net = standin.NewNet(t)
-	c.users = c.net.Host("users")
 	c.check = standin.NewChecker(t, standin.Limits{Cancel: cancelLimit, CPUs: p.limits, Waiting: 90 * time.Second, Silent: 75 * time.Second})
 	c.state = standin.NewState(t, c.net.Host("state"), "state:1", only("/txn", &c.writes))
 	for key, value := range p.ledger {
@@ -150,6 +143,11 @@
 			}
 		}
 	}
+	var addresses []string
+	for _, n := range c.nodes {
+		addresses = append(addresses, n.platform.Listen)
+	}
+	c.users = standin.NewUsers(t, c.net.Host("users"), addresses, c.check, p.seed)
 	c.cloud = standin.NewCloud(t, c.net.Host("cloud"), "cloud:1", standin.CloudConfig{
 		Types: []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: zones}},
 		Boot:  p.boot, ListLag: 2 * time.Second, Most: p.machines,
@@ -183,21 +181,14 @@
 // share has a share of the requests befallen by a trouble that lasts up to most.
 func (c *cluster) share(share float64, fate standin.Fate, least, most time.Duration) *standin.Troubles {
 	f := standin.Troubles(func(string, *http.Request) standin.Trouble {
-		if c.roll() >= share {
+		if c.users.Random() >= share {
 			return standin.Trouble{}
 		}
-		return standin.Trouble{Fate: fate, For: least + time.Duration(c.roll()*float64(most-least))}
+		return standin.Trouble{Fate: fate, For: least + time.Duration(c.users.Random()*float64(most-least))}
 	})
 	return &f
 }
 
-// roll is a number from 0 to 1.
-func (c *cluster) roll() float64 {
-	r := <-c.chance
-	defer func() { c.chance <- r }()
-	return r.Float64()
-}
-
 // start starts a node's process.
 func (c *cluster) start(i int) {
 	n := c.nodes[i]
@@ -296,231 +287,6 @@
 	c.t.Errorf("not within %s: %s", limit, what)
 }
 
-// --- users ---
-
-// job is one of n tasks of a CPU each. change may alter it.
-func job(ref string, n int, change func(j *wire.Job)) *wire.Job {
-	j := &wire.Job{Ref: ref, Class: "c", Team: "open", Kind: "batch", Priority: "standard", Tasks: n, CPUs: 1, MemGB: 1, Image: "i", ImageGB: 0.5, Spot: true, EstimateS: 8}
-	if change != nil {
-		change(j)
-	}
-	return j
-}
-
-// call sends one request to one node and has the checker look at the answer.
-func (c *cluster) call(i int, what standin.Asked, ref string, body any) (code int, status string) {
-	var payload []byte
-	method, path, limit := http.MethodGet, "/v2/runs/"+ref, 2*time.Second
-	switch what {
-	case standin.AskedSubmit:
-		method, path, limit = http.MethodPost, "/v2/runs", 5*time.Second
-		var err error
-		if payload, err = json.Marshal(body); err != nil {
-			c.t.Error(err)
-		}
-	case standin.AskedCancel:
-		method, path, limit = http.MethodPost, path+"/cancel", 5*time.Second
-		payload = []byte("{}")
-		c.check.Cancels(ref)
-	}
-	asked := time.Now()
-	c.check.Asks(ref)
-	line := outbound.NewLine(c.users, c.nodes[i].platform.Listen)
-	defer line.Close()
-	if line.Open(c.t.Context(), 500*time.Millisecond) != nil {
-		return 0, ""
-	}
-	code, text, err := line.Do(asked.Add(limit), method, path, payload)
-	if err != nil {
-		return 0, ""
-	}
-	var a struct {
-		Status string `json:"status"`
-		Error  string `json:"error"`
-	}
-	if json.Unmarshal(text, &a) != nil || code/100 != 2 && a.Error == "" {
-		c.t.Errorf("%s %s: %d %s: no reason in the body", method, path, code, text)
-	}
-	c.check.Answered(what, ref, asked, code, a.Status)
-	return code, a.Status
-}
-
-// any is some node, as a load balancer would choose one.
-func (c *cluster) any() int { return int(c.roll() * float64(len(c.nodes))) }
-
-// times is how often something is done at most within a user's patience.
-const times = 60
-
-// until repeats a request at any nodes, as users do, until it gets a final answer.
-func (c *cluster) until(what standin.Asked, ref string, body any) (code int, status string) {
-	for range times {
-		code, status = c.call(c.any(), what, ref, body)
-		if code != 0 && code < 429 {
-			return code, status
-		}
-		time.Sleep(time.Second)
-	}
-	return code, status
-}
-
-// look asks at all nodes at once and repeats the submission, three times within
-// milliseconds.
-func (c *cluster) look(ref string, body any) {
-	for range 3 {
-		for i := range c.nodes {
-			c.asking.Go(func() { c.call(i, standin.AskedStatus, ref, nil) })
-			c.asking.Go(func() { c.call(i, standin.AskedSubmit, ref, body) })
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
-}
-
-// submit has a user submit a job, look at it from everywhere, and poll until it is
-// over.
-func (c *cluster) submit(j *wire.Job) {
-	c.check.Submits(j, true)
-	c.asking.Go(func() {
-		code, _ := c.until(standin.AskedSubmit, j.Ref, j)
-		if code != 200 && code != 201 {
-			return // the user gave up; that it counts, if accepted, the checker knows
-		}
-		c.look(j.Ref, j)
-		for c.t.Context().Err() == nil {
-			time.Sleep(5 * time.Second)
-			if code, status := c.call(c.any(), standin.AskedStatus, j.Ref, nil); code == 200 && (status == wire.Done || status == wire.Aborted) {
-				c.look(j.Ref, j)
-				return
-			}
-		}
-	})
-}
-
-// accept has a user submit a job until it is accepted.
-func (c *cluster) accept(j *wire.Job) bool {
-	c.check.Submits(j, true)
-	code, _ := c.until(standin.AskedSubmit, j.Ref, j)
-	return code == 200 || code == 201
-}
-
-// poll has a user ask about a job until it is over.
-func (c *cluster) poll(j *wire.Job) {
-	c.asking.Go(func() {
-		for c.t.Context().Err() == nil {
-			time.Sleep(5 * time.Second)
-			if code, status := c.call(c.any(), standin.AskedStatus, j.Ref, nil); code == 200 && (status == wire.Done || status == wire.Aborted) {
-				c.look(j.Ref, j)
-				return
-			}
-		}
-	})
-}
-
-// pipelines has users submit pipelines one after the other until the result is
-// called: a first stage, two that need it, and a last one, with the deadline and the
-// priority, that needs both, and sometimes a job that is over long since. Of some, one
-// stage is cancelled; of some, the last is submitted late.
-func (c *cluster) pipelines() (stop func()) {
-	ended := make(chan struct{})
-	var old []string // last stages of earlier pipelines
-	stages := func(n int) {
-		ref := func(stage int) string { return fmt.Sprintf("job-5%04d%d", n, stage) }
-		due := 60.0
-		earlier := []string{ref(1), ref(2)}
-		if len(old) > 0 && c.roll() < 0.3 {
-			earlier = append(earlier, old[int(c.roll()*float64(len(old)))])
-		}
-		jobs := []*wire.Job{
-			job(ref(0), 2, func(j *wire.Job) { j.Priority = "idle" }),
-			job(ref(1), 3, func(j *wire.Job) { j.Priority, j.WaitsOn = "idle", []string{ref(0)} }),
-			job(ref(2), 1, func(j *wire.Job) { j.Team, j.WaitsOn = "tight", []string{ref(0), ref(0)} }),
-			job(ref(3), 2, func(j *wire.Job) { j.Priority, j.WaitsOn, j.DeadlineS = "high", earlier, &due }),
-		}
-		for i, j := range jobs {
-			if i == 3 && c.roll() < 0.2 {
-				time.Sleep(time.Duration(c.roll() * float64(30*time.Second)))
-			}
-			if !c.accept(j) {
-				return // the user gives the rest up
-			}
-			c.poll(j)
-		}
-		old = append(old, ref(3))
-		if c.roll() < 0.4 {
-			at := jobs[int(c.roll()*float64(len(jobs)))]
-			c.asking.Go(func() {
-				time.Sleep(time.Duration(c.roll() * float64(30*time.Second)))
-				c.cancel(at)
-			})
-		}
-	}
-	c.asking.Go(func() {
-		for n := 0; ; n++ {
-			stages(n)
-			select {
-			case <-ended:
-				return
-			case <-time.After(time.Duration(c.roll() * float64(8*time.Second))):
-			}
-		}
-	})
-	return func() { close(ended) }
-}
-
-// cancel has a user cancel a job until that is answered, and look at it from
-// everywhere.
-func (c *cluster) cancel(j *wire.Job) {
-	c.asking.Go(func() {
-		if code, _ := c.until(standin.AskedCancel, j.Ref, nil); code == 200 {
-			c.look(j.Ref, j)
-		}
-	})
-}
-
-// cancelAt is cancel at one node, once; it tells whether that was confirmed.
-func (c *cluster) cancelAt(i int, j *wire.Job) bool {
-	code, status := c.call(i, standin.AskedCancel, j.Ref, nil)
-	if code == 200 && status == wire.Aborted {
-		c.look(j.Ref, j)
-		return true
-	}
-	return false
-}
-
-// odd has users send what can't be taken and ask about what nobody submitted.
-func (c *cluster) odd() {
-	c.asking.Go(func() {
-		for n, body := range []string{`{"ref":"job-900001"}`, `[]`, `{`, `{"ref":"job-900002","lane":7}`} {
-			i := n % len(c.nodes)
-			line := outbound.NewLine(c.users, c.nodes[i].platform.Listen)
-			if line.Open(c.t.Context(), 500*time.Millisecond) != nil {
-				continue
-			}
-			if code, text, err := line.Do(time.Now().Add(5*time.Second), http.MethodPost, "/v2/runs", []byte(body)); err == nil && code != 400 && code < 429 {
-				c.t.Errorf("%s: %d %s", body, code, text)
-			}
-			line.Close()
-		}
-		for n, change := range []func(j *wire.Job){
-			func(j *wire.Job) { j.WaitsOn = []string{"job-930000"} },
-			func(j *wire.Job) { j.WaitsOn = []string{j.Ref} },
-			func(j *wire.Job) { j.CPUs = 9 },
-			func(j *wire.Job) { j.Team = "nobody" },
-			func(j *wire.Job) { j.Types = []string{"other"} },
-		} {
-			j := job(fmt.Sprintf("job-91000%d", n), 1, change)
-			c.check.Submits(j, false)
-			if code, _ := c.call(c.any(), standin.AskedSubmit, j.Ref, j); code != 422 && code != 0 && code < 429 {
-				c.t.Errorf("a job that can never run: %d", code)
-			}
-			c.call(c.any(), standin.AskedStatus, j.Ref, nil)
-		}
-		for i := range c.nodes {
-			c.call(i, standin.AskedStatus, "job-920000", nil)
-			c.call(i, standin.AskedCancel, "job-920000", nil)
-		}
-	})
-}
-
 // --- the end ---
 
 // settled tells from when on there are no troubles.
@@ -537,7 +303,7 @@
 	if open := c.check.Open(); len(open) > 0 {
 		c.t.Errorf("still open: %v", open)
 	}
-	c.asking.Wait()
+	c.users.Wait()
 	c.await("all tasks gone", time.Minute, func() bool { on, _ := c.check.On(""); return on == 0 })
 	c.await("the ledger tidied up", time.Minute, func() bool {
 		return c.state.Count("fin/")+c.state.Count("host/") == 0
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -22,12 +22,12 @@
 // stream submits n jobs, one each interval, and returns them.
 func (c *cluster) stream(first, n int, every time.Duration, change func(k int, j *wire.Job)) (jobs []*wire.Job) {
 	for k := range n {
-		j := job(fmt.Sprintf("job-%06d", first+k), 3, nil)
+		j := standin.NewJob(fmt.Sprintf("job-%06d", first+k), 3, nil)
 		if change != nil {
 			change(k, j)
 		}
 		jobs = append(jobs, j)
-		c.submit(j)
+		c.users.Submit(j)
 		time.Sleep(every)
 	}
 	return jobs
@@ -90,7 +90,7 @@
 func TestQuietMeeting(t *testing.T) {
 	inCluster(t, plan{}, func(c *cluster) {
 		c.stream(0, 6, time.Second, nil)
-		c.odd()
+		c.users.SendInvalid()
 		time.Sleep(30 * time.Second)
 		for k := range 6 {
 			if _, done := c.check.On(fmt.Sprintf("job-%06d", k)); done != 3 {
@@ -120,7 +120,7 @@
 					// Users call off half the jobs, again and again, while the leader is
 					// refused alone.
 					for _, j := range half(jobs) {
-						c.cancel(j)
+						c.users.Cancel(j)
 					}
 					time.Sleep(gap)
 					c.state.Outage(true)
@@ -177,7 +177,7 @@
 				c.state.Refuse(c.name(lead), true)
 				began := time.Now()
 				for _, j := range half(jobs) {
-					for c.cancelAt((lead+1)%len(c.nodes), j) == false && time.Since(began) < time.Minute {
+					for c.users.CancelAt((lead+1)%len(c.nodes), j) == false && time.Since(began) < time.Minute {
 						time.Sleep(500 * time.Millisecond)
 					}
 				}
@@ -208,20 +208,20 @@
 		for k, j := range half(jobs) {
 			before := j.Ref
 			for i := range 2 { // one that needs it, and one that needs that
-				child := job(fmt.Sprintf("job-%06d", 200+100*i+k), 1, func(j *wire.Job) { j.WaitsOn = []string{before} })
-				if c.accept(child) {
-					c.poll(child)
+				child := standin.NewJob(fmt.Sprintf("job-%06d", 200+100*i+k), 1, func(j *wire.Job) { j.WaitsOn = []string{before} })
+				if c.users.Accept(child) {
+					c.users.Poll(child)
 				}
 				before = child.Ref
 			}
 		}
 		c.writes.Store(c.share(1, standin.Unheard, 0, 0))
 		for _, j := range half(jobs) {
-			c.cancel(j)
+			c.users.Cancel(j)
 		}
 		time.Sleep(300 * time.Millisecond)
 		for _, j := range half(jobs) {
-			c.look(j.Ref, j)
+			c.users.Look(j.Ref, j)
 		}
 		time.Sleep(200 * time.Millisecond)
 		c.state.Outage(true)
@@ -295,7 +295,7 @@
 		},
 		"all the time": func(c *cluster, deliver func()) {
 			for _, w := range c.cloud.Workers() {
-				w.Copies(func() time.Duration { return 2*time.Second + time.Duration(c.roll()*float64(40*time.Second)) })
+				w.Copies(func() time.Duration { return 2*time.Second + time.Duration(c.users.Random()*float64(40*time.Second)) })
 			}
 			time.Sleep(20 * time.Second)
 			c.kill(c.leader())
@@ -315,7 +315,7 @@
 					w.Keep()
 				}
 				time.Sleep(10 * time.Second)
-				c.cancel(jobs[0])
+				c.users.Cancel(jobs[0])
 				when(c, func() {
 					for _, w := range workers {
 						w.Deliver()
@@ -370,7 +370,7 @@
 		c.writes.Store(c.share(0.3, standin.Unheard, 0, 0))
 		jobs := c.stream(0, 20, 400*time.Millisecond, nil)
 		for _, j := range half(jobs) {
-			c.cancel(j)
+			c.users.Cancel(j)
 			time.Sleep(200 * time.Millisecond)
 		}
 		time.Sleep(10 * time.Second)
@@ -391,7 +391,7 @@
 			w.Mute(true)
 		}
 		for _, j := range half(jobs) {
-			c.cancel(j)
+			c.users.Cancel(j)
 			time.Sleep(200 * time.Millisecond)
 		}
 		time.Sleep(9 * time.Second)
@@ -412,7 +412,7 @@
 			inCluster(t, plan{run: long(50 * time.Second)}, func(c *cluster) {
 				jobs := c.stream(0, 10, 300*time.Millisecond, nil)
 				c.running(10)
-				c.cancel(jobs[0])
+				c.users.Cancel(jobs[0])
 				time.Sleep(100 * time.Millisecond)
 				for i := range c.nodes {
 					c.kill(i)
@@ -462,7 +462,7 @@
 					w.Hang(true)
 				}
 				for _, j := range half(jobs) {
-					c.cancel(j)
+					c.users.Cancel(j)
 				}
 				time.Sleep(7 * time.Second)
 				c.restart(c.leader(), time.Second)
@@ -483,15 +483,15 @@
 	eachSeed(t, plan{run: func(string) time.Duration { return 4 * time.Second }}, func(c *cluster, r *rand.Rand) {
 		c.stream(0, 1, 20*time.Second, nil) // machines are up then
 		for k := range 30 {
-			j := job(fmt.Sprintf("job-%06d", 10+k), 1, nil)
-			c.submit(j)
+			j := standin.NewJob(fmt.Sprintf("job-%06d", 10+k), 1, nil)
+			c.users.Submit(j)
 			done := func() bool { _, n := c.check.On(j.Ref); return n == 1 }
 			for end := time.Now().Add(30 * time.Second); !done() && time.Now().Before(end); {
 				time.Sleep(time.Millisecond)
 			}
 			time.Sleep(some(r, 0, 15*time.Millisecond))
-			c.cancel(j)
-			c.look(j.Ref, j)
+			c.users.Cancel(j)
+			c.users.Look(j.Ref, j)
 		}
 	})
 }
@@ -501,12 +501,12 @@
 func TestManySmallMeeting(t *testing.T) {
 	inCluster(t, plan{writes: 30, run: func(string) time.Duration { return 5 * time.Second }}, func(c *cluster) {
 		for k := range 480 {
-			j := job(fmt.Sprintf("job-%06d", k), 1, nil)
-			c.submit(j)
+			j := standin.NewJob(fmt.Sprintf("job-%06d", k), 1, nil)
+			c.users.Submit(j)
 			if k%4 == 0 {
-				c.asking.Go(func() {
-					time.Sleep(time.Duration(c.roll() * float64(6*time.Second)))
-					c.cancel(j)
+				c.users.Go(func() {
+					time.Sleep(time.Duration(c.users.Random() * float64(6*time.Second)))
+					c.users.Cancel(j)
 				})
 			}
 			time.Sleep(250 * time.Millisecond)
@@ -528,7 +528,7 @@
 			j.Tasks, j.CPUs = 8, 2
 			j.Priority = []string{"idle", "standard", "high", "critical"}[k%4]
 		})
-		c.cancel(jobs[3])
+		c.users.Cancel(jobs[3])
 		time.Sleep(30 * time.Second)
 		c.kill(c.leader())
 		c.state.Slow(0)
@@ -548,7 +548,7 @@
 				c.running(10)
 				c.state.Slow(slow)
 				for _, j := range half(jobs) {
-					c.cancel(j)
+					c.users.Cancel(j)
 					time.Sleep(time.Second)
 				}
 				lead := c.leader()
@@ -556,13 +556,13 @@
 					c.state.Refuse(c.name(lead), true)
 				}
 				for _, j := range jobs[:4] {
-					c.look(j.Ref, j)
+					c.users.Look(j.Ref, j)
 					time.Sleep(500 * time.Millisecond)
 				}
 				c.state.Outage(true)
 				for range 6 {
-					c.look(jobs[0].Ref, jobs[0])
-					c.cancel(jobs[1])
+					c.users.Look(jobs[0].Ref, jobs[0])
+					c.users.Cancel(jobs[1])
 					time.Sleep(cancelLimit / 5)
 				}
 				c.state.Slow(0)
@@ -592,12 +592,12 @@
 				}
 				time.Sleep(time.Second)
 				for _, j := range jobs[:4] {
-					c.cancel(j)
+					c.users.Cancel(j)
 				}
 				time.Sleep(500 * time.Millisecond)
 				c.kill(c.leader())
 				for _, j := range jobs[4:6] {
-					c.cancel(j)
+					c.users.Cancel(j)
 				}
 				time.Sleep(12 * time.Second)
 				for _, w := range workers {
@@ -651,7 +651,7 @@
 				}
 				time.Sleep(2 * time.Second)
 				for _, j := range half(jobs) {
-					c.cancel(j)
+					c.users.Cancel(j)
 				}
 				time.Sleep(lasts)
 				for _, w := range workers {
@@ -678,7 +678,7 @@
 			for _, w := range half(workers) {
 				w.Reboot()
 			}
-			c.cancel(jobs[2*k])
+			c.users.Cancel(jobs[2*k])
 			time.Sleep(some(r, 100*time.Millisecond, 5*time.Second))
 			for _, w := range workers {
 				w.Deliver()
@@ -696,14 +696,14 @@
 func TestCancelAtOnceMeeting(t *testing.T) {
 	eachSeed(t, plan{}, func(c *cluster, r *rand.Rand) {
 		for k := range 30 {
-			j := job(fmt.Sprintf("job-%06d", k), 2, nil)
-			c.submit(j)
+			j := standin.NewJob(fmt.Sprintf("job-%06d", k), 2, nil)
+			c.users.Submit(j)
 			time.Sleep(some(r, 0, 12*time.Millisecond))
 			for i := range c.nodes {
-				c.asking.Go(func() { c.call(i, standin.AskedCancel, j.Ref, nil) })
+				c.users.Go(func() { c.users.Call(i, standin.AskedCancel, j.Ref, nil) })
 			}
-			c.look(j.Ref, j)
-			c.cancel(j)
+			c.users.Look(j.Ref, j)
+			c.users.Cancel(j)
 			time.Sleep(some(r, 100*time.Millisecond, 2*time.Second))
 			if k == 15 {
 				c.kill(c.leader())
@@ -719,9 +719,9 @@
 	eachSeed(t, plan{run: long(60 * time.Second)}, func(c *cluster, r *rand.Rand) {
 		jobs := c.stream(0, 16, 200*time.Millisecond, nil)
 		c.running(20)
-		c.asking.Go(func() {
+		c.users.Go(func() {
 			for _, j := range half(jobs) {
-				c.cancel(j)
+				c.users.Cancel(j)
 				time.Sleep(some(r, 100*time.Millisecond, 900*time.Millisecond))
 			}
 		})
@@ -760,7 +760,7 @@
 				c.cloud.Take(w.Name())
 			} else {
 				w.Hang(true)
-				c.asking.Go(func() { time.Sleep(25 * time.Second); w.Hang(false) })
+				c.users.Go(func() { time.Sleep(25 * time.Second); w.Hang(false) })
 			}
 			time.Sleep(some(r, time.Second, 8*time.Second))
 		}
@@ -784,7 +784,7 @@
 				c.state.Outage(false)
 			}
 			if k%3 == 0 {
-				c.cancel(jobs[k])
+				c.users.Cancel(jobs[k])
 			}
 			time.Sleep(some(r, 2*time.Second, 12*time.Second))
 		}
@@ -807,7 +807,7 @@
 					c.alone(lead, true, hold)
 					c.changed()
 					for _, j := range half(jobs) {
-						c.cancel(j)
+						c.users.Cancel(j)
 					}
 					time.Sleep(lasts)
 					c.net.Heal(c.name(lead), "state")
@@ -863,7 +863,7 @@
 					cut(func(a, b string) { c.net.Cut(a, b, hold) })
 					time.Sleep(3 * time.Second)
 					for _, j := range half(jobs) {
-						c.cancel(j)
+						c.users.Cancel(j)
 					}
 					time.Sleep(workerLease + 5*time.Second)
 					cut(c.net.Heal)
@@ -927,7 +927,7 @@
 				if c.state.Count("fin/job-000000/0.") == 0 {
 					t.Error("no finished tasks are written in parts")
 				}
-				c.cancel(jobs[2])
+				c.users.Cancel(jobs[2])
 				c.stream(100, 6, 500*time.Millisecond, nil)
 				time.Sleep(20 * time.Second)
 				c.revive()
@@ -953,23 +953,23 @@
 	}
 	inCluster(t, plan{ledger: ledger}, func(c *cluster) {
 		for _, ref := range []string{"job-800001", "job-800002", "job-800003"} {
-			c.check.Submits(job(ref, 5, nil), true)
+			c.check.Submits(standin.NewJob(ref, 5, nil), true)
 		}
 		for _, task := range []string{"1/0", "1/1", "1/4", "3/0", "3/1", "3/2", "3/3", "3/4"} {
 			c.check.Ends("job-80000"+task, "vm-900001", true)
 		}
 		c.check.Cancels("job-800002")
-		c.call(0, standin.AskedStatus, "job-800001", nil)
+		c.users.Call(0, standin.AskedStatus, "job-800001", nil)
 		for ref, want := range map[string]string{"job-800002": wire.Aborted, "job-800003": wire.Done} {
-			if _, status := c.until(standin.AskedStatus, ref, nil); status != want {
+			if _, status := c.users.Until(standin.AskedStatus, ref, nil); status != want {
 				t.Errorf("%s is %s, want %s", ref, status, want)
 			}
 		}
 		time.Sleep(5 * time.Second) // all nodes know of one another
-		c.submit(job("job-800004", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800001", "job-800003"} }))
-		c.submit(job("job-800005", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800002"} }))
+		c.users.Submit(standin.NewJob("job-800004", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800001", "job-800003"} }))
+		c.users.Submit(standin.NewJob("job-800005", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800002"} }))
 		c.await("the open job done", time.Minute, func() bool {
-			_, status := c.call(1, standin.AskedStatus, "job-800001", nil)
+			_, status := c.users.Call(1, standin.AskedStatus, "job-800001", nil)
 			return status == wire.Done
 		})
 		if _, done := c.check.On("job-800001"); done != 5 {
@@ -1007,7 +1007,7 @@
 		c.await("some tasks done", 30*time.Second, func() bool { _, done := c.check.On(""); return done > 10 })
 		lead := c.leader()
 		c.kill(lead)
-		c.cancel(jobs[2])
+		c.users.Cancel(jobs[2])
 		time.Sleep(5 * time.Second)
 		c.start(lead)
 		c.await("more tasks done", 60*time.Second, func() bool { _, done := c.check.On(""); return done > 30 })
