Tests: recordings of production, and whole nodes of two versions side by side

internal/compat has what production really writes to the state service and sends between controllers, one example of each shape, recorded from real processes against the stand-ins. This version reads all of it in full; the declarations of the messages between nodes stay. On the fake clock, nodes at the level of the version before announcements run beside upgraded ones: what is written until all are upgraded has the shapes that production writes (ended_ms aside, which it passes over), and pipelines are refused before and taken after.

--- /dev/null
+++ b/internal/compat/deployment_test.go
@@ -0,0 +1,304 @@
+//go:build upgrade
+
+package compat
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"leadproxy/internal/election"
+	"leadproxy/internal/outbound"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/standin"
+	"leadproxy/internal/wire"
+)
+
+// The times of the deployment. They are short, since these tests take real time.
+const (
+	reportEvery = time.Second
+	workerLease = 8 * time.Second
+	cancelLimit = 20 * time.Second
+	bootTime    = time.Second
+	taskTime    = 2 * time.Second
+	nodeCount   = 3
+	cpuLimit    = 6 // of the team "tight"
+)
+
+// deployment is real controller processes on the loopback interface, with the
+// stand-ins of the outside systems in this process.
+type deployment struct {
+	t        *testing.T
+	state    *standin.State
+	cloud    *standin.Cloud
+	check    *standin.Checker
+	users    *standin.Users
+	recorder *recorder
+	nodes    []*process
+	calm     atomic.Pointer[time.Time]
+	writes   atomic.Pointer[standin.Troubles]
+}
+
+// process is one controller: its settings stay, its processes come and go.
+type process struct {
+	platform settings.Platform
+	config   string
+	command  *exec.Cmd // nil while it is down
+}
+
+// build builds a commit of the repository, or the working tree with "", and returns
+// the program.
+func build(t *testing.T, commit string) string {
+	t.Helper()
+	dir := repository
+	if commit != "" {
+		dir = t.TempDir()
+		archive, err := exec.Command("git", "-C", repository, "archive", commit).Output()
+		if err != nil {
+			t.Fatalf("reading %s from the history: %v", commit, err)
+		}
+		unpack := exec.Command("tar", "-x", "-C", dir)
+		unpack.Stdin = bytes.NewReader(archive)
+		if out, err := unpack.CombinedOutput(); err != nil {
+			t.Fatalf("unpacking %s: %v: %s", commit, err, out)
+		}
+	}
+	program := filepath.Join(t.TempDir(), "leadproxy")
+	compile := exec.Command("go", "build", "-o", program, "./cmd/leadproxy")
+	compile.Dir = dir
+	if out, err := compile.CombinedOutput(); err != nil {
+		t.Fatalf("building %q: %v: %s", commit, err, out)
+	}
+	return program
+}
+
+// newDeployment starts everything but the controllers.
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	network := outbound.TCP{}
+	d := &deployment{t: t, recorder: newRecorder()}
+	d.check = standin.NewChecker(t, standin.Limits{Cancel: cancelLimit, CPUs: map[string]float64{"tight": cpuLimit}, Waiting: 90 * time.Second, Silent: 75 * time.Second})
+	d.state = standin.NewState(t, network, "127.0.0.1:0", d.troubleWrites)
+	public := reserve(t, nodeCount)
+	var workers []standin.Node
+	for i, addr := range public {
+		workers = append(workers, standin.Node{Name: nodeName(i), Addr: addr})
+	}
+	d.users = standin.NewUsers(t, network, public, d.check, 1)
+	zones := []string{"a", "b", "c"}
+	d.cloud = standin.NewCloud(t, network, "127.0.0.1:0", standin.CloudConfig{
+		Types: []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: bootTime.Seconds(), Zones: zones}},
+		Boot:  bootTime, ListLag: 2 * time.Second, Most: 12,
+		Worker: standin.WorkerConfig{Nodes: workers, Report: reportEvery, Lease: workerLease, Fetch: 200 * time.Millisecond,
+			Run: func(string) time.Duration { return taskTime }, Check: d.check},
+		Host: func(string) (outbound.Network, string) { return network, "127.0.0.1:0" },
+	})
+	d.configure(public, zones)
+	t.Cleanup(func() {
+		for i := range d.nodes {
+			d.kill(i)
+		}
+	})
+	go d.watchRules()
+	return d
+}
+
+func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
+
+// reserve finds free loopback addresses.
+func reserve(t *testing.T, n int) (addresses []string) {
+	t.Helper()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
+// configure writes the controllers' settings. What they send one another goes
+// through relays.
+func (d *deployment) configure(public, zones []string) {
+	d.t.Helper()
+	back := reserve(d.t, nodeCount)
+	var relays []string
+	for _, to := range back {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		startRelay(d.t, l, to, d.recorder)
+		relays = append(relays, l.Addr().String())
+	}
+	facts := settings.Facts{Nodes: nodeCount, Zones: zones, ClockErrorMS: 5,
+		Teams:     []settings.Team{{Name: "open"}, {Name: "tight", CPUsMax: cpuLimit}},
+		Workers:   settings.Workers{ReportS: reportEvery.Seconds(), LeaseS: workerLease.Seconds(), CancelS: cancelLimit.Seconds()},
+		State:     settings.StateLimits{RPS: 200, WriteRPS: 100, ValueKB: 16, TxnOps: 32},
+		Cloud:     settings.CloudLimits{RPS: 5, ListLagS: 2},
+		Resources: settings.Resources{CPUShare: 1, RAMMB: 500, Sockets: 2000}}
+	dir := d.t.TempDir()
+	for i := range nodeCount {
+		p := &process{config: filepath.Join(dir, nodeName(i)+".toml"), platform: settings.Platform{Node: nodeName(i), Zone: zones[i],
+			Listen: public[i], Back: back[i], Facts: facts, Services: settings.Services{State: d.state.Addr(), Cloud: d.cloud.Addr()}}}
+		for k := range nodeCount {
+			if k != i {
+				p.platform.Peers = append(p.platform.Peers, settings.Peer{Node: nodeName(k), Zone: zones[k], Addr: relays[k]})
+			}
+		}
+		var text bytes.Buffer
+		if err := toml.NewEncoder(&text).Encode(p.platform); err != nil {
+			d.t.Fatal(err)
+		}
+		if err := os.WriteFile(p.config, text.Bytes(), 0o600); err != nil {
+			d.t.Fatal(err)
+		}
+		d.nodes = append(d.nodes, p)
+	}
+}
+
+// troubleWrites lets the trouble that is set befall transactions.
+func (d *deployment) troubleWrites(from string, r *http.Request) standin.Trouble {
+	if f := d.writes.Load(); f != nil && r.URL.Path == "/txn" {
+		return (*f)(from, r)
+	}
+	return standin.Trouble{}
+}
+
+// watchRules has the checker look at the rules as long as the test goes on.
+func (d *deployment) watchRules() {
+	for d.t.Context().Err() == nil {
+		outbound.Pause(d.t.Context(), time.Second)
+		calm := time.Time{}
+		if at := d.calm.Load(); at != nil {
+			calm = *at
+		}
+		d.check.Look(calm, d.cloud.Rooms())
+	}
+}
+
+// start starts a controller with a program.
+func (d *deployment) start(i int, program string) {
+	d.t.Helper()
+	n := d.nodes[i]
+	log, err := os.OpenFile(n.config+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer log.Close()
+	n.command = exec.Command(program, "--config", n.config)
+	n.command.Env = append(os.Environ(), "LOG_LEVEL=debug")
+	n.command.Stderr = log
+	if err := n.command.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// kill ends a controller's process without a signal that it could handle.
+func (d *deployment) kill(i int) {
+	n := d.nodes[i]
+	if n.command == nil {
+		return
+	}
+	n.command.Process.Kill()
+	n.command.Wait()
+	n.command = nil
+}
+
+// replace ends a controller and starts it again with a program.
+func (d *deployment) replace(i int, program string, away time.Duration) {
+	d.t.Helper()
+	d.kill(i)
+	time.Sleep(away)
+	d.start(i, program)
+	d.await(nodeName(i)+" serves users", 20*time.Second, func() bool { return d.healthy(i) })
+}
+
+func (d *deployment) healthy(i int) bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + d.nodes[i].platform.Listen + "/healthz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// leader is the controller that the state service names, or -1.
+func (d *deployment) leader() int {
+	var holder struct {
+		Node string `json:"node"`
+	}
+	if value := d.state.Value(election.Key); value == nil || json.Unmarshal(value, &holder) != nil {
+		return -1
+	}
+	for i := range d.nodes {
+		if nodeName(i) == holder.Node {
+			return i
+		}
+	}
+	return -1
+}
+
+func (d *deployment) await(what string, limit time.Duration, ok func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	d.t.Errorf("not within %s: %s", limit, what)
+}
+
+// finish ends a test: with the troubles over, all that was accepted has to be served,
+// and no rule may have been broken.
+func (d *deployment) finish() {
+	d.t.Helper()
+	now := time.Now()
+	d.calm.Store(&now)
+	d.await("all jobs over", 2*time.Minute, func() bool { return len(d.check.Open()) == 0 })
+	if open := d.check.Open(); len(open) > 0 {
+		d.t.Errorf("still open: %v", open)
+	}
+	d.users.Wait()
+	d.await("the ledger tidied up", 30*time.Second, func() bool {
+		return d.state.Count("fin/")+d.state.Count("host/") == 0
+	})
+	for _, broken := range d.check.Broken() {
+		d.t.Error(broken)
+	}
+	if d.t.Failed() {
+		d.keepLogs()
+	}
+}
+
+// keepLogs copies the controllers' logs to where they outlive the test.
+func (d *deployment) keepLogs() {
+	dir, err := os.MkdirTemp("", "leadproxy-upgrade-")
+	if err != nil {
+		d.t.Error(err)
+		return
+	}
+	for _, n := range d.nodes {
+		text, err := os.ReadFile(n.config + ".log")
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, n.platform.Node+".log"), text, 0o600)
+		}
+		if err != nil {
+			d.t.Error(err)
+		}
+	}
+	d.t.Logf("the controllers' logs are in %s", dir)
+}
--- /dev/null
+++ b/internal/compat/recording_test.go
@@ -0,0 +1,221 @@
+package compat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+	"google.golang.org/protobuf/proto"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// Where things are, from this package.
+const (
+	recordingFile = "testdata/production/recording.json"
+	protoFile     = "testdata/production/peer.proto"
+	repository    = "../.."
+)
+
+// productionCommit is the commit that deploy/service.toml names.
+func productionCommit(t *testing.T) string {
+	t.Helper()
+	var deploy struct {
+		Production string `toml:"production"`
+	}
+	if _, err := toml.DecodeFile(filepath.Join(repository, "deploy", "service.toml"), &deploy); err != nil {
+		t.Fatal(err)
+	}
+	return deploy.Production
+}
+
+func readProduction(t *testing.T) Recording {
+	t.Helper()
+	r, err := Read(recordingFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestRecordingIsOfProduction: a recording of another commit would prove nothing.
+func TestRecordingIsOfProduction(t *testing.T) {
+	if got, want := readProduction(t).Commit, productionCommit(t); got != want {
+		t.Errorf("the recording is of %s, production is %s: record it anew, as the package's comment says", got, want)
+	}
+}
+
+// TestRecordedValuesAreReadInFull: what production has written is read, and nothing
+// that it says is lost: written again it is the same.
+func TestRecordedValuesAreReadInFull(t *testing.T) {
+	read := map[string]func() any{
+		"job":    func() any { return &ledger.JobRecord{} },
+		"fin":    func() any { return &ledger.Ranges{} },
+		"host":   func() any { return &[]string{} },
+		"hire":   func() any { return &ledger.HireRecord{} },
+		"silent": func() any { return &ledger.SilentRecord{} },
+	}
+	seen := map[string]int{}
+	for _, v := range readProduction(t).Values {
+		family := KeyFamily(v.Key)
+		seen[family]++
+		make, ok := read[family]
+		if !ok {
+			continue // read as a whole, below, or by its version alone
+		}
+		record := make()
+		if err := json.Unmarshal(v.Value, record); err != nil {
+			t.Errorf("%s: %v", v.Key, err)
+			continue
+		}
+		again, err := json.Marshal(record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := compacted(t, v.Value); !bytes.Equal(again, want) {
+			t.Errorf("%s: %s is read as %s", v.Key, want, again)
+		}
+	}
+	for family := range read {
+		if seen[family] == 0 {
+			t.Errorf("no value of the family %q is recorded", family)
+		}
+	}
+}
+
+func compacted(t *testing.T, value json.RawMessage) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	if err := json.Compact(&out, value); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+// recordedStore is a state service that holds what was recorded.
+type recordedStore struct{ values []Value }
+
+func (s recordedStore) List(_ context.Context, _ state.Priority, under, after string, _ int) (wire.Entries, error) {
+	var page wire.Entries
+	for _, v := range s.values {
+		if strings.HasPrefix(v.Key, under) && v.Key > after {
+			page.Items = append(page.Items, wire.Entry{Key: v.Key, Value: v.Value, Version: 1})
+		}
+	}
+	return page, nil
+}
+
+func (s recordedStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
+	for _, v := range s.values {
+		if v.Key == key {
+			return wire.Entry{Key: key, Value: v.Value, Version: 1}, true, 1, nil
+		}
+	}
+	return wire.Entry{}, false, 1, nil
+}
+
+func (s recordedStore) Txn(context.Context, state.Priority, wire.Txn) (bool, wire.TxnAnswer, error) {
+	return false, wire.TxnAnswer{}, state.ErrRefused
+}
+
+// TestLedgerLoadsTheRecording: a new leader of this version takes all of it over.
+func TestLedgerLoadsTheRecording(t *testing.T) {
+	values := readProduction(t).Values
+	want := map[string]int{}
+	for _, v := range values {
+		want[KeyFamily(v.Key)]++
+	}
+	bounds := func() ledger.Limits { return ledger.Limits{} }
+	l := ledger.New(7, recordedStore{values}, bounds, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s, err := l.Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	jobs := map[string]bool{}
+	for _, v := range values {
+		if KeyFamily(v.Key) == "job" {
+			jobs[strings.TrimPrefix(v.Key, ledger.JobPrefix)] = true
+		}
+	}
+	found, finished, hosts := 0, 0, 0
+	for _, j := range s.Jobs {
+		if jobs[j.Ref] {
+			found++
+		}
+		finished += len(j.Finished)
+		hosts += len(j.Hosts)
+	}
+	if found != len(jobs) || finished != want["fin"] || hosts != want["host"] || len(s.Hires) != want["hire"] || len(s.Gone) != want["gone"] {
+		t.Errorf("%d of %d jobs, %d finished, %d hosts, %d hires, %d gone; recorded were %v", found, len(jobs), finished, hosts, len(s.Hires), len(s.Gone), want)
+	}
+}
+
+// TestRecordedMessagesAreReadInFull: what production has sent to another controller is
+// read without a field left over, and sent again it is the same.
+func TestRecordedMessagesAreReadInFull(t *testing.T) {
+	for _, recorded := range readProduction(t).Messages {
+		m := NewMessage(recorded.Method, recorded.Direction)
+		if m == nil {
+			t.Errorf("%s is not known any more", recorded.Method)
+			continue
+		}
+		if err := proto.Unmarshal(recorded.Payload, m); err != nil {
+			t.Errorf("%s %s: %v", recorded.Method, recorded.Direction, err)
+			continue
+		}
+		if unknown := m.ProtoReflect().GetUnknown(); len(unknown) > 0 {
+			t.Errorf("%s %s: fields that are not known: %x", recorded.Method, recorded.Direction, unknown)
+		}
+		again, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+		if err != nil || !bytes.Equal(again, recorded.Payload) {
+			t.Errorf("%s %s: %x is sent again as %x: %v", recorded.Method, recorded.Direction, recorded.Payload, again, err)
+		}
+	}
+}
+
+// TestDeclaredMessagesStay: each message, field and method that production declares is
+// declared alike here, with the same number.
+func TestDeclaredMessagesStay(t *testing.T) {
+	production, err := os.ReadFile(protoFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	current, err := os.ReadFile(filepath.Join(repository, "internal/peers/peerpb/peer.proto"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	declared := declarations(string(current))
+	for d := range declarations(string(production)) {
+		if !declared[d] {
+			t.Errorf("production declares %q, which is missing or different here", d)
+		}
+	}
+}
+
+// declarations lists the declarations of a proto file, each with its block's name.
+func declarations(text string) map[string]bool {
+	all := map[string]bool{}
+	var blocks []string
+	for line := range strings.Lines(text) {
+		line, _, _ = strings.Cut(line, "//")
+		line = strings.Join(strings.Fields(line), " ")
+		switch {
+		case strings.HasSuffix(line, "{"):
+			blocks = append(blocks, line)
+		case line == "}":
+			blocks = blocks[:len(blocks)-1]
+		case line != "":
+			all[strings.Join(append(blocks[:len(blocks):len(blocks)], line), " ")] = true
+		}
+	}
+	return all
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -17,6 +17,7 @@
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/standin"
+	"leadproxy/internal/upgrade"
 	"leadproxy/internal/wire"
 )
 
@@ -46,6 +47,7 @@
 	writes   float64 // the state service's rate of writes
 	next     *settings.StateLimits
 	absent   int // nodes that are not up yet
+	old      int // nodes that begin with the version before announcements
 	// ledger is what the state service holds at first.
 	ledger map[string]string
 	seed   uint64
@@ -61,6 +63,7 @@
 // controller is one node: its settings stay, its processes come and go.
 type controller struct {
 	platform *settings.Platform
+	level    int // of capabilities that its version knows
 	host     *standin.Host
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -132,7 +135,11 @@
 			f.Teams = append(f.Teams, settings.Team{Name: name, CPUsMax: p.limits[name]})
 		}
 		name := fmt.Sprintf("n%d", i)
-		c.nodes = append(c.nodes, &controller{platform: &settings.Platform{Node: name, Zone: zone,
+		level := upgrade.Level
+		if i < p.old {
+			level = 0
+		}
+		c.nodes = append(c.nodes, &controller{level: level, platform: &settings.Platform{Node: name, Zone: zone,
 			Listen: name + ":80", Back: name + ":81", Facts: f, Services: settings.Services{State: "state:1", Cloud: "cloud:1"}}})
 		workers = append(workers, standin.Node{Name: name, Addr: name + ":80"})
 	}
@@ -198,12 +205,12 @@
 	if os.Getenv("CLUSTER_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", n.platform.Node)
 	}
-	go func(host *standin.Host, done chan struct{}) {
+	go func(host *standin.Host, level int, done chan struct{}) {
 		defer close(done)
-		if err := Run(ctx, host, n.platform, settings.Defaults(), log); err != nil && !host.IsDown() {
+		if err := runAtLevel(ctx, level, host, n.platform, settings.Defaults(), log); err != nil && !host.IsDown() {
 			c.t.Errorf("%s ended: %v", n.platform.Node, err)
 		}
-	}(n.host, n.done)
+	}(n.host, n.level, n.done)
 }
 
 // kill ends a node's process: from one moment to the next, nothing of it reaches
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,12 @@
 
 // Run runs a controller on a network until ctx ends or an address can't be served.
 func Run(ctx context.Context, n outbound.Network, p *settings.Platform, op settings.Operator, log *slog.Logger) error {
+	return runAtLevel(ctx, upgrade.Level, n, p, op, log)
+}
+
+// runAtLevel is Run for a version that knows the capabilities of a level: it announces
+// that level and uses what all nodes have announced.
+func runAtLevel(ctx context.Context, level int, n outbound.Network, p *settings.Platform, op settings.Operator, log *slog.Logger) error {
 	f := p.Facts
 	// Memory is there to be used, the processor is short: collect seldom, but
 	// harder near the limit rather than have the process killed.
@@ -59,7 +65,7 @@
 		return err
 	}
 	elector.Others = others
-	versions := upgrade.New(p.Node, others.Names(), store, log)
+	versions := upgrade.New(p.Node, level, others.Names(), store, log)
 	desk.Upgraded = versions.Done
 	go versions.Run(ctx)
 	types := watchTypes(ctx, fleet.NewClient(n, p.Services.Cloud, f.Cloud.RPS), log)
--- /dev/null
+++ b/internal/node/upgrade_test.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"leadproxy/internal/compat"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/standin"
+	"leadproxy/internal/upgrade"
+	"leadproxy/internal/wire"
+)
+
+// While a deployment is upgraded, nodes of this version work beside nodes of the one
+// before, which neither announces itself nor uses what others announce. Here both are
+// this version at two levels of capabilities, on the fake clock; internal/compat has
+// the same with real processes of production.
+
+// upgrade ends a node and starts it with the current version.
+func (c *cluster) upgrade(i int, after time.Duration) {
+	c.kill(i)
+	time.Sleep(after)
+	c.nodes[i].level = upgrade.Level
+	c.start(i)
+}
+
+// upgradeRest upgrades all nodes that are still old, one after the other, after a look
+// at what was written beside them.
+func (c *cluster) upgradeRest() {
+	c.t.Helper()
+	c.writesAreReadable()
+	for i, n := range c.nodes {
+		if n.level < upgrade.Level {
+			c.upgrade(i, 2*time.Second)
+			time.Sleep(3 * time.Second)
+		}
+	}
+}
+
+// upgradedNode is a node of the current version.
+func (c *cluster) upgradedNode() int {
+	return slices.IndexFunc(c.nodes, func(n *controller) bool { return n.level == upgrade.Level })
+}
+
+// leaderAtLevel ends leaders until one of a level leads.
+func (c *cluster) leaderAtLevel(level int) {
+	c.t.Helper()
+	for range 20 {
+		if lead := c.leader(); lead >= 0 && c.nodes[lead].level == level {
+			return
+		} else if lead >= 0 {
+			c.restart(lead, 4*time.Second)
+		}
+		time.Sleep(time.Second)
+	}
+	c.t.Errorf("no node of level %d leads", level)
+}
+
+// productionRecording is what production was seen to write.
+const productionRecording = "../compat/testdata/production/recording.json"
+
+// unknownToProduction are the fields of our values that production passes over: it
+// ignores fields that it does not know, and rewrites a job's record only with its end,
+// when it does not need them.
+var unknownToProduction = map[string][]string{"job": {".ended_ms:number"}}
+
+// writesAreReadable sees to it that all that was written so far, with old nodes up, has
+// the shape of what production writes itself.
+func (c *cluster) writesAreReadable() {
+	c.t.Helper()
+	recorded, err := compat.Read(productionRecording)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	known := map[string][]string{}
+	for _, v := range recorded.Values {
+		known[compat.KeyFamily(v.Key)] = append(known[compat.KeyFamily(v.Key)], c.fields(v.Value)...)
+	}
+	for _, change := range c.state.Changes() {
+		family := compat.KeyFamily(change.Set)
+		if change.Set == "" || family == "node" {
+			continue
+		}
+		if known[family] == nil {
+			c.t.Errorf("%s: production knows no such key", change.Set)
+		}
+		for _, field := range c.fields(change.Value) {
+			if !slices.Contains(known[family], field) && !slices.Contains(unknownToProduction[family], field) {
+				c.t.Errorf("%s: production writes no field %s: %s", change.Set, field, change.Value)
+			}
+		}
+	}
+}
+
+func (c *cluster) fields(value []byte) []string {
+	c.t.Helper()
+	fields, err := compat.FieldPaths(value)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return fields
+}
+
+// takesPipelines sees to it that a job that waits for another one is taken.
+func (c *cluster) takesPipelines() {
+	c.t.Helper()
+	c.await("all announced", 30*time.Second, func() bool { return c.state.Count(upgrade.Prefix) == len(c.nodes) })
+	first := standin.NewJob("job-700000", 2, nil)
+	second := standin.NewJob("job-700001", 1, func(j *wire.Job) { j.WaitsOn = []string{first.Ref} })
+	for _, j := range []*wire.Job{first, second} {
+		if !c.users.Accept(j) {
+			c.t.Errorf("%s is not accepted after the upgrade", j.Ref)
+			return
+		}
+		c.users.Poll(j)
+	}
+}
+
+// refusesPipelines sees to it that an upgraded node takes no job that waits for
+// others, and says when to come again.
+func (c *cluster) refusesPipelines() {
+	c.t.Helper()
+	first := standin.NewJob("job-700000", 2, nil)
+	if !c.users.Accept(first) {
+		c.t.Errorf("%s is not accepted", first.Ref)
+	}
+	c.users.Poll(first)
+	second := standin.NewJob("job-700001", 1, func(j *wire.Job) { j.WaitsOn = []string{first.Ref} })
+	c.check.Submits(second, true)
+	if code, _ := c.users.Call(c.upgradedNode(), standin.AskedSubmit, second.Ref, second); code != 503 {
+		c.t.Errorf("a job that waits for another one, with an old node up: %d, want 503", code)
+	}
+}
+
+// TestVersionsSideBySide upgrades a cluster of old nodes in several ways, with jobs
+// that are submitted, cancelled and polled throughout. What the upgraded nodes write
+// before all are upgraded is what production writes; pipelines are taken afterwards.
+func TestVersionsSideBySide(t *testing.T) {
+	low := settings.StateLimits{RPS: 200, WriteRPS: 40, ValueKB: 1, TxnOps: 5}
+	scenarios := []struct {
+		name string
+		play func(c *cluster)
+	}{
+		{"one after the other, the leader last", func(c *cluster) {
+			for range 2 {
+				c.upgrade(c.oldFollower(), 2*time.Second)
+				time.Sleep(8 * time.Second)
+			}
+			c.upgradeRest()
+		}},
+		{"one after the other, the leader first", func(c *cluster) {
+			for range 2 {
+				if lead := c.leader(); lead >= 0 && c.nodes[lead].level == 0 {
+					c.upgrade(lead, 2*time.Second)
+				}
+				time.Sleep(10 * time.Second)
+			}
+			c.upgradeRest()
+		}},
+		{"an upgraded leader with old followers", func(c *cluster) {
+			c.upgrade(c.oldFollower(), 2*time.Second)
+			c.leaderAtLevel(upgrade.Level)
+			time.Sleep(20 * time.Second)
+			c.leaderAtLevel(0)
+			time.Sleep(10 * time.Second)
+			c.upgradeRest()
+		}},
+		{"the leader ends in the middle and is back old", func(c *cluster) {
+			c.upgrade(c.oldFollower(), time.Second)
+			for range 3 {
+				c.leaderAtLevel(0)
+				c.restart(c.leader(), 500*time.Millisecond)
+				time.Sleep(5 * time.Second)
+			}
+			c.upgradeRest()
+		}},
+		{"all end at once, one is back old", func(c *cluster) {
+			for i := range c.nodes {
+				c.kill(i)
+			}
+			time.Sleep(3 * time.Second)
+			for i := range c.nodes {
+				if i > 0 {
+					c.nodes[i].level = upgrade.Level
+				}
+				c.start(i)
+			}
+			time.Sleep(15 * time.Second)
+			c.upgradeRest()
+		}},
+		{"an outage in the middle", func(c *cluster) {
+			c.upgrade(c.oldFollower(), time.Second)
+			c.state.Outage(true)
+			time.Sleep(5 * time.Second)
+			c.upgrade(c.oldFollower(), time.Second)
+			time.Sleep(10 * time.Second)
+			c.state.Outage(false)
+			time.Sleep(5 * time.Second)
+			c.upgradeRest()
+		}},
+		{"the limits fall as the last node is upgraded", func(c *cluster) {
+			for range 2 {
+				c.upgrade(c.oldFollower(), time.Second)
+				time.Sleep(3 * time.Second)
+			}
+			c.writesAreReadable()
+			last := c.oldFollower()
+			c.kill(last)
+			c.state.Limit(low)
+			c.nodes[last].level = upgrade.Level
+			time.Sleep(2 * time.Second)
+			c.start(last)
+			time.Sleep(10 * time.Second)
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			inCluster(t, plan{old: 3, next: &low}, func(c *cluster) {
+				stop := c.keepSubmitting()
+				time.Sleep(5 * time.Second)
+				s.play(c)
+				stop()
+				c.takesPipelines()
+			})
+		})
+	}
+}
+
+// TestNodeThatIsNeverUpgraded: jobs are served as before, and none is taken that waits
+// for others.
+func TestNodeThatIsNeverUpgraded(t *testing.T) {
+	playCluster(t, plan{old: 1}, false, func(c *cluster) {
+		stop := c.keepSubmitting()
+		time.Sleep(20 * time.Second)
+		c.refusesPipelines()
+		c.leaderAtLevel(0)
+		c.refusesPipelines()
+		stop()
+		c.writesAreReadable()
+	})
+}
+
+// oldFollower is a node of the old version, one that does not lead if there is one.
+func (c *cluster) oldFollower() int {
+	lead, found := c.leader(), -1
+	for i, n := range c.nodes {
+		if n.level < upgrade.Level && (found < 0 || found == lead) {
+			found = i
+		}
+	}
+	return found
+}
+
+// keepSubmitting has users submit jobs, and cancel a third of them, until the result
+// is called.
+func (c *cluster) keepSubmitting() (stop func()) {
+	ended := make(chan struct{})
+	c.users.Go(func() {
+		for k := 0; ; k++ {
+			j := c.stream(k, 1, 700*time.Millisecond, func(_ int, j *wire.Job) {
+				if k%2 == 0 {
+					j.Team = "tight"
+				}
+			})[0]
+			if k%3 == 0 {
+				c.users.Cancel(j)
+			}
+			select {
+			case <-ended:
+				return
+			default:
+			}
+		}
+	})
+	return func() { close(ended) }
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -169,6 +169,17 @@
 	s.do(func() { s.apply([]wire.Change{{Set: key, Value: json.RawMessage(value)}}) })
 }
 
+// Remove deletes a key as an operator would.
+func (s *State) Remove(key string) {
+	s.do(func() { s.apply([]wire.Change{{Delete: key}}) })
+}
+
+// Changes lists all changes so far, in order.
+func (s *State) Changes() (changes []wire.Event) {
+	s.do(func() { changes = slices.Clone(s.history) })
+	return changes
+}
+
 // Version is a key's version; 0: there is none.
 func (s *State) Version(key string) (version uint64) {
 	s.do(func() { version = s.keys[key].Version })
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -42,15 +42,17 @@
 // Watch announces this node and watches the others.
 type Watch struct {
 	node  string
+	level int
 	all   []string
 	store Store
 	log   *slog.Logger
 	done  atomic.Bool
 }
 
-// New makes a watch; Run starts it.
-func New(node string, others []string, store Store, log *slog.Logger) *Watch {
-	return &Watch{node: node, all: append([]string{node}, others...), store: store, log: log}
+// New makes a watch for a node that knows the capabilities of a level; Run starts it.
+// At level 0, that of the versions before there were announcements, it does nothing.
+func New(node string, level int, others []string, store Store, log *slog.Logger) *Watch {
+	return &Watch{node: node, level: level, all: append([]string{node}, others...), store: store, log: log}
 }
 
 // Done tells whether all nodes know what this one does.
@@ -61,6 +63,9 @@
 
 // Run watches until all are there or ctx ends.
 func (w *Watch) Run(ctx context.Context) {
+	if w.level == 0 {
+		return
+	}
 	missing := ""
 	for ctx.Err() == nil {
 		left, err := w.look(ctx)
@@ -68,7 +73,7 @@
 		case err != nil:
 			w.log.Debug("announcements not read", "error", err)
 		case len(left) == 0:
-			w.log.Info("all nodes know this version's capabilities", "level", Level)
+			w.log.Info("all nodes know this version's capabilities", "level", w.level)
 			w.done.Store(true)
 			return
 		case missing != strings.Join(left, " "):
@@ -94,14 +99,14 @@
 		if name == w.node {
 			own = e.Version
 		}
-		if json.Unmarshal(e.Value, &a) == nil && a.Level >= Level {
+		if json.Unmarshal(e.Value, &a) == nil && a.Level >= w.level {
 			left = slices.DeleteFunc(left, func(n string) bool { return n == name })
 		}
 	}
 	if !slices.Contains(left, w.node) {
 		return left, nil
 	}
-	value, err := json.Marshal(announcement{Level})
+	value, err := json.Marshal(announcement{w.level})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -63,7 +63,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeStore{keys: make(chan map[string]string, 1), down: c.down}
 				f.keys <- c.others
-				w := New("n1", []string{"n2", "n3"}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				w := New("n1", Level, []string{"n2", "n3"}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
 				go w.Run(t.Context())
 				time.Sleep(3 * lookEvery)
 				synctest.Wait()
