--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -83,6 +83,12 @@
 	dirty        bool
 	fleet        fleetState
 
+	// What the machines have cost since it was last logged, and until when that is
+	// reckoned.
+	spent          spending
+	spentUntil     time.Duration
+	spendingLogged time.Duration
+
 	out []any
 }
 
@@ -107,7 +113,7 @@
 func NewCore(cfg Config, s ledger.Snapshot, now time.Duration, wall int64, log *slog.Logger) *Core {
 	w := cfg.Platform.Facts.Workers
 	c := &Core{
-		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now,
+		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now, spentUntil: now, spendingLogged: now,
 		leaseTime: settings.Stretch(settings.Seconds(w.LeaseS)) + 250*time.Millisecond,
 		report:    settings.Seconds(w.ReportS),
 		unseen:    map[string][]int32{}, aborting: map[int32]bool{},
@@ -222,6 +228,7 @@
 		c.awake = c.now
 	}
 	c.ticked = c.now
+	c.spend()
 	for _, m := range c.live {
 		c.checkMachine(m)
 		if m.isOpen != c.open(m) {
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -273,6 +273,9 @@
 		return // settled before
 	}
 	if b != nil {
+		if t.Why != wire.WhyDone && !t.Saved {
+			c.lostWork(m, b)
+		}
 		c.free(m, b)
 	}
 	switch t.Why {
@@ -416,6 +419,7 @@
 
 // release gives a booking's room back and has its task wait again.
 func (c *Core) release(m *machine, b *booking) {
+	c.lostWork(m, b)
 	c.free(m, b)
 	c.requeue(c.jobs[b.job], b.task)
 }
