What is accepted has room for its end; pipelines cancelled at every moment, in tests

Cause: a record that was just short enough for the least value that the state service will take grew by its terminal state, two counts and a time of day: a job whose class has a name of hundreds of bytes could be accepted and never be ended. Room for the end is now kept when a job is accepted; taken out alone, TestWhatIsAcceptedFitsWithItsEnd fails.

Whole nodes cancel the first job of chains, diamonds and jobs with several ancestors, from its submission to after its last task, at all nodes within a millisecond, with leaders that end, outages and lost answers. Waiting jobs are none of a team's demand under its guarantee.

--- a/internal/dispatch/graph_test.go
+++ b/internal/dispatch/graph_test.go
@@ -90,6 +90,21 @@
 		g.want("started", g.started(), "job-2")
 		g.want("state of the other", g.jobStatus("job-4"), wire.Aborted)
 	})
+	t.Run("a guarantee", func(t *testing.T) {
+		// Both teams want all of the one machine. What waits for others is none of
+		// the first team's demand, so its guarantee covers the rest.
+		g := newStage(t, ledger.Snapshot{}, settings.Team{Name: "t", CPUs: 4}, settings.Team{Name: "u"})
+		other := newTestJob("job-9", 4, 1)
+		other.Team, other.Priority = "u", "critical"
+		g.submit(other)
+		first := newTestJob("job-1", 4, 1)
+		g.submit(first)
+		for i := range 10 {
+			g.submit(after(fmt.Sprintf("job-2%d", i), "job-1"))
+		}
+		g.want("first in the queue", g.c.queue()[0].ref, "job-1")
+		g.want("in the queue", len(g.c.queue()), 2)
+	})
 	t.Run("a long chain and a wide fan", func(t *testing.T) {
 		g := newStage(t, ledger.Snapshot{})
 		g.up("vm-1")
@@ -138,6 +153,36 @@
 			g.submit(after("job-2", "job-1"))
 			g.submit(after("job-3", "job-2"))
 		}, wire.Aborted},
+		{"one of several ancestors, the others run on", nil, func(g *stage) {
+			g.submit(after("job-5"))
+			g.submit(after("job-6"))
+			g.submit(after("job-7", "job-5", "job-6"))
+			g.submit(after("job-8", "job-7", "job-3"))
+			g.step(CancelAsked{Ref: "job-5", To: "u"})
+			g.want("what needs it", g.jobStatus("job-7"), wire.Aborted)
+			g.want("what needs that", g.jobStatus("job-8"), wire.Aborted)
+			g.want("what it was beside", g.jobStatus("job-6") != wire.Aborted, true)
+		}, wire.Queued},
+		{"both ways of a diamond", nil, func(g *stage) {
+			g.submit(after("job-4", "job-1"))
+			g.submit(after("job-9", "job-4", "job-2"))
+			g.step(CancelAsked{Ref: "job-1", To: "u"})
+			g.want("where the ways meet", g.jobStatus("job-9"), wire.Aborted)
+			g.want("the other way", g.jobStatus("job-4"), wire.Aborted)
+		}, wire.Aborted},
+		{"one way of a diamond", nil, func(g *stage) {
+			g.submit(after("job-4", "job-1"))
+			g.submit(after("job-9", "job-4", "job-2"))
+			g.step(CancelAsked{Ref: "job-4", To: "u"})
+			g.want("where the ways meet", g.jobStatus("job-9"), wire.Aborted)
+		}, wire.Queued},
+		{"cancelled as its last task ends", nil, func(g *stage) {
+			g.held = true
+			g.finishTask("vm-1", "job-1")
+			g.step(CancelAsked{Ref: "job-1", To: "u"})
+			g.release()
+			g.want("the one that was cancelled", g.jobStatus("job-1"), wire.Done)
+		}, wire.Queued},
 		{"a takeover without it", []ledger.SavedJob{open("job-3", "job-2"), open("job-2", "job-1"), open("job-1")}, nil, wire.Queued},
 	}
 	for _, c := range cases {
--- a/internal/intake/groupcommit.go
+++ b/internal/intake/groupcommit.go
@@ -72,13 +72,17 @@
 	errLong = errors.New("the job's description is longer than can be recorded")
 )
 
+// endRoom is what a job's end may add to its record: the terminal state, two counts
+// and the time of day. A record that fits without it could never be ended.
+const endRoom = 96
+
 // create has a job record created unless there is one.
 func (c *groupCommit) create(ctx context.Context, ref string, rec ledger.JobRecord) (accepted, error) {
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return accepted{}, err
 	}
-	if len(value) > c.bytes {
+	if len(value)+endRoom > c.bytes {
 		return accepted{}, errLong
 	}
 	c.waiting.Add(1)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -208,6 +208,35 @@
 	}
 }
 
+// TestWhatIsAcceptedFitsWithItsEnd: a record that is just short enough when it is
+// accepted has to be short enough with its terminal state as well, in the least value
+// that the state service will take. Else the job could never be ended.
+func TestWhatIsAcceptedFitsWithItsEnd(t *testing.T) {
+	const limit = 1024
+	store := &fakeStore{records: map[string]ledger.JobRecord{}}
+	c := newGroupCommit(store, 1, limit)
+	go c.run(t.Context())
+	accepted, refused := 0, 0
+	for length := range limit {
+		// The name of the class stays in the record of a cancelled job.
+		j := &wire.Job{Ref: fmt.Sprintf("job-%d", length), Class: strings.Repeat("c", length), Kind: "batch", Priority: "high", Tasks: 100000}
+		_, err := c.create(t.Context(), j.Ref, ledger.JobRecord{Job: j, AcceptedMS: 1796190522949})
+		if err != nil {
+			refused++
+			continue
+		}
+		accepted++
+		end := ledger.JobRecord{Job: j.Essence(), AcceptedMS: 1796190522949, Terminal: wire.Aborted, Tasks: j.Tasks, Done: j.Tasks - 1, EndedMS: 1796190522949}
+		b, err := json.Marshal(end)
+		if err != nil || len(b) > limit {
+			t.Errorf("%d bytes of class: the end takes %d bytes of %d: %v", length, len(b), limit, err)
+		}
+	}
+	if accepted == 0 || refused == 0 {
+		t.Errorf("%d accepted, %d refused", accepted, refused)
+	}
+}
+
 // TestUnservedNodePassesOnAtOnce: behind a cut that swallows what is sent to the state
 // service, each submission took two seconds to find that out before another node had
 // it.
--- /dev/null
+++ b/internal/node/pipelines_test.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"leadproxy/internal/standin"
+	"leadproxy/internal/wire"
+)
+
+// shape submits a pipeline of some form whose first job is returned, all of them as
+// jobs of a few tasks each.
+type shape struct {
+	name  string
+	needs [][]int // by stage, the stages that it needs
+}
+
+var shapes = []shape{
+	{"chain", [][]int{{}, {0}, {1}, {2}, {3}}},
+	{"diamond", [][]int{{}, {0}, {0}, {1, 2}, {3}}},
+	{"several ancestors", [][]int{{}, {}, {}, {0, 1, 2}, {3, 0}}},
+}
+
+// submitShape submits a pipeline, each job once those that it needs are accepted.
+func (c *cluster) submitShape(s shape, first int) (jobs []*wire.Job) {
+	c.t.Helper()
+	ref := func(stage int) string { return fmt.Sprintf("job-0%04d%d", first, stage) }
+	for stage, needs := range s.needs {
+		j := standin.NewJob(ref(stage), 2, nil)
+		for _, n := range needs {
+			j.WaitsOn = append(j.WaitsOn, ref(n))
+		}
+		if !c.users.Accept(j) {
+			c.t.Errorf("%s of the %s is not accepted", j.Ref, s.name)
+		}
+		c.users.Poll(j)
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// TestCancelledPipelines cancels the first job of pipelines of several forms, from the
+// moment of its submission to after the end of its last task, with what may meet that.
+// Either all that need it are cancelled with it, and stay so, or the answer is done
+// and they go on.
+func TestCancelledPipelines(t *testing.T) {
+	troubles := []struct {
+		name string
+		play func(c *cluster)
+	}{
+		{"no trouble", func(*cluster) {}},
+		{"the leader ends", func(c *cluster) { c.restart(c.leader(), 4*time.Second) }},
+		{"the leader ends and is back at once", func(c *cluster) { c.restart(c.leader(), 200*time.Millisecond) }},
+		{"all end", func(c *cluster) {
+			for i := range c.nodes {
+				c.kill(i)
+			}
+			time.Sleep(3 * time.Second)
+			c.revive()
+		}},
+		{"an outage", func(c *cluster) {
+			c.state.Outage(true)
+			time.Sleep(50 * time.Second)
+			c.state.Outage(false)
+		}},
+		{"the answers to writes are lost, then an outage", func(c *cluster) {
+			c.writes.Store(c.share(1, standin.Unheard, 0, 0))
+			time.Sleep(2 * time.Second)
+			c.state.Outage(true)
+			c.writes.Store(nil)
+			time.Sleep(50 * time.Second)
+			c.state.Outage(false)
+		}},
+		{"the leader alone is refused", func(c *cluster) {
+			lead := c.leader()
+			c.state.Refuse(c.name(lead), true)
+			time.Sleep(20 * time.Second)
+			c.state.Refuse(c.name(lead), false)
+		}},
+	}
+	// A job's tasks run for 8 s, and begin some 6 s after it is submitted, once there are
+	// machines.
+	moments := []time.Duration{0, 3 * time.Second, 12 * time.Second, 13500 * time.Millisecond, 14 * time.Second, 14500 * time.Millisecond, 15 * time.Second, 20 * time.Second}
+	for _, s := range shapes {
+		for _, trouble := range troubles {
+			t.Run(s.name+", "+trouble.name, func(t *testing.T) {
+				playCluster(t, plan{machines: 30}, false, func(c *cluster) {
+					time.Sleep(5 * time.Second) // all nodes know of one another
+					var pipelines [][]*wire.Job
+					for n := range moments {
+						pipelines = append(pipelines, c.submitShape(s, n))
+					}
+					began := time.Now()
+					for n, moment := range moments {
+						time.Sleep(time.Until(began.Add(moment)))
+						first := pipelines[n][0]
+						// At all nodes within a millisecond, then until it is answered.
+						for i := range c.nodes {
+							c.users.Go(func() { c.users.Call(i, standin.AskedCancel, first.Ref, nil) })
+						}
+						c.users.Cancel(first)
+						if n == len(moments)/2 {
+							c.users.Go(func() { trouble.play(c) })
+						}
+						c.lookAtAll(pipelines[n])
+					}
+					time.Sleep(70 * time.Second)
+					ends := c.endsAgree(pipelines)
+					if trouble.name == "no trouble" && (ends[wire.Done] == 0 || ends[wire.Aborted] == 0) {
+						t.Errorf("the moments bring about only %v", ends)
+					}
+				})
+			})
+		}
+	}
+}
+
+// lookAtAll asks about all jobs of a pipeline at all nodes.
+func (c *cluster) lookAtAll(jobs []*wire.Job) {
+	for _, j := range jobs {
+		c.users.Go(func() { c.users.Look(j.Ref, j) })
+	}
+}
+
+// endsAgree sees to it that pipelines whose first job was cancelled are cancelled
+// whole, and the others done whole, and counts both.
+func (c *cluster) endsAgree(pipelines [][]*wire.Job) map[string]int {
+	c.t.Helper()
+	ends := map[string]int{}
+	for _, jobs := range pipelines {
+		_, want := c.users.Until(standin.AskedCancel, jobs[0].Ref, nil)
+		ends[want]++
+		for _, j := range jobs {
+			if needs(jobs, j, jobs[0].Ref) {
+				c.await(j.Ref+" is "+want, 2*time.Minute, func() bool {
+					_, status := c.users.Call(c.users.AnyNode(), standin.AskedStatus, j.Ref, nil)
+					return status == want
+				})
+			}
+		}
+	}
+	return ends
+}
+
+// needs tells whether a job needs another one, directly or through others.
+func needs(jobs []*wire.Job, j *wire.Job, ref string) bool {
+	for _, before := range j.WaitsOn {
+		if before == ref {
+			return true
+		}
+		for _, p := range jobs {
+			if p.Ref == before && needs(jobs, p, ref) {
+				return true
+			}
+		}
+	}
+	return false
+}
