--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -99,6 +99,14 @@
 	boot  time.Duration // learned
 }
 
+// price is what a machine of the type costs per hour at present.
+func (t *machineType) price(spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
 type directCall struct {
 	machine  *machine
 	session  uint64
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -221,8 +221,18 @@
 	return out
 }
 
+// plan describes the situation to plan hires from.
 func (c *Core) plan() fleet.Situation {
 	s := fleet.Situation{MaxMachines: c.cfg.Operator.MaxMachines, Sizes: c.warmSizes(), Warm: c.warmCores()}
+	c.planOffers(&s)
+	c.planMachines(&s)
+	c.planHires(&s)
+	c.planWaiting(&s)
+	return s
+}
+
+// planOffers lists the machine types and the offers that may be asked for.
+func (c *Core) planOffers(s *fleet.Situation) {
 	for i := range c.types {
 		t := &c.types[i]
 		s.Types = append(s.Types, fleet.Type{Total: t.total, Boot: t.boot})
@@ -233,14 +243,14 @@
 				if c.now < st.blockedUntil {
 					continue
 				}
-				price := t.Price
-				if spot {
-					price = t.SpotPrice
-				}
-				s.Offers = append(s.Offers, fleet.Priced{Offer: o, Price: price, Most: st.most()})
+				s.Offers = append(s.Offers, fleet.Priced{Offer: o, Price: t.price(spot), Most: st.most()})
 			}
 		}
 	}
+}
+
+// planMachines counts the machines that are up or coming.
+func (c *Core) planMachines(s *fleet.Situation) {
 	for _, m := range c.live {
 		if m.state != machineGone {
 			s.Machines++
@@ -249,24 +259,33 @@
 			continue
 		}
 		s.Cores += m.total.CPUs
+		o := fleet.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot}
 		if m.known(c.term) {
-			s.Up = append(s.Up, fleet.Present{Offer: fleet.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot}, Busy: c.busy(m)})
+			s.Up = append(s.Up, fleet.Present{Offer: o, Busy: c.busy(m)})
 		} else {
-			s.Coming = append(s.Coming, fleet.Coming{Offer: fleet.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot}, Room: m.free})
+			s.Coming = append(s.Coming, fleet.Coming{Offer: o, Room: m.free})
 		}
 	}
+}
+
+// planHires counts the machines of hires that the cloud has not answered yet.
+func (c *Core) planHires(s *fleet.Situation) {
 	for _, h := range c.openHires() {
 		if h.offer.Type < 0 {
 			continue
 		}
+		total := c.types[h.offer.Type].total
 		for range h.record.Hire.Count {
-			total := c.types[h.offer.Type].total
 			s.Coming = append(s.Coming, fleet.Coming{Offer: h.offer, Room: total})
 			s.Cores += total.CPUs
 			s.Machines++
 		}
 	}
-	// What a team's limit leaves is shared by all its waiting jobs.
+}
+
+// planWaiting lists the tasks that wait, in the order of the queue. What a team's limit
+// leaves is shared by all its waiting jobs.
+func (c *Core) planWaiting(s *fleet.Situation) {
 	used := make([]units, len(c.teams))
 	for i := range used {
 		used[i] = c.teams[i].booked
@@ -283,7 +302,6 @@
 				Allows: func(o fleet.Offer) bool { return j.allows(o.Type, o.Zone, o.Spot) }})
 		}
 	}
-	return s
 }
 
 // busy is the core-seconds that are expected to be left of a machine's tasks.
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -115,19 +115,7 @@
 	m.heard = c.now
 	c.lives(m)
 	if r.Session != m.session {
-		if m.session != 0 {
-			c.log.Info("worker began a new session", "machine", m.name, "session", r.Session, "bookings", len(m.bookings))
-			c.dropBookings(m, "its session ended")
-			// It has heard no answer for a whole lease.
-			c.unheard(m)
-		}
-		// A start sent to the earlier session can't be executed any more.
-		clear(m.pending)
-		m.session = r.Session
-		// A session begins with a lease of its own, though nobody has answered
-		// it, and this one may have begun just now: what was known of the lease
-		// was the session's before.
-		m.leaseOver = max(m.leaseOver, c.now+c.leaseTime)
+		c.sessionBegan(m, r.Session)
 	}
 	m.seq = r.Seq
 	c.touch(m)
@@ -162,6 +150,23 @@
 	return true
 }
 
+// sessionBegan notes that a worker is in another session than before.
+func (c *Core) sessionBegan(m *machine, session uint64) {
+	if m.session != 0 {
+		c.log.Info("worker began a new session", "machine", m.name, "session", session, "bookings", len(m.bookings))
+		c.dropBookings(m, "its session ended")
+		// It has heard no answer for a whole lease.
+		c.unheard(m)
+	}
+	// A start sent to the earlier session can't be executed any more.
+	clear(m.pending)
+	m.session = session
+	// A session begins with a lease of its own, though nobody has answered
+	// it, and this one may have begun just now: what was known of the lease
+	// was the session's before.
+	m.leaseOver = max(m.leaseOver, c.now+c.leaseTime)
+}
+
 // taskOf finds what a line of a report speaks of. The booking is nil when we
 // have none for it.
 func (c *Core) taskOf(m *machine, t *wire.TaskReport) (j *job, n int32, b *booking) {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -115,37 +115,45 @@
 	}
 	switch e.Outcome {
 	case DirectUnknown:
-		if m.session != call.session {
-			return // it can only be refused
-		}
-		// The token is higher now: once the worker has echoed it, the command
-		// can't be executed any more, and what is not there then will never be.
-		for _, a := range call.attempts {
-			if _, ok := m.pending[a]; ok {
-				m.pending[a] = call.token + 1
-			}
-		}
-		c.log.Debug("direct command unanswered", "machine", m.name, "starts", len(call.attempts), "token", m.token)
+		c.directUnknown(call)
 		return
 	case DirectNotSent, DirectRefused:
-		for _, a := range call.attempts {
-			delete(m.pending, a)
-			if b := m.booking(a); b != nil && b.state == bookSent {
-				c.release(m, b)
-			}
-		}
+		c.eachSent(call, func(b *booking) { c.release(m, b) })
 		if e.Outcome == DirectRefused && !call.probe {
 			c.log.Info("direct command refused", "machine", m.name, "token", call.token, "session", call.session)
 		}
 	case DirectDone:
-		for _, a := range call.attempts {
-			delete(m.pending, a)
-			if b := m.booking(a); b != nil && b.state == bookSent {
-				b.state = bookConfirmed
-			}
-		}
+		c.eachSent(call, func(b *booking) { b.state = bookConfirmed })
 	}
 	if e.Report != nil && e.Report.Machine == m.name && e.Report.Token>>tokenBits <= c.term {
 		c.observe(m, e.Report, false)
 	}
 }
+
+// directUnknown keeps the starts of a command booked of which nobody knows whether it
+// was carried out. The token is higher now: once the worker has echoed it, the command
+// can't be executed any more, and what is not there then will never be.
+func (c *Core) directUnknown(call *directCall) {
+	m := call.machine
+	if m.session != call.session {
+		return // it can only be refused
+	}
+	for _, a := range call.attempts {
+		if _, ok := m.pending[a]; ok {
+			m.pending[a] = call.token + 1
+		}
+	}
+	c.log.Debug("direct command unanswered", "machine", m.name, "starts", len(call.attempts), "token", m.token)
+}
+
+// eachSent settles the starts of a command whose outcome is known, and calls f for the
+// bookings that still wait for it.
+func (c *Core) eachSent(call *directCall, f func(b *booking)) {
+	m := call.machine
+	for _, a := range call.attempts {
+		delete(m.pending, a)
+		if b := m.booking(a); b != nil && b.state == bookSent {
+			f(b)
+		}
+	}
+}
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -47,88 +47,139 @@
 
 // returnMachines gives back what is broken, lost, or not needed any more.
 func (c *Core) returnMachines() {
-	var cores float64
-	up, silent := make([]int, len(c.zones.list)), make([]int, len(c.zones.list))
-	allUp, allSilent := 0, 0
+	cores := c.countFleet()
+	warm := c.warmCores()
+	waiting := c.placeableWithinLimit()
+	for _, m := range c.live {
+		if m.state == machineGone {
+			continue
+		}
+		if why := c.reasonToReturn(m); why != "" {
+			c.askDelete(m, why)
+			continue
+		}
+		// Ordinary machines cost a multiple and are not kept for what may come.
+		target, patience := warm, c.cfg.Operator.IdleReturn
+		if !m.spot {
+			target, patience = 0, patience/4
+		}
+		if c.mayGoIdle(m, waiting) && c.now-m.idleSince > patience && cores-m.total.CPUs >= target {
+			cores -= m.total.CPUs
+			c.askDelete(m, "idle")
+		}
+	}
+}
+
+// zoneCount is how many machines of a zone should be reporting, and how many of them
+// are silent.
+type zoneCount struct{ up, silent int }
+
+// countFleet counts the cores to plan with, and notes how many machines should be
+// reporting and which zones seem to be cut off.
+func (c *Core) countFleet() (cores float64) {
+	zones := make([]zoneCount, len(c.zones.list))
+	var all zoneCount
 	for _, m := range c.live {
 		if c.counts(m) {
 			cores += m.total.CPUs
 		}
-		if c.expected(m) && m.zone >= 0 {
-			up[m.zone]++
-			allUp++
-			if c.quiet(m) >= c.silentAfter() && m.missing < 2 {
-				silent[m.zone]++
-				allSilent++
-			}
+		if !c.expected(m) || m.zone < 0 {
+			continue
+		}
+		zones[m.zone].up++
+		all.up++
+		if c.quiet(m) >= c.silentAfter() && m.missing < 2 {
+			zones[m.zone].silent++
+			all.silent++
 		}
 	}
-	c.reporting = allUp
-	warm := c.warmCores()
-	// A machine that some waiting task could use is kept, whatever keeps that
-	// task from it now. One that is too small or not allowed for all of them is
-	// not: on a large site there is always something waiting.
-	// Nor is one that only tasks beyond their team's limit would use.
-	waiting := slices.DeleteFunc(c.queue(), func(j *job) bool { return c.roomInLimit(j, c.teams[j.team].booked) == 0 })
-	wanted := func(m *machine) bool {
-		return slices.ContainsFunc(waiting, func(j *job) bool {
-			return j.allows(m.typ, m.zone, m.spot) && j.size.Within(m.total)
-		})
-	}
-	// A whole zone silent at once, or most machines, is rather a cut between us
-	// and them: there they work on, and deleting them would lose that. When it
-	// ends, or their reports come by another way, they come back one by one.
-	for len(c.cutAt) < len(up) {
+	c.reporting = all.up
+	c.noteCuts(zones, all)
+	return cores
+}
+
+// noteCuts notes which zones seem to be cut off. A whole zone silent at once, or most
+// machines, is rather a cut between us and them: there they work on, and deleting them
+// would lose that. When it ends, or their reports come by another way, they come back
+// one by one.
+func (c *Core) noteCuts(zones []zoneCount, all zoneCount) {
+	for len(c.cutAt) < len(zones) {
 		c.cutAt = append(c.cutAt, math.MinInt64/2)
 	}
-	for z := range up {
-		if 2*allSilent > max(allUp, 2) || up[z] > 1 && silent[z] == up[z] {
-			c.cutAt[z] = c.now
+	mostSilent := 2*all.silent > max(all.up, 2)
+	for i, z := range zones {
+		if mostSilent || z.up > 1 && z.silent == z.up {
+			c.cutAt[i] = c.now
 		}
 	}
-	cutOff := func(m *machine) bool { return m.zone >= 0 && c.now-c.cutAt[m.zone] < 4*c.report }
-	for _, m := range c.live {
-		quiet := c.quiet(m)
-		switch {
-		case m.state == machineGone:
-		case m.state == machineDeleting:
-			c.askDelete(m, "not yet known to be gone")
-		case c.expected(m) && quiet > c.silentAfter() && m.missing >= 2:
-			// Absence from the list proves nothing, but its deletion will.
-			c.askDelete(m, "silent and not listed any more")
-		case c.expected(m) && quiet > 4*c.report && !cutOff(m):
-			c.askDelete(m, "silent")
-		case m.state == machineBooting:
-			if m.typ < 0 && quiet < c.leaseTime {
-				break
-			}
-			patience := 90 * time.Second
-			if m.typ >= 0 {
-				patience = time.Duration(c.cfg.Operator.BootPatience * float64(settings.Seconds(c.types[m.typ].BootS)))
-			}
-			// A machine that an earlier leader had up may be silent for a while:
-			// it has a lease's time to show itself.
-			if c.now-m.hired > patience && c.now-c.began > c.leaseTime {
-				c.askDelete(m, "did not come up")
-			}
-		case quiet > c.leaseTime+c.report:
-			c.askDelete(m, "lost")
-		case len(m.bookings) > 0:
-		case m.noticeAt > 0:
-			c.askDelete(m, "will be taken back")
-		case m.quarantine:
-			c.askDelete(m, "faulty")
-		case c.now-m.hired < leastRental || !m.known(c.term) || wanted(m):
-		default:
-			// Ordinary machines cost a multiple and are not kept for what may come.
-			target, patience := warm, c.cfg.Operator.IdleReturn
-			if !m.spot {
-				target, patience = 0, patience/4
-			}
-			if c.now-m.idleSince > patience && cores-m.total.CPUs >= target {
-				cores -= m.total.CPUs
-				c.askDelete(m, "idle")
-			}
-		}
+}
+
+// cutOff tells whether a machine's zone seems to be cut off, or was a moment ago.
+func (c *Core) cutOff(m *machine) bool {
+	return m.zone >= 0 && c.now-c.cutAt[m.zone] < 4*c.report
+}
+
+// placeableWithinLimit lists the jobs with tasks that their teams' limits let run.
+func (c *Core) placeableWithinLimit() []*job {
+	return slices.DeleteFunc(c.queue(), func(j *job) bool { return c.roomInLimit(j, c.teams[j.team].booked) == 0 })
+}
+
+// mayGoIdle tells whether an idle machine may be given back at all: its least rental is
+// over and no waiting task could use it. One that some waiting task could use is kept,
+// whatever keeps that task from it now. One that is too small or not allowed for all of
+// them is not: on a large site there is always something waiting. Nor is one that only
+// tasks beyond their team's limit would use.
+func (c *Core) mayGoIdle(m *machine, waiting []*job) bool {
+	if m.state != machineUp || len(m.bookings) > 0 || c.now-m.hired < leastRental || !m.known(c.term) {
+		return false
+	}
+	return !slices.ContainsFunc(waiting, func(j *job) bool {
+		return j.allows(m.typ, m.zone, m.spot) && j.size.Within(m.total)
+	})
+}
+
+// reasonToReturn tells why a machine is to be given back whether or not it is wanted;
+// "": there is no reason.
+func (c *Core) reasonToReturn(m *machine) string {
+	quiet := c.quiet(m)
+	switch {
+	case m.state == machineDeleting:
+		return "not yet known to be gone"
+	case c.expected(m) && quiet > c.silentAfter() && m.missing >= 2:
+		// Absence from the list proves nothing, but its deletion will.
+		return "silent and not listed any more"
+	case c.expected(m) && quiet > 4*c.report && !c.cutOff(m):
+		return "silent"
+	case m.state == machineBooting:
+		return c.reasonToStopBoot(m, quiet)
+	case quiet > c.leaseTime+c.report:
+		return "lost"
+	case len(m.bookings) > 0:
+		return ""
+	case m.noticeAt > 0:
+		return "will be taken back"
+	case m.quarantine:
+		return "faulty"
+	}
+	return ""
+}
+
+// unknownBootPatience is how long a machine of an unknown type may boot.
+const unknownBootPatience = 90 * time.Second
+
+// reasonToStopBoot tells why a machine that has not reported yet is to be given back.
+// One that an earlier leader had up may be silent for a while: it has a lease's time to
+// show itself.
+func (c *Core) reasonToStopBoot(m *machine, quiet time.Duration) string {
+	patience := unknownBootPatience
+	switch {
+	case m.typ >= 0:
+		patience = time.Duration(c.cfg.Operator.BootPatience * float64(settings.Seconds(c.types[m.typ].BootS)))
+	case quiet < c.leaseTime:
+		return ""
+	}
+	if c.now-m.hired > patience && c.now-c.began > c.leaseTime {
+		return "did not come up"
 	}
+	return ""
 }
--- a/internal/dispatch/spending.go
+++ b/internal/dispatch/spending.go
@@ -34,11 +34,7 @@
 	if m.typ < 0 {
 		return 0
 	}
-	t := &c.types[m.typ]
-	if m.spot {
-		return t.SpotPrice / secondsPerHour
-	}
-	return t.Price / secondsPerHour
+	return c.types[m.typ].price(m.spot) / secondsPerHour
 }
 
 // spend adds what the machines have cost since the last time.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -240,6 +240,16 @@
 	}
 }
 
+// stepDown ends a term and its lease, and lets the others stand first. Nothing more is
+// done in the term before its lease is ended.
+func (e *Elector) stepDown(ctx context.Context, term, lease uint64) {
+	e.publish(&View{})
+	e.aside = time.Now().Add(standAside)
+	if err := e.store.EndLease(ctx, lease); err != nil {
+		e.log.Debug("lease not ended, it will end by itself", "term", term, "error", err)
+	}
+}
+
 // lead renews the lease until it is lost. While renewals fail the published
 // view lapses by itself; if one succeeds again, the term resumes.
 func (e *Elector) lead(ctx context.Context, term, lease uint64, sent time.Time) {
@@ -253,12 +263,7 @@
 			wait = 150 * time.Millisecond
 		}
 		if e.resigned(ctx, term, wait) {
-			// Nothing more is done in this term before its lease is ended.
-			e.publish(&View{})
-			e.aside = time.Now().Add(standAside)
-			if err := e.store.EndLease(ctx, lease); err != nil {
-				e.log.Debug("lease not ended, it will end by itself", "term", term, "error", err)
-			}
+			e.stepDown(ctx, term, lease)
 			return
 		}
 		// The others are asked while the renewal is tried once more, since it
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -85,76 +85,107 @@
 // price per task, as far as machines that are coming don't serve it; then the
 // cheapest cores up to the learned demand.
 func Plan(s Situation) []Wish {
-	wishes := map[Offer]*Wish{}
-	var order []Offer
-	budget := math.MaxInt32
+	p := planner{Situation: &s, wishes: map[Offer]*Wish{}, asked: map[Offer]int{}, budget: math.MaxInt32}
 	if s.MaxMachines > 0 {
-		budget = max(0, s.MaxMachines-s.Machines)
+		p.budget = max(0, s.MaxMachines-s.Machines)
 	}
-	asked := map[Offer]int{}
-	add := func(o Offer, n int, why string) {
-		asked[o] += n
-		if wishes[o] == nil {
-			wishes[o] = &Wish{Offer: o, Why: why}
-			order = append(order, o)
+	for _, g := range s.Waiting {
+		p.serve(g)
+	}
+	p.keepWarm()
+	out := make([]Wish, 0, len(p.order))
+	for _, o := range p.order {
+		out = append(out, *p.wishes[o])
+	}
+	return out
+}
+
+// planner is a plan in the making.
+type planner struct {
+	*Situation
+	wishes map[Offer]*Wish
+	order  []Offer // of the wishes
+	asked  map[Offer]int
+	budget int     // machines that there may be besides
+	ahead  float64 // core-seconds of the groups so far
+}
+
+// add wishes for machines of an offer.
+func (p *planner) add(o Offer, n int, why string) {
+	p.asked[o] += n
+	if p.wishes[o] == nil {
+		p.wishes[o] = &Wish{Offer: o, Why: why}
+		p.order = append(p.order, o)
+	}
+	p.wishes[o].Count += n
+	p.budget -= n
+	p.Cores += float64(n) * p.Types[o.Type].Total.CPUs
+}
+
+// serve sees to it that a group has machines.
+func (p *planner) serve(g Group) {
+	p.ahead += float64(g.Count) * g.Size.CPUs * g.Run.Seconds()
+	left := p.useComing(g)
+	for left > 0 {
+		o, n, serves := p.hireFor(g, left, p.ahead, p.asked)
+		n = min(n, p.budget)
+		if n <= 0 {
+			return
 		}
-		wishes[o].Count += n
-		budget -= n
-		s.Cores += float64(n) * s.Types[o.Type].Total.CPUs
+		p.add(o, n, fmt.Sprintf("%d tasks wait", g.Count))
+		p.expect(o, n, g.Size, left)
+		left -= max(serves, 1)
 	}
-	ahead := 0.0 // core-seconds of the groups so far
-	for _, g := range s.Waiting {
-		left := g.Count
-		ahead += float64(g.Count) * g.Size.CPUs * g.Run.Seconds()
-		for i := range s.Coming {
-			c := &s.Coming[i]
-			if left == 0 {
-				break
-			}
-			if !g.Size.Within(c.Room) || !g.Allows(c.Offer) {
-				continue
-			}
-			n := min(left, g.Size.Slots(c.Room))
-			c.Room = c.Room.Minus(g.Size.Times(float64(n)))
-			left -= n
+}
+
+// useComing gives a group the room of machines that are coming, and tells how many of
+// its tasks are left.
+func (p *planner) useComing(g Group) (left int) {
+	left = g.Count
+	for i := range p.Coming {
+		if left == 0 {
+			break
 		}
-		for left > 0 {
-			o, n, serves := s.hireFor(g, left, ahead, asked)
-			n = min(n, budget)
-			if n <= 0 {
-				break
-			}
-			add(o, n, fmt.Sprintf("%d tasks wait", g.Count))
-			t := s.Types[o.Type]
-			per := g.Size.Slots(t.Total)
-			for k, m := 0, left; k < n; k++ {
-				used := min(m, per)
-				m -= used
-				s.Coming = append(s.Coming, Coming{Offer: o, Room: t.Total.Minus(g.Size.Times(float64(used)))})
-			}
-			left -= max(serves, 1)
+		c := &p.Coming[i]
+		if !g.Size.Within(c.Room) || !g.Allows(c.Offer) {
+			continue
 		}
+		n := min(left, g.Size.Slots(c.Room))
+		c.Room = c.Room.Minus(g.Size.Times(float64(n)))
+		left -= n
 	}
-	// One warm offer a round: how much of it there is shows in the answer.
-	lack := s.Warm - s.Cores
-	for _, size := range s.Sizes {
-		if lack <= 0 || budget <= 0 || size.CPUs <= 0 {
+	return left
+}
+
+// expect counts on n machines of an offer for that many tasks of a size.
+func (p *planner) expect(o Offer, n int, size slowfit.Size, tasks int) {
+	total := p.Types[o.Type].Total
+	per := size.Slots(total)
+	for range n {
+		used := min(tasks, per)
+		tasks -= used
+		p.Coming = append(p.Coming, Coming{Offer: o, Room: total.Minus(size.Times(float64(used)))})
+	}
+}
+
+// keepWarm wishes for the cheapest cores up to the learned demand. One offer a round:
+// how much of it there is shows in the answer.
+func (p *planner) keepWarm() {
+	lack := p.Warm - p.Cores
+	for _, size := range p.Sizes {
+		if lack <= 0 || p.budget <= 0 || size.CPUs <= 0 {
 			continue
 		}
-		best, ok := s.cheapest(size, int(math.Ceil(lack/size.CPUs)), asked, func(o Offer) bool { return o.Spot })
+		best, ok := p.cheapest(size, int(math.Ceil(lack/size.CPUs)), p.asked, func(o Offer) bool { return o.Spot })
 		if !ok {
 			continue
 		}
-		if n := min(int(lack/s.Types[best.Type].Total.CPUs+0.5), budget, best.most()-asked[best.Offer]); n > 0 {
-			add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", s.Warm))
+		machines := int(lack/p.Types[best.Type].Total.CPUs + 0.5)
+		if n := min(machines, p.budget, best.most()-p.asked[best.Offer]); n > 0 {
+			p.add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", p.Warm))
 		}
-		break
+		return
 	}
-	out := make([]Wish, 0, len(order))
-	for _, o := range order {
-		out = append(out, *wishes[o])
-	}
-	return out
 }
 
 func spotOf(o Offer) Offer { return Offer{o.Type, o.Zone, true} }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,8 +6,6 @@
 import (
 	"errors"
 	"fmt"
-	"math"
-	"net/netip"
 	"os"
 	"time"
 
@@ -166,98 +164,3 @@
 	}
 	return p, p.validate(path)
 }
-
-func (p *Platform) validate(path string) error {
-	var errs []error
-	bad := func(key string, value any, want string) {
-		errs = append(errs, &FieldError{File: path, Key: key, Value: fmt.Sprintf("%#v", value), Want: want})
-	}
-	addr := func(key, value string) {
-		if _, err := netip.ParseAddrPort(value); err != nil {
-			bad(key, value, "an IP address and port, as in 10.0.0.1:8080")
-		}
-	}
-	if p.Node == "" {
-		bad("host_name", p.Node, "this node's name")
-	}
-	addr("public_addr", p.Listen)
-	addr("back", p.Back)
-	addr("services.cloud", p.Services.Cloud)
-	addr("services.state", p.Services.State)
-	names := map[string]bool{p.Node: true}
-	for i, o := range p.Peers {
-		if o.Node == "" || names[o.Node] {
-			bad(fmt.Sprintf("others[%d].host_name", i), o.Node, "a name that no other node has")
-		}
-		names[o.Node] = true
-		addr(fmt.Sprintf("others[%d].endpoint", i), o.Addr)
-	}
-	teams := map[string]bool{}
-	for i, t := range p.Facts.Teams {
-		if t.Name == "" || teams[t.Name] {
-			bad(fmt.Sprintf("facts.teams[%d].name", i), t.Name, "a name that no other team has")
-		}
-		teams[t.Name] = true
-		for _, f := range []struct {
-			key string
-			v   float64
-		}{{"cpus", t.CPUs}, {"cpus_max", t.CPUsMax}, {"gpus", t.GPUs}, {"gpus_max", t.GPUsMax}} {
-			if !(f.v >= 0) || math.IsInf(f.v, 0) {
-				bad(fmt.Sprintf("facts.teams[%d].%s", i, f.key), f.v, "0 or more")
-			}
-		}
-	}
-	positive := func(key string, v float64) {
-		if !(v > 0) || v > 1e9 {
-			bad(key, v, "more than 0")
-		}
-	}
-	f := &p.Facts
-	positive("facts.workers.report_s", f.Workers.ReportS)
-	positive("facts.workers.lease_s", f.Workers.LeaseS)
-	positive("facts.workers.cancel_s", f.Workers.CancelS)
-	positive("facts.state.rps", f.State.RPS)
-	positive("facts.state.write_rps", f.State.WriteRPS)
-	positive("facts.state.value_kb", f.State.ValueKB)
-	positive("facts.cloud.rps", f.Cloud.RPS)
-	positive("facts.resources.cpu_share", f.Resources.CPUShare)
-	positive("facts.resources.ram_mb", f.Resources.RAMMB)
-	if f.State.TxnOps < 2 {
-		bad("facts.state.txn_ops", f.State.TxnOps, "2 or more")
-	}
-	if n := f.State.Next; n != nil {
-		// What is not announced stays as it is.
-		for _, l := range []struct{ next, now *float64 }{{&n.RPS, &f.State.RPS}, {&n.WriteRPS, &f.State.WriteRPS}, {&n.ValueKB, &f.State.ValueKB}} {
-			if *l.next == 0 {
-				*l.next = *l.now
-			}
-		}
-		if n.TxnOps == 0 {
-			n.TxnOps = f.State.TxnOps
-		}
-		positive("facts.state.next.rps", n.RPS)
-		positive("facts.state.next.write_rps", n.WriteRPS)
-		positive("facts.state.next.value_kb", n.ValueKB)
-		if n.TxnOps < 2 {
-			bad("facts.state.next.txn_ops", n.TxnOps, "2 or more")
-		}
-	}
-	if f.Resources.Sockets < 16 {
-		bad("facts.resources.sockets", f.Resources.Sockets, "16 or more")
-	}
-	if !(f.ClockErrorMS >= 0) || f.ClockErrorMS > 60000 {
-		bad("facts.clock_error_ms", f.ClockErrorMS, "between 0 and 60000")
-	}
-	if !(f.Cloud.ListLagS >= 0) || f.Cloud.ListLagS > 3600 {
-		bad("facts.cloud.list_lag_s", f.Cloud.ListLagS, "between 0 and 3600")
-	}
-	for i, o := range f.Objectives {
-		if !(o.Share >= 0) || o.Share > 1 {
-			bad(fmt.Sprintf("facts.objectives[%d].share", i), o.Share, "between 0 and 1")
-		}
-		if !(o.WithinS >= 0) || !(o.Times >= 0) {
-			bad(fmt.Sprintf("facts.objectives[%d]", i), o.Kind, "an aim with times of 0 or more")
-		}
-	}
-	return errors.Join(errs...)
-}
--- a/internal/slowfit/index.go
+++ b/internal/slowfit/index.go
@@ -285,13 +285,26 @@
 	return -1
 }
 
-func (x *Index) findAmong(w *Wish, pools []int, most, limit float64) int32 {
-	best, bestMerit, bestRank := int32(-1), 0, 0
-	consider := func(p *pool, leaf, merit int) {
-		if best < 0 || merit > bestMerit || merit == bestMerit && p.ranks[leaf] < bestRank {
-			best, bestMerit, bestRank = p.machines[leaf], merit, p.ranks[leaf]
-		}
+// candidate is the best machine found so far: the one with the most merit, and the
+// lowest rank among equals. Its machine is -1 while there is none.
+type candidate struct {
+	machine     int32
+	merit, rank int
+}
+
+// reachable tells whether a machine of some merit could be better.
+func (b *candidate) reachable(merit int) bool { return b.machine < 0 || merit >= b.merit }
+
+// consider takes a machine if it is better.
+func (b *candidate) consider(p *pool, leaf, merit int) {
+	if b.machine < 0 || merit > b.merit || merit == b.merit && p.ranks[leaf] < b.rank {
+		b.machine, b.merit, b.rank = p.machines[leaf], merit, p.ranks[leaf]
 	}
+}
+
+// findAmong is find for pools of machines of one speed.
+func (x *Index) findAmong(w *Wish, pools []int, most, limit float64) int32 {
+	best := candidate{machine: -1}
 	for _, at := range pools {
 		p := x.pools[at]
 		if p.open == 0 || !w.Task.Within(p.nodes[1].free) {
@@ -306,22 +319,22 @@
 			continue
 		}
 		q := query{x: x, p: p, task: w.Task, load: limit - share + slack, tags: w.AllowedTag, accepts: w.Allowed}
-		if w.Favoured != nil && w.Bonus > 0 && (best < 0 || merit+w.Bonus >= bestMerit) {
+		if w.Favoured != nil && w.Bonus > 0 && best.reachable(merit+w.Bonus) {
 			f := q
 			f.tags |= w.FavouredTag
 			f.accepts = func(m int32) bool { return w.Favoured(m) && (w.Allowed == nil || w.Allowed(m)) }
 			if leaf := f.first(1); leaf >= 0 {
-				consider(p, leaf, merit+w.Bonus)
+				best.consider(p, leaf, merit+w.Bonus)
 				continue
 			}
 		}
-		if best < 0 || merit >= bestMerit {
+		if best.reachable(merit) {
 			if leaf := q.first(1); leaf >= 0 {
-				consider(p, leaf, merit)
+				best.consider(p, leaf, merit)
 			}
 		}
 	}
-	return best
+	return best.machine
 }
 
 type query struct {
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -110,29 +110,52 @@
 	}
 	r := reader{fields: fields}
 	j := &Job{}
-	j.Ref = r.text("ref", 200, false)
-	if r.err == nil && !ValidRef(j.Ref) {
-		r.fail("ref", "job- and digits")
-	}
+	j.readNames(&r)
 	ref := ""
-	if r.err == nil {
+	if ValidRef(j.Ref) {
 		ref = j.Ref
 	}
-	j.Class = r.text("lane", 200, false)
-	j.Team = r.text("owner", 200, false)
-	j.Kind = r.text("shape", 40, false)
+	j.readNeeds(&r)
+	j.readTimes(&r)
+	j.WaitsOn = r.refs("waits_on")
+	if r.err != nil {
+		return nil, ref, r.err
+	}
+	return j, ref, nil
+}
+
+// The most characters of names.
+const (
+	maxName  = 200
+	maxWord  = 40
+	maxImage = 1000
+)
+
+// readNames reads what the job and its kind are called.
+func (j *Job) readNames(r *reader) {
+	j.Ref = r.text("ref", maxName, false)
+	if r.err == nil && !ValidRef(j.Ref) {
+		r.fail("ref", "job- and digits")
+	}
+	j.Class = r.text("lane", maxName, false)
+	j.Team = r.text("owner", maxName, false)
+	j.Kind = r.text("shape", maxWord, false)
 	if r.err == nil && j.Kind != "batch" {
 		r.fail("shape", "\"batch\"")
 	}
-	j.Priority = r.text("urgency", 40, false)
+	j.Priority = r.text("urgency", maxWord, false)
 	if r.err == nil && j.Rank() == len(priorities) {
 		r.fail("urgency", "one of "+strings.Join(priorities, ", "))
 	}
+}
+
+// readNeeds reads what the tasks need, and where they may run.
+func (j *Job) readNeeds(r *reader) {
 	j.Tasks = int(r.number("pieces", 1, MaxTasks, true))
 	j.CPUs = r.number("vcpus", 0, 1e6, false)
 	j.GPUs = r.number("gpus", 0, 1e6, false)
 	j.MemGB = r.number("mem_gb", 0, 1e9, false)
-	j.Image = r.text("bundle", 1000, false)
+	j.Image = r.text("bundle", maxImage, false)
 	j.ImageGB = r.number("size_gb", 0, 1e9, false)
 	r.optional("flavors", &j.Types, "a list of machine types, or null")
 	if r.err == nil && j.Types != nil && len(j.Types) == 0 {
@@ -142,6 +165,10 @@
 	j.OneZone = r.flag("together")
 	j.Spread = r.flag("spread")
 	j.Spot = r.flag("loaners")
+}
+
+// readTimes reads how long the tasks take, and by when they should be done.
+func (j *Job) readTimes(r *reader) {
 	j.EstimateS = r.number("guess_s", 0, 1e9, false)
 	j.CheckpointS = r.number("snapshot_s", 0, 1e9, false)
 	j.SaveS = r.number("flush_s", 0, 1e9, false)
@@ -149,11 +176,6 @@
 		v := r.number("due_s", 0, 1e9, false)
 		j.DeadlineS = &v
 	}
-	j.WaitsOn = r.refs("waits_on")
-	if r.err != nil {
-		return nil, ref, r.err
-	}
-	return j, ref, nil
 }
 
 // reader takes fields one by one and keeps the first fault.
