--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -210,7 +210,7 @@
 				stop, current, ended = cancel, v.Term, make(chan struct{})
 				go func(done chan struct{}, term uint64) {
 					defer close(done)
-					d.term(tctx, term)
+					d.lead(tctx, term)
 				}(ended, v.Term)
 			} else {
 				d.store.SetShare(FollowerShare(d.platform.Facts.Nodes))
@@ -238,88 +238,142 @@
 	return 0.75
 }
 
-// term leads for one term.
-func (d *Desk) term(ctx context.Context, term uint64) {
+// term is one term of leadership.
+type term struct {
+	*Desk
+	number     uint64
+	core       *Core
+	ledger     *ledger.Ledger
+	cloud      *fleet.Client
+	tick       *time.Ticker
+	valueBytes int
+}
+
+// tickEvery is how often the core is told that time passes.
+const tickEvery = 250 * time.Millisecond
+
+// maxTxnBytes keeps a transaction of the ledger below the service's 64 KiB.
+const maxTxnBytes = 48 << 10
+
+// minTxnOps is what a transaction of the ledger must hold: a write, and the fence.
+const minTxnOps = 2
+
+// cloudShare is the part of the cloud's rate that the leader uses. The rest is for the
+// nodes' questions about machine types.
+const cloudShare = 0.85
+
+// loadEvery is how long a ledger that could not be read rests.
+const loadEvery = 200 * time.Millisecond
+
+// lead leads for one term.
+func (d *Desk) lead(ctx context.Context, number uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := d.platform.Facts
-	bounds := func() ledger.Limits {
-		now := d.store.Limits()
-		writes := now.WriteRPS * leaderShare(f.Nodes)
-		return ledger.Limits{Ops: max(2, min(now.Ops, int(writes))), Bytes: 48 << 10, Value: now.ValueBytes, Ordinary: writes / 4}
-	}
-	book := ledger.New(term, d.store, bounds, d.log)
-	var snapshot ledger.Snapshot
-	for {
-		var err error
-		if snapshot, err = book.Load(ctx); err == nil {
-			break
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		d.log.Info("ledger not read yet", "term", term, "error", err)
-		outbound.Pause(ctx, 200*time.Millisecond)
+	book := ledger.New(number, d.store, d.ledgerLimits, d.log)
+	snapshot, ok := d.loadLedger(ctx, book, number)
+	if !ok {
+		return
 	}
-	d.log.Info("ledger read", "term", term, "jobs", len(snapshot.Jobs), "hires", len(snapshot.Hires))
 	go func() {
 		if err := book.Run(ctx); err != nil && ctx.Err() == nil {
-			d.log.Info("ledger closed", "term", term, "error", err)
+			d.log.Info("ledger closed", "term", number, "error", err)
 			cancel()
 		}
 	}()
-	cloud := fleet.NewClient(d.net, d.platform.Services.Cloud, f.Cloud.RPS*0.85)
+	cloud := fleet.NewClient(d.net, d.platform.Services.Cloud, d.platform.Facts.Cloud.RPS*cloudShare)
 	go cloud.Run(ctx)
 	go d.watchJobs(ctx, snapshot.Revision)
 
 	now, wall := d.clocks()
 	size := d.valueBytes()
-	core := NewCore(Config{Term: term, Platform: d.platform, Operator: d.operator, ValueBytes: size}, snapshot, now, wall, d.log)
-	d.carryOut(ctx, term, core.TakeStart(), book, cloud)
+	core := NewCore(Config{Term: number, Platform: d.platform, Operator: d.operator, ValueBytes: size}, snapshot, now, wall, d.log)
+	t := &term{Desk: d, number: number, core: core, ledger: book, cloud: cloud, tick: time.NewTicker(tickEvery), valueBytes: size}
+	defer t.tick.Stop()
 	defer d.machines.Store(0)
-	tick := time.NewTicker(250 * time.Millisecond)
-	defer tick.Stop()
+	t.carryOut(ctx, core.TakeStart())
+	t.run(ctx)
+}
+
+// ledgerLimits bounds the ledger's transactions by what the state service takes now.
+func (d *Desk) ledgerLimits() ledger.Limits {
+	now := d.store.Limits()
+	writes := now.WriteRPS * leaderShare(d.platform.Facts.Nodes)
+	return ledger.Limits{Ops: max(minTxnOps, min(now.Ops, int(writes))), Bytes: maxTxnBytes, Value: now.ValueBytes, Ordinary: writes / 4}
+}
+
+// loadLedger reads the ledger, again and again until it can be read or ctx ends.
+func (d *Desk) loadLedger(ctx context.Context, book *ledger.Ledger, number uint64) (ledger.Snapshot, bool) {
+	for ctx.Err() == nil {
+		snapshot, err := book.Load(ctx)
+		if err == nil {
+			d.log.Info("ledger read", "term", number, "jobs", len(snapshot.Jobs), "hires", len(snapshot.Hires))
+			return snapshot, true
+		}
+		d.log.Info("ledger not read yet", "term", number, "error", err)
+		outbound.Pause(ctx, loadEvery)
+	}
+	return ledger.Snapshot{}, false
+}
+
+// run steps the core until ctx ends.
+func (t *term) run(ctx context.Context) {
 	var pause pause
 	for {
-		event, ok := d.next(ctx, book, cloud, tick, nil)
+		event, ok := t.next(ctx, nil)
 		if !ok {
 			// Whoever asks from here on gets no answer from this term.
 			return
 		}
-		// What waits already, or comes before the next placement is due, is taken
-		// along: under load many events share one placement, and one answer
-		// carries all that follows from them.
-		var enough <-chan time.Time
-		if s := d.valueBytes(); s != size {
-			size = s
-			now, wall := d.clocks()
-			core.Step(Formats{ValueBytes: size}, now, wall)
+		t.adjustValues()
+		t.stepTogether(ctx, event, &pause)
+		began := time.Now()
+		effects := t.core.Settle()
+		pause.after(began, time.Since(began))
+		t.machines.Store(int64(t.core.Reporting()))
+		t.carryOut(ctx, effects)
+	}
+}
+
+// adjustValues tells the core when values may be of another size than before.
+func (t *term) adjustValues() {
+	size := t.Desk.valueBytes()
+	if size == t.valueBytes {
+		return
+	}
+	t.valueBytes = size
+	now, wall := t.clocks()
+	t.core.Step(Formats{ValueBytes: size}, now, wall)
+}
+
+// stepTogether steps the core with an event. What waits already, or comes before the
+// next placement is due, is taken along: under load many events share one placement, and
+// one answer carries all that follows from them.
+func (t *term) stepTogether(ctx context.Context, event any, pause *pause) {
+	var enough <-chan time.Time
+	for n, ok := 1, true; ok; n++ {
+		t.step(event)
+		if n == mostAtOnce {
+			return
 		}
-		for n := 1; ok; n++ {
-			if _, tick := event.(Tick); !tick || d.elector.InTerm(term) {
-				// Suspended, another leader may have begun. What time alone would
-				// bring, such as giving up silent machines, is not ours to do then.
-				now, wall := d.clocks()
-				core.Step(event, now, wall)
-			}
-			if n == mostAtOnce {
-				break
-			}
-			if event, ok = d.waiting(book, cloud, tick); !ok && core.Unplaced() {
-				if enough == nil {
-					enough = pause.over()
-				}
-				event, ok = d.next(ctx, book, cloud, tick, enough)
+		if event, ok = t.waiting(); !ok && t.core.Unplaced() {
+			if enough == nil {
+				enough = pause.over()
 			}
+			event, ok = t.next(ctx, enough)
 		}
-		began := time.Now()
-		effects := core.Settle()
-		pause.after(began, time.Since(began))
-		d.machines.Store(int64(core.Reporting()))
-		d.carryOut(ctx, term, effects, book, cloud)
 	}
 }
 
+// step steps the core with one event. Suspended, another leader may have begun: what
+// time alone would bring, such as giving up silent machines, is not ours to do then.
+func (t *term) step(event any) {
+	if _, isTick := event.(Tick); isTick && !t.elector.InTerm(t.number) {
+		return
+	}
+	now, wall := t.clocks()
+	t.core.Step(event, now, wall)
+}
+
 // valueBytes is how many bytes a value of the ledger may have. What an older version
 // can't read, such as finished tasks in parts, is written only if the value has no
 // place otherwise, or if no node of that version can be up any more; then there is
@@ -365,29 +419,29 @@
 }()
 
 // waiting takes an event that is there already, by rank.
-func (d *Desk) waiting(book *ledger.Ledger, cloud *fleet.Client, tick *time.Ticker) (any, bool) {
+func (t *term) waiting() (any, bool) {
 	select {
-	case a := <-d.reports:
+	case a := <-t.reports:
 		return a.event, true
 	default:
 	}
 	select {
-	case a := <-d.reports:
+	case a := <-t.reports:
 		return a.event, true
-	case tags := <-book.Durable:
+	case tags := <-t.ledger.Durable:
 		return NowDurable{tags}, true
-	case tags := <-book.Rejected:
+	case tags := <-t.ledger.Rejected:
 		return Rejected{tags}, true
-	case r := <-cloud.Results:
+	case r := <-t.cloud.Results:
 		return CloudBack{r}, true
-	case e := <-d.inner:
+	case e := <-t.inner:
 		return e, true
-	case <-tick.C:
+	case <-t.tick.C:
 		return Tick{}, true
 	default:
 	}
 	select {
-	case a := <-d.users:
+	case a := <-t.users:
 		return a.event, true
 	default:
 	}
@@ -396,27 +450,27 @@
 
 // next takes the next event, by rank. It gives up with ctx, or when enough
 // tells.
-func (d *Desk) next(ctx context.Context, book *ledger.Ledger, cloud *fleet.Client, tick *time.Ticker, enough <-chan time.Time) (any, bool) {
+func (t *term) next(ctx context.Context, enough <-chan time.Time) (any, bool) {
 	if ctx.Err() != nil {
 		return nil, false
 	}
-	if event, ok := d.waiting(book, cloud, tick); ok {
+	if event, ok := t.waiting(); ok {
 		return event, true
 	}
 	select {
-	case a := <-d.reports:
+	case a := <-t.reports:
 		return a.event, true
-	case tags := <-book.Durable:
+	case tags := <-t.ledger.Durable:
 		return NowDurable{tags}, true
-	case tags := <-book.Rejected:
+	case tags := <-t.ledger.Rejected:
 		return Rejected{tags}, true
-	case r := <-cloud.Results:
+	case r := <-t.cloud.Results:
 		return CloudBack{r}, true
-	case e := <-d.inner:
+	case e := <-t.inner:
 		return e, true
-	case <-tick.C:
+	case <-t.tick.C:
 		return Tick{}, true
-	case a := <-d.users:
+	case a := <-t.users:
 		return a.event, true
 	case <-enough:
 		return nil, false
@@ -426,7 +480,7 @@
 }
 
 // carryOut turns effects into deeds.
-func (d *Desk) carryOut(ctx context.Context, term uint64, effects []any, book *ledger.Ledger, cloud *fleet.Client) {
+func (t *term) carryOut(ctx context.Context, effects []any) {
 	var writes []ledger.Write
 	for _, e := range effects {
 		switch e := e.(type) {
@@ -437,23 +491,26 @@
 		case Put:
 			writes = append(writes, e.Writes...)
 		case CallCloud:
-			if !d.elector.InTerm(term) {
-				// A suspended leader that deletes machines takes them from the
-				// next one. The core tries again later.
-				refused := CloudBack{fleet.Result{Call: e.Call, Err: fleet.ErrRefused}}
-				go d.decide(ctx, refused)
-				continue
-			}
-			cloud.Put(ctx, e.Call)
+			t.callCloud(ctx, e.Call)
 		case Direct:
-			go d.direct(ctx, term, e)
+			go t.direct(ctx, t.number, e)
 		case Inspect:
-			go d.inspect(ctx, e)
+			go t.inspect(ctx, e)
 		}
 	}
 	if len(writes) > 0 {
-		book.Put(ctx, writes)
+		t.ledger.Put(ctx, writes)
+	}
+}
+
+// callCloud makes a call to the cloud if the term holds. A suspended leader that deletes
+// machines takes them from the next one; the core tries again later.
+func (t *term) callCloud(ctx context.Context, call fleet.Call) {
+	if !t.elector.InTerm(t.number) {
+		go t.decide(ctx, CloudBack{fleet.Result{Call: call, Err: fleet.ErrRefused}})
+		return
 	}
+	t.cloud.Put(ctx, call)
 }
 
 // directTimeout bounds a direct command, dialTimeout the connecting for it. What
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -133,31 +133,15 @@
 	if ref == "" {
 		return problem(http.StatusBadRequest, "%s", err)
 	}
-	if err == nil {
-		if a, ok := s.servedElsewhere(ctx, Submit, ref, body, &local); ok {
-			return a
-		}
-	}
-	// undecided: another node may know more of the jobs that it waits for.
-	refusal, cancelled, undecided := Answer{}, false, false
 	if err != nil {
-		refusal = problem(http.StatusBadRequest, "%s", err)
-	} else {
-		if refusal = s.judge(job); refusal.Status == 0 {
-			refusal, cancelled = s.judgeAncestors(ctx, job, local)
-			undecided = refusal.Status == http.StatusServiceUnavailable && s.Upgraded()
-		}
+		return s.refuse(ctx, ref, body, verdict{refusal: problem(http.StatusBadRequest, "%s", err)}, local)
 	}
-	if refusal.Status != 0 {
-		// A job accepted before stays accepted, whatever we would say now.
-		rec, found, err := s.record(ctx, ref)
-		switch {
-		case err == nil && found:
-			return s.known(ctx, ref, rec, local)
-		case undecided, err != nil && refusal.Status != http.StatusServiceUnavailable:
-			return s.elsewhere(ctx, Submit, ref, body, local, noState)
-		}
-		return refusal
+	if a, ok := s.servedElsewhere(ctx, Submit, ref, body, &local); ok {
+		return a
+	}
+	v := s.judge(ctx, job, local)
+	if v.refusal.Status != 0 {
+		return s.refuse(ctx, ref, body, v, local)
 	}
 	if s.commits.pressed() {
 		// Users who were turned away repeat what may be recorded already. That
@@ -166,8 +150,45 @@
 			return a
 		}
 	}
+	return s.accept(ctx, job, body, v.cancelled, local)
+}
+
+// verdict is what can be said of a submission before it is recorded.
+type verdict struct {
+	refusal   Answer // none with status 0
+	cancelled bool   // a job that it needs is cancelled, and it with that
+	undecided bool   // another node may know more of the jobs that it waits for
+}
+
+// judge tells whether a job can be accepted.
+func (s *Service) judge(ctx context.Context, job *wire.Job, local bool) (v verdict) {
+	if v.refusal = s.judgeNeeds(job); v.refusal.Status != 0 {
+		return v
+	}
+	v.refusal, v.cancelled = s.judgeAncestors(ctx, job, local)
+	v.undecided = v.refusal.Status == http.StatusServiceUnavailable && s.Upgraded()
+	return v
+}
+
+// refuse answers a submission that can't be accepted. A job accepted before stays
+// accepted, whatever we would say now.
+func (s *Service) refuse(ctx context.Context, ref string, body []byte, v verdict, local bool) Answer {
+	rec, found, err := s.record(ctx, ref)
+	switch {
+	case err == nil && found:
+		return s.known(ctx, ref, rec, local)
+	case v.undecided, err != nil && v.refusal.Status != http.StatusServiceUnavailable:
+		return s.elsewhere(ctx, Submit, ref, body, local, noState)
+	}
+	return v.refusal
+}
+
+// accept records a job and answers its submission. cancelled is set when a job that it
+// needs is.
+func (s *Service) accept(ctx context.Context, job *wire.Job, body []byte, cancelled, local bool) Answer {
+	ref := job.Ref
 	rec := ledger.JobRecord{Job: job, AcceptedMS: time.Now().UnixMilli()}
-	a, err := s.commits.create(ctx, ref, rec)
+	created, err := s.commits.create(ctx, ref, rec)
 	if errors.Is(err, errFull) || errors.Is(err, state.ErrBusy) {
 		if a, ok := s.repeated(ctx, ref, local); ok {
 			return a
@@ -184,7 +205,7 @@
 	case err != nil:
 		s.log.Debug("submission not recorded", "job", ref, "error", err)
 		return s.elsewhere(ctx, Submit, ref, body, local, noState)
-	case a.known:
+	case created.known:
 		rec, found, err := s.record(ctx, ref)
 		if err != nil || !found {
 			return s.elsewhere(ctx, Submit, ref, body, local, noState)
@@ -192,7 +213,7 @@
 		return s.known(ctx, ref, rec, local)
 	}
 	s.log.Debug("submission recorded", "job", ref, "class", job.Class, "tasks", job.Tasks)
-	s.desk.Tell(dispatch.JobSeen{Ref: ref, Record: rec, Version: a.version})
+	s.desk.Tell(dispatch.JobSeen{Ref: ref, Record: rec, Version: created.version})
 	if cancelled {
 		// From its first moment on: that follows from what is durable.
 		return JSON(http.StatusCreated, wire.Accepted{Ref: ref, Status: wire.Aborted})
@@ -225,9 +246,9 @@
 	return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: status})
 }
 
-// judge tells why a job can never run, or that this can't be told yet. A zero
+// judgeNeeds tells why a job can never run, or that this can't be told yet. A zero
 // answer is none.
-func (s *Service) judge(j *wire.Job) Answer {
+func (s *Service) judgeNeeds(j *wire.Job) Answer {
 	team, ok := s.teams[j.Team]
 	if !ok {
 		return problem(http.StatusUnprocessableEntity, "team %q is not known", j.Team)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -156,60 +156,38 @@
 // Run commits until ctx ends or the term is over.
 func (l *Ledger) Run(ctx context.Context) error {
 	results := make(chan outcome, 1)
-	flying := false
-	var told, refused []any
+	committing := false
+	var durable, tooLarge []any
 	later := time.NewTimer(time.Hour)
 	defer later.Stop()
 	for {
 		l.limits = l.bounds()
-		if wait := l.wait(time.Now()); !flying && wait > 0 {
-			later.Reset(wait)
-		} else if !flying && len(l.pending) > 0 {
-			keys, writes, txn := l.batch()
-			flying = true
-			fenced := l.doubt
-			go func() {
-				o := l.commit(ctx, txn)
-				o.keys, o.writes, o.fenced = keys, writes, fenced
-				results <- o
-			}()
-		}
-		var durable chan []any
-		if len(told) > 0 {
-			durable = l.Durable
-		}
-		var rejected chan []any
-		if len(refused) > 0 {
-			rejected = l.Rejected
+		if !committing {
+			committing = l.commitNext(ctx, later, results)
 		}
 		select {
 		case ws := <-l.wishes:
-			for _, w := range ws {
-				if err := l.enqueue(w); err != nil {
-					return err
-				}
+			if err := l.enqueueAll(ws); err != nil {
+				return err
 			}
 		case r := <-results:
-			flying = false
+			committing = false
 			if errors.Is(r.err, state.ErrBad) && len(r.keys) == 1 {
 				l.resting[r.keys[0]] = r.writes[0]
 				go l.rest(ctx, r)
 				continue
 			}
-			tags, tooLarge, err := l.settle(r)
+			tags, rejected, err := l.settle(r)
 			if err != nil {
 				return err
 			}
-			told, refused = append(told, tags...), append(refused, tooLarge...)
-		case rejected <- refused:
-			refused = nil
-		case durable <- told:
-			told = nil
+			durable, tooLarge = append(durable, tags...), append(tooLarge, rejected...)
+		case unlessEmpty(l.Rejected, tooLarge) <- tooLarge:
+			tooLarge = nil
+		case unlessEmpty(l.Durable, durable) <- durable:
+			durable = nil
 		case r := <-l.retries:
-			if key := r.keys[0]; l.resting[key] == r.writes[0] {
-				delete(l.resting, key)
-				l.back(key, r.writes[0])
-			}
+			l.retry(r)
 		case <-later.C:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -217,6 +195,42 @@
 	}
 }
 
+// unlessEmpty is a channel if there is something to be sent on it, or else nil.
+func unlessEmpty(to chan []any, tags []any) chan []any {
+	if len(tags) == 0 {
+		return nil
+	}
+	return to
+}
+
+// commitNext begins the next transaction if one is due, and tells whether it did. If
+// there is something that has to wait for its rate, later is set to when it may go.
+func (l *Ledger) commitNext(ctx context.Context, later *time.Timer, results chan<- outcome) bool {
+	if wait := l.wait(time.Now()); wait > 0 {
+		later.Reset(wait)
+		return false
+	}
+	if len(l.pending) == 0 {
+		return false
+	}
+	keys, writes, txn := l.batch()
+	fenced := l.doubt
+	go func() {
+		o := l.commit(ctx, txn)
+		o.keys, o.writes, o.fenced = keys, writes, fenced
+		results <- o
+	}()
+	return true
+}
+
+// retry puts back a write that the service has rejected, unless it was replaced.
+func (l *Ledger) retry(r outcome) {
+	if key := r.keys[0]; l.resting[key] == r.writes[0] {
+		delete(l.resting, key)
+		l.back(key, r.writes[0])
+	}
+}
+
 // restFor is how long a write rests that the service rejects by itself.
 const restFor = 10 * time.Second
 
@@ -275,6 +289,15 @@
 	return o
 }
 
+func (l *Ledger) enqueueAll(writes []Write) error {
+	for _, w := range writes {
+		if err := l.enqueue(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (l *Ledger) enqueue(w Write) error {
 	var value json.RawMessage
 	if w.Value != nil {
