--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -30,7 +30,7 @@
 // carrier carries reports to other nodes.
 type carrier interface {
 	Report(ctx context.Context, node string, body []byte) (intake.Answer, error)
-	Greet(ctx context.Context, node string)
+	Connect(ctx context.Context, node string)
 }
 
 // gate takes the workers' reports. The leader answers them in its term; other
@@ -65,7 +65,7 @@
 	defer tick.Stop()
 	for {
 		if leader := g.elsewhereLeads(); leader != "" {
-			g.peers.Greet(ctx, leader)
+			g.peers.Connect(ctx, leader)
 		}
 		select {
 		case <-tick.C:
@@ -116,8 +116,8 @@
 	})
 }
 
-// Partner notes that another node carries reports here, until ctx ends.
-func (g *gate) Partner(ctx context.Context, node string) { g.balancer.join(ctx, node) }
+// Connected notes that another node carries reports here, until ctx ends.
+func (g *gate) Connected(ctx context.Context, node string) { g.balancer.join(ctx, node) }
 
 // answer answers a report if this node leads, and else sends the worker
 // elsewhere.
@@ -183,7 +183,7 @@
 	switch {
 	case err == nil:
 		return a
-	case errors.Is(err, peers.ErrNoLine):
+	case errors.Is(err, peers.ErrNoStream):
 		return sendTo(leader)
 	}
 	// The leader has it and is late. Any other node will do as well.
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -23,7 +23,7 @@
 	err    error
 }
 
-func (l lineTo) Greet(context.Context, string) {}
+func (l lineTo) Connect(context.Context, string) {}
 
 func (l lineTo) Report(ctx context.Context, _ string, _ []byte) (intake.Answer, error) {
 	if l.answer.Status == 0 && l.err == nil {
@@ -47,7 +47,7 @@
 		{"the leader's answer is passed on", lineTo{answer: intake.JSON(200, wire.ReportAnswer{Token: 7})}, 200, `{"baton":7,"orders":null}`, 0},
 		{"one that leads no more", lineTo{answer: sendTo("n2")}, 421, `{"boss":"n2"}`, 0},
 		{"one that finds the report malformed", lineTo{answer: problem(400, "x")}, 400, `{"error":"x"}`, 0},
-		{"no line: the leader itself is to be tried", lineTo{err: peers.ErrNoLine}, 421, `{"boss":"n1"}`, 0},
+		{"no line: the leader itself is to be tried", lineTo{err: peers.ErrNoStream}, 421, `{"boss":"n1"}`, 0},
 		{"a leader that is silent", lineTo{}, 421, `{}`, reportLimit},
 	}
 	for _, c := range cases {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -27,8 +27,8 @@
 
 // peer is what speaks to one other controller.
 type peer struct {
-	client  peerpb.PeerClient
-	courier *courier // of workers' reports
+	client    peerpb.PeerClient
+	forwarder *forwarder // of workers' reports
 }
 
 // Dial prepares a connection to each of the other controllers for the node of a
@@ -47,9 +47,9 @@
 		context.AfterFunc(ctx, func() { conn.Close() })
 		p.names = append(p.names, o.Node)
 		client := peerpb.NewPeerClient(conn)
-		carrier := newCourier(node, func(ctx context.Context) (line, error) { return client.Share(ctx) })
-		p.byName[o.Node] = peer{client, carrier}
-		go carrier.run(ctx)
+		f := newForwarder(node, func(ctx context.Context) (reportStream, error) { return client.Share(ctx) })
+		p.byName[o.Node] = peer{client, f}
+		go f.run(ctx)
 	}
 	return p, nil
 }
--- a/internal/peers/share.go
+++ b/internal/peers/share.go
@@ -9,18 +9,18 @@
 	"leadproxy/internal/peers/peerpb"
 )
 
-// Workers may report to any node. One that does not lead carries the reports to
-// the leader and the answers back, many together on one stream: what a report
+// Workers may report to any node. One that does not lead forwards the reports to
+// the leader and brings the answers back, many together on one stream: what a report
 // costs the leader is then little more than its decision.
 
-// The times and bounds of sharing.
+// The times and bounds of forwarding.
 const (
 	// gather is the least time between two batches on a stream. Alone, a report
 	// leaves at once; the more there are, the more travel together.
 	gather = 50 * time.Millisecond
-	// mute is how long a leader may answer nothing at all while reports wait.
+	// answerLimit is how long a leader may answer nothing at all while reports wait.
 	// Then those that come are refused at once, so that their workers go on.
-	mute = 2 * time.Second
+	answerLimit = 2 * time.Second
 	// forgotten is when nobody waits for an answer any more.
 	forgotten = 5 * time.Second
 	reopen    = 300 * time.Millisecond
@@ -28,9 +28,9 @@
 	mostShared = 2048
 )
 
-// ErrNoLine: reports can't be carried to that node at the moment, or the line
-// broke before the answer came.
-var ErrNoLine = errors.New("no line to the other node")
+// ErrNoStream means that reports can't be forwarded to that node at the moment, or that
+// the stream broke before the answer came.
+var ErrNoStream = errors.New("no stream to the other node")
 
 // Report has the leader answer a worker's report.
 func (p *Peers) Report(ctx context.Context, node string, body []byte) (intake.Answer, error) {
@@ -38,196 +38,221 @@
 	if err != nil {
 		return intake.Answer{}, err
 	}
-	e := errand{body: body, reply: make(chan reply, 1)}
+	request := forwardRequest{body: body, reply: make(chan forwardReply, 1)}
 	select {
-	case o.courier.errands <- e:
+	case o.forwarder.requests <- request:
 	case <-ctx.Done():
 		return intake.Answer{}, ctx.Err()
 	}
 	select {
-	case r := <-e.reply:
+	case r := <-request.reply:
 		return r.answer, r.err
 	case <-ctx.Done():
 		return intake.Answer{}, ctx.Err()
 	}
 }
 
-// Greet opens the line to the leader before there is a report to carry, so that
+// Connect opens the stream to the leader before there is a report to forward, so that
 // it can send workers here.
-func (p *Peers) Greet(ctx context.Context, node string) {
+func (p *Peers) Connect(ctx context.Context, node string) {
 	o, err := p.find(node)
 	if err != nil {
 		return // the state service names a leader that our settings don't
 	}
 	select {
-	case o.courier.errands <- errand{}:
+	case o.forwarder.requests <- forwardRequest{}:
 	case <-ctx.Done():
 	}
 }
 
-// line is a stream to another node.
-type line interface {
+// reportStream is a stream to another node.
+type reportStream interface {
 	Send(*peerpb.ReportBatch) error
 	Recv() (*peerpb.AnswerBatch, error)
 }
 
-// errand is a report to be carried; without a reply, a greeting.
-type errand struct {
+// forwardRequest is a report to be forwarded; without a reply, it only asks for the
+// stream to be opened.
+type forwardRequest struct {
 	body  []byte
-	reply chan reply // has room for one
+	reply chan forwardReply // has room for one
 	since time.Time
 }
 
-type reply struct {
+type forwardReply struct {
 	answer intake.Answer
 	err    error
 }
 
-func (e errand) give(a intake.Answer, err error) {
-	if e.reply != nil {
-		e.reply <- reply{a, err}
+func (r forwardRequest) give(a intake.Answer, err error) {
+	if r.reply != nil {
+		r.reply <- forwardReply{a, err}
 	}
 }
 
-// courier owns the line to one node and what is on its way there.
-type courier struct {
-	node    string // this one
-	open    func(ctx context.Context) (line, error)
-	errands chan errand
-	words   chan word
+// forwarder owns the stream to one node and the reports on their way there. All its
+// fields but the channels belong to the goroutine that runs it.
+type forwarder struct {
+	node     string // this one
+	open     func(ctx context.Context) (reportStream, error)
+	requests chan forwardRequest
+	events   chan streamEvent
+
+	stream  int // the number of the stream that is open, 0: none
+	opened  int // streams opened so far
+	hangUp  context.CancelFunc
+	sends   chan *peerpb.ReportBatch
+	batch   *peerpb.ReportBatch // to be sent next; nil: nothing
+	waiting map[uint64]forwardRequest
+	lastID  uint64
+	leave   *time.Timer
+	leaveAt time.Time // the next batch may leave
+	retryAt time.Time // the next stream may be opened
+	unheard time.Time // since when reports wait and no answer at all has come
 }
 
-// word is what a line brings: answers, or its end.
-type word struct {
-	of      int // the line's number
+// streamEvent is what a stream brings: answers, or its end.
+type streamEvent struct {
+	of      int // the stream's number
 	answers *peerpb.AnswerBatch
 	err     error
 }
 
-func newCourier(node string, open func(ctx context.Context) (line, error)) *courier {
-	return &courier{node: node, open: open, errands: make(chan errand), words: make(chan word)}
+func newForwarder(node string, open func(ctx context.Context) (reportStream, error)) *forwarder {
+	return &forwarder{node: node, open: open, requests: make(chan forwardRequest), events: make(chan streamEvent), waiting: map[uint64]forwardRequest{}}
 }
 
-// run carries reports until ctx ends.
-func (c *courier) run(ctx context.Context) {
-	var (
-		number   int // of the line that is open, 0: none
-		lines    int // opened so far
-		hangUp   context.CancelFunc
-		sends    chan *peerpb.ReportBatch
-		batch    *peerpb.ReportBatch
-		waiting  = map[uint64]errand{}
-		id       uint64
-		leaveAt  time.Time // the next batch may leave
-		retryAt  time.Time // the next line may be opened
-		unheard  time.Time // since when reports wait and no answer at all has come
-		leave    = time.NewTimer(time.Hour)
-		tidy     = time.NewTicker(time.Second)
-		shutLine = func() {
-			hangUp()
-			number, sends, batch, unheard = 0, nil, nil, time.Time{}
-			for _, e := range waiting {
-				e.give(intake.Answer{}, ErrNoLine)
-			}
-			clear(waiting)
-		}
-	)
-	defer leave.Stop()
+// run forwards reports until ctx ends.
+func (f *forwarder) run(ctx context.Context) {
+	f.leave = time.NewTimer(time.Hour)
+	defer f.leave.Stop()
+	tidy := time.NewTicker(time.Second)
 	defer tidy.Stop()
-	begin := func(b *peerpb.ReportBatch) {
-		batch = b
-		leave.Reset(max(0, time.Until(leaveAt)))
-	}
 	for {
 		var out chan *peerpb.ReportBatch
-		if batch != nil && !time.Now().Before(leaveAt) {
-			out = sends
+		if f.batch != nil && !time.Now().Before(f.leaveAt) {
+			out = f.sends
 		}
 		select {
-		case e := <-c.errands:
-			now := time.Now()
-			if number == 0 && now.Before(retryAt) || len(waiting) >= mostShared || !unheard.IsZero() && now.Sub(unheard) > mute {
-				e.give(intake.Answer{}, ErrNoLine)
-				break
-			}
-			if number == 0 {
-				lines++
-				number, sends, retryAt = lines, make(chan *peerpb.ReportBatch), now.Add(reopen)
-				lctx, cancel := context.WithCancel(ctx)
-				hangUp = cancel
-				go c.serve(lctx, number, sends)
-				begin(&peerpb.ReportBatch{Node: c.node})
-			}
-			if e.reply == nil {
-				break
-			}
-			if batch == nil {
-				begin(&peerpb.ReportBatch{})
-			}
-			id++
-			e.since = now
-			waiting[id] = e
-			if unheard.IsZero() {
-				unheard = now
-			}
-			batch.Reports = append(batch.Reports, &peerpb.SharedReport{Id: id, Body: e.body})
-		case out <- batch:
-			batch, leaveAt = nil, time.Now().Add(gather)
-		case <-leave.C:
-		case w := <-c.words:
-			switch {
-			case w.of != number:
-			case w.err != nil:
-				shutLine()
-			default:
-				for _, a := range w.answers.Answers {
-					if e, ok := waiting[a.Id]; ok {
-						delete(waiting, a.Id)
-						e.give(intake.Answer{Status: int(a.Status), Body: a.Body}, nil)
-					}
-				}
-				unheard = time.Time{}
-				if len(waiting) > 0 {
-					unheard = time.Now()
-				}
-			}
+		case r := <-f.requests:
+			f.take(ctx, r)
+		case out <- f.batch:
+			f.batch, f.leaveAt = nil, time.Now().Add(gather)
+		case <-f.leave.C:
+		case e := <-f.events:
+			f.handle(e)
 		case <-tidy.C:
-			for id, e := range waiting {
-				if time.Since(e.since) > forgotten {
-					delete(waiting, id)
-				}
-			}
-			if len(waiting) == 0 {
-				unheard = time.Time{}
-			}
+			f.forgetOld()
 		case <-ctx.Done():
-			if number != 0 {
-				shutLine()
+			if f.stream != 0 {
+				f.closeStream()
 			}
 			return
 		}
 	}
 }
 
-// serve opens a line, sends the batches and brings what comes back, until the
-// line ends or ctx does.
-func (c *courier) serve(ctx context.Context, number int, batches <-chan *peerpb.ReportBatch) {
-	tell := func(w word) {
-		w.of = number
+// take adds a report to the next batch, on a stream that is opened if there is none.
+// A report that can't be forwarded at the moment is refused at once.
+func (f *forwarder) take(ctx context.Context, r forwardRequest) {
+	now := time.Now()
+	if f.stream == 0 && now.Before(f.retryAt) || len(f.waiting) >= mostShared || !f.unheard.IsZero() && now.Sub(f.unheard) > answerLimit {
+		r.give(intake.Answer{}, ErrNoStream)
+		return
+	}
+	if f.stream == 0 {
+		f.openStream(ctx, now)
+	}
+	if r.reply == nil {
+		return
+	}
+	if f.batch == nil {
+		f.begin(&peerpb.ReportBatch{})
+	}
+	f.lastID++
+	r.since = now
+	f.waiting[f.lastID] = r
+	if f.unheard.IsZero() {
+		f.unheard = now
+	}
+	f.batch.Reports = append(f.batch.Reports, &peerpb.SharedReport{Id: f.lastID, Body: r.body})
+}
+
+// begin has a batch leave as soon as it may.
+func (f *forwarder) begin(b *peerpb.ReportBatch) {
+	f.batch = b
+	f.leave.Reset(max(0, time.Until(f.leaveAt)))
+}
+
+func (f *forwarder) openStream(ctx context.Context, now time.Time) {
+	f.opened++
+	f.stream, f.sends, f.retryAt = f.opened, make(chan *peerpb.ReportBatch), now.Add(reopen)
+	ctx, f.hangUp = context.WithCancel(ctx)
+	go f.serve(ctx, f.stream, f.sends)
+	f.begin(&peerpb.ReportBatch{Node: f.node})
+}
+
+// closeStream ends the stream. Nobody knows what became of the reports on their way.
+func (f *forwarder) closeStream() {
+	f.hangUp()
+	f.stream, f.sends, f.batch, f.unheard = 0, nil, nil, time.Time{}
+	for _, r := range f.waiting {
+		r.give(intake.Answer{}, ErrNoStream)
+	}
+	clear(f.waiting)
+}
+
+// handle takes what a stream has brought.
+func (f *forwarder) handle(e streamEvent) {
+	switch {
+	case e.of != f.stream:
+	case e.err != nil:
+		f.closeStream()
+	default:
+		for _, a := range e.answers.Answers {
+			if r, ok := f.waiting[a.Id]; ok {
+				delete(f.waiting, a.Id)
+				r.give(intake.Answer{Status: int(a.Status), Body: a.Body}, nil)
+			}
+		}
+		f.unheard = time.Time{}
+		if len(f.waiting) > 0 {
+			f.unheard = time.Now()
+		}
+	}
+}
+
+// forgetOld drops reports for whose answers nobody waits any more.
+func (f *forwarder) forgetOld() {
+	for id, r := range f.waiting {
+		if time.Since(r.since) > forgotten {
+			delete(f.waiting, id)
+		}
+	}
+	if len(f.waiting) == 0 {
+		f.unheard = time.Time{}
+	}
+}
+
+// serve opens a stream, sends the batches and brings what comes back, until the
+// stream ends or ctx does.
+func (f *forwarder) serve(ctx context.Context, number int, batches <-chan *peerpb.ReportBatch) {
+	tell := func(e streamEvent) {
+		e.of = number
 		select {
-		case c.words <- w:
+		case f.events <- e:
 		case <-ctx.Done():
 		}
 	}
-	l, err := c.open(ctx)
+	s, err := f.open(ctx)
 	if err != nil {
-		tell(word{err: err})
+		tell(streamEvent{err: err})
 		return
 	}
 	go func() {
 		for {
-			answers, err := l.Recv()
-			tell(word{answers: answers, err: err})
+			answers, err := s.Recv()
+			tell(streamEvent{answers: answers, err: err})
 			if err != nil {
 				return
 			}
@@ -236,7 +261,7 @@
 	for {
 		select {
 		case b := <-batches:
-			if l.Send(b) != nil {
+			if s.Send(b) != nil {
 				return // Recv tells why
 			}
 		case <-ctx.Done():
@@ -245,13 +270,13 @@
 	}
 }
 
-// Reports is who answers workers' reports that other nodes have carried here.
+// Reports is who answers workers' reports that other nodes have forwarded here.
 type Reports interface {
 	// Shared answers a report through give, at once or later, or never. The
 	// answer is asked for as it is written.
 	Shared(ctx context.Context, body []byte, give func(answer func() intake.Answer))
-	// Partner tells that a node shares, until its line ends.
-	Partner(ctx context.Context, node string)
+	// Connected tells that a node forwards reports here, until its stream ends.
+	Connected(ctx context.Context, node string)
 }
 
 type sharedAnswer struct {
@@ -259,7 +284,7 @@
 	answer func() intake.Answer
 }
 
-// Share serves another node's line.
+// Share serves another node's stream.
 func (s *server) Share(stream peerpb.Peer_ShareServer) error {
 	ctx := stream.Context()
 	answers := make(chan sharedAnswer, mostShared)
@@ -272,7 +297,7 @@
 				return
 			}
 			if batch.Node != "" {
-				s.reports.Partner(ctx, batch.Node)
+				s.reports.Connected(ctx, batch.Node)
 			}
 			for _, r := range batch.Reports {
 				s.reports.Shared(ctx, r.Body, func(answer func() intake.Answer) {
--- a/internal/peers/share_test.go
+++ b/internal/peers/share_test.go
@@ -51,14 +51,14 @@
 		var l *wireLine
 		opened := 0
 		up := true
-		c := newCourier("n0", func(ctx context.Context) (line, error) {
+		c := newForwarder("n0", func(ctx context.Context) (reportStream, error) {
 			if opened++; !up {
 				return nil, errors.New("refused")
 			}
 			l = &wireLine{ctx, make(chan *peerpb.ReportBatch, 100), make(chan *peerpb.AnswerBatch), make(chan struct{})}
 			return l, nil
 		})
-		p := &Peers{byName: map[string]peer{"n1": {courier: c}}}
+		p := &Peers{byName: map[string]peer{"n1": {forwarder: c}}}
 		go c.run(t.Context())
 		results := make(chan string, 100)
 		carry := func(body string) {
@@ -67,7 +67,7 @@
 				defer cancel()
 				a, err := p.Report(ctx, "n1", []byte(body))
 				switch {
-				case errors.Is(err, ErrNoLine):
+				case errors.Is(err, ErrNoStream):
 					results <- body + " given back"
 				case err != nil:
 					results <- body + " late"
@@ -99,7 +99,7 @@
 			return ids
 		}
 
-		p.Greet(t.Context(), "n1")
+		p.Connect(t.Context(), "n1")
 		synctest.Wait()
 		if b := <-l.sent; b.Node != "n0" || len(b.Reports) != 0 {
 			t.Errorf("the greeting is %v", b)
@@ -142,7 +142,7 @@
 		check("open again", "g 200")
 
 		carry("h")
-		time.Sleep(mute + time.Millisecond)
+		time.Sleep(answerLimit + time.Millisecond)
 		carry("i")
 		check("the leader says nothing", "i given back")
 		l.answers <- &peerpb.AnswerBatch{Answers: []*peerpb.SharedAnswer{{Id: got()[0], Status: 200}}}
