--- a/internal/compat/deployment_test.go
+++ b/internal/compat/deployment_test.go
@@ -18,9 +18,9 @@
 	"github.com/BurntSushi/toml"
 
 	"leadproxy/internal/election"
+	"leadproxy/internal/fake"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
-	"leadproxy/internal/standin"
 	"leadproxy/internal/wire"
 )
 
@@ -36,17 +36,17 @@
 )
 
 // deployment is real controller processes on the loopback interface, with the
-// stand-ins of the outside systems in this process.
+// fakes of the outside systems in this process.
 type deployment struct {
 	t        *testing.T
-	state    *standin.State
-	cloud    *standin.Cloud
-	check    *standin.Checker
-	users    *standin.Users
+	state    *fake.State
+	cloud    *fake.Cloud
+	check    *fake.Checker
+	users    *fake.Users
 	recorder *recorder
 	nodes    []*process
 	calm     atomic.Pointer[time.Time]
-	writes   atomic.Pointer[standin.Troubles]
+	writes   atomic.Pointer[fake.Troubles]
 }
 
 // process is one controller: its settings stay, its processes come and go.
@@ -87,19 +87,19 @@
 	t.Helper()
 	network := outbound.TCP{}
 	d := &deployment{t: t, recorder: newRecorder()}
-	d.check = standin.NewChecker(t, standin.Limits{Cancel: cancelLimit, CPUs: map[string]float64{"tight": cpuLimit}, Waiting: 90 * time.Second, Silent: 75 * time.Second})
-	d.state = standin.NewState(t, network, "127.0.0.1:0", d.troubleWrites)
+	d.check = fake.NewChecker(t, fake.Limits{Cancel: cancelLimit, CPUs: map[string]float64{"tight": cpuLimit}, Waiting: 90 * time.Second, Silent: 75 * time.Second})
+	d.state = fake.NewState(t, network, "127.0.0.1:0", d.troubleWrites)
 	public := reserve(t, nodeCount)
-	var workers []standin.Node
+	var workers []fake.Node
 	for i, addr := range public {
-		workers = append(workers, standin.Node{Name: nodeName(i), Addr: addr})
+		workers = append(workers, fake.Node{Name: nodeName(i), Addr: addr})
 	}
-	d.users = standin.NewUsers(t, network, public, d.check, 1)
+	d.users = fake.NewUsers(t, network, public, d.check, 1)
 	zones := []string{"a", "b", "c"}
-	d.cloud = standin.NewCloud(t, network, "127.0.0.1:0", standin.CloudConfig{
+	d.cloud = fake.NewCloud(t, network, "127.0.0.1:0", fake.CloudConfig{
 		Types: []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: bootTime.Seconds(), Zones: zones}},
 		Boot:  bootTime, ListLag: 2 * time.Second, Most: 12,
-		Worker: standin.WorkerConfig{Nodes: workers, Report: reportEvery, Lease: workerLease, Fetch: 200 * time.Millisecond,
+		Worker: fake.WorkerConfig{Nodes: workers, Report: reportEvery, Lease: workerLease, Fetch: 200 * time.Millisecond,
 			Run: func(string) time.Duration { return taskTime }, Check: d.check},
 		Host: func(string) (outbound.Network, string) { return network, "127.0.0.1:0" },
 	})
@@ -170,11 +170,11 @@
 }
 
 // troubleWrites lets the trouble that is set befall transactions.
-func (d *deployment) troubleWrites(from string, r *http.Request) standin.Trouble {
+func (d *deployment) troubleWrites(from string, r *http.Request) fake.Trouble {
 	if f := d.writes.Load(); f != nil && r.URL.Path == "/txn" {
 		return (*f)(from, r)
 	}
-	return standin.Trouble{}
+	return fake.Trouble{}
 }
 
 // watchRules has the checker look at the rules as long as the test goes on.
--- a/internal/compat/doc.go
+++ b/internal/compat/doc.go
@@ -4,7 +4,7 @@
 // The tests that run always read recordings of what production writes and sends
 // (testdata/production). Those with the build tag upgrade build production from the
 // repository's history and run real processes of both versions on the loopback
-// interface, against the stand-ins of the outside systems:
+// interface, against the fakes of the outside systems:
 //
 //	go test -tags upgrade -count 1 -timeout 10m ./internal/compat
 //
--- a/internal/compat/record_test.go
+++ b/internal/compat/record_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
+	"leadproxy/internal/fake"
 	"leadproxy/internal/peers/peerpb"
-	"leadproxy/internal/standin"
 	"leadproxy/internal/wire"
 )
 
@@ -78,7 +78,7 @@
 	d.await("a leader", 20*time.Second, func() bool { return d.leader() >= 0 })
 	for k := range 12 {
 		zone := "a"
-		j := standin.NewJob(fmt.Sprintf("job-%06d", k), 1+4*(k%3), func(j *wire.Job) {
+		j := fake.NewJob(fmt.Sprintf("job-%06d", k), 1+4*(k%3), func(j *wire.Job) {
 			switch k % 4 {
 			case 1:
 				j.Zone, j.Team, j.Priority = &zone, "tight", "high"
@@ -96,24 +96,24 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	d.await("tasks on machines", 20*time.Second, func() bool { on, _ := d.check.On(""); return on > 0 })
-	unheard := standin.Troubles(func(string, *http.Request) standin.Trouble { return standin.Trouble{Fate: standin.Unheard} })
+	unheard := fake.Troubles(func(string, *http.Request) fake.Trouble { return fake.Trouble{Fault: fake.AnswerLost} })
 	d.writes.Store(&unheard)
 	time.Sleep(2 * time.Second)
 	d.writes.Store(nil)
-	d.users.Submit(standin.NewJob("job-000050", 20, nil))
+	d.users.Submit(fake.NewJob("job-000050", 20, nil))
 	d.await("more tasks on machines", 20*time.Second, func() bool { on, _ := d.check.On("job-000050"); return on > 4 })
 	for i, w := range d.cloud.Workers() {
 		switch i % 3 {
 		case 0:
 			w.Hang(true)
 		case 1:
-			w.Mute(true)
+			w.CutOutbound(true)
 		}
 	}
 	time.Sleep(2 * workerLease)
 	for _, w := range d.cloud.Workers() {
 		w.Hang(false)
-		w.Mute(false)
+		w.CutOutbound(false)
 	}
 	d.state.Outage(true)
 	time.Sleep(5 * time.Second)
--- a/internal/compat/rolling_test.go
+++ b/internal/compat/rolling_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"leadproxy/internal/standin"
+	"leadproxy/internal/fake"
 	"leadproxy/internal/upgrade"
 	"leadproxy/internal/wire"
 )
@@ -107,7 +107,7 @@
 	d.users.Go(func() {
 		r := rand.New(rand.NewPCG(2, 2))
 		for k := 0; ; k++ {
-			j := standin.NewJob(fmt.Sprintf("job-%06d", k), 1+r.IntN(4), func(j *wire.Job) {
+			j := fake.NewJob(fmt.Sprintf("job-%06d", k), 1+r.IntN(4), func(j *wire.Job) {
 				if k%3 == 0 {
 					j.Team = "tight"
 				}
@@ -148,14 +148,14 @@
 // others while another one may be old.
 func (d *deployment) refusesPipelines(i int) {
 	d.t.Helper()
-	first := standin.NewJob(fmt.Sprintf("job-60000%d", i), 1, nil)
+	first := fake.NewJob(fmt.Sprintf("job-60000%d", i), 1, nil)
 	if !d.users.Accept(first) {
 		d.t.Errorf("%s was not accepted", first.Ref)
 	}
 	d.users.Poll(first)
-	second := standin.NewJob(fmt.Sprintf("job-61000%d", i), 1, func(j *wire.Job) { j.WaitsOn = []string{first.Ref} })
+	second := fake.NewJob(fmt.Sprintf("job-61000%d", i), 1, func(j *wire.Job) { j.WaitsOn = []string{first.Ref} })
 	d.check.Submits(second, true)
-	if code, _ := d.users.Call(i, standin.AskedSubmit, second.Ref, second); code != 503 {
+	if code, _ := d.users.Call(i, fake.AskedSubmit, second.Ref, second); code != 503 {
 		d.t.Errorf("a job that waits for another one, during the upgrade: %d, want 503", code)
 	}
 }
--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -7,8 +7,8 @@
 	"leadproxy/internal/outbound"
 )
 
-// Lines bounds the connections to workers.
-type Lines struct {
+// ConnLimits bounds the connections to workers.
+type ConnLimits struct {
 	AtOnce int // calls on their way
 	// Kept is how many connections are kept between two calls, and Few how many
 	// while Crowded tells that sockets are short.
@@ -24,7 +24,7 @@
 // owned by run.
 type callers struct {
 	net    outbound.Network
-	lines  Lines
+	lines  ConnLimits
 	turns  chan struct{} // who has put something in may call, and takes it out
 	takes  chan take
 	gives  chan given
@@ -34,22 +34,22 @@
 
 type take struct {
 	addr string
-	line chan *outbound.Line
+	line chan *outbound.Conn
 }
 
 type given struct {
 	addr string
-	line *outbound.Line
+	line *outbound.Conn
 }
 
-func newCallers(n outbound.Network, l Lines) *callers {
+func newCallers(n outbound.Network, l ConnLimits) *callers {
 	return &callers{net: n, lines: l, turns: make(chan struct{}, l.AtOnce), takes: make(chan take), gives: make(chan given), shorts: make(chan struct{}), ended: make(chan struct{})}
 }
 
 // run keeps idle connections until ctx ends.
 func (c *callers) run(ctx context.Context) {
 	defer close(c.ended)
-	idle := map[string]*outbound.Line{}
+	idle := map[string]*outbound.Conn{}
 	drop := func(addr string) {
 		idle[addr].Close()
 		delete(idle, addr)
@@ -115,7 +115,7 @@
 		return 0, nil, false, ctx.Err()
 	}
 	end := time.Now().Add(directTimeout)
-	t := take{addr, make(chan *outbound.Line, 1)}
+	t := take{addr, make(chan *outbound.Conn, 1)}
 	select {
 	case c.takes <- t:
 	case <-ctx.Done():
@@ -123,7 +123,7 @@
 	}
 	line := <-t.line
 	if line == nil {
-		line = outbound.NewLine(c.net, addr)
+		line = outbound.NewConn(c.net, addr)
 	}
 	defer func() {
 		if !line.IsOpen() {
--- a/internal/dispatch/callers_test.go
+++ b/internal/dispatch/callers_test.go
@@ -27,7 +27,7 @@
 		defer workers[i].Close()
 	}
 	var crowded atomic.Bool
-	c := newCallers(outbound.TCP{}, Lines{AtOnce: 2, Kept: 3, Few: 1, Crowded: crowded.Load})
+	c := newCallers(outbound.TCP{}, ConnLimits{AtOnce: 2, Kept: 3, Few: 1, Crowded: crowded.Load})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go c.run(ctx)
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -339,7 +339,7 @@
 
 // --- hires ---
 
-func (c *Core) startHire(w fleet.Wish) {
+func (c *Core) startHire(w fleet.PlannedHire) {
 	c.fleet.hireCount++
 	// The name embeds the term, so that no other leader ever uses it.
 	name := fmt.Sprintf("h%d-%d", c.term, c.fleet.hireCount)
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -69,7 +69,7 @@
 // ready in time, if one of those has room: a slower machine that must fetch
 // the image first would break the aim by that alone.
 func (c *Core) choose(j *job, only int32) int32 {
-	w := c.wish(j, only)
+	w := c.request(j, only)
 	if j.imageOnly {
 		at := w
 		at.AllowedTag = w.FavouredTag
@@ -100,16 +100,16 @@
 	})
 }
 
-// wish is a job's next task as SLOW-FIT sees it. Merit tells equally slow
+// request is a job's next task as SLOW-FIT sees it. Merit tells equally slow
 // machines apart: a class with an aim on waiting goes first where its image is,
 // since a fetch counts as waiting; other work goes first to spot machines, so
 // that dearer ones run empty and can go back.
-func (c *Core) wish(j *job, only int32) slowfit.Wish {
+func (c *Core) request(j *job, only int32) slowfit.Request {
 	cheap, image := 2, 1
 	if c.aims[j.class].wait > 0 {
 		cheap, image = 1, 2
 	}
-	w := slowfit.Wish{Task: j.size, Bonus: image, FavouredTag: imageTag(j.image),
+	w := slowfit.Request{Task: j.size, Bonus: image, FavouredTag: imageTag(j.image),
 		Pool: func(pool int) (bool, int) {
 			k := c.pools[pool]
 			if !j.allows(k.typ, k.zone, k.spot) || only >= 0 && k.zone != only || j.crowdedZone(k.zone) {
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -10,7 +10,7 @@
 )
 
 // askDelete has a machine deleted. It is gone only when the cloud says so; until
-// then the wish is repeated now and then.
+// then it is asked for again now and then.
 func (c *Core) askDelete(m *machine, why string) {
 	if m.state == machineDeleting && c.now-m.asked < 10*time.Second {
 		return
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -26,9 +26,9 @@
 // ErrDeciding: whether a job is over is known to the state service alone.
 var ErrDeciding = errors.New("the job's end is being written")
 
-// Desk is where the rest of a node speaks to its dispatcher. It runs one core
+// Dispatcher is where the rest of a node speaks to its dispatcher. It runs one core
 // for each term that this node leads and refuses everything in between.
-type Desk struct {
+type Dispatcher struct {
 	net      outbound.Network
 	platform *settings.Platform
 	operator settings.Operator
@@ -62,9 +62,9 @@
 // answerTo takes the one outcome of an ask. It does not wait.
 type answerTo func(outcome any)
 
-// NewDesk makes a desk; Run starts it.
-func NewDesk(n outbound.Network, p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines Lines, log *slog.Logger) *Desk {
-	return &Desk{
+// NewDispatcher makes a dispatcher; Run starts it.
+func NewDispatcher(n outbound.Network, p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines ConnLimits, log *slog.Logger) *Dispatcher {
+	return &Dispatcher{
 		net: n, platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
 		workers: newCallers(n, lines), Upgraded: func() bool { return false },
 		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
@@ -74,21 +74,21 @@
 // clocks reads the steady time and the time of day at one moment. Leases are
 // reckoned from the one to the other: a process that stood still between two
 // readings would find them over too soon.
-func (d *Desk) clocks() (now time.Duration, wall int64) {
+func (d *Dispatcher) clocks() (now time.Duration, wall int64) {
 	t := time.Now()
 	return t.Sub(d.started), t.UnixMilli()
 }
 
 // HangUp closes the connections to workers that are kept between two commands.
-func (d *Desk) HangUp() { d.workers.hangUp() }
+func (d *Dispatcher) HangUp() { d.workers.hangUp() }
 
 // Unanswered is how many direct commands in a row no worker has answered.
-func (d *Desk) Unanswered() int { return int(d.unanswered.Load()) }
+func (d *Dispatcher) Unanswered() int { return int(d.unanswered.Load()) }
 
 // Machines is how many machines should be reporting to this node as the leader.
-func (d *Desk) Machines() int { return int(d.machines.Load()) }
+func (d *Dispatcher) Machines() int { return int(d.machines.Load()) }
 
-func (d *Desk) ask(ctx context.Context, box chan ask, event func(to answerTo) any) (any, error) {
+func (d *Dispatcher) ask(ctx context.Context, box chan ask, event func(to answerTo) any) (any, error) {
 	reply := make(chan any, 1)
 	to := answerTo(func(outcome any) { reply <- outcome })
 	select {
@@ -108,7 +108,7 @@
 }
 
 // Report has a worker's report answered.
-func (d *Desk) Report(ctx context.Context, r *wire.Report) (*wire.ReportAnswer, error) {
+func (d *Dispatcher) Report(ctx context.Context, r *wire.Report) (*wire.ReportAnswer, error) {
 	a, err := d.ask(ctx, d.reports, func(to answerTo) any { return ReportIn{Report: r, To: to} })
 	if err != nil {
 		return nil, err
@@ -116,9 +116,9 @@
 	return reportAnswer(a)
 }
 
-// Hand has a worker's report answered through give, once, or never if the term
+// ReportAsync has a worker's report answered through give, once, or never if the term
 // ends meanwhile. give must not wait.
-func (d *Desk) Hand(ctx context.Context, r *wire.Report, give func(*wire.ReportAnswer, error)) {
+func (d *Dispatcher) ReportAsync(ctx context.Context, r *wire.Report, give func(*wire.ReportAnswer, error)) {
 	to := answerTo(func(outcome any) { give(reportAnswer(outcome)) })
 	select {
 	case d.reports <- ask{ReportIn{Report: r, To: to}, to}:
@@ -139,16 +139,16 @@
 }
 
 // Status asks for a job's state. With ErrDeciding only the record tells it.
-func (d *Desk) Status(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
+func (d *Dispatcher) Status(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
 	return d.user(ctx, func(to answerTo) any { return StatusAsked{Ref: ref, To: to} })
 }
 
 // Cancel has a job cancelled and waits until that is durable.
-func (d *Desk) Cancel(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
+func (d *Dispatcher) Cancel(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
 	return d.user(ctx, func(to answerTo) any { return CancelAsked{Ref: ref, To: to} })
 }
 
-func (d *Desk) user(ctx context.Context, event func(to answerTo) any) (wire.JobStatus, bool, error) {
+func (d *Dispatcher) user(ctx context.Context, event func(to answerTo) any) (wire.JobStatus, bool, error) {
 	a, err := d.ask(ctx, d.users, event)
 	if err != nil {
 		return wire.JobStatus{}, false, err
@@ -160,9 +160,9 @@
 	return u.Status, u.Known, nil
 }
 
-// Tell tells of a job record. It is only a short cut for the watch, so it is
+// JobRecorded tells of a job record. It is only a short cut for the watch, so it is
 // dropped rather than waited for.
-func (d *Desk) Tell(j JobSeen) {
+func (d *Dispatcher) JobRecorded(j JobSeen) {
 	select {
 	case d.inner <- j:
 	default:
@@ -170,7 +170,7 @@
 }
 
 // decide hands the core an event that decisions need. It gives up only with ctx.
-func (d *Desk) decide(ctx context.Context, event any) {
+func (d *Dispatcher) decide(ctx context.Context, event any) {
 	select {
 	case d.inner <- event:
 	case <-ctx.Done():
@@ -178,7 +178,7 @@
 }
 
 // Run serves terms until ctx ends.
-func (d *Desk) Run(ctx context.Context) {
+func (d *Dispatcher) Run(ctx context.Context) {
 	go d.workers.run(ctx)
 	var stop context.CancelFunc
 	var ended chan struct{}
@@ -240,7 +240,7 @@
 
 // term is one term of leadership.
 type term struct {
-	*Desk
+	*Dispatcher
 	number     uint64
 	core       *Core
 	ledger     *ledger.Ledger
@@ -266,7 +266,7 @@
 const loadEvery = 200 * time.Millisecond
 
 // lead leads for one term.
-func (d *Desk) lead(ctx context.Context, number uint64) {
+func (d *Dispatcher) lead(ctx context.Context, number uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	book := ledger.New(number, d.store, d.ledgerLimits, d.log)
@@ -287,7 +287,7 @@
 	now, wall := d.clocks()
 	size := d.valueBytes()
 	core := NewCore(Config{Term: number, Platform: d.platform, Operator: d.operator, ValueBytes: size}, snapshot, now, wall, d.log)
-	t := &term{Desk: d, number: number, core: core, ledger: book, cloud: cloud, tick: time.NewTicker(tickEvery), valueBytes: size}
+	t := &term{Dispatcher: d, number: number, core: core, ledger: book, cloud: cloud, tick: time.NewTicker(tickEvery), valueBytes: size}
 	defer t.tick.Stop()
 	defer d.machines.Store(0)
 	t.carryOut(ctx, core.TakeStart())
@@ -295,14 +295,14 @@
 }
 
 // ledgerLimits bounds the ledger's transactions by what the state service takes now.
-func (d *Desk) ledgerLimits() ledger.Limits {
+func (d *Dispatcher) ledgerLimits() ledger.Limits {
 	now := d.store.Limits()
 	writes := now.WriteRPS * leaderShare(d.platform.Facts.Nodes)
 	return ledger.Limits{Ops: max(minTxnOps, min(now.Ops, int(writes))), Bytes: maxTxnBytes, Value: now.ValueBytes, Ordinary: writes / 4}
 }
 
 // loadLedger reads the ledger, again and again until it can be read or ctx ends.
-func (d *Desk) loadLedger(ctx context.Context, book *ledger.Ledger, number uint64) (ledger.Snapshot, bool) {
+func (d *Dispatcher) loadLedger(ctx context.Context, book *ledger.Ledger, number uint64) (ledger.Snapshot, bool) {
 	for ctx.Err() == nil {
 		snapshot, err := book.Load(ctx)
 		if err == nil {
@@ -336,7 +336,7 @@
 
 // adjustValues tells the core when values may be of another size than before.
 func (t *term) adjustValues() {
-	size := t.Desk.valueBytes()
+	size := t.Dispatcher.valueBytes()
 	if size == t.valueBytes {
 		return
 	}
@@ -378,7 +378,7 @@
 // can't read, such as finished tasks in parts, is written only if the value has no
 // place otherwise, or if no node of that version can be up any more; then there is
 // nothing to be rewritten when the limits fall.
-func (d *Desk) valueBytes() int {
+func (d *Dispatcher) valueBytes() int {
 	size := d.store.Limits().ValueBytes
 	if d.Upgraded() {
 		size = min(size, d.platform.Facts.State.LeastValueBytes())
@@ -521,14 +521,14 @@
 )
 
 // direct sends a command to a worker and brings its outcome back.
-func (d *Desk) direct(ctx context.Context, term uint64, e Direct) {
+func (d *Dispatcher) direct(ctx context.Context, term uint64, e Direct) {
 	back := DirectBack{Call: e.Call}
 	back.Outcome, back.Report = d.command(ctx, term, e)
 	d.decide(ctx, back)
 }
 
 // inspect asks a worker what it is now.
-func (d *Desk) inspect(ctx context.Context, e Inspect) {
+func (d *Dispatcher) inspect(ctx context.Context, e Inspect) {
 	back := InspectBack{Machine: e.Machine}
 	status, answer, _, err := d.workers.call(ctx, e.Address, http.MethodGet, "/inspect", nil, func() bool { return true })
 	switch {
@@ -542,7 +542,7 @@
 	d.decide(ctx, back)
 }
 
-func (d *Desk) command(ctx context.Context, term uint64, e Direct) (DirectOutcome, *wire.Report) {
+func (d *Dispatcher) command(ctx context.Context, term uint64, e Direct) (DirectOutcome, *wire.Report) {
 	payload, err := json.Marshal(e.Commands)
 	if err != nil {
 		d.log.Error("command not encoded", "machine", e.Machine, "error", err)
@@ -582,7 +582,7 @@
 }
 
 // watchJobs tells the core of job records as nodes create them.
-func (d *Desk) watchJobs(ctx context.Context, after uint64) {
+func (d *Dispatcher) watchJobs(ctx context.Context, after uint64) {
 	for ctx.Err() == nil {
 		news, err := d.store.Watch(ctx, ledger.JobPrefix, after, 20*time.Second)
 		if errors.Is(err, state.ErrTooOld) {
@@ -603,7 +603,7 @@
 }
 
 // reread goes through all job records when the watch has fallen too far behind.
-func (d *Desk) reread(ctx context.Context) uint64 {
+func (d *Dispatcher) reread(ctx context.Context) uint64 {
 	revision, after := uint64(0), ""
 	for ctx.Err() == nil {
 		page, err := d.store.List(ctx, state.Leader, ledger.JobPrefix, after, 1000)
@@ -625,7 +625,7 @@
 	return revision
 }
 
-func (d *Desk) tellRecord(ctx context.Context, key string, value json.RawMessage, version uint64) {
+func (d *Dispatcher) tellRecord(ctx context.Context, key string, value json.RawMessage, version uint64) {
 	ref := strings.TrimPrefix(key, ledger.JobPrefix)
 	rec, err := ledger.DecodeJob(ref, value)
 	if err != nil {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -49,7 +49,7 @@
 		Outcome DirectOutcome
 		Report  *wire.Report // with DirectDone and DirectRefused
 	}
-	// CancelAsked is a user's wish to cancel a job.
+	// CancelAsked is a user asking to cancel a job.
 	CancelAsked struct {
 		Ref string
 		To  any
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -65,7 +65,7 @@
 	// reader must keep up; a view that was not read is replaced.
 	changes chan *View
 
-	// Others vouch during outages of the state service; nil: nobody does.
+	// Others grant extensions during outages of the state service; nil: nobody does.
 	Others Others
 	// turn is held by whoever publishes this node as the leader or makes a
 	// promise not to be it, and by whoever looks at promised or won.
@@ -99,7 +99,7 @@
 		node: node, boot: rand.Uint64(), ttl: op.LeaderLease, margin: op.LeaseMargin,
 		store: store, log: log, changes: make(chan *View, 1), turn: make(chan struct{}, 1), resign: make(chan uint64, 1),
 		// Our earlier life may have promised just before it ended.
-		promised: time.Now().Add(vouchFor),
+		promised: time.Now().Add(extensionTime),
 	}
 	e.view.Store(&View{})
 	return e
@@ -256,10 +256,10 @@
 	e.log.Info("leading", "term", term)
 	until := e.validUntil(sent)
 	e.begin(ctx, &View{Leader: e.node, Term: term, Mine: true, Until: until})
-	lapsed, vouching, why := false, false, "nobody was asked"
+	lapsed, extending, why := false, false, "nobody was asked"
 	for ctx.Err() == nil {
 		wait := e.ttl / 4
-		if lapsed || vouching || time.Until(until) < e.ttl/2 {
+		if lapsed || extending || time.Until(until) < e.ttl/2 {
 			wait = 150 * time.Millisecond
 		}
 		if e.resigned(ctx, term, wait) {
@@ -268,10 +268,10 @@
 		}
 		// The others are asked while the renewal is tried once more, since it
 		// may take as long as a promise holds.
-		var vouches chan vouch
-		if vouching && !lapsed {
-			vouches = make(chan vouch, 1)
-			go func() { vouches <- e.vouched(ctx) }()
+		var extensions chan extension
+		if extending && !lapsed {
+			extensions = make(chan extension, 1)
+			go func() { extensions <- e.askForExtension(ctx) }()
 		}
 		sent := time.Now()
 		err := e.store.Renew(ctx, lease)
@@ -281,27 +281,27 @@
 			return
 		}
 		if err != nil {
-			if vouches != nil {
-				v := <-vouches
+			if extensions != nil {
+				v := <-extensions
 				why = v.why
 				if v.until.After(until) && time.Now().Before(until) {
 					until = v.until
 					e.publish(&View{Leader: e.node, Term: term, Mine: true, Until: until})
 				}
-			} else if !lapsed && !vouching {
-				e.log.Info("lease not renewed: asking the others to vouch", "term", term, "error", err)
+			} else if !lapsed && !extending {
+				e.log.Info("lease not renewed: asking the others for an extension", "term", term, "error", err)
 			}
-			vouching = true
+			extending = true
 			if !lapsed && !time.Now().Before(until) {
 				lapsed = true
-				e.log.Info("leadership suspended: the lease can't be renewed", "term", term, "vouches", why, "error", err)
+				e.log.Info("leadership suspended: the lease can't be renewed", "term", term, "refused", why, "error", err)
 			}
 			continue
 		}
 		if lapsed {
 			e.log.Info("leadership resumed", "term", term)
 		}
-		lapsed, vouching = false, false
+		lapsed, extending = false, false
 		until = e.validUntil(sent)
 		e.publish(&View{Leader: e.node, Term: term, Mine: true, Until: until})
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -246,14 +246,14 @@
 
 func (o *others) Names() []string { return []string{"n2", "n3"} }
 
-func (o *others) Vouch(context.Context, string, time.Duration) (bool, error) {
+func (o *others) RequestExtension(context.Context, string, time.Duration) (bool, error) {
 	return o.promise.Load(), nil
 }
 
-// TestVouchedOutage: while the state service is out for all and all others
+// TestExtensionInAnOutage: while the state service is out for all and all others
 // promise not to lead, the leader goes on; without the promise of all it lapses
 // with its lease, and promises after that don't bring it back.
-func TestVouchedOutage(t *testing.T) {
+func TestExtensionInAnOutage(t *testing.T) {
 	cases := []struct {
 		name    string
 		before  bool // the others promise from the beginning of the outage
@@ -261,7 +261,7 @@
 		inTerm  bool // at the ninth second
 		inTerm2 bool // at the twentieth
 	}{
-		{"all vouch", true, true, true, true},
+		{"all grant it", true, true, true, true},
 		{"nobody does", false, false, false, false},
 		{"they cease", true, false, true, false},
 		{"too late", false, true, false, false},
@@ -300,20 +300,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newStore()
 		e := New("n1", settings.Operator{LeaderLease: 3 * time.Second, LeaseMargin: 150 * time.Millisecond}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
-		if e.Promise(t.Context(), time.Second) {
+		if e.GrantExtension(t.Context(), time.Second) {
 			t.Error("promised though the service serves this node")
 		}
 		f.down = true
-		if e.Promise(t.Context(), time.Hour) {
+		if e.GrantExtension(t.Context(), time.Hour) {
 			t.Error("promised for an hour")
 		}
-		pass(vouchFor)
-		if !e.Promise(t.Context(), vouchFor) {
+		pass(extensionTime)
+		if !e.GrantExtension(t.Context(), extensionTime) {
 			t.Error("not promised though the service is out")
 		}
 		f.down = false
 		go e.Run(t.Context())
-		pass(vouchFor - 100*time.Millisecond)
+		pass(extensionTime - 100*time.Millisecond)
 		if e.View().Mine {
 			t.Error("acts as the leader against its promise")
 		}
@@ -324,13 +324,13 @@
 		give := f.take()
 		f.down = true
 		give()
-		if e.Promise(t.Context(), vouchFor) {
+		if e.GrantExtension(t.Context(), extensionTime) {
 			t.Error("promised while leading")
 		}
 	})
 	synctest.Test(t, func(t *testing.T) {
 		e := start(t, newStore())
-		pass(vouchFor - 100*time.Millisecond)
+		pass(extensionTime - 100*time.Millisecond)
 		if e.View().Mine {
 			t.Error("acts within what its earlier life may have promised")
 		}
--- a/internal/election/vouch.go
+++ b/internal/election/extension.go
@@ -11,14 +11,14 @@
 
 // While the state service is out for everybody, no lease ends and nobody can
 // become the leader, but no node can tell that from being refused alone. So a
-// leader whose renewals fail asks every other node to vouch: to promise that it
-// won't act as a leader for a while. With the promises of all, and only without
-// a gap since its own lease, the leader goes on for as long as they hold. A
-// node vouches only when the service does not serve it either; one that was
+// leader whose renewals fail asks every other node for an extension of its lease: a
+// promise that the node won't act as a leader for a while. With the promises of all,
+// and only without a gap since its own lease, the leader goes on for as long as they
+// hold. A node promises only when the service does not serve it either; one that was
 // just started does not act before any promise of its earlier life is over.
 
-// vouchFor is how long a promise holds.
-const vouchFor = 1500 * time.Millisecond
+// extensionTime is how long a promise holds.
+const extensionTime = 1500 * time.Millisecond
 
 // checkLimit bounds the look at the state service before a promise.
 const checkLimit = 300 * time.Millisecond
@@ -26,14 +26,14 @@
 // Others asks the other controllers.
 type Others interface {
 	Names() []string
-	// Vouch asks a node for its promise.
-	Vouch(ctx context.Context, node string, hold time.Duration) (bool, error)
+	// RequestExtension asks a node for its promise.
+	RequestExtension(ctx context.Context, node string, hold time.Duration) (bool, error)
 }
 
-// Promise answers another node's wish: it tells whether this node won't act as
+// GrantExtension answers another node's request: it tells whether this node won't act as
 // the leader until hold has passed.
-func (e *Elector) Promise(ctx context.Context, hold time.Duration) bool {
-	if hold <= 0 || hold > 2*vouchFor {
+func (e *Elector) GrantExtension(ctx context.Context, hold time.Duration) bool {
+	if hold <= 0 || hold > 2*extensionTime {
 		return false
 	}
 	check, cancel := context.WithTimeout(ctx, checkLimit)
@@ -83,19 +83,19 @@
 	}
 }
 
-// vouch is what asking for promises has brought.
-type vouch struct {
+// extension is what asking for promises has brought.
+type extension struct {
 	until time.Time // this node may go on until then; a time long past: not at all
 	why   string    // who did not promise
 }
 
-// vouched asks all others at once.
-func (e *Elector) vouched(ctx context.Context) vouch {
+// askForExtension asks all others at once.
+func (e *Elector) askForExtension(ctx context.Context) extension {
 	if e.Others == nil || len(e.Others.Names()) == 0 {
-		return vouch{why: "there is nobody to ask"}
+		return extension{why: "there is nobody to ask"}
 	}
 	asked := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, vouchFor/2)
+	ctx, cancel := context.WithTimeout(ctx, extensionTime/2)
 	defer cancel()
 	type said struct {
 		node string
@@ -106,7 +106,7 @@
 	answers := make(chan said, len(names))
 	for _, n := range names {
 		go func() {
-			ok, err := e.Others.Vouch(ctx, n, vouchFor)
+			ok, err := e.Others.RequestExtension(ctx, n, extensionTime)
 			answers <- said{n, ok, err}
 		}()
 	}
@@ -114,14 +114,14 @@
 		select {
 		case s := <-answers:
 			if s.err != nil {
-				return vouch{why: s.node + " did not answer"}
+				return extension{why: s.node + " did not answer"}
 			}
 			if !s.ok {
-				return vouch{why: s.node + " did not promise"}
+				return extension{why: s.node + " did not promise"}
 			}
 		case <-ctx.Done():
-			return vouch{why: "not all have answered in time"}
+			return extension{why: "not all have answered in time"}
 		}
 	}
-	return vouch{until: asked.Add(vouchFor - time.Duration(float64(vouchFor)*2*settings.Drift) - e.margin)}
+	return extension{until: asked.Add(extensionTime - time.Duration(float64(extensionTime)*2*settings.Drift) - e.margin)}
 }
--- a/internal/standin/checker.go
+++ b/internal/fake/checker.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"fmt"
@@ -162,7 +162,7 @@
 	if status == wire.Done && len(j.done) < j.job.Tasks {
 		c.breaks("not_done", "%s: %d of %d", ref, len(j.done), j.job.Tasks)
 	}
-	if status == wire.Aborted && !c.wished(j) {
+	if status == wire.Aborted && !c.cancelWanted(j) {
 		c.breaks("went_back", "%s: cancelled by nobody", ref)
 	}
 	if j.told == "" {
@@ -196,11 +196,11 @@
 	return first, since
 }
 
-// wished tells whether a user has asked to cancel a job or one that it needs.
-func (c *Checker) wished(j *checkedJob) bool {
-	wished := !j.cancelled.IsZero()
-	c.ancestors(j, func(_ string, p *checkedJob) { wished = wished || !p.cancelled.IsZero() })
-	return wished
+// cancelWanted tells whether a user has asked to cancel a job or one that it needs.
+func (c *Checker) cancelWanted(j *checkedJob) bool {
+	wanted := !j.cancelled.IsZero()
+	c.ancestors(j, func(_ string, p *checkedJob) { wanted = wanted || !p.cancelled.IsZero() })
+	return wanted
 }
 
 // cancelDue tells whether a job's tasks must be gone.
@@ -364,7 +364,7 @@
 
 // waits tells whether tasks of a job that should run are on no machine.
 func (c *Checker) waits(ref string, j *checkedJob) bool {
-	if j.told != "" || c.wished(j) {
+	if j.told != "" || c.cancelWanted(j) {
 		return false
 	}
 	blocked := false
--- a/internal/standin/network.go
+++ b/internal/fake/network.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"context"
--- a/internal/standin/trouble.go
+++ b/internal/fake/trouble.go
@@ -1,7 +1,7 @@
-// Package standin has stand-ins for the outside systems, for tests: the network,
+// Package fake has fakes for the outside systems, for tests: the network,
 // the state service, the cloud and its workers. They speak the protocols and know
 // the troubles that the real ones have; a checker looks at what they see.
-package standin
+package fake
 
 import (
 	"bytes"
@@ -16,23 +16,23 @@
 	"leadproxy/internal/outbound"
 )
 
-// Fate is what becomes of one message.
-type Fate int
+// Fault is what goes wrong with one message.
+type Fault int
 
-// The fates of messages.
+// The faults of messages.
 const (
-	Fine     Fate = iota
-	Lost          // not carried out, never answered
-	Unheard       // carried out, never answered
-	Repeated      // carried out twice, the second answer is given
-	Held          // not answered; carried out late, when the sender has gone
-	Refused       // 503 at once
+	NoFault     Fault = iota
+	RequestLost       // not carried out, never answered
+	AnswerLost        // carried out, never answered
+	Duplicated        // carried out twice, the second answer is given
+	Delayed           // not answered; carried out late, when the sender has gone
+	Refused           // 503 at once
 )
 
 // Trouble is what happens to one message, and for how long it is held.
 type Trouble struct {
-	Fate Fate
-	For  time.Duration
+	Fault Fault
+	For   time.Duration
 }
 
 // Troubles decides what happens to a message from a host.
@@ -54,16 +54,16 @@
 			c.Body = io.NopCloser(bytes.NewReader(body))
 			return c
 		}
-		switch trouble := trouble(r.RemoteAddr, r); trouble.Fate {
-		case Lost:
+		switch trouble := trouble(r.RemoteAddr, r); trouble.Fault {
+		case RequestLost:
 			<-r.Context().Done()
-		case Unheard:
+		case AnswerLost:
 			h.ServeHTTP(httptest.NewRecorder(), again())
 			<-r.Context().Done()
-		case Repeated:
+		case Duplicated:
 			h.ServeHTTP(httptest.NewRecorder(), again())
 			h.ServeHTTP(w, again())
-		case Held:
+		case Delayed:
 			go func() {
 				outbound.Pause(ctx, trouble.For)
 				if ctx.Err() == nil {
--- a/internal/standin/users.go
+++ b/internal/fake/users.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"encoding/json"
@@ -103,7 +103,7 @@
 
 // send carries out one request on a connection of its own.
 func (u *Users) send(node int, end time.Time, method, path string, payload []byte) (code int, text []byte, err error) {
-	line := outbound.NewLine(u.network, u.nodes[node])
+	line := outbound.NewConn(u.network, u.nodes[node])
 	defer line.Close()
 	if err := line.Open(u.t.Context(), connectLimit); err != nil {
 		return 0, nil, err
--- a/internal/standin/worker.go
+++ b/internal/fake/worker.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"context"
@@ -52,10 +52,10 @@
 	known               map[uint64]bool
 	images              map[string]time.Time // when each is there
 
-	hung       chan struct{} // while it hangs; closed when it goes on
-	deaf, mute bool
-	copyAfter  func() time.Duration // late copies of reports; nil: none
-	kept       []byte               // a copy of the last report
+	hung                    chan struct{} // while it hangs; closed when it goes on
+	inboundCut, outboundCut bool
+	copyAfter               func() time.Duration // late copies of reports; nil: none
+	kept                    []byte               // a copy of the last report
 }
 
 type workerTask struct {
@@ -131,21 +131,21 @@
 	})
 }
 
-// Deaf has the machine's reports arrive while answers and commands to it are lost.
-func (w *Worker) Deaf(on bool) { w.do(func() { w.deaf = on }) }
+// CutInbound has the machine's reports arrive while answers and commands to it are lost.
+func (w *Worker) CutInbound(on bool) { w.do(func() { w.inboundCut = on }) }
 
-// Mute has the machine reach no controller while commands still reach it.
-func (w *Worker) Mute(on bool) { w.do(func() { w.mute = on }) }
+// CutOutbound has the machine reach no controller while commands still reach it.
+func (w *Worker) CutOutbound(on bool) { w.do(func() { w.outboundCut = on }) }
 
-// Copies has a copy of each report arrive again, as late as after tells. nil ends
+// DuplicateReports has a copy of each report arrive again, as late as after tells. nil ends
 // that.
-func (w *Worker) Copies(after func() time.Duration) { w.do(func() { w.copyAfter = after }) }
+func (w *Worker) DuplicateReports(after func() time.Duration) { w.do(func() { w.copyAfter = after }) }
 
-// Keep keeps a copy of the latest report; Deliver brings it to all controllers.
-func (w *Worker) Keep() { w.do(func() { w.kept = w.encode(w.report()) }) }
+// SaveReport keeps a copy of the latest report; ReplayReport brings it to all controllers.
+func (w *Worker) SaveReport() { w.do(func() { w.kept = w.encode(w.report()) }) }
 
-// Deliver brings the copy that was kept to all controllers.
-func (w *Worker) Deliver() {
+// ReplayReport brings the copy that was kept to all controllers.
+func (w *Worker) ReplayReport() {
 	var body []byte
 	w.do(func() { body = w.kept })
 	if body == nil {
@@ -159,7 +159,7 @@
 // Hears tells whether the machine works and has been answered lately.
 func (w *Worker) hears() (room Room, ok bool) {
 	w.do(func() {
-		ok = w.ctx.Err() == nil && w.hung == nil && !w.deaf && !w.mute && time.Since(w.renewed) < 2*w.config.Report+time.Second
+		ok = w.ctx.Err() == nil && w.hung == nil && !w.inboundCut && !w.outboundCut && time.Since(w.renewed) < 2*w.config.Report+time.Second
 		room = Room{Type: w.hire.Type, Zone: w.hire.Zone, Spot: w.hire.Spot, CPUs: w.size.CPUs, MemGB: w.size.MemGB}
 		for _, t := range w.tasks {
 			if t.Status != wire.TaskEnded {
@@ -176,10 +176,10 @@
 func (w *Worker) reachable(ctx context.Context) bool {
 	for {
 		var hung chan struct{}
-		var deaf bool
-		w.do(func() { hung, deaf = w.hung, w.deaf })
+		var inboundCut bool
+		w.do(func() { hung, inboundCut = w.hung, w.inboundCut })
 		switch {
-		case deaf:
+		case inboundCut:
 			<-ctx.Done()
 			return false
 		case hung == nil:
@@ -400,8 +400,8 @@
 			outbound.Pause(w.ctx, 50*time.Millisecond)
 		}
 		var hung chan struct{}
-		var mute bool
-		w.do(func() { hung, mute = w.hung, w.mute })
+		var outboundCut bool
+		w.do(func() { hung, outboundCut = w.hung, w.outboundCut })
 		if hung != nil {
 			select {
 			case <-hung:
@@ -411,7 +411,7 @@
 		}
 		boss, ok := "", false
 		last = time.Now()
-		if !mute {
+		if !outboundCut {
 			boss, ok = w.tell(w.config.Nodes[at].Addr, last)
 		}
 		if ok {
@@ -429,7 +429,7 @@
 
 // post sends a report and returns what came back.
 func (w *Worker) post(addr string, body []byte) (status int, text []byte, err error) {
-	line := outbound.NewLine(w.net, addr)
+	line := outbound.NewConn(w.net, addr)
 	defer line.Close()
 	end := time.Now().Add(patience)
 	if err := line.Open(w.ctx, patience); err != nil {
@@ -460,9 +460,9 @@
 	}
 	status, text, err := w.post(addr, body)
 	var hung chan struct{}
-	var deaf bool
-	w.do(func() { hung, deaf = w.hung, w.deaf })
-	if deaf {
+	var inboundCut bool
+	w.do(func() { hung, inboundCut = w.hung, w.inboundCut })
+	if inboundCut {
 		outbound.Pause(w.ctx, max(0, patience-time.Since(sent)))
 		return "", false
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,7 +19,7 @@
 	"leadproxy/internal/wire"
 )
 
-// Call is one wish to the cloud; one of its fields is set.
+// Call is one request to the cloud; one of its fields is set.
 type Call struct {
 	Hire   *wire.Hire
 	Delete []string
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -74,8 +74,8 @@
 	Sizes []slowfit.Size
 }
 
-// Wish is a decision to hire.
-type Wish struct {
+// PlannedHire is a decision to hire.
+type PlannedHire struct {
 	Offer Offer
 	Count int
 	Why   string
@@ -84,8 +84,8 @@
 // Plan decides what to hire: for each waiting group the offer with the least
 // price per task, as far as machines that are coming don't serve it; then the
 // cheapest cores up to the learned demand.
-func Plan(s Situation) []Wish {
-	p := planner{Situation: &s, wishes: map[Offer]*Wish{}, asked: map[Offer]int{}, budget: math.MaxInt32}
+func Plan(s Situation) []PlannedHire {
+	p := planner{Situation: &s, hires: map[Offer]*PlannedHire{}, asked: map[Offer]int{}, budget: math.MaxInt32}
 	if s.MaxMachines > 0 {
 		p.budget = max(0, s.MaxMachines-s.Machines)
 	}
@@ -93,9 +93,9 @@
 		p.serve(g)
 	}
 	p.keepWarm()
-	out := make([]Wish, 0, len(p.order))
+	out := make([]PlannedHire, 0, len(p.order))
 	for _, o := range p.order {
-		out = append(out, *p.wishes[o])
+		out = append(out, *p.hires[o])
 	}
 	return out
 }
@@ -103,21 +103,21 @@
 // planner is a plan in the making.
 type planner struct {
 	*Situation
-	wishes map[Offer]*Wish
-	order  []Offer // of the wishes
+	hires  map[Offer]*PlannedHire
+	order  []Offer // of the hires
 	asked  map[Offer]int
 	budget int     // machines that there may be besides
 	ahead  float64 // core-seconds of the groups so far
 }
 
-// add wishes for machines of an offer.
+// add hires for machines of an offer.
 func (p *planner) add(o Offer, n int, why string) {
 	p.asked[o] += n
-	if p.wishes[o] == nil {
-		p.wishes[o] = &Wish{Offer: o, Why: why}
+	if p.hires[o] == nil {
+		p.hires[o] = &PlannedHire{Offer: o, Why: why}
 		p.order = append(p.order, o)
 	}
-	p.wishes[o].Count += n
+	p.hires[o].Count += n
 	p.budget -= n
 	p.Cores += float64(n) * p.Types[o.Type].Total.CPUs
 }
@@ -168,7 +168,7 @@
 	}
 }
 
-// keepWarm wishes for the cheapest cores up to the learned demand. One offer a round:
+// keepWarm hires for the cheapest cores up to the learned demand. One offer a round:
 // how much of it there is shows in the answer.
 func (p *planner) keepWarm() {
 	lack := p.Warm - p.Cores
--- a/internal/intake/groupcommit.go
+++ b/internal/intake/groupcommit.go
@@ -39,10 +39,10 @@
 // groupCommit creates job records, those that wait at the same time in one
 // transaction.
 type groupCommit struct {
-	store  Store
-	share  float64 // of the state service's writes
-	bytes  int     // most bytes of one record
-	wishes chan *accept
+	store    Store
+	share    float64 // of the state service's writes
+	bytes    int     // most bytes of one record
+	incoming chan *accept
 	// waiting is how many wait for their records.
 	waiting atomic.Int64
 }
@@ -58,7 +58,7 @@
 const maxBytes = 48 << 10
 
 func newGroupCommit(store Store, share float64, bytes int) *groupCommit {
-	return &groupCommit{store: store, share: share, bytes: bytes, wishes: make(chan *accept, 256)}
+	return &groupCommit{store: store, share: share, bytes: bytes, incoming: make(chan *accept, 256)}
 }
 
 // ops is how many records go into one transaction.
@@ -89,7 +89,7 @@
 	defer c.waiting.Add(-1)
 	a := &accept{key: ledger.JobKey(ref), value: value, result: make(chan accepted, 1)}
 	select {
-	case c.wishes <- a:
+	case c.incoming <- a:
 	default:
 		return accepted{}, errFull
 	}
@@ -106,7 +106,7 @@
 		var batch []*accept
 		size := 0
 		select {
-		case a := <-c.wishes:
+		case a := <-c.incoming:
 			batch, size = append(batch, a), len(a.value)
 		case <-ctx.Done():
 			return
@@ -114,7 +114,7 @@
 	gather:
 		for ops := c.ops(); len(batch) < ops && size < maxBytes-(4<<10); {
 			select {
-			case a := <-c.wishes:
+			case a := <-c.incoming:
 				batch = append(batch, a)
 				size += len(a.value) + 2*len(a.key) + 100
 			default:
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -48,11 +48,11 @@
 	Names() []string
 }
 
-// Desk is the node's dispatcher.
-type Desk interface {
+// Dispatcher is the node's dispatcher.
+type Dispatcher interface {
 	Status(ctx context.Context, ref string) (wire.JobStatus, bool, error)
 	Cancel(ctx context.Context, ref string) (wire.JobStatus, bool, error)
-	Tell(j dispatch.JobSeen)
+	JobRecorded(j dispatch.JobSeen)
 }
 
 // Types tells the machine types, and whether they are known yet.
@@ -60,13 +60,13 @@
 
 // Service answers users.
 type Service struct {
-	node    string
-	teams   map[string]settings.Team
-	elector *election.Elector
-	store   Store
-	desk    Desk
-	peers   Peers
-	types   Types
+	node       string
+	teams      map[string]settings.Team
+	elector    *election.Elector
+	store      Store
+	dispatcher Dispatcher
+	peers      Peers
+	types      Types
 	// Upgraded tells whether all nodes know jobs that wait for others.
 	Upgraded func() bool
 	commits  *groupCommit
@@ -76,8 +76,8 @@
 }
 
 // New makes the service and starts its group commit, which runs until ctx ends.
-func New(ctx context.Context, p *settings.Platform, e *election.Elector, store Store, desk Desk, peers Peers, types Types, share float64, log *slog.Logger) *Service {
-	s := &Service{node: p.Node, teams: map[string]settings.Team{}, elector: e, store: store, desk: desk,
+func New(ctx context.Context, p *settings.Platform, e *election.Elector, store Store, dispatcher Dispatcher, peers Peers, types Types, share float64, log *slog.Logger) *Service {
+	s := &Service{node: p.Node, teams: map[string]settings.Team{}, elector: e, store: store, dispatcher: dispatcher,
 		peers: peers, types: types, log: log, Upgraded: func() bool { return false }}
 	for _, t := range p.Facts.Teams {
 		s.teams[t.Name] = t
@@ -213,7 +213,7 @@
 		return s.known(ctx, ref, rec, local)
 	}
 	s.log.Debug("submission recorded", "job", ref, "class", job.Class, "tasks", job.Tasks)
-	s.desk.Tell(dispatch.JobSeen{Ref: ref, Record: rec, Version: created.version})
+	s.dispatcher.JobRecorded(dispatch.JobSeen{Ref: ref, Record: rec, Version: created.version})
 	if cancelled {
 		// From its first moment on: that follows from what is durable.
 		return JSON(http.StatusCreated, wire.Accepted{Ref: ref, Status: wire.Aborted})
@@ -292,18 +292,18 @@
 
 var errNotHere = errors.New("not leading here")
 
-// fromDesk asks this node's dispatcher, if it leads. The answer counts only
+// fromDispatcher asks this node's dispatcher, if it leads. The answer counts only
 // while the term does, and not while the job's end is being written: a leader
 // that is slow to learn of its own write would say "queued" of a job that
 // another node has read as done.
-func (s *Service) fromDesk(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
+func (s *Service) fromDispatcher(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
 	v := s.elector.View()
 	if !v.InTerm(time.Now()) {
 		return wire.JobStatus{}, false, errNotHere
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	st, found, err := s.desk.Status(ctx, ref)
+	st, found, err := s.dispatcher.Status(ctx, ref)
 	if err == nil && !s.elector.InTerm(v.Term) {
 		err = errNotHere
 	}
@@ -313,7 +313,7 @@
 // fromLeader asks the leader about a job, this node or another one. Unless local,
 // what another node can read itself counts as well.
 func (s *Service) fromLeader(ctx context.Context, ref string, local bool) (st wire.JobStatus, ok bool) {
-	if st, found, err := s.fromDesk(ctx, ref); err == nil && found {
+	if st, found, err := s.fromDispatcher(ctx, ref); err == nil && found {
 		return st, true
 	}
 	v := s.elector.View()
@@ -371,7 +371,7 @@
 		}
 		return later(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
 	}
-	st, found, err := s.desk.Cancel(ctx, ref)
+	st, found, err := s.dispatcher.Cancel(ctx, ref)
 	if err == nil && !found {
 		// It may be so new that the leader has not seen it.
 		e, there, _, err := s.store.Get(ctx, state.Read, ledger.JobKey(ref))
@@ -386,8 +386,8 @@
 			s.log.Error("job record can't be read", "job", ref, "error", err)
 			return problem(http.StatusInternalServerError, "the job's record can't be read")
 		}
-		s.desk.Tell(dispatch.JobSeen{Ref: ref, Record: rec, Version: e.Version})
-		st, found, err = s.desk.Cancel(ctx, ref)
+		s.dispatcher.JobRecorded(dispatch.JobSeen{Ref: ref, Record: rec, Version: e.Version})
+		st, found, err = s.dispatcher.Cancel(ctx, ref)
 		if err != nil || !found {
 			return later(http.StatusServiceUnavailable, 1, "the job is not yet known to the leader")
 		}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -93,17 +93,17 @@
 
 func (f *fakePeers) Names() []string { return []string{"n2"} }
 
-type fakeDesk struct{}
+type fakeDispatcher struct{}
 
-func (fakeDesk) Status(context.Context, string) (wire.JobStatus, bool, error) {
+func (fakeDispatcher) Status(context.Context, string) (wire.JobStatus, bool, error) {
 	return wire.JobStatus{}, false, dispatch.ErrNotLeading
 }
 
-func (fakeDesk) Cancel(context.Context, string) (wire.JobStatus, bool, error) {
+func (fakeDispatcher) Cancel(context.Context, string) (wire.JobStatus, bool, error) {
 	return wire.JobStatus{}, false, dispatch.ErrNotLeading
 }
 
-func (fakeDesk) Tell(dispatch.JobSeen) {}
+func (fakeDispatcher) JobRecorded(dispatch.JobSeen) {}
 
 func TestUsersAPI(t *testing.T) {
 	body := func(change ...string) string {
@@ -189,7 +189,7 @@
 				return []wire.MachineType{{Name: "m", CPUs: 8, MemGB: 32, Zones: []string{"a"}}}, !c.untyped
 			}
 			e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, log)
-			s := New(t.Context(), p, e, store, fakeDesk{}, &fakePeers{c.peer}, types, 0.5, log)
+			s := New(t.Context(), p, e, store, fakeDispatcher{}, &fakePeers{c.peer}, types, 0.5, log)
 			s.Upgraded = func() bool { return !c.mixed }
 			router := httprouter.New()
 			s.Routes(router)
@@ -257,7 +257,7 @@
 				if answers {
 					peers.answer = &other
 				}
-				s := New(t.Context(), p, e, &fakeStore{unserved: true}, fakeDesk{}, peers, types, 0.5, log)
+				s := New(t.Context(), p, e, &fakeStore{unserved: true}, fakeDispatcher{}, peers, types, 0.5, log)
 				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 				began := time.Now()
 				a := s.Handle(ctx, k, "job-1", body, false)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -26,7 +26,7 @@
 // ErrDeposed ends a ledger whose term is over.
 var ErrDeposed = errors.New("another term has begun")
 
-// Write is one wish to change a key.
+// Write is one change of a key.
 type Write struct {
 	Key    string
 	Value  any // nil deletes the key
@@ -46,12 +46,12 @@
 // creates a key would find the key as it was before, missing, once it is deleted,
 // and bring it back.
 type Ledger struct {
-	term   uint64
-	store  Store
-	bounds func() Limits // those that hold at the moment
-	limits Limits        // as last asked for
-	log    *slog.Logger
-	wishes chan []Write
+	term     uint64
+	store    Store
+	bounds   func() Limits // those that hold at the moment
+	limits   Limits        // as last asked for
+	log      *slog.Logger
+	incoming chan []Write
 	// retries brings back what the service has rejected.
 	retries chan outcome
 	// Durable tells the tags of writes that are now durable.
@@ -97,7 +97,7 @@
 func New(term uint64, store Store, bounds func() Limits, log *slog.Logger) *Ledger {
 	return &Ledger{
 		term: term, store: store, bounds: bounds, limits: bounds(), log: log,
-		wishes: make(chan []Write, 64), retries: make(chan outcome), Durable: make(chan []any, 64), Rejected: make(chan []any, 64),
+		incoming: make(chan []Write, 64), retries: make(chan outcome), Durable: make(chan []any, 64), Rejected: make(chan []any, 64),
 		versions: map[string]uint64{}, pending: map[string]*pendingWrite{}, singly: map[string]bool{}, resting: map[string]*pendingWrite{},
 	}
 }
@@ -137,7 +137,7 @@
 // Put hands writes to the ledger. It gives up only with ctx.
 func (l *Ledger) Put(ctx context.Context, writes []Write) {
 	select {
-	case l.wishes <- writes:
+	case l.incoming <- writes:
 	case <-ctx.Done():
 	}
 }
@@ -166,7 +166,7 @@
 			committing = l.commitNext(ctx, later, results)
 		}
 		select {
-		case ws := <-l.wishes:
+		case ws := <-l.incoming:
 			if err := l.enqueueAll(ws); err != nil {
 				return err
 			}
@@ -245,7 +245,7 @@
 	}
 }
 
-// back puts a write back unless a later wish has replaced it.
+// back puts a write back unless a later write has replaced it.
 func (l *Ledger) back(key string, old *pendingWrite) {
 	if p := l.pending[key]; p != nil {
 		p.tags = append(old.tags, p.tags...)
@@ -405,7 +405,7 @@
 
 // settle takes the outcome of a transaction and returns the tags of what is
 // durable now, and of what is too large to become so. What is neither goes back
-// unless a later wish has replaced it.
+// unless a later write has replaced it.
 func (l *Ledger) settle(r outcome) (durable, tooLarge []any, err error) {
 	if r.err == nil && r.ok {
 		if r.fenced {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -55,10 +55,10 @@
 	revision uint64
 	keys     map[string]uint64
 	values   map[string]string
-	// fate of the coming transactions, one letter each: c carried out, l lost
+	// outcomes of the coming transactions, one letter each: c carried out, l lost
 	// before, r its answer lost, h held back and carried out by release.
-	fate string
-	held []wire.Txn
+	steps string
+	held  []wire.Txn
 	// turn, unless nil, is held by whoever looks at or changes the rest.
 	turn chan struct{}
 	// rejects is a key that the service finds malformed.
@@ -85,11 +85,11 @@
 
 func (f *fakeStore) Txn(_ context.Context, _ state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error) {
 	defer f.take()()
-	fate := byte('c')
-	if f.fate != "" {
-		fate, f.fate = f.fate[0], f.fate[1:]
+	step := byte('c')
+	if f.steps != "" {
+		step, f.steps = f.steps[0], f.steps[1:]
 	}
-	switch fate {
+	switch step {
 	case 'l':
 		return false, wire.TxnAnswer{}, state.ErrUnknown
 	case 'b':
@@ -106,7 +106,7 @@
 		}
 	}
 	ok, a := f.apply(t)
-	if fate == 'r' {
+	if step == 'r' {
 		return false, wire.TxnAnswer{}, state.ErrUnknown
 	}
 	return ok, a, nil
@@ -135,10 +135,10 @@
 }
 
 func TestWritesThroughLossAndDelay(t *testing.T) {
-	for _, fate := range []string{"c", "lc", "rc", "hc", "lrhc", "hhrlc"} {
-		t.Run(fate, func(t *testing.T) {
+	for _, steps := range []string{"c", "lc", "rc", "hc", "lrhc", "hhrlc"} {
+		t.Run(steps, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &fakeStore{revision: 9, keys: map[string]uint64{election.Key: 5, "job/j": 3}, values: map[string]string{}, fate: fate}
+				f := &fakeStore{revision: 9, keys: map[string]uint64{election.Key: 5, "job/j": 3}, values: map[string]string{}, steps: steps}
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				l := New(5, f, fixed(Limits{Ops: 4, Bytes: 1 << 14}), slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -173,10 +173,10 @@
 // would find it missing, as it was, and bring back hosts or a hire that are long
 // settled.
 func TestLateCopyBringsNothingBack(t *testing.T) {
-	for _, fate := range []string{"hc", "hhc", "hlrc", "rhc"} {
-		t.Run(fate, func(t *testing.T) {
+	for _, steps := range []string{"hc", "hhc", "hlrc", "rhc"} {
+		t.Run(steps, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &fakeStore{revision: 9, keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, fate: fate}
+				f := &fakeStore{revision: 9, keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, steps: steps}
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				l := New(5, f, fixed(Limits{Ops: 4, Bytes: 1 << 14}), slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -206,7 +206,7 @@
 // back to be written in smaller pieces, and holds up nothing else.
 func TestValuesThatAreTooLarge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeStore{keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, fate: "z"}
+		f := &fakeStore{keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, steps: "z"}
 		bounds := make(chan Limits, 1)
 		bounds <- Limits{Ops: 9, Bytes: 1 << 14, Value: 100}
 		l := New(5, f, func() Limits {
@@ -235,7 +235,7 @@
 // TestRejectedWriteHoldsUpNoOther: one of several writes is malformed to the service.
 func TestRejectedWriteHoldsUpNoOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeStore{keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, fate: "b"}
+		f := &fakeStore{keys: map[string]uint64{election.Key: 5}, values: map[string]string{}, steps: "b"}
 		f.rejects = "b"
 		l := New(5, f, fixed(Limits{Ops: 9, Bytes: 1 << 14}), slog.New(slog.NewTextHandler(io.Discard, nil)))
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -28,7 +28,7 @@
 	// AcceptedMS is the time of day of the acceptance.
 	AcceptedMS int64 `json:"accepted_ms"`
 	// Terminal is empty, wire.Done or wire.Aborted. A record is never deleted;
-	// with a fate it shrinks to what queries need.
+	// with a terminal state it shrinks to what queries need.
 	Terminal string `json:"fate,omitempty"`
 	Tasks    int    `json:"tasks,omitempty"`
 	Done     int    `json:"done,omitempty"`
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
+	"leadproxy/internal/fake"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
-	"leadproxy/internal/standin"
 	"leadproxy/internal/wire"
 )
 
@@ -49,7 +49,7 @@
 }
 
 // freeAddrs finds addresses for nodes. They are not on 127.0.0.1, where a
-// connection of the stand-ins could take the port before the node does.
+// connection of the fakes could take the port before the node does.
 func freeAddrs(t testing.TB, n int) []string {
 	var addrs []string
 	for range n {
@@ -64,17 +64,17 @@
 	return addrs
 }
 
-// alone starts one controller that leads, over our own stand-ins.
+// alone starts one controller that leads, over our own fakes.
 func alone(b *testing.B) string {
-	store := standin.NewState(b, outbound.TCP{}, "127.0.0.1:0", nil)
+	store := fake.NewState(b, outbound.TCP{}, "127.0.0.1:0", nil)
 	// The benchmark is the only worker.
-	refuse := func(_ string, r *http.Request) standin.Trouble {
+	refuse := func(_ string, r *http.Request) fake.Trouble {
 		if r.URL.Path == "/machines" && r.Method == http.MethodPost {
-			return standin.Trouble{Fate: standin.Refused}
+			return fake.Trouble{Fault: fake.Refused}
 		}
-		return standin.Trouble{}
+		return fake.Trouble{}
 	}
-	cloud := standin.NewCloud(b, outbound.TCP{}, "127.0.0.1:0", standin.CloudConfig{Trouble: refuse,
+	cloud := fake.NewCloud(b, outbound.TCP{}, "127.0.0.1:0", fake.CloudConfig{Trouble: refuse,
 		Types: []wire.MachineType{{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"}}}})
 	addrs := freeAddrs(b, 2)
 	p := &settings.Platform{Node: "n0", Zone: "a", Listen: addrs[0], Back: addrs[1], Services: settings.Services{State: store.Addr(), Cloud: cloud.Addr()}}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -14,26 +14,26 @@
 	"time"
 
 	"leadproxy/internal/election"
+	"leadproxy/internal/fake"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
-	"leadproxy/internal/standin"
 	"leadproxy/internal/upgrade"
 	"leadproxy/internal/wire"
 )
 
-// cluster is a whole service over stand-ins, on the fake clock and the network in
+// cluster is a whole service over fakes, on the fake clock and the network in
 // memory of one test: minutes of leases and outages take milliseconds. Whatever a
 // test does with it, the checker holds it to the rules.
 type cluster struct {
 	t     *testing.T
-	net   *standin.Net
-	state *standin.State
-	cloud *standin.Cloud
-	check *standin.Checker
+	net   *fake.Net
+	state *fake.State
+	cloud *fake.Cloud
+	check *fake.Checker
 	nodes []*controller
-	users *standin.Users
+	users *fake.Users
 	// What befalls writes to the state service, direct commands, and hires.
-	writes, orders, hires atomic.Pointer[standin.Troubles]
+	writes, orders, hires atomic.Pointer[fake.Troubles]
 	held                  bool           // commands were held up: starts may come late
 	calm                  chan time.Time // holds since when there are no troubles; zero: there are
 }
@@ -64,7 +64,7 @@
 type controller struct {
 	platform *settings.Platform
 	level    int // of capabilities that its version knows
-	host     *standin.Host
+	host     *fake.Host
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -117,13 +117,13 @@
 	}
 	c := &cluster{t: t, calm: make(chan time.Time, 1)}
 	c.calm <- time.Time{}
-	c.net = standin.NewNet(t)
-	c.check = standin.NewChecker(t, standin.Limits{Cancel: cancelLimit, CPUs: p.limits, Waiting: 90 * time.Second, Silent: 75 * time.Second})
-	c.state = standin.NewState(t, c.net.Host("state"), "state:1", only("/txn", &c.writes))
+	c.net = fake.NewNet(t)
+	c.check = fake.NewChecker(t, fake.Limits{Cancel: cancelLimit, CPUs: p.limits, Waiting: 90 * time.Second, Silent: 75 * time.Second})
+	c.state = fake.NewState(t, c.net.Host("state"), "state:1", only("/txn", &c.writes))
 	for key, value := range p.ledger {
 		c.state.Put(key, value)
 	}
-	var workers []standin.Node
+	var workers []fake.Node
 	zones := []string{"a", "b", "c"}
 	for i, zone := range zones { // a node in each
 		f := settings.Facts{Nodes: len(zones), Zones: zones, ClockErrorMS: 5,
@@ -141,7 +141,7 @@
 		}
 		c.nodes = append(c.nodes, &controller{level: level, platform: &settings.Platform{Node: name, Zone: zone,
 			Listen: name + ":80", Back: name + ":81", Facts: f, Services: settings.Services{State: "state:1", Cloud: "cloud:1"}}})
-		workers = append(workers, standin.Node{Name: name, Addr: name + ":80"})
+		workers = append(workers, fake.Node{Name: name, Addr: name + ":80"})
 	}
 	for i, n := range c.nodes {
 		for k, o := range c.nodes {
@@ -154,11 +154,11 @@
 	for _, n := range c.nodes {
 		addresses = append(addresses, n.platform.Listen)
 	}
-	c.users = standin.NewUsers(t, c.net.Host("users"), addresses, c.check, p.seed)
-	c.cloud = standin.NewCloud(t, c.net.Host("cloud"), "cloud:1", standin.CloudConfig{
+	c.users = fake.NewUsers(t, c.net.Host("users"), addresses, c.check, p.seed)
+	c.cloud = fake.NewCloud(t, c.net.Host("cloud"), "cloud:1", fake.CloudConfig{
 		Types: []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: zones}},
 		Boot:  p.boot, ListLag: 2 * time.Second, Most: p.machines,
-		Worker: standin.WorkerConfig{Nodes: workers, Report: reportEvery, Lease: workerLease, Fetch: 500 * time.Millisecond,
+		Worker: fake.WorkerConfig{Nodes: workers, Report: reportEvery, Lease: workerLease, Fetch: 500 * time.Millisecond,
 			Run: p.run, Check: c.check, Trouble: only("/commands", &c.orders)},
 		Trouble: only("/machines", &c.hires),
 		Host:    func(name string) (outbound.Network, string) { return c.net.Host(name), name + ":9000" },
@@ -176,22 +176,22 @@
 }
 
 // only lets a trouble that may be set befall the requests of one path.
-func only(path string, trouble *atomic.Pointer[standin.Troubles]) standin.Troubles {
-	return func(from string, r *http.Request) standin.Trouble {
+func only(path string, trouble *atomic.Pointer[fake.Troubles]) fake.Troubles {
+	return func(from string, r *http.Request) fake.Trouble {
 		if f := trouble.Load(); f != nil && r.URL.Path == path && r.Method == http.MethodPost {
 			return (*f)(from, r)
 		}
-		return standin.Trouble{}
+		return fake.Trouble{}
 	}
 }
 
 // share has a share of the requests befallen by a trouble that lasts up to most.
-func (c *cluster) share(share float64, fate standin.Fate, least, most time.Duration) *standin.Troubles {
-	f := standin.Troubles(func(string, *http.Request) standin.Trouble {
+func (c *cluster) share(share float64, fault fake.Fault, least, most time.Duration) *fake.Troubles {
+	f := fake.Troubles(func(string, *http.Request) fake.Trouble {
 		if c.users.Random() >= share {
-			return standin.Trouble{}
+			return fake.Trouble{}
 		}
-		return standin.Trouble{Fate: fate, For: least + time.Duration(c.users.Random()*float64(most-least))}
+		return fake.Trouble{Fault: fault, For: least + time.Duration(c.users.Random()*float64(most-least))}
 	})
 	return &f
 }
@@ -205,7 +205,7 @@
 	if os.Getenv("CLUSTER_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", n.platform.Node)
 	}
-	go func(host *standin.Host, level int, done chan struct{}) {
+	go func(host *fake.Host, level int, done chan struct{}) {
 		defer close(done)
 		if err := runAtLevel(ctx, level, host, n.platform, settings.Defaults(), log); err != nil && !host.IsDown() {
 			c.t.Errorf("%s ended: %v", n.platform.Node, err)
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"leadproxy/internal/election"
+	"leadproxy/internal/fake"
 	"leadproxy/internal/settings"
-	"leadproxy/internal/standin"
 	"leadproxy/internal/wire"
 )
 
@@ -22,7 +22,7 @@
 // stream submits n jobs, one each interval, and returns them.
 func (c *cluster) stream(first, n int, every time.Duration, change func(k int, j *wire.Job)) (jobs []*wire.Job) {
 	for k := range n {
-		j := standin.NewJob(fmt.Sprintf("job-%06d", first+k), 3, nil)
+		j := fake.NewJob(fmt.Sprintf("job-%06d", first+k), 3, nil)
 		if change != nil {
 			change(k, j)
 		}
@@ -57,8 +57,8 @@
 }
 
 // away are the ways in which a machine can't be reached.
-var away = map[string]func(w *standin.Worker, on bool){
-	"hang": (*standin.Worker).Hang, "deaf": (*standin.Worker).Deaf, "mute": (*standin.Worker).Mute,
+var away = map[string]func(w *fake.Worker, on bool){
+	"hang": (*fake.Worker).Hang, "deaf": (*fake.Worker).CutInbound, "mute": (*fake.Worker).CutOutbound,
 }
 
 // half is every other one.
@@ -86,8 +86,8 @@
 	return least + time.Duration(r.Int64N(int64(most-least)))
 }
 
-// TestQuietMeeting: without troubles all is served, and what can't be is refused.
-func TestQuietMeeting(t *testing.T) {
+// TestNoFailures: without troubles all is served, and what can't be is refused.
+func TestNoFailures(t *testing.T) {
 	inCluster(t, plan{}, func(c *cluster) {
 		c.stream(0, 6, time.Second, nil)
 		c.users.SendInvalid()
@@ -100,11 +100,11 @@
 	})
 }
 
-// TestGapMeeting: the state service refuses the leader alone, cancellations are
+// TestCancelThenOutage: the state service refuses the leader alone, cancellations are
 // confirmed through another node, and then the service is out for all for longer
 // than cancel_s, while workers keep reporting. Whoever goes on renewing leases
 // must know of the confirmations.
-func TestGapMeeting(t *testing.T) {
+func TestCancelThenOutage(t *testing.T) {
 	for _, gap := range []time.Duration{0, 200 * time.Millisecond, time.Second, 2 * time.Second, 2500 * time.Millisecond, 2800 * time.Millisecond,
 		2900 * time.Millisecond, 3 * time.Second, 3100 * time.Millisecond, 3300 * time.Millisecond, 3600 * time.Millisecond, 4 * time.Second, 5 * time.Second, 6 * time.Second} {
 		for _, then := range []string{"", "kill", "cut", "hang", "lost"} {
@@ -115,7 +115,7 @@
 					lead := c.leader()
 					c.state.Refuse(c.name(lead), true)
 					if then == "lost" {
-						c.writes.Store(c.share(1, standin.Unheard, 0, 0))
+						c.writes.Store(c.share(1, fake.AnswerLost, 0, 0))
 					}
 					// Users call off half the jobs, again and again, while the leader is
 					// refused alone.
@@ -153,12 +153,12 @@
 	}
 }
 
-// TestSlowGapMeeting: the state service refuses the leader alone and is so slow with
+// TestCancelThenOutageWithSlowState: the state service refuses the leader alone and is so slow with
 // the others that they promise not to act, since they can't tell that from an
 // outage; then one of them wins the election, and users cancel through it, while
 // half of the workers reach the former leader only. Either it stops answering them,
 // or nobody else confirms. And it must not take long until somebody does.
-func TestSlowGapMeeting(t *testing.T) {
+func TestCancelThenOutageWithSlowState(t *testing.T) {
 	for _, slow := range []time.Duration{250 * time.Millisecond, 350 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
 		t.Run(fmt.Sprint(slow), func(t *testing.T) {
 			inCluster(t, plan{run: long(100 * time.Second)}, func(c *cluster) {
@@ -197,25 +197,25 @@
 	}
 }
 
-// TestConfirmationReadMeeting: a cancellation is written by the leader, but only
+// TestCancelConfirmedByRecord: a cancellation is written by the leader, but only
 // that answer is lost; other nodes read it and tell users. Then the service is out
 // for all, and the leader goes on with the promises of all, for longer than
 // cancel_s, without ever learning that its write was carried out.
-func TestConfirmationReadMeeting(t *testing.T) {
+func TestCancelConfirmedByRecord(t *testing.T) {
 	inCluster(t, plan{run: long(100 * time.Second)}, func(c *cluster) {
 		jobs := c.stream(0, 8, 300*time.Millisecond, nil)
 		c.running(10)
 		for k, j := range half(jobs) {
 			before := j.Ref
 			for i := range 2 { // one that needs it, and one that needs that
-				child := standin.NewJob(fmt.Sprintf("job-%06d", 200+100*i+k), 1, func(j *wire.Job) { j.WaitsOn = []string{before} })
+				child := fake.NewJob(fmt.Sprintf("job-%06d", 200+100*i+k), 1, func(j *wire.Job) { j.WaitsOn = []string{before} })
 				if c.users.Accept(child) {
 					c.users.Poll(child)
 				}
 				before = child.Ref
 			}
 		}
-		c.writes.Store(c.share(1, standin.Unheard, 0, 0))
+		c.writes.Store(c.share(1, fake.AnswerLost, 0, 0))
 		for _, j := range half(jobs) {
 			c.users.Cancel(j)
 		}
@@ -231,9 +231,9 @@
 	})
 }
 
-// TestHandOverMeeting: controllers hand over and back, all end, and one returns,
+// TestLeaderHandover: controllers hand over and back, all end, and one returns,
 // also within a second.
-func TestHandOverMeeting(t *testing.T) {
+func TestLeaderHandover(t *testing.T) {
 	eachSeed(t, plan{run: long(40 * time.Second)}, func(c *cluster, r *rand.Rand) {
 		c.stream(0, 10, 300*time.Millisecond, nil)
 		for range 3 {
@@ -252,10 +252,10 @@
 	})
 }
 
-// TestOldReportsMeeting: an old report reaches every controller just as a new
+// TestDelayedReports: an old report reaches every controller just as a new
 // leader begins, or after newer ones, also of an earlier session or attempt, or is
 // held back until a new leader has acted.
-func TestOldReportsMeeting(t *testing.T) {
+func TestDelayedReports(t *testing.T) {
 	for name, when := range map[string]func(c *cluster, deliver func()){
 		"as the leader begins": func(c *cluster, deliver func()) {
 			c.kill(c.leader())
@@ -295,14 +295,14 @@
 		},
 		"all the time": func(c *cluster, deliver func()) {
 			for _, w := range c.cloud.Workers() {
-				w.Copies(func() time.Duration { return 2*time.Second + time.Duration(c.users.Random()*float64(40*time.Second)) })
+				w.DuplicateReports(func() time.Duration { return 2*time.Second + time.Duration(c.users.Random()*float64(40*time.Second)) })
 			}
 			time.Sleep(20 * time.Second)
 			c.kill(c.leader())
 			time.Sleep(20 * time.Second)
 			deliver()
 			for _, w := range c.cloud.Workers() {
-				w.Copies(nil)
+				w.DuplicateReports(nil)
 			}
 		},
 	} {
@@ -312,13 +312,13 @@
 				c.running(15)
 				workers := c.cloud.Workers()
 				for _, w := range workers {
-					w.Keep()
+					w.SaveReport()
 				}
 				time.Sleep(10 * time.Second)
 				c.users.Cancel(jobs[0])
 				when(c, func() {
 					for _, w := range workers {
-						w.Deliver()
+						w.ReplayReport()
 					}
 				})
 				c.stream(100, 4, 300*time.Millisecond, nil)
@@ -329,17 +329,17 @@
 	}
 }
 
-// TestReportFromBeforeMeeting: a report from before a machine had its tasks reaches
+// TestReportFromEarlierTerm: a report from before a machine had its tasks reaches
 // the new leader again and again, while the machine hangs within its lease. What it
 // lacks is not over.
-func TestReportFromBeforeMeeting(t *testing.T) {
+func TestReportFromEarlierTerm(t *testing.T) {
 	inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
 		c.stream(0, 1, time.Second, func(_ int, j *wire.Job) { j.Tasks = 20 })
 		c.running(20)
 		c.await("the first job's end", 2*time.Minute, func() bool { _, done := c.check.On("job-000000"); return done == 20 })
 		workers := c.cloud.Workers()
 		for _, w := range workers {
-			w.Keep()
+			w.SaveReport()
 		}
 		c.stream(10, 8, 200*time.Millisecond, func(k int, j *wire.Job) { j.Ref = fmt.Sprintf("job-%06d", 10+2*k) })
 		c.running(20)
@@ -352,7 +352,7 @@
 		c.kill(lead)
 		for range 100 {
 			for _, w := range workers {
-				w.Deliver()
+				w.ReplayReport()
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -363,11 +363,11 @@
 	})
 }
 
-// TestLostAnswersMeeting: a transaction is carried out at once and only its answer
+// TestLostTransactionAnswers: a transaction is carried out at once and only its answer
 // is lost, while other nodes read what it wrote.
-func TestLostAnswersMeeting(t *testing.T) {
+func TestLostTransactionAnswers(t *testing.T) {
 	eachSeed(t, plan{run: long(20 * time.Second)}, func(c *cluster, _ *rand.Rand) {
-		c.writes.Store(c.share(0.3, standin.Unheard, 0, 0))
+		c.writes.Store(c.share(0.3, fake.AnswerLost, 0, 0))
 		jobs := c.stream(0, 20, 400*time.Millisecond, nil)
 		for _, j := range half(jobs) {
 			c.users.Cancel(j)
@@ -380,15 +380,15 @@
 	})
 }
 
-// TestLateWritesMeeting: a transaction without an answer is carried out 2 to 12 s
+// TestDelayedTransactions: a transaction without an answer is carried out 2 to 12 s
 // later, after newer ones of the same controller; a note of silent machines and
 // its withdrawal among them.
-func TestLateWritesMeeting(t *testing.T) {
+func TestDelayedTransactions(t *testing.T) {
 	eachSeed(t, plan{run: long(20 * time.Second)}, func(c *cluster, _ *rand.Rand) {
-		c.writes.Store(c.share(0.25, standin.Held, 2*time.Second, 12*time.Second))
+		c.writes.Store(c.share(0.25, fake.Delayed, 2*time.Second, 12*time.Second))
 		jobs := c.stream(0, 20, 400*time.Millisecond, nil)
 		for _, w := range half(c.cloud.Workers()) {
-			w.Mute(true)
+			w.CutOutbound(true)
 		}
 		for _, j := range half(jobs) {
 			c.users.Cancel(j)
@@ -396,7 +396,7 @@
 		}
 		time.Sleep(9 * time.Second)
 		for _, w := range c.cloud.Workers() {
-			w.Mute(false)
+			w.CutOutbound(false)
 		}
 		c.restart(c.leader(), 500*time.Millisecond)
 		c.stream(100, 10, 400*time.Millisecond, nil)
@@ -405,8 +405,8 @@
 	})
 }
 
-// TestAllAwayMeeting: all controllers are away for longer than the workers' lease.
-func TestAllAwayMeeting(t *testing.T) {
+// TestAllControllersDown: all controllers are away for longer than the workers' lease.
+func TestAllControllersDown(t *testing.T) {
 	for _, away := range []time.Duration{workerLease - time.Second, workerLease + time.Second, 2 * workerLease} {
 		t.Run(fmt.Sprint(away), func(t *testing.T) {
 			inCluster(t, plan{run: long(50 * time.Second)}, func(c *cluster) {
@@ -426,14 +426,14 @@
 	}
 }
 
-// TestNewMachinesMeeting: new machines are up within two seconds and get work at
+// TestFastBootsDuringTakeover: new machines are up within two seconds and get work at
 // once, while writes lag, and the leader ends: what is said of the hire and of the
 // hosts may have no answer yet.
-func TestNewMachinesMeeting(t *testing.T) {
+func TestFastBootsDuringTakeover(t *testing.T) {
 	eachSeed(t, plan{boot: time.Second, run: long(30 * time.Second)}, func(c *cluster, r *rand.Rand) {
 		c.state.Slow(700 * time.Millisecond)
-		c.writes.Store(c.share(0.3, standin.Held, 2*time.Second, 8*time.Second))
-		c.hires.Store(c.share(0.3, standin.Unheard, 0, 0))
+		c.writes.Store(c.share(0.3, fake.Delayed, 2*time.Second, 8*time.Second))
+		c.hires.Store(c.share(0.3, fake.AnswerLost, 0, 0))
 		c.stream(0, 8, 200*time.Millisecond, func(_ int, j *wire.Job) { j.Tasks = 6 })
 		for range 3 {
 			time.Sleep(some(r, time.Second, 6*time.Second))
@@ -448,14 +448,14 @@
 	})
 }
 
-// TestHeldCommandsMeeting: a command or its answer is held up for seconds, and the
+// TestDelayedCommands: a command or its answer is held up for seconds, and the
 // machine then goes on; jobs are cancelled and the leader changes meanwhile.
-func TestHeldCommandsMeeting(t *testing.T) {
-	for _, fate := range []standin.Fate{standin.Held, standin.Unheard, standin.Lost, standin.Repeated} {
-		t.Run(fmt.Sprint(fate), func(t *testing.T) {
+func TestDelayedCommands(t *testing.T) {
+	for _, fault := range []fake.Fault{fake.Delayed, fake.AnswerLost, fake.RequestLost, fake.Duplicated} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
 			inCluster(t, plan{run: long(30 * time.Second)}, func(c *cluster) {
 				c.held = true
-				c.orders.Store(c.share(0.5, fate, 2*time.Second, 15*time.Second))
+				c.orders.Store(c.share(0.5, fault, 2*time.Second, 15*time.Second))
 				jobs := c.stream(0, 12, 300*time.Millisecond, nil)
 				time.Sleep(3 * time.Second)
 				for _, w := range half(c.cloud.Workers()) {
@@ -477,13 +477,13 @@
 	}
 }
 
-// TestLastTaskMeeting: a cancellation, a question or a repeated submission meets
+// TestCancelAtLastTask: a cancellation, a question or a repeated submission meets
 // the end of a job's last task, with no other trouble.
-func TestLastTaskMeeting(t *testing.T) {
+func TestCancelAtLastTask(t *testing.T) {
 	eachSeed(t, plan{run: func(string) time.Duration { return 4 * time.Second }}, func(c *cluster, r *rand.Rand) {
 		c.stream(0, 1, 20*time.Second, nil) // machines are up then
 		for k := range 30 {
-			j := standin.NewJob(fmt.Sprintf("job-%06d", 10+k), 1, nil)
+			j := fake.NewJob(fmt.Sprintf("job-%06d", 10+k), 1, nil)
 			c.users.Submit(j)
 			done := func() bool { _, n := c.check.On(j.Ref); return n == 1 }
 			for end := time.Now().Add(30 * time.Second); !done() && time.Now().Before(end); {
@@ -496,12 +496,12 @@
 	})
 }
 
-// TestManySmallMeeting: one-task jobs come four a second for minutes, a quarter of
+// TestManySmallJobs: one-task jobs come four a second for minutes, a quarter of
 // them cancelled, which wants more writes than a small state service takes.
-func TestManySmallMeeting(t *testing.T) {
+func TestManySmallJobs(t *testing.T) {
 	inCluster(t, plan{writes: 30, run: func(string) time.Duration { return 5 * time.Second }}, func(c *cluster) {
 		for k := range 480 {
-			j := standin.NewJob(fmt.Sprintf("job-%06d", k), 1, nil)
+			j := fake.NewJob(fmt.Sprintf("job-%06d", k), 1, nil)
 			c.users.Submit(j)
 			if k%4 == 0 {
 				c.users.Go(func() {
@@ -518,12 +518,12 @@
 	})
 }
 
-// TestNoRoomMeeting: there is more work than room, urgent and not, over slow links.
-func TestNoRoomMeeting(t *testing.T) {
+// TestOverload: there is more work than room, urgent and not, over slow links.
+func TestOverload(t *testing.T) {
 	inCluster(t, plan{machines: 4, run: long(25 * time.Second)}, func(c *cluster) {
 		c.state.Slow(300 * time.Millisecond)
 		c.held = true
-		c.orders.Store(c.share(0.2, standin.Unheard, 0, 0))
+		c.orders.Store(c.share(0.2, fake.AnswerLost, 0, 0))
 		jobs := c.stream(0, 24, 300*time.Millisecond, func(k int, j *wire.Job) {
 			j.Tasks, j.CPUs = 8, 2
 			j.Priority = []string{"idle", "standard", "high", "critical"}[k%4]
@@ -538,9 +538,9 @@
 	})
 }
 
-// TestSlowStateMeeting: the state service answers slowly, or refuses the leader
+// TestSlowState: the state service answers slowly, or refuses the leader
 // alone and then everybody for longer than cancel_s, while users cancel and ask.
-func TestSlowStateMeeting(t *testing.T) {
+func TestSlowState(t *testing.T) {
 	for _, slow := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 1600 * time.Millisecond} {
 		t.Run(fmt.Sprint(slow), func(t *testing.T) {
 			inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
@@ -575,10 +575,10 @@
 	}
 }
 
-// TestLimitMeeting: teams are at their limit while jobs are cancelled whose
+// TestTeamLimitDuringTakeover: teams are at their limit while jobs are cancelled whose
 // machines are cut off, hang or can't be asked, and the leader changes: what frees
 // room in the limit must surely be gone.
-func TestLimitMeeting(t *testing.T) {
+func TestTeamLimitDuringTakeover(t *testing.T) {
 	for name, away := range away {
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, plan{limits: map[string]float64{"tight": 12, "open": 24}, run: long(60 * time.Second)}, func(c *cluster) {
@@ -609,10 +609,10 @@
 	}
 }
 
-// TestUnreachableMeeting: a leader ends while machines with long tasks can't be
+// TestUnreachableMachines: a leader ends while machines with long tasks can't be
 // reached, or don't hear the new leader's answer; or workers reach no controller
 // while direct commands still reach them.
-func TestUnreachableMeeting(t *testing.T) {
+func TestUnreachableMachines(t *testing.T) {
 	for _, lasts := range []time.Duration{6 * time.Second, workerLease - 2*time.Second, workerLease + 5*time.Second} {
 		for name, away := range away {
 			t.Run(fmt.Sprint(name, lasts), func(t *testing.T) {
@@ -636,10 +636,10 @@
 	}
 }
 
-// TestMuteMeeting: workers can't open connections to any controller, while direct
+// TestOutboundCutMachines: workers can't open connections to any controller, while direct
 // commands still reach them, for less and for longer than their lease; jobs are
 // cancelled meanwhile.
-func TestMuteMeeting(t *testing.T) {
+func TestOutboundCutMachines(t *testing.T) {
 	for _, lasts := range []time.Duration{8 * time.Second, workerLease + 4*time.Second, cancelLimit + 10*time.Second} {
 		t.Run(fmt.Sprint(lasts), func(t *testing.T) {
 			inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
@@ -647,7 +647,7 @@
 				c.running(20)
 				workers := c.cloud.Workers()
 				for _, w := range workers {
-					w.Mute(true)
+					w.CutOutbound(true)
 				}
 				time.Sleep(2 * time.Second)
 				for _, j := range half(jobs) {
@@ -655,23 +655,23 @@
 				}
 				time.Sleep(lasts)
 				for _, w := range workers {
-					w.Mute(false)
+					w.CutOutbound(false)
 				}
 			})
 		})
 	}
 }
 
-// TestRebootMeeting: machines end and are back within a fraction of a second, their
+// TestMachineReboots: machines end and are back within a fraction of a second, their
 // workers counting from the beginning, while old reports arrive and the leader ends.
 // Commands are not held up here: a worker that has forgotten the tokens it saw
 // carries out whatever comes, however old, and no controller can help that.
-func TestRebootMeeting(t *testing.T) {
+func TestMachineReboots(t *testing.T) {
 	eachSeed(t, plan{run: long(30 * time.Second)}, func(c *cluster, r *rand.Rand) {
 		jobs := c.stream(0, 12, 300*time.Millisecond, nil)
 		c.running(15)
 		for _, w := range c.cloud.Workers() {
-			w.Keep()
+			w.SaveReport()
 		}
 		for k := range 6 {
 			workers := c.cloud.Workers()
@@ -681,7 +681,7 @@
 			c.users.Cancel(jobs[2*k])
 			time.Sleep(some(r, 100*time.Millisecond, 5*time.Second))
 			for _, w := range workers {
-				w.Deliver()
+				w.ReplayReport()
 			}
 			if k%2 == 0 {
 				c.restart(c.leader(), some(r, 100*time.Millisecond, time.Second))
@@ -691,16 +691,16 @@
 	})
 }
 
-// TestCancelAtOnceMeeting: users cancel a job in the moment in which it is accepted,
+// TestCancelAtOnce: users cancel a job in the moment in which it is accepted,
 // through other nodes, and ask and repeat everywhere.
-func TestCancelAtOnceMeeting(t *testing.T) {
+func TestCancelAtOnce(t *testing.T) {
 	eachSeed(t, plan{}, func(c *cluster, r *rand.Rand) {
 		for k := range 30 {
-			j := standin.NewJob(fmt.Sprintf("job-%06d", k), 2, nil)
+			j := fake.NewJob(fmt.Sprintf("job-%06d", k), 2, nil)
 			c.users.Submit(j)
 			time.Sleep(some(r, 0, 12*time.Millisecond))
 			for i := range c.nodes {
-				c.users.Go(func() { c.users.Call(i, standin.AskedCancel, j.Ref, nil) })
+				c.users.Go(func() { c.users.Call(i, fake.AskedCancel, j.Ref, nil) })
 			}
 			c.users.Look(j.Ref, j)
 			c.users.Cancel(j)
@@ -713,9 +713,9 @@
 	})
 }
 
-// TestChangeOfHandsMeeting: jobs are cancelled in the seconds in which one
+// TestCancelDuringHandover: jobs are cancelled in the seconds in which one
 // controller's work changes hands.
-func TestChangeOfHandsMeeting(t *testing.T) {
+func TestCancelDuringHandover(t *testing.T) {
 	eachSeed(t, plan{run: long(60 * time.Second)}, func(c *cluster, r *rand.Rand) {
 		jobs := c.stream(0, 16, 200*time.Millisecond, nil)
 		c.running(20)
@@ -736,9 +736,9 @@
 	})
 }
 
-// TestBoundToZonesMeeting: jobs bound to one zone, arrays that have to stay
+// TestZoneBoundJobs: jobs bound to one zone, arrays that have to stay
 // together or be spread too, lose machines.
-func TestBoundToZonesMeeting(t *testing.T) {
+func TestZoneBoundJobs(t *testing.T) {
 	eachSeed(t, plan{run: long(30 * time.Second)}, func(c *cluster, r *rand.Rand) {
 		zone := "b"
 		c.stream(0, 12, 300*time.Millisecond, func(k int, j *wire.Job) {
@@ -768,9 +768,9 @@
 	})
 }
 
-// TestTenLeadersMeeting: leaders change ten times in two minutes, also inside an
+// TestTenLeaders: leaders change ten times in two minutes, also inside an
 // outage.
-func TestTenLeadersMeeting(t *testing.T) {
+func TestTenLeaders(t *testing.T) {
 	eachSeed(t, plan{run: long(50 * time.Second)}, func(c *cluster, r *rand.Rand) {
 		jobs := c.stream(0, 10, 200*time.Millisecond, nil)
 		for k := range 10 {
@@ -792,10 +792,10 @@
 	})
 }
 
-// TestCutLeaderMeeting: a leader is cut from the state service and from the other
+// TestIsolatedLeader: a leader is cut from the state service and from the other
 // controllers while workers and users still reach it, and jobs are cancelled
 // through the new one.
-func TestCutLeaderMeeting(t *testing.T) {
+func TestIsolatedLeader(t *testing.T) {
 	for _, hold := range []bool{false, true} {
 		for _, lasts := range []time.Duration{5 * time.Second, workerLease + 3*time.Second, cancelLimit + 15*time.Second} {
 			t.Run(fmt.Sprint(hold, lasts), func(t *testing.T) {
@@ -818,9 +818,9 @@
 	}
 }
 
-// TestFarApartMeeting: the tasks of jobs of two or three end far apart, across a
+// TestTasksEndFarApart: the tasks of jobs of two or three end far apart, across a
 // change of leader.
-func TestFarApartMeeting(t *testing.T) {
+func TestTasksEndFarApart(t *testing.T) {
 	eachSeed(t, plan{machines: 2, run: long(40 * time.Second)}, func(c *cluster, r *rand.Rand) {
 		// Too little room for all of a job at once.
 		c.stream(0, 5, 200*time.Millisecond, func(k int, j *wire.Job) { j.Tasks, j.CPUs = 2+k%2, 5 })
@@ -829,9 +829,9 @@
 	})
 }
 
-// TestZoneCutMeeting: a zone with workers and a controller is cut off for longer
+// TestZonePartition: a zone with workers and a controller is cut off for longer
 // than the workers' lease; the controller there leads, or does not.
-func TestZoneCutMeeting(t *testing.T) {
+func TestZonePartition(t *testing.T) {
 	for _, leads := range []bool{true, false} {
 		for _, hold := range []bool{true, false} {
 			t.Run(fmt.Sprint(leads, hold), func(t *testing.T) {
@@ -873,10 +873,10 @@
 	}
 }
 
-// TestLimitsFallMeeting: the state service takes smaller values, smaller transactions
+// TestStateLimitsFall: the state service takes smaller values, smaller transactions
 // and fewer writes from some moment on, without notice: in the middle of work, as a
 // leader ends, at the end of an outage, or before all nodes are known to be upgraded.
-func TestLimitsFallMeeting(t *testing.T) {
+func TestStateLimitsFall(t *testing.T) {
 	low := settings.StateLimits{RPS: 200, WriteRPS: 40, ValueKB: 1, TxnOps: 5}
 	for name, when := range map[string]func(c *cluster, fall func()){
 		"in the middle": func(_ *cluster, fall func()) { fall() },
@@ -953,23 +953,23 @@
 	}
 	inCluster(t, plan{ledger: ledger}, func(c *cluster) {
 		for _, ref := range []string{"job-800001", "job-800002", "job-800003"} {
-			c.check.Submits(standin.NewJob(ref, 5, nil), true)
+			c.check.Submits(fake.NewJob(ref, 5, nil), true)
 		}
 		for _, task := range []string{"1/0", "1/1", "1/4", "3/0", "3/1", "3/2", "3/3", "3/4"} {
 			c.check.Ends("job-80000"+task, "vm-900001", true)
 		}
 		c.check.Cancels("job-800002")
-		c.users.Call(0, standin.AskedStatus, "job-800001", nil)
+		c.users.Call(0, fake.AskedStatus, "job-800001", nil)
 		for ref, want := range map[string]string{"job-800002": wire.Aborted, "job-800003": wire.Done} {
-			if _, status := c.users.Until(standin.AskedStatus, ref, nil); status != want {
+			if _, status := c.users.Until(fake.AskedStatus, ref, nil); status != want {
 				t.Errorf("%s is %s, want %s", ref, status, want)
 			}
 		}
 		time.Sleep(5 * time.Second) // all nodes know of one another
-		c.users.Submit(standin.NewJob("job-800004", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800001", "job-800003"} }))
-		c.users.Submit(standin.NewJob("job-800005", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800002"} }))
+		c.users.Submit(fake.NewJob("job-800004", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800001", "job-800003"} }))
+		c.users.Submit(fake.NewJob("job-800005", 1, func(j *wire.Job) { j.WaitsOn = []string{"job-800002"} }))
 		c.await("the open job done", time.Minute, func() bool {
-			_, status := c.users.Call(1, standin.AskedStatus, "job-800001", nil)
+			_, status := c.users.Call(1, fake.AskedStatus, "job-800001", nil)
 			return status == wire.Done
 		})
 		if _, done := c.check.On("job-800001"); done != 5 {
@@ -982,27 +982,27 @@
 // ends the leader in the middle, then all nodes, and has every task run to its
 // end.
 func TestJobsSurviveTheirLeader(t *testing.T) {
-	every := func(pattern ...standin.Fate) *standin.Troubles {
+	every := func(pattern ...fake.Fault) *fake.Troubles {
 		n := make(chan int, 1)
 		n <- 0
-		f := standin.Troubles(func(string, *http.Request) standin.Trouble {
+		f := fake.Troubles(func(string, *http.Request) fake.Trouble {
 			k := <-n
 			n <- k + 1
-			return standin.Trouble{Fate: pattern[k%len(pattern)], For: 3 * time.Second}
+			return fake.Trouble{Fault: pattern[k%len(pattern)], For: 3 * time.Second}
 		})
 		return &f
 	}
-	const ok = standin.Fine
+	const ok = fake.NoFault
 	inCluster(t, plan{run: func(task string) time.Duration {
 		if strings.HasPrefix(task, "job-000003/") {
 			return time.Hour
 		}
 		return 700 * time.Millisecond
 	}}, func(c *cluster) {
-		c.writes.Store(every(ok, ok, ok, standin.Unheard, ok, ok, standin.Repeated, ok, ok, standin.Held, ok, ok, standin.Refused))
+		c.writes.Store(every(ok, ok, ok, fake.AnswerLost, ok, ok, fake.Duplicated, ok, ok, fake.Delayed, ok, ok, fake.Refused))
 		c.held = true
-		c.orders.Store(every(ok, ok, standin.Unheard, ok, standin.Lost, ok, ok, standin.Held, standin.Repeated))
-		c.hires.Store(every(ok, ok, standin.Unheard, ok, ok, ok, standin.Refused))
+		c.orders.Store(every(ok, ok, fake.AnswerLost, ok, fake.RequestLost, ok, ok, fake.Delayed, fake.Duplicated))
+		c.hires.Store(every(ok, ok, fake.AnswerLost, ok, ok, ok, fake.Refused))
 		jobs := c.stream(1, 3, 0, func(_ int, j *wire.Job) { j.Tasks = 30 })
 		c.await("some tasks done", 30*time.Second, func() bool { _, done := c.check.On(""); return done > 10 })
 		lead := c.leader()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,37 +57,37 @@
 	store := state.New(ctx, n, p.Services.State, f.State, rate, log)
 	elector := election.New(p.Node, op, store, log)
 	socketUse := &socketUse{crowded: int64(share.crowded), roomy: int64(share.roomy)}
-	lines := dispatch.Lines{AtOnce: share.orders, Kept: share.kept, Few: share.few, Crowded: socketUse.Crowded}
-	desk := dispatch.NewDesk(n, p, op, elector, store, lines, log)
-	socketUse.makeRoom = desk.HangUp
+	lines := dispatch.ConnLimits{AtOnce: share.orders, Kept: share.kept, Few: share.few, Crowded: socketUse.Crowded}
+	dispatcher := dispatch.NewDispatcher(n, p, op, elector, store, lines, log)
+	socketUse.makeRoom = dispatcher.HangUp
 	others, err := peers.Dial(ctx, n, p.Node, p.Peers)
 	if err != nil {
 		return err
 	}
 	elector.Others = others
 	versions := upgrade.New(p.Node, level, others.Names(), store, log)
-	desk.Upgraded = versions.Done
+	dispatcher.Upgraded = versions.Done
 	go versions.Run(ctx)
 	types := watchTypes(ctx, fleet.NewClient(n, p.Services.Cloud, f.Cloud.RPS), log)
-	in := intake.New(ctx, p, elector, store, desk, others, types, rate, log)
+	in := intake.New(ctx, p, elector, store, dispatcher, others, types, rate, log)
 	in.Upgraded = versions.Done
 
 	router := httprouter.New()
 	fit := &health{serving: store.Serving, peers: others, log: log}
 	in.Healthy = fit.OK
 	in.Routes(router)
-	gate := newGate(ctx, p.Node, elector, desk, others, socketUse, log)
-	go gate.greet(ctx)
-	router.POST("/v1/report", gate.serve)
+	reports := newReportHandler(ctx, p.Node, elector, dispatcher, others, socketUse, log)
+	go reports.keepConnected(ctx)
+	router.POST("/v1/report", reports.serve)
 
 	log.Info("serving", "node", p.Node, "zone", p.Zone, "public", p.Listen, "back", p.Back, "others", len(p.Peers))
 	go elector.Run(ctx)
 	go fit.run(ctx)
-	view := &outlook{elector: elector, heard: gate.heard, shared: gate.carried, up: desk.Machines, unanswered: desk.Unanswered, report: settings.Seconds(f.Workers.ReportS), peers: others, log: log}
+	view := &reachability{elector: elector, heard: reports.heard, shared: reports.forwarded, up: dispatcher.Machines, unanswered: dispatcher.Unanswered, report: settings.Seconds(f.Workers.ReportS), peers: others, log: log}
 	go view.run(ctx)
-	go desk.Run(ctx)
+	go dispatcher.Run(ctx)
 	failed := make(chan error, 2)
-	grpcServer := peers.NewServer(in, gate, elector.Promise, gate.heard.last)
+	grpcServer := peers.NewServer(in, reports, elector.GrantExtension, reports.heard.last)
 	go func() { failed <- grpcServer.Serve(back) }()
 	web := newServer(router, socketUse, settings.Seconds(f.Workers.LeaseS), log)
 	go func() { failed <- web.Serve(netutil.LimitListener(public, share.inbound)) }()
--- a/internal/node/pipelines_test.go
+++ b/internal/node/pipelines_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"leadproxy/internal/standin"
+	"leadproxy/internal/fake"
 	"leadproxy/internal/wire"
 )
 
@@ -28,7 +28,7 @@
 	c.t.Helper()
 	ref := func(stage int) string { return fmt.Sprintf("job-0%04d%d", first, stage) }
 	for stage, needs := range s.needs {
-		j := standin.NewJob(ref(stage), 2, nil)
+		j := fake.NewJob(ref(stage), 2, nil)
 		for _, n := range needs {
 			j.WaitsOn = append(j.WaitsOn, ref(n))
 		}
@@ -66,7 +66,7 @@
 			c.state.Outage(false)
 		}},
 		{"the answers to writes are lost, then an outage", func(c *cluster) {
-			c.writes.Store(c.share(1, standin.Unheard, 0, 0))
+			c.writes.Store(c.share(1, fake.AnswerLost, 0, 0))
 			time.Sleep(2 * time.Second)
 			c.state.Outage(true)
 			c.writes.Store(nil)
@@ -98,7 +98,7 @@
 						first := pipelines[n][0]
 						// At all nodes within a millisecond, then until it is answered.
 						for i := range c.nodes {
-							c.users.Go(func() { c.users.Call(i, standin.AskedCancel, first.Ref, nil) })
+							c.users.Go(func() { c.users.Call(i, fake.AskedCancel, first.Ref, nil) })
 						}
 						c.users.Cancel(first)
 						if n == len(moments)/2 {
@@ -130,12 +130,12 @@
 	c.t.Helper()
 	ends := map[string]int{}
 	for _, jobs := range pipelines {
-		_, want := c.users.Until(standin.AskedCancel, jobs[0].Ref, nil)
+		_, want := c.users.Until(fake.AskedCancel, jobs[0].Ref, nil)
 		ends[want]++
 		for _, j := range jobs {
 			if needs(jobs, j, jobs[0].Ref) {
 				c.await(j.Ref+" is "+want, 2*time.Minute, func() bool {
-					_, status := c.users.Call(c.users.AnyNode(), standin.AskedStatus, j.Ref, nil)
+					_, status := c.users.Call(c.users.AnyNode(), fake.AskedStatus, j.Ref, nil)
 					return status == want
 				})
 			}
@@ -171,18 +171,18 @@
 		"hire/h3-1": `{}`, "silent/3-1": `7`, "node/n1": `"none"`, "fence": `{}`, "gone/vm-900002": `{}`,
 	}
 	inCluster(t, plan{ledger: ledger}, func(c *cluster) {
-		c.check.Submits(standin.NewJob("job-800001", 2, nil), true)
-		c.users.Call(0, standin.AskedStatus, "job-800001", nil)
+		c.check.Submits(fake.NewJob("job-800001", 2, nil), true)
+		c.users.Call(0, fake.AskedStatus, "job-800001", nil)
 		c.stream(0, 5, time.Second, nil)
 		for i := range c.nodes {
 			for _, ref := range []string{"job-800002", "job-800003"} {
-				if code, _ := c.users.Call(i, standin.AskedStatus, ref, nil); code < 500 && code != 0 {
+				if code, _ := c.users.Call(i, fake.AskedStatus, ref, nil); code < 500 && code != 0 {
 					t.Errorf("%s, whose record can't be read, gets %d at %s", ref, code, c.name(i))
 				}
 			}
 		}
 		c.await("the job with unknown hosts done", 2*time.Minute, func() bool {
-			_, status := c.users.Call(c.users.AnyNode(), standin.AskedStatus, "job-800001", nil)
+			_, status := c.users.Call(c.users.AnyNode(), fake.AskedStatus, "job-800001", nil)
 			return status == wire.Done
 		})
 		// An operator removes what nobody can read.
--- a/internal/node/outlook.go
+++ b/internal/node/reachability.go
@@ -17,17 +17,17 @@
 
 // The times of the outlook.
 const (
-	outlookEvery = 500 * time.Millisecond
-	outlookLeast = 3 * time.Second // a shorter silence shows nothing
-	outlookFirst = 8 * time.Second // a new leader has yet to be found
-	outlookDeaf  = 3               // fewer commands unanswered may be chance
+	reachabilityEvery = 500 * time.Millisecond
+	minSilence        = 3 * time.Second // a shorter silence shows nothing
+	reachabilityGrace = 8 * time.Second // a new leader has yet to be found
+	minUnanswered     = 3               // fewer commands unanswered may be chance
 )
 
-// outlook watches whether workers still reach the leader.
-type outlook struct {
+// reachability watches whether workers still reach the leader.
+type reachability struct {
 	elector *election.Elector
 	heard   *tally     // reports that have come straight here
-	shared  *tally     // reports that others have carried here
+	shared  *tally     // reports that others have forwarded here
 	up      func() int // machines that should be reporting
 	// unanswered is how many commands to workers in a row had no answer.
 	unanswered func() int
@@ -37,8 +37,8 @@
 }
 
 // run watches until ctx ends.
-func (o *outlook) run(ctx context.Context) {
-	tick := time.NewTicker(outlookEvery)
+func (o *reachability) run(ctx context.Context) {
+	tick := time.NewTicker(reachabilityEvery)
 	defer tick.Stop()
 	term, since := uint64(0), time.Now()
 	for {
@@ -52,7 +52,7 @@
 			term, since = v.Term, time.Now()
 			continue
 		}
-		if time.Since(since) >= outlookFirst && o.lost(ctx, o.up()) {
+		if time.Since(since) >= reachabilityGrace && o.lost(ctx, o.up()) {
 			o.log.Info("workers reach another node but not this one: giving the term up", "term", term, "machines", o.up())
 			o.elector.Resign(term)
 		}
@@ -62,12 +62,12 @@
 // lost tells whether the workers, of which so many should be reporting, come to
 // another node instead: enough of them, that it is not one that has lost its
 // way.
-func (o *outlook) lost(ctx context.Context, up int) bool {
+func (o *reachability) lost(ctx context.Context, up int) bool {
 	window := o.window(up)
 	if up == 0 || o.heard.last(window) > 0 {
 		return false
 	}
-	if o.shared.last(window) > 0 && o.unanswered() < outlookDeaf {
+	if o.shared.last(window) > 0 && o.unanswered() < minUnanswered {
 		return false // all workers may just have come to the others
 	}
 	n := o.elsewhere(ctx, window)
@@ -76,13 +76,13 @@
 
 // window is how long a silence of all machines can't be chance: twenty reports
 // should have come, or each machine's.
-func (o *outlook) window(up int) time.Duration {
-	return max(outlookLeast, min(20*o.report/time.Duration(max(up, 1)), o.report*3/2))
+func (o *reachability) window(up int) time.Duration {
+	return max(minSilence, min(20*o.report/time.Duration(max(up, 1)), o.report*3/2))
 }
 
 // elsewhere is how many reports have come to another node, the most that one of
 // them tells.
-func (o *outlook) elsewhere(ctx context.Context, window time.Duration) int {
+func (o *reachability) elsewhere(ctx context.Context, window time.Duration) int {
 	ctx, cancel := context.WithTimeout(ctx, pingLimit)
 	defer cancel()
 	counts := pingAll(ctx, o.peers, window)
--- a/internal/node/outlook_test.go
+++ b/internal/node/reachability_test.go
@@ -10,14 +10,14 @@
 // held on to its term for the whole of a cut, 50 s, while others heard them.
 func TestWhetherTheWorkersAreLost(t *testing.T) {
 	cases := []struct {
-		name      string
-		up        int
-		silent    time.Duration // since the last report that came here
-		shared    bool          // whether others carry reports here
-		deaf      int           // commands unanswered
-		elsewhere int           // reports that have come to another node
-		answers   bool          // whether the others answer
-		lost      bool
+		name       string
+		up         int
+		silent     time.Duration // since the last report that came here
+		shared     bool          // whether others carry reports here
+		unanswered int           // commands unanswered
+		elsewhere  int           // reports that have come to another node
+		answers    bool          // whether the others answer
+		lost       bool
 	}{
 		{"they come to another node", 1000, 5 * time.Second, false, 9, 400, true, true},
 		{"they come here", 1000, 0, false, 9, 400, true, false},
@@ -37,7 +37,7 @@
 				others := &fakePeers{}
 				others.answers.Store(c.answers)
 				others.reports.Store(int64(c.elsewhere))
-				o := &outlook{heard: newTally(), shared: newTally(), unanswered: func() int { return c.deaf }, report: 8 * time.Second, peers: others}
+				o := &reachability{heard: newTally(), shared: newTally(), unanswered: func() int { return c.unanswered }, report: 8 * time.Second, peers: others}
 				o.heard.add()
 				time.Sleep(time.Minute)
 				o.heard.add()
--- a/internal/node/gate_test.go
+++ b/internal/node/report_handler_test.go
@@ -53,9 +53,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := newGate(t.Context(), "n0", nil, nil, c.line, &socketUse{}, quiet)
+				g := newReportHandler(t.Context(), "n0", nil, nil, c.line, &socketUse{}, quiet)
 				began := time.Now()
-				a := g.carry(t.Context(), "n1", []byte("{}"))
+				a := g.forward(t.Context(), "n1", []byte("{}"))
 				if a.Status != c.status || string(a.Body) != c.body || time.Since(began) != c.within {
 					t.Errorf("%d %s after %s, want %d %s after %s", a.Status, a.Body, time.Since(began), c.status, c.body, c.within)
 				}
@@ -107,7 +107,7 @@
 
 func (eager) Machines() int { return 0 }
 
-func (e eager) Hand(ctx context.Context, r *wire.Report, give func(*wire.ReportAnswer, error)) {
+func (e eager) ReportAsync(ctx context.Context, r *wire.Report, give func(*wire.ReportAnswer, error)) {
 	give(e.Report(ctx, r))
 }
 
@@ -119,7 +119,7 @@
 // no orders, so that they find another node before their leases end.
 func TestNoAnswerPastTheTerm(t *testing.T) {
 	e := election.New("n1", settings.Operator{LeaderLease: time.Second}, nil, quiet)
-	g := newGate(t.Context(), "n1", e, eager{}, nil, &socketUse{}, quiet)
+	g := newReportHandler(t.Context(), "n1", e, eager{}, nil, &socketUse{}, quiet)
 	body := []byte(`{"host":"vm-1","address":"10.1.0.1:9000","flavor":"m","room":"a","tenure":1,"tick":4,"baton":0,"pieces":[]}`)
 	check := func(how string, a intake.Answer) {
 		if a.Status != http.StatusMisdirectedRequest || strings.Contains(string(a.Body), "boss") || strings.Contains(string(a.Body), "start") {
@@ -130,5 +130,5 @@
 	g.Shared(t.Context(), body, func(answer func() intake.Answer) { check("carried", answer()) })
 	// The term may end between the dispatcher's answer and its writing.
 	answer, err := eager{}.Report(t.Context(), nil)
-	check("too late", g.told(1, answer, err))
+	check("too late", g.answerTo(1, answer, err))
 }
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"leadproxy/internal/compat"
+	"leadproxy/internal/fake"
 	"leadproxy/internal/settings"
-	"leadproxy/internal/standin"
 	"leadproxy/internal/upgrade"
 	"leadproxy/internal/wire"
 )
@@ -106,8 +106,8 @@
 func (c *cluster) takesPipelines() {
 	c.t.Helper()
 	c.await("all announced", 30*time.Second, func() bool { return c.state.Count(upgrade.Prefix) == len(c.nodes) })
-	first := standin.NewJob("job-700000", 2, nil)
-	second := standin.NewJob("job-700001", 1, func(j *wire.Job) { j.WaitsOn = []string{first.Ref} })
+	first := fake.NewJob("job-700000", 2, nil)
+	second := fake.NewJob("job-700001", 1, func(j *wire.Job) { j.WaitsOn = []string{first.Ref} })
 	for _, j := range []*wire.Job{first, second} {
 		if !c.users.Accept(j) {
 			c.t.Errorf("%s is not accepted after the upgrade", j.Ref)
@@ -121,14 +121,14 @@
 // others, and says when to come again.
 func (c *cluster) refusesPipelines() {
 	c.t.Helper()
-	first := standin.NewJob("job-700000", 2, nil)
+	first := fake.NewJob("job-700000", 2, nil)
 	if !c.users.Accept(first) {
 		c.t.Errorf("%s is not accepted", first.Ref)
 	}
 	c.users.Poll(first)
-	second := standin.NewJob("job-700001", 1, func(j *wire.Job) { j.WaitsOn = []string{first.Ref} })
+	second := fake.NewJob("job-700001", 1, func(j *wire.Job) { j.WaitsOn = []string{first.Ref} })
 	c.check.Submits(second, true)
-	if code, _ := c.users.Call(c.upgradedNode(), standin.AskedSubmit, second.Ref, second); code != 503 {
+	if code, _ := c.users.Call(c.upgradedNode(), fake.AskedSubmit, second.Ref, second); code != 503 {
 		c.t.Errorf("a job that waits for another one, with an old node up: %d, want 503", code)
 	}
 }
--- a/internal/outbound/line.go
+++ b/internal/outbound/line.go
@@ -14,14 +14,14 @@
 	"time"
 )
 
-// Line is a connection that one goroutine at a time uses by itself, from the
+// Conn is a connection that one goroutine at a time uses by itself, from the
 // request to the answer. An http.Client hands each request from goroutine to
 // goroutine, two for each connection that it keeps. On a controller that is short
 // of time each of those hands over only when all else that is ready has had its
 // turn: a leader that was busy with a thousand workers lost its lease over that.
 // And two goroutines with their buffers for each of a thousand machines take
 // 40 MB.
-type Line struct {
+type Conn struct {
 	net  Network
 	addr string
 	conn net.Conn
@@ -29,24 +29,24 @@
 	used time.Time
 }
 
-// lineBuffer is for a line's answers. Most are shorter.
-const lineBuffer = 2 << 10
+// connBuffer is for a connection's answers. Most are shorter.
+const connBuffer = 2 << 10
 
-// quietFor is how long a line may have been idle without being looked at before
+// quietFor is how long a connection may have been idle without being looked at before
 // it is used again.
 const quietFor = 500 * time.Millisecond
 
-// NewLine makes a line to an address, not open yet.
-func NewLine(n Network, addr string) *Line { return &Line{net: n, addr: addr} }
+// NewConn makes a connection to an address, not open yet.
+func NewConn(n Network, addr string) *Conn { return &Conn{net: n, addr: addr} }
 
 // IsOpen tells whether there is a connection to be kept.
-func (l *Line) IsOpen() bool { return l.conn != nil }
+func (l *Conn) IsOpen() bool { return l.conn != nil }
 
-// IdleSince is when the line was last used.
-func (l *Line) IdleSince() time.Time { return l.used }
+// IdleSince is when the connection was last used.
+func (l *Conn) IdleSince() time.Time { return l.used }
 
 // Close closes the connection.
-func (l *Line) Close() {
+func (l *Conn) Close() {
 	if l.conn != nil {
 		l.conn.Close()
 		l.conn = nil
@@ -55,7 +55,7 @@
 
 // Open sees to it that there is a connection. An error means that nothing was
 // sent.
-func (l *Line) Open(ctx context.Context, limit time.Duration) error {
+func (l *Conn) Open(ctx context.Context, limit time.Duration) error {
 	if l.conn != nil && time.Since(l.used) > quietFor && hungUp(l.conn) {
 		l.Close()
 	}
@@ -68,13 +68,13 @@
 	if err != nil {
 		return err
 	}
-	l.conn, l.in, l.used = conn, bufio.NewReaderSize(conn, lineBuffer), time.Now()
+	l.conn, l.in, l.used = conn, bufio.NewReaderSize(conn, connBuffer), time.Now()
 	return nil
 }
 
-// Do carries out one request on an open line, until end. After an error it may
-// have been carried out, and the line is closed.
-func (l *Line) Do(end time.Time, method, path string, payload []byte) (status int, answer []byte, err error) {
+// Do carries out one request on an open connection, until end. After an error it may
+// have been carried out, and the connection is closed.
+func (l *Conn) Do(end time.Time, method, path string, payload []byte) (status int, answer []byte, err error) {
 	status, answer, closing, err := l.speak(end, method, path, payload)
 	if err != nil || closing {
 		l.Close()
@@ -83,23 +83,23 @@
 	return status, answer, err
 }
 
-func (l *Line) speak(end time.Time, method, path string, payload []byte) (status int, answer []byte, closing bool, err error) {
+func (l *Conn) speak(end time.Time, method, path string, payload []byte) (status int, answer []byte, closing bool, err error) {
 	if err := l.conn.SetDeadline(end); err != nil {
-		return 0, nil, false, fmt.Errorf("line to %s: %w", l.addr, err)
+		return 0, nil, false, fmt.Errorf("connection to %s: %w", l.addr, err)
 	}
 	req, err := http.NewRequest(method, "http://"+l.addr+path, bytes.NewReader(payload))
 	if err != nil {
-		return 0, nil, false, fmt.Errorf("line to %s: %w", l.addr, err)
+		return 0, nil, false, fmt.Errorf("connection to %s: %w", l.addr, err)
 	}
 	if payload != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	if err := req.Write(l.conn); err != nil {
-		return 0, nil, false, fmt.Errorf("line to %s: %w", l.addr, err)
+		return 0, nil, false, fmt.Errorf("connection to %s: %w", l.addr, err)
 	}
 	resp, err := http.ReadResponse(l.in, req)
 	if err != nil {
-		return 0, nil, false, fmt.Errorf("line to %s: %w", l.addr, err)
+		return 0, nil, false, fmt.Errorf("connection to %s: %w", l.addr, err)
 	}
 	defer resp.Body.Close()
 	answer, err = io.ReadAll(resp.Body)
--- a/internal/outbound/line_test.go
+++ b/internal/outbound/line_test.go
@@ -52,7 +52,7 @@
 			}()
 		}
 	}()
-	line := NewLine(TCP{}, l.Addr().String())
+	line := NewConn(TCP{}, l.Addr().String())
 	do := func(path string) (int, string, error) {
 		if err := line.Open(context.Background(), time.Second); err != nil {
 			t.Fatal(err)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -92,8 +92,8 @@
 	return int(r.Reports), nil
 }
 
-// Vouch asks a node to promise that it won't act as the leader for a while.
-func (p *Peers) Vouch(ctx context.Context, node string, hold time.Duration) (bool, error) {
+// RequestExtension asks a node to promise that it won't act as the leader for a while.
+func (p *Peers) RequestExtension(ctx context.Context, node string, hold time.Duration) (bool, error) {
 	o, err := p.find(node)
 	if err != nil {
 		return false, err
--- a/internal/slowfit/index.go
+++ b/internal/slowfit/index.go
@@ -156,7 +156,7 @@
 }
 
 // Open tells that a machine takes tasks, its free room, the load that counts
-// towards the goal, and its tags: bits of which a Wish may ask for one.
+// towards the goal, and its tags: bits of which a Request may ask for one.
 func (x *Index) Open(machine int32, free Size, load float64, tags uint64) {
 	s := x.seats[machine]
 	x.pools[s.pool].set(int(s.leaf), node{free, load, tags})
@@ -207,8 +207,8 @@
 	}
 }
 
-// Wish is a task as placement sees it.
-type Wish struct {
+// Request is a task as placement sees it.
+type Request struct {
 	Task Size
 	// Pool tells whether the task may use a pool's machines, and their merit:
 	// it breaks ties between equally slow machines, before their order does.
@@ -227,7 +227,7 @@
 // Place names the machine for one task, or -1 when none has room. When some
 // machine has room but none passes the goal, L doubles and load booked before
 // counts as nothing, until one passes.
-func (x *Index) Place(g *Goal, w *Wish) int32 {
+func (x *Index) Place(g *Goal, w *Request) int32 {
 	if x.Barren(w.Task) {
 		return -1
 	}
@@ -270,7 +270,7 @@
 
 // find names the slowest machine that has room and passes the goal: a load of
 // the task of at most most, and a total within limit.
-func (x *Index) find(w *Wish, most, limit float64) int32 {
+func (x *Index) find(w *Request, most, limit float64) int32 {
 	for from := 0; from < len(x.speed); {
 		// The pools of one speed are judged together.
 		to := from + 1
@@ -303,7 +303,7 @@
 }
 
 // findAmong is find for pools of machines of one speed.
-func (x *Index) findAmong(w *Wish, pools []int, most, limit float64) int32 {
+func (x *Index) findAmong(w *Request, pools []int, most, limit float64) int32 {
 	best := candidate{machine: -1}
 	for _, at := range pools {
 		p := x.pools[at]
--- a/internal/slowfit/slowfit_test.go
+++ b/internal/slowfit/slowfit_test.go
@@ -148,7 +148,7 @@
 			}
 			zone, spotOnly, barred, tag := r.IntN(3), r.IntN(3) == 0, r.IntN(len(hosts)), uint64(1)<<r.IntN(3)
 			must := r.IntN(4) == 0
-			w := Wish{Task: task, Bonus: 1 + r.IntN(2), FavouredTag: tag,
+			w := Request{Task: task, Bonus: 1 + r.IntN(2), FavouredTag: tag,
 				Pool: func(p int) (bool, int) {
 					merit := 0
 					if groups[p].spot {
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -77,7 +77,7 @@
 	http  *http.Client
 	pacer *pacer
 	// renewals is for Renew alone.
-	renewals *outbound.Line
+	renewals *outbound.Conn
 }
 
 // timeout bounds one ordinary request, renewTimeout a renewal.
@@ -93,7 +93,7 @@
 		base:     "http://" + addr,
 		http:     outbound.NewClient(n, 16),
 		pacer:    newPacer(l, share, log),
-		renewals: outbound.NewLine(n, addr),
+		renewals: outbound.NewConn(n, addr),
 	}
 	go c.pacer.run(ctx)
 	return c
--- a/internal/state/pacer.go
+++ b/internal/state/pacer.go
@@ -12,7 +12,7 @@
 // maxWaiting bounds the requests of one priority that wait for their grant.
 const maxWaiting = 400
 
-// grant is one request's wish to be sent.
+// grant is one request that waits to be sent.
 type grant struct {
 	priority Priority
 	writes   int
@@ -20,10 +20,10 @@
 	ctx      context.Context
 }
 
-// pacer owns this node's share of the state service's rates. All wishes come
+// pacer owns this node's share of the state service's rates. All requests for a grant come
 // to it as messages; the most urgent that fits is granted first.
 type pacer struct {
-	wishes    chan *grant
+	incoming  chan *grant
 	shares    chan float64
 	penalties chan int      // requests that were refused for the rate, with their writes
 	spent     chan struct{} // requests that were sent without a grant
@@ -53,7 +53,7 @@
 
 func newPacer(l settings.StateLimits, share float64, log *slog.Logger) *pacer {
 	p := &pacer{
-		wishes: make(chan *grant), shares: make(chan float64), penalties: make(chan int),
+		incoming: make(chan *grant), shares: make(chan float64), penalties: make(chan int),
 		spent:    make(chan struct{}, 8),
 		outcomes: make(chan bool, 64), log: log,
 		share: share,
@@ -69,7 +69,7 @@
 func (p *pacer) wait(ctx context.Context, pr Priority, writes int) error {
 	g := &grant{priority: pr, writes: writes, ready: make(chan error, 1), ctx: ctx}
 	select {
-	case p.wishes <- g:
+	case p.incoming <- g:
 	case <-ctx.Done():
 		return ErrBusy
 	}
@@ -157,7 +157,7 @@
 	timer := time.NewTimer(time.Hour)
 	for {
 		select {
-		case g := <-p.wishes:
+		case g := <-p.incoming:
 			if len(p.queues[g.priority]) >= maxWaiting {
 				g.ready <- ErrBusy
 				break
