--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -20,10 +20,10 @@
 	"leadproxy/internal/wire"
 )
 
-// ErrNotLeading: this node does not run a term.
+// ErrNotLeading means that this node does not run a term.
 var ErrNotLeading = errors.New("this node does not lead")
 
-// ErrDeciding: whether a job is over is known to the state service alone.
+// ErrDeciding means that whether a job is over is known to the state service alone.
 var ErrDeciding = errors.New("the job's end is being written")
 
 // Dispatcher is where the rest of a node speaks to its dispatcher. It runs one core
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -33,12 +34,7 @@
 // runAtLevel is Run for a version that knows the capabilities of a level: it announces
 // that level and uses what all nodes have announced.
 func runAtLevel(ctx context.Context, level int, n outbound.Network, p *settings.Platform, op settings.Operator, log *slog.Logger) error {
-	f := p.Facts
-	// Memory is there to be used, the processor is short: collect seldom, but
-	// harder near the limit rather than have the process killed.
-	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(f.Resources.RAMMB * 0.7 * (1 << 20)))
-
+	limitMemory(p.Facts.Resources)
 	public, err := n.Listen(ctx, p.Listen)
 	if err != nil {
 		return fmt.Errorf("public_addr %s: %w", p.Listen, err)
@@ -49,55 +45,102 @@
 		return fmt.Errorf("back %s: %w", p.Back, err)
 	}
 	defer back.Close()
-
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	share := divide(f.Resources)
+	parts, err := assemble(ctx, level, n, p, op, log)
+	if err != nil {
+		return err
+	}
+	log.Info("serving", "node", p.Node, "zone", p.Zone, "public", p.Listen, "back", p.Back, "others", len(p.Peers))
+	parts.start(ctx)
+	return parts.serve(ctx, public, back)
+}
+
+// How the process uses its memory. It is there to be used, and the processor is short:
+// garbage is collected seldom, but harder near the limit rather than have the process
+// killed.
+const (
+	gcPercent    = 400
+	memoryToFill = 0.7
+)
+
+func limitMemory(r settings.Resources) {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(r.RAMMB * memoryToFill * (1 << 20)))
+}
+
+// parts are the slices of a controller.
+type parts struct {
+	platform   *settings.Platform
+	log        *slog.Logger
+	share      sockets
+	sockets    *socketUse
+	elector    *election.Elector
+	dispatcher *dispatch.Dispatcher
+	versions   *upgrade.Watch
+	intake     *intake.Service
+	health     *health
+	reports    *reportHandler
+	workers    *reachability
+}
+
+// assemble makes the slices of a controller and introduces them to each other. What
+// they do until they are started ends with ctx.
+func assemble(ctx context.Context, level int, n outbound.Network, p *settings.Platform, op settings.Operator, log *slog.Logger) (*parts, error) {
+	f := p.Facts
+	c := &parts{platform: p, log: log, share: divide(f.Resources)}
 	rate := dispatch.FollowerShare(f.Nodes)
 	store := state.New(ctx, n, p.Services.State, f.State, rate, log)
-	elector := election.New(p.Node, op, store, log)
-	socketUse := &socketUse{crowded: int64(share.crowded), roomy: int64(share.roomy)}
-	lines := dispatch.ConnLimits{AtOnce: share.orders, Kept: share.kept, Few: share.few, Crowded: socketUse.Crowded}
-	dispatcher := dispatch.NewDispatcher(n, p, op, elector, store, lines, log)
-	socketUse.makeRoom = dispatcher.HangUp
+	c.elector = election.New(p.Node, op, store, log)
+	c.sockets = &socketUse{crowded: int64(c.share.crowded), roomy: int64(c.share.roomy)}
+	limits := dispatch.ConnLimits{AtOnce: c.share.orders, Kept: c.share.kept, Few: c.share.few, Crowded: c.sockets.Crowded}
+	c.dispatcher = dispatch.NewDispatcher(n, p, op, c.elector, store, limits, log)
+	c.sockets.makeRoom = c.dispatcher.HangUp
 	others, err := peers.Dial(ctx, n, p.Node, p.Peers)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	elector.Others = others
-	versions := upgrade.New(p.Node, level, others.Names(), store, log)
-	dispatcher.Upgraded = versions.Done
-	go versions.Run(ctx)
+	c.elector.Others = others
+	c.versions = upgrade.New(p.Node, level, others.Names(), store, log)
+	c.dispatcher.Upgraded = c.versions.Done
 	types := watchTypes(ctx, fleet.NewClient(n, p.Services.Cloud, f.Cloud.RPS), log)
-	in := intake.New(ctx, p, elector, store, dispatcher, others, types, rate, log)
-	in.Upgraded = versions.Done
+	c.intake = intake.New(ctx, p, c.elector, store, c.dispatcher, others, types, rate, log)
+	c.intake.Upgraded = c.versions.Done
+	c.health = &health{serving: store.Serving, peers: others, log: log}
+	c.intake.Healthy = c.health.OK
+	c.reports = newReportHandler(ctx, p.Node, c.elector, c.dispatcher, others, c.sockets, log)
+	c.workers = &reachability{elector: c.elector, heard: c.reports.heard, shared: c.reports.forwarded, up: c.dispatcher.Machines,
+		unanswered: c.dispatcher.Unanswered, report: settings.Seconds(f.Workers.ReportS), peers: others, log: log}
+	return c, nil
+}
 
-	router := httprouter.New()
-	fit := &health{serving: store.Serving, peers: others, log: log}
-	in.Healthy = fit.OK
-	in.Routes(router)
-	reports := newReportHandler(ctx, p.Node, elector, dispatcher, others, socketUse, log)
-	go reports.keepConnected(ctx)
-	router.POST("/v1/report", reports.serve)
+// start has the slices do by themselves what they do, until ctx ends.
+func (c *parts) start(ctx context.Context) {
+	go c.versions.Run(ctx)
+	go c.reports.keepConnected(ctx)
+	go c.elector.Run(ctx)
+	go c.health.run(ctx)
+	go c.workers.run(ctx)
+	go c.dispatcher.Run(ctx)
+}
 
-	log.Info("serving", "node", p.Node, "zone", p.Zone, "public", p.Listen, "back", p.Back, "others", len(p.Peers))
-	go elector.Run(ctx)
-	go fit.run(ctx)
-	view := &reachability{elector: elector, heard: reports.heard, shared: reports.forwarded, up: dispatcher.Machines, unanswered: dispatcher.Unanswered, report: settings.Seconds(f.Workers.ReportS), peers: others, log: log}
-	go view.run(ctx)
-	go dispatcher.Run(ctx)
+// serve serves both addresses until one fails or ctx ends.
+func (c *parts) serve(ctx context.Context, public, back net.Listener) error {
+	router := httprouter.New()
+	c.intake.Routes(router)
+	router.POST("/v1/report", c.reports.serve)
+	grpcServer := peers.NewServer(c.intake, c.reports, c.elector.GrantExtension, c.reports.heard.last)
+	web := newServer(router, c.sockets, settings.Seconds(c.platform.Facts.Workers.LeaseS), c.log)
 	failed := make(chan error, 2)
-	grpcServer := peers.NewServer(in, reports, elector.GrantExtension, reports.heard.last)
 	go func() { failed <- grpcServer.Serve(back) }()
-	web := newServer(router, socketUse, settings.Seconds(f.Workers.LeaseS), log)
-	go func() { failed <- web.Serve(netutil.LimitListener(public, share.inbound)) }()
+	go func() { failed <- web.Serve(netutil.LimitListener(public, c.share.inbound)) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 		grpcServer.Stop()
 		if err := web.Close(); err != nil {
-			log.Debug("closing", "error", err)
+			c.log.Debug("closing", "error", err)
 		}
 		return nil
 	}
--- a/internal/node/sockets_test.go
+++ b/internal/node/sockets_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -54,7 +55,7 @@
 				go web.Serve(netutil.LimitListener(l, share.inbound))
 				defer web.Close()
 				dial := func() (*http.Client, *http.Transport) {
-					tr := &http.Transport{Dial: func(string, string) (net.Conn, error) {
+					tr := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
 						ours, theirs := net.Pipe()
 						l <- theirs
 						return ours, nil
