--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -10,7 +10,7 @@
 // openAnswer is a report's answer, which is given at the end of the step so
 // that starts decided in it travel along.
 type openAnswer struct {
-	to      any
+	to      Recipient
 	machine *machine
 	report  *wire.Report // nil for a stale one
 	// until is when an answer that waits for starts to become durable is given
--- a/internal/dispatch/answers_test.go
+++ b/internal/dispatch/answers_test.go
@@ -36,7 +36,7 @@
 		{"a new session", func(g *stage, _ func()) {
 			r := g.reportOf("vm-1", ours)
 			r.Session = 2
-			g.step(ReportIn{Report: r, To: "w"})
+			g.step(ReportIn{Report: r, To: recipient("w")})
 			g.release()
 		}, "answer with nothing, answer with nothing"},
 		{"the machine is gone", func(g *stage, _ func()) {
@@ -59,7 +59,7 @@
 			g.want("started on a full machine", len(g.starts()), 0)
 
 			g.held, g.out = true, nil
-			report := func() { g.step(ReportIn{Report: g.reportOf("vm-1", ours, ended...), To: "w"}) }
+			report := func() { g.step(ReportIn{Report: g.reportOf("vm-1", ours, ended...), To: recipient("w")}) }
 			report()
 			g.want("answered at once", len(g.out), 0)
 			c.then(g, report)
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -23,7 +23,7 @@
 	machines []*siteMachine
 	at       map[string]*siteMachine
 	jobs     int
-	backlog  []any // events that follow at once
+	backlog  []Event // events that follow at once
 	counts   map[string]int
 }
 
@@ -33,6 +33,9 @@
 	next   time.Duration // its next report
 }
 
+// Deliver is not called: the site looks at the effects.
+func (m *siteMachine) Deliver(Effect) {}
+
 func newSite(machines int) *site {
 	p := &settings.Platform{Facts: settings.Facts{Nodes: 3, Teams: []settings.Team{{Name: "t"}},
 		Workers: settings.Workers{ReportS: 8, LeaseS: 36, CancelS: 56}, Objectives: []settings.Objective{{Kind: "wait", Class: "small", WithinS: 4}}}}
@@ -57,15 +60,15 @@
 	return s
 }
 
-func (s *site) step(e any) {
+func (s *site) step(e Event) {
 	s.c.Step(e, s.now, s.now.Milliseconds())
 	s.settle()
 }
 
 func (s *site) settle() { s.take(s.c.Settle()) }
 
-func (s *site) take(effects []any) {
-	var tags []any
+func (s *site) take(effects []Effect) {
+	var tags []ledger.Tag
 	for _, e := range effects {
 		s.counts[fmt.Sprintf("%T", e)]++
 		switch e := e.(type) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -89,7 +89,7 @@
 	spentUntil     time.Duration
 	spendingLogged time.Duration
 
-	out []any
+	out []Effect
 }
 
 type machineType struct {
@@ -156,7 +156,7 @@
 
 // Step takes one event. What follows from it, and from others that came with
 // it, is told by Settle.
-func (c *Core) Step(event any, now time.Duration, wall int64) {
+func (c *Core) Step(event Event, now time.Duration, wall int64) {
 	c.now, c.wall = now, wall
 	switch e := event.(type) {
 	case JobSeen:
@@ -195,7 +195,7 @@
 
 // Settle places what can be placed after one or more steps and returns all that
 // must be done. Under load many events share one placement.
-func (c *Core) Settle() []any {
+func (c *Core) Settle() []Effect {
 	if c.dirty {
 		c.dirty = false
 		c.place()
@@ -207,13 +207,13 @@
 }
 
 // TakeStart returns the effects of NewCore.
-func (c *Core) TakeStart() []any {
+func (c *Core) TakeStart() []Effect {
 	out := c.out
 	c.out = nil
 	return out
 }
 
-func (c *Core) emit(effect any) { c.out = append(c.out, effect) }
+func (c *Core) emit(effect Effect) { c.out = append(c.out, effect) }
 
 func (c *Core) put(w ledger.Write) {
 	if w.Tag != nil {
@@ -736,7 +736,7 @@
 }
 
 // rejected has what was too large for a value written in smaller pieces.
-func (c *Core) rejected(tag any) {
+func (c *Core) rejected(tag ledger.Tag) {
 	switch t := tag.(type) {
 	case hostTag:
 		j := c.jobs[t.job]
@@ -767,7 +767,7 @@
 	}
 }
 
-func (c *Core) durable(tag any) {
+func (c *Core) durable(tag ledger.Tag) {
 	switch t := tag.(type) {
 	case hostTag:
 		j := c.jobs[t.job]
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -22,10 +22,10 @@
 	seq      map[string]uint64
 	start    []Direct     // commands not yet settled
 	answered []wire.Order // in answers to reports, since the last settle
-	out      []any
+	out      []Effect
 	// held, while set, keeps ledger writes from becoming durable.
 	held    bool
-	pending []any
+	pending []ledger.Tag
 	hires   []wire.Hire
 	deleted []string
 	writes  map[string]ledger.Write // the last by key
@@ -34,6 +34,12 @@
 
 const testTerm = 7
 
+// recipient stands for whoever waits for an answer.
+type recipient string
+
+// Deliver is not called: the stage looks at the effects.
+func (recipient) Deliver(Effect) {}
+
 // savedHosts and savedRanges are what the ledger holds of one job in one key.
 func savedHosts(machines ...string) []ledger.SavedHosts {
 	if len(machines) == 0 {
@@ -61,13 +67,13 @@
 	return g
 }
 
-func (g *stage) step(e any) {
+func (g *stage) step(e Event) {
 	g.c.Step(e, g.now, g.now.Milliseconds())
 	g.take(g.c.Settle())
 }
 
-func (g *stage) take(effects []any) {
-	var tags []any
+func (g *stage) take(effects []Effect) {
+	var tags []ledger.Tag
 	for _, e := range effects {
 		switch e := e.(type) {
 		case Put:
@@ -125,7 +131,7 @@
 // report sends a report and returns the answer.
 func (g *stage) report(r *wire.Report) *wire.ReportAnswer {
 	g.out = nil
-	g.step(ReportIn{Report: r, To: "w"})
+	g.step(ReportIn{Report: r, To: recipient("w")})
 	for _, e := range g.out {
 		if a, ok := e.(AnswerReport); ok {
 			return a.Answer
@@ -204,7 +210,7 @@
 // jobStatus asks for a job's state.
 func (g *stage) jobStatus(ref string) string {
 	g.out = nil
-	g.step(StatusAsked{Ref: ref, To: "u"})
+	g.step(StatusAsked{Ref: ref, To: recipient("u")})
 	return g.out[0].(AnswerUser).Status.Status
 }
 
@@ -301,7 +307,7 @@
 		again int // further starts
 	}{
 		{"the answer to a direct command proves nothing: ours may be on its way", func(g *stage, o wire.Order) {
-			g.step(CancelAsked{Ref: "job-9", To: "u"})
+			g.step(CancelAsked{Ref: "job-9", To: recipient("u")})
 			g.step(DirectBack{Call: g.start[0].Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours)})
 		}, 0},
 		{"a late copy of the report proves nothing", func(g *stage, o wire.Order) {
@@ -446,7 +452,7 @@
 	o := g.starts()[0]
 	g.settle(DirectUnknown)
 	g.held, g.out = true, nil
-	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 	g.want("answers before it is durable", len(g.out), 0)
 	g.want("state before it is durable", g.jobStatus("job-1") == wire.Aborted, false)
 	g.out = nil
@@ -470,7 +476,7 @@
 	orders := g.starts()
 	g.settle(DirectDone)
 	g.held, g.out = true, nil
-	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 	stops := ""
 	for _, d := range g.start {
 		for _, o := range d.Commands.Orders {
@@ -503,7 +509,7 @@
 	// another node may have told a user: "queued" would go back on that.
 	g.want("sent to the record while it is being written", g.out[0].(AnswerUser).Deciding, true)
 	g.out = nil
-	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 	g.release()
 	g.want("the answer", g.out[0].(AnswerUser).Status.Status, wire.Done)
 	g.want("told once it is durable", g.jobStatus("job-1"), wire.Done)
@@ -663,7 +669,7 @@
 	g.held = true
 	puts = g.puts
 	for _, name := range []string{"vm-001", "vm-002", "vm-003"} {
-		g.c.Step(ReportIn{Report: g.reportOf(name, ours, tasks[name]...), To: "w"}, g.now, g.now.Milliseconds())
+		g.c.Step(ReportIn{Report: g.reportOf(name, ours, tasks[name]...), To: recipient("w")}, g.now, g.now.Milliseconds())
 	}
 	g.take(g.c.Settle())
 	g.want("writes for the ended tasks of three machines", g.puts-puts, 1)
--- a/internal/dispatch/graph_test.go
+++ b/internal/dispatch/graph_test.go
@@ -118,7 +118,7 @@
 			}
 			g.submit(after(fmt.Sprintf("job-2%d", i), before))
 		}
-		g.step(CancelAsked{Ref: "job-0", To: "u"})
+		g.step(CancelAsked{Ref: "job-0", To: recipient("u")})
 		g.want("the last of the fan", g.jobStatus(fmt.Sprintf("job-1%d", n-1)), wire.Aborted)
 		g.want("the last of the chain", g.jobStatus(fmt.Sprintf("job-2%d", n-1)), wire.Aborted)
 		g.want("what the ledger has of it", g.writes[fmt.Sprintf("job/job-2%d", n-1)].Value.(ledger.JobRecord).Terminal, wire.Aborted)
@@ -139,14 +139,14 @@
 		want  string // the state of job-3, which needs job-2, which needs job-1
 	}{
 		// "" is for the record alone to tell.
-		{"before it is durable", nil, func(g *stage) { g.held = true; g.step(CancelAsked{Ref: "job-1", To: "u"}) }, ""},
-		{"before that of the one between", nil, func(g *stage) { g.held = true; g.step(CancelAsked{Ref: "job-2", To: "u"}) }, ""},
-		{"once it is durable", nil, func(g *stage) { g.step(CancelAsked{Ref: "job-1", To: "u"}) }, wire.Aborted},
-		{"the one between", nil, func(g *stage) { g.step(CancelAsked{Ref: "job-2", To: "u"}) }, wire.Aborted},
-		{"the last alone", nil, func(g *stage) { g.step(CancelAsked{Ref: "job-3", To: "u"}) }, wire.Aborted},
+		{"before it is durable", nil, func(g *stage) { g.held = true; g.step(CancelAsked{Ref: "job-1", To: recipient("u")}) }, ""},
+		{"before that of the one between", nil, func(g *stage) { g.held = true; g.step(CancelAsked{Ref: "job-2", To: recipient("u")}) }, ""},
+		{"once it is durable", nil, func(g *stage) { g.step(CancelAsked{Ref: "job-1", To: recipient("u")}) }, wire.Aborted},
+		{"the one between", nil, func(g *stage) { g.step(CancelAsked{Ref: "job-2", To: recipient("u")}) }, wire.Aborted},
+		{"the last alone", nil, func(g *stage) { g.step(CancelAsked{Ref: "job-3", To: recipient("u")}) }, wire.Aborted},
 		{"done before", nil, func(g *stage) {
 			g.finishTask("vm-1", "job-1")
-			g.step(CancelAsked{Ref: "job-1", To: "u"})
+			g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 		}, wire.Queued},
 		{"the leader ended between its write and theirs", []ledger.SavedJob{open("job-3", "job-2"), open("job-2", "job-1"), cancelled}, nil, wire.Aborted},
 		{"submitted after it", []ledger.SavedJob{cancelled}, func(g *stage) {
@@ -158,7 +158,7 @@
 			g.submit(after("job-6"))
 			g.submit(after("job-7", "job-5", "job-6"))
 			g.submit(after("job-8", "job-7", "job-3"))
-			g.step(CancelAsked{Ref: "job-5", To: "u"})
+			g.step(CancelAsked{Ref: "job-5", To: recipient("u")})
 			g.want("what needs it", g.jobStatus("job-7"), wire.Aborted)
 			g.want("what needs that", g.jobStatus("job-8"), wire.Aborted)
 			g.want("what it was beside", g.jobStatus("job-6") != wire.Aborted, true)
@@ -166,20 +166,20 @@
 		{"both ways of a diamond", nil, func(g *stage) {
 			g.submit(after("job-4", "job-1"))
 			g.submit(after("job-9", "job-4", "job-2"))
-			g.step(CancelAsked{Ref: "job-1", To: "u"})
+			g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 			g.want("where the ways meet", g.jobStatus("job-9"), wire.Aborted)
 			g.want("the other way", g.jobStatus("job-4"), wire.Aborted)
 		}, wire.Aborted},
 		{"one way of a diamond", nil, func(g *stage) {
 			g.submit(after("job-4", "job-1"))
 			g.submit(after("job-9", "job-4", "job-2"))
-			g.step(CancelAsked{Ref: "job-4", To: "u"})
+			g.step(CancelAsked{Ref: "job-4", To: recipient("u")})
 			g.want("where the ways meet", g.jobStatus("job-9"), wire.Aborted)
 		}, wire.Queued},
 		{"cancelled as its last task ends", nil, func(g *stage) {
 			g.held = true
 			g.finishTask("vm-1", "job-1")
-			g.step(CancelAsked{Ref: "job-1", To: "u"})
+			g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 			g.release()
 			g.want("the one that was cancelled", g.jobStatus("job-1"), wire.Done)
 		}, wire.Queued},
@@ -266,7 +266,7 @@
 		j.hosts[i].durable = false
 	}
 	clear(g.writes)
-	g.step(Rejected{Tags: []any{hosts.Tag}})
+	g.step(Rejected{Tags: []ledger.Tag{hosts.Tag}})
 	for i := 0; i < machines; i++ {
 		name := fmt.Sprintf("vm-%06d", i)
 		var reports []wire.TaskReport
@@ -309,7 +309,7 @@
 	g.want("done for a new leader", n.c.jobs[0].done, tasks/2)
 	g.want("its hosts", len(n.c.jobs[0].hosts), machines)
 	// All of it is deleted with the job.
-	n.step(CancelAsked{Ref: "job-1", To: "u"})
+	n.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 	n.wait(40 * time.Second)
 	for _, h := range saved.Hosts {
 		if w, ok := n.writes[h.Key]; !ok || w.Value != nil {
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -139,7 +139,7 @@
 	g.settle(DirectDone)
 	g.step(CloudBack{fleet.Result{Call: fleet.Call{Delete: []string{"vm-1"}}}})
 	g.want("noted", g.c.machines[0].goneNoted, true)
-	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 	g.report(g.reportOf("vm-2", ours))
 	g.wait(time.Second)
 	g.want("noted after the job is over", g.c.machines[0].goneNoted, false)
@@ -464,7 +464,7 @@
 	}
 	g.out = nil
 	for i := range machines {
-		g.step(ReportIn{Report: copies[name(i)], To: "w"})
+		g.step(ReportIn{Report: copies[name(i)], To: recipient("w")})
 	}
 	at := asked()
 	g.want("asked at once", len(at), maxInspects)
@@ -476,7 +476,7 @@
 		g.wait(time.Second)
 		g.echo("vm-0")
 		g.out = nil
-		g.step(ReportIn{Report: copies["vm-0"], To: "w"})
+		g.step(ReportIn{Report: copies["vm-0"], To: recipient("w")})
 		for _, n := range asked() {
 			count++
 			g.step(InspectBack{Machine: n, Report: g.reportOf(n, ours)})
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -30,7 +30,7 @@
 		return refs
 	}
 	g.want("order", order(), []string{"job-3", "job-4", "job-2", "job-1", "job-6", "job-5"})
-	g.step(CancelAsked{Ref: "job-5", To: "u"})
+	g.step(CancelAsked{Ref: "job-5", To: recipient("u")})
 	g.want("order once nobody is late", order(), []string{"job-3", "job-6", "job-4", "job-2", "job-1"})
 	g.want("slack without a deadline", g.c.jobs[0].slack(0) == math.MaxInt64, true)
 	// Nobody comes last for ever.
@@ -77,7 +77,7 @@
 	small := newTestJob("job-2", wire.MaxTasks, 0.01)
 	small.MemGB, small.Priority = 0, "high"
 	g.start = nil
-	g.step(CancelAsked{Ref: "job-1", To: "u"})
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 	g.submit(small)
 	g.want("commands for many starts", len(g.start) > 1, true)
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -48,26 +48,29 @@
 	// The mailboxes, by rank: reports of workers first, then what decisions
 	// need, then users. Each is bounded; who finds one full is turned away.
 	reports chan ask
-	inner   chan any
+	inner   chan Event
 	users   chan ask
 }
 
 // ask is an event with who wants to be told of its outcome: an effect, or an
 // error.
 type ask struct {
-	event any
+	event Event
 	reply answerTo
 }
 
-// answerTo takes the one outcome of an ask. It does not wait.
-type answerTo func(outcome any)
+// answerTo takes the one outcome of an ask, an answer or an error. It does not wait.
+type answerTo func(answer Effect, err error)
+
+// Deliver takes the answer.
+func (to answerTo) Deliver(answer Effect) { to(answer, nil) }
 
 // NewDispatcher makes a dispatcher; Run starts it.
 func NewDispatcher(n outbound.Network, p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines ConnLimits, log *slog.Logger) *Dispatcher {
 	return &Dispatcher{
 		net: n, platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
 		workers: newCallers(n, lines), Upgraded: func() bool { return false },
-		reports: make(chan ask, 256), inner: make(chan any, 512), users: make(chan ask, 128),
+		reports: make(chan ask, 256), inner: make(chan Event, 512), users: make(chan ask, 128),
 	}
 }
 
@@ -88,20 +91,21 @@
 // Machines is how many machines should be reporting to this node as the leader.
 func (d *Dispatcher) Machines() int { return int(d.machines.Load()) }
 
-func (d *Dispatcher) ask(ctx context.Context, box chan ask, event func(to answerTo) any) (any, error) {
-	reply := make(chan any, 1)
-	to := answerTo(func(outcome any) { reply <- outcome })
+func (d *Dispatcher) ask(ctx context.Context, box chan ask, event func(to Recipient) Event) (Effect, error) {
+	type outcome struct {
+		answer Effect
+		err    error
+	}
+	reply := make(chan outcome, 1)
+	to := answerTo(func(answer Effect, err error) { reply <- outcome{answer, err} })
 	select {
 	case box <- ask{event(to), to}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 	select {
-	case a := <-reply:
-		if err, ok := a.(error); ok {
-			return nil, err
-		}
-		return a, nil
+	case o := <-reply:
+		return o.answer, o.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -109,46 +113,40 @@
 
 // Report has a worker's report answered.
 func (d *Dispatcher) Report(ctx context.Context, r *wire.Report) (*wire.ReportAnswer, error) {
-	a, err := d.ask(ctx, d.reports, func(to answerTo) any { return ReportIn{Report: r, To: to} })
-	if err != nil {
-		return nil, err
-	}
-	return reportAnswer(a)
+	return reportAnswer(d.ask(ctx, d.reports, func(to Recipient) Event { return ReportIn{Report: r, To: to} }))
 }
 
 // ReportAsync has a worker's report answered through give, once, or never if the term
 // ends meanwhile. give must not wait.
 func (d *Dispatcher) ReportAsync(ctx context.Context, r *wire.Report, give func(*wire.ReportAnswer, error)) {
-	to := answerTo(func(outcome any) { give(reportAnswer(outcome)) })
+	to := answerTo(func(answer Effect, err error) { give(reportAnswer(answer, err)) })
 	select {
 	case d.reports <- ask{ReportIn{Report: r, To: to}, to}:
 	case <-ctx.Done():
 	}
 }
 
-func reportAnswer(outcome any) (*wire.ReportAnswer, error) {
-	switch o := outcome.(type) {
-	case error:
-		return nil, o
-	case AnswerReport:
-		if o.Answer != nil {
-			return o.Answer, nil
-		}
+func reportAnswer(answer Effect, err error) (*wire.ReportAnswer, error) {
+	if err != nil {
+		return nil, err
+	}
+	if a, ok := answer.(AnswerReport); ok && a.Answer != nil {
+		return a.Answer, nil
 	}
 	return nil, ErrNotLeading
 }
 
 // Status asks for a job's state. With ErrDeciding only the record tells it.
 func (d *Dispatcher) Status(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
-	return d.user(ctx, func(to answerTo) any { return StatusAsked{Ref: ref, To: to} })
+	return d.user(ctx, func(to Recipient) Event { return StatusAsked{Ref: ref, To: to} })
 }
 
 // Cancel has a job cancelled and waits until that is durable.
 func (d *Dispatcher) Cancel(ctx context.Context, ref string) (wire.JobStatus, bool, error) {
-	return d.user(ctx, func(to answerTo) any { return CancelAsked{Ref: ref, To: to} })
+	return d.user(ctx, func(to Recipient) Event { return CancelAsked{Ref: ref, To: to} })
 }
 
-func (d *Dispatcher) user(ctx context.Context, event func(to answerTo) any) (wire.JobStatus, bool, error) {
+func (d *Dispatcher) user(ctx context.Context, event func(to Recipient) Event) (wire.JobStatus, bool, error) {
 	a, err := d.ask(ctx, d.users, event)
 	if err != nil {
 		return wire.JobStatus{}, false, err
@@ -170,7 +168,7 @@
 }
 
 // decide hands the core an event that decisions need. It gives up only with ctx.
-func (d *Dispatcher) decide(ctx context.Context, event any) {
+func (d *Dispatcher) decide(ctx context.Context, event Event) {
 	select {
 	case d.inner <- event:
 	case <-ctx.Done():
@@ -194,7 +192,7 @@
 	for {
 		// Without a term the mailboxes are emptied here.
 		var reports, users chan ask
-		var inner chan any
+		var inner chan Event
 		if stop == nil {
 			reports, users, inner = d.reports, d.users, d.inner
 		}
@@ -216,9 +214,9 @@
 				d.store.SetShare(FollowerShare(d.platform.Facts.Nodes))
 			}
 		case a := <-reports:
-			a.reply(ErrNotLeading)
+			a.reply(nil, ErrNotLeading)
 		case a := <-users:
-			a.reply(ErrNotLeading)
+			a.reply(nil, ErrNotLeading)
 		case <-inner:
 		case <-ctx.Done():
 			return
@@ -348,7 +346,7 @@
 // stepTogether steps the core with an event. What waits already, or comes before the
 // next placement is due, is taken along: under load many events share one placement, and
 // one answer carries all that follows from them.
-func (t *term) stepTogether(ctx context.Context, event any, pause *pause) {
+func (t *term) stepTogether(ctx context.Context, event Event, pause *pause) {
 	var enough <-chan time.Time
 	for n, ok := 1, true; ok; n++ {
 		t.step(event)
@@ -366,7 +364,7 @@
 
 // step steps the core with one event. Suspended, another leader may have begun: what
 // time alone would bring, such as giving up silent machines, is not ours to do then.
-func (t *term) step(event any) {
+func (t *term) step(event Event) {
 	if _, isTick := event.(Tick); isTick && !t.elector.InTerm(t.number) {
 		return
 	}
@@ -419,7 +417,7 @@
 }()
 
 // waiting takes an event that is there already, by rank.
-func (t *term) waiting() (any, bool) {
+func (t *term) waiting() (Event, bool) {
 	select {
 	case a := <-t.reports:
 		return a.event, true
@@ -450,7 +448,7 @@
 
 // next takes the next event, by rank. It gives up with ctx, or when enough
 // tells.
-func (t *term) next(ctx context.Context, enough <-chan time.Time) (any, bool) {
+func (t *term) next(ctx context.Context, enough <-chan time.Time) (Event, bool) {
 	if ctx.Err() != nil {
 		return nil, false
 	}
@@ -480,14 +478,14 @@
 }
 
 // carryOut turns effects into deeds.
-func (t *term) carryOut(ctx context.Context, effects []any) {
+func (t *term) carryOut(ctx context.Context, effects []Effect) {
 	var writes []ledger.Write
 	for _, e := range effects {
 		switch e := e.(type) {
 		case AnswerReport:
-			e.To.(answerTo)(e)
+			e.To.Deliver(e)
 		case AnswerUser:
-			e.To.(answerTo)(e)
+			e.To.Deliver(e)
 		case Put:
 			writes = append(writes, e.Writes...)
 		case CallCloud:
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -55,7 +55,7 @@
 	g.held, g.out = true, nil
 	report := func() {
 		r := g.reportOf("vm-1", g.c.machineNamed("vm-1").token, taskIn(o, wire.TaskRunning, ""))
-		g.step(ReportIn{Report: r, To: "w"})
+		g.step(ReportIn{Report: r, To: recipient("w")})
 	}
 	report()
 	g.want("answered before the note is withdrawn", g.answers(), 0)
@@ -114,7 +114,7 @@
 		g.up("vm-2")
 		g.held, g.out = true, nil
 		old := wire.TaskReport{Task: "job-1/0", Attempt: 6<<tokenBits | 1, Status: wire.TaskRunning}
-		g.step(ReportIn{Report: g.reportOf("vm-1", 6<<tokenBits, old), To: "w"})
+		g.step(ReportIn{Report: g.reportOf("vm-1", 6<<tokenBits, old), To: recipient("w")})
 		g.want("answered before the note is withdrawn", g.answers(), 0)
 		g.release()
 		g.want("answered afterwards", g.answers(), 1)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -29,7 +29,28 @@
 // within one term.
 const tokenBits = 24
 
-// The events that the core is stepped with.
+// Event is what the core is stepped with.
+type Event interface{ isEvent() }
+
+func (JobSeen) isEvent()     {}
+func (ReportIn) isEvent()    {}
+func (DirectBack) isEvent()  {}
+func (CancelAsked) isEvent() {}
+func (StatusAsked) isEvent() {}
+func (NowDurable) isEvent()  {}
+func (CloudBack) isEvent()   {}
+func (InspectBack) isEvent() {}
+func (Formats) isEvent()     {}
+func (Rejected) isEvent()    {}
+func (Tick) isEvent()        {}
+
+// Recipient is who gets the answer to a report, a question or a cancellation.
+type Recipient interface {
+	// Deliver takes the answer. It does not wait.
+	Deliver(answer Effect)
+}
+
+// The events.
 type (
 	// JobSeen tells of a job record, from a node that accepted it or from the
 	// watch.
@@ -41,7 +62,7 @@
 	// ReportIn is a worker's report that wants an answer.
 	ReportIn struct {
 		Report *wire.Report
-		To     any
+		To     Recipient
 	}
 	// DirectBack is the outcome of a direct command.
 	DirectBack struct {
@@ -52,15 +73,15 @@
 	// CancelAsked is a user asking to cancel a job.
 	CancelAsked struct {
 		Ref string
-		To  any
+		To  Recipient
 	}
 	// StatusAsked is a user's question.
 	StatusAsked struct {
 		Ref string
-		To  any
+		To  Recipient
 	}
 	// NowDurable tells tags of writes that are durable.
-	NowDurable struct{ Tags []any }
+	NowDurable struct{ Tags []ledger.Tag }
 	// CloudBack is the outcome of a cloud call.
 	CloudBack struct{ Result fleet.Result }
 	// InspectBack is what a worker says when asked what it is now.
@@ -72,7 +93,7 @@
 	Formats struct{ ValueBytes int }
 	// Rejected tells tags of writes that were not carried out, since their values
 	// are larger than the state service takes any more.
-	Rejected struct{ Tags []any }
+	Rejected struct{ Tags []ledger.Tag }
 	// Tick comes a few times a second.
 	Tick struct{}
 )
@@ -88,11 +109,21 @@
 	DirectNotSent                      // never left this process
 )
 
-// The effects of a step.
+// Effect is what follows from steps and is to be carried out.
+type Effect interface{ isEffect() }
+
+func (AnswerReport) isEffect() {}
+func (Direct) isEffect()       {}
+func (Inspect) isEffect()      {}
+func (Put) isEffect()          {}
+func (AnswerUser) isEffect()   {}
+func (CallCloud) isEffect()    {}
+
+// The effects.
 type (
 	// AnswerReport answers a worker.
 	AnswerReport struct {
-		To     any
+		To     Recipient
 		Answer *wire.ReportAnswer // nil: this node can't answer for the controllers
 	}
 	// Direct is a command to be sent straight to a worker.
@@ -111,7 +142,7 @@
 	Put struct{ Writes []ledger.Write }
 	// AnswerUser answers a question or a cancellation.
 	AnswerUser struct {
-		To     any
+		To     Recipient
 		Known  bool
 		Status wire.JobStatus
 		// Deciding: the job's end is being written. The state service may have
@@ -189,7 +220,7 @@
 	terminal        string // decided, being written or durable
 	terminalDurable bool
 	settled         bool // all that a terminal state requires is done
-	waiters         []any
+	waiters         []Recipient
 
 	begun  bool          // some task of it has been seen running, or is done
 	held   *machine      // kept free for its first task
@@ -425,3 +456,10 @@
 	hireTag     struct{ name string }
 	noteTag     struct{ key string }
 )
+
+// IsTag marks the tags for the ledger.
+func (hostTag) IsTag()     {}
+func (finTag) IsTag()      {}
+func (terminalTag) IsTag() {}
+func (hireTag) IsTag()     {}
+func (noteTag) IsTag()     {}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -35,7 +35,13 @@
 	// another node has created; 0 when the ledger knows better.
 	Version uint64
 	// Tag is handed back once the key holds this value or a later one.
-	Tag any
+	Tag Tag
+}
+
+// Tag tells a caller which of its writes an outcome concerns.
+type Tag interface {
+	// IsTag marks the caller's types.
+	IsTag()
 }
 
 // Ledger writes for one term of leadership. It owns the versions of all keys
@@ -55,10 +61,10 @@
 	// retries brings back what the service has rejected.
 	retries chan outcome
 	// Durable tells the tags of writes that are now durable.
-	Durable chan []any
+	Durable chan []Tag
 	// Rejected tells the tags of writes whose values are larger than the service
 	// takes any more. They are not carried out, nor tried again.
-	Rejected chan []any
+	Rejected chan []Tag
 
 	versions map[string]uint64
 	pending  map[string]*pendingWrite
@@ -89,7 +95,7 @@
 
 type pendingWrite struct {
 	value  json.RawMessage // nil deletes
-	tags   []any
+	tags   []Tag
 	urgent bool
 }
 
@@ -97,7 +103,7 @@
 func New(term uint64, store Store, bounds func() Limits, log *slog.Logger) *Ledger {
 	return &Ledger{
 		term: term, store: store, bounds: bounds, limits: bounds(), log: log,
-		incoming: make(chan []Write, 64), retries: make(chan outcome), Durable: make(chan []any, 64), Rejected: make(chan []any, 64),
+		incoming: make(chan []Write, 64), retries: make(chan outcome), Durable: make(chan []Tag, 64), Rejected: make(chan []Tag, 64),
 		versions: map[string]uint64{}, pending: map[string]*pendingWrite{}, singly: map[string]bool{}, resting: map[string]*pendingWrite{},
 	}
 }
@@ -157,7 +163,7 @@
 func (l *Ledger) Run(ctx context.Context) error {
 	results := make(chan outcome, 1)
 	committing := false
-	var durable, tooLarge []any
+	var durable, tooLarge []Tag
 	later := time.NewTimer(time.Hour)
 	defer later.Stop()
 	for {
@@ -196,7 +202,7 @@
 }
 
 // unlessEmpty is a channel if there is something to be sent on it, or else nil.
-func unlessEmpty(to chan []any, tags []any) chan []any {
+func unlessEmpty(to chan []Tag, tags []Tag) chan []Tag {
 	if len(tags) == 0 {
 		return nil
 	}
@@ -406,12 +412,12 @@
 // settle takes the outcome of a transaction and returns the tags of what is
 // durable now, and of what is too large to become so. What is neither goes back
 // unless a later write has replaced it.
-func (l *Ledger) settle(r outcome) (durable, tooLarge []any, err error) {
+func (l *Ledger) settle(r outcome) (durable, tooLarge []Tag, err error) {
 	if r.err == nil && r.ok {
 		if r.fenced {
 			l.versions[fenceKey], l.doubt = r.answer.Revision, false
 		}
-		var tags []any
+		var tags []Tag
 		for i, key := range r.keys {
 			if r.writes[i].value == nil {
 				delete(l.versions, key)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -18,6 +18,12 @@
 	"leadproxy/internal/wire"
 )
 
+// numberTag tags a write of a test.
+type numberTag int
+
+// IsTag marks it.
+func (numberTag) IsTag() {}
+
 func fixed(l Limits) func() Limits { return func() Limits { return l } }
 
 func TestRanges(t *testing.T) {
@@ -143,11 +149,11 @@
 				defer cancel()
 				l := New(5, f, fixed(Limits{Ops: 4, Bytes: 1 << 14}), slog.New(slog.NewTextHandler(io.Discard, nil)))
 				go func() { _ = l.Run(ctx) }()
-				l.Put(ctx, []Write{{Key: "job/j", Value: "old", Version: 3, Tag: 1}})
-				if tags := <-l.Durable; !reflect.DeepEqual(tags, []any{1}) {
+				l.Put(ctx, []Write{{Key: "job/j", Value: "old", Version: 3, Tag: numberTag(1)}})
+				if tags := <-l.Durable; !reflect.DeepEqual(tags, []Tag{numberTag(1)}) {
 					t.Errorf("durable: %v", tags)
 				}
-				l.Put(ctx, []Write{{Key: "job/j", Value: "new", Tag: 2}})
+				l.Put(ctx, []Write{{Key: "job/j", Value: "new", Tag: numberTag(2)}})
 				<-l.Durable
 				// A copy that comes now must not bring the old value back.
 				for _, txn := range f.held {
@@ -158,7 +164,7 @@
 				}
 				// Once another leader's key stands, nothing is written.
 				f.keys[election.Key] = 77
-				l.Put(ctx, []Write{{Key: "job/j", Value: "late", Tag: 3}})
+				l.Put(ctx, []Write{{Key: "job/j", Value: "late", Tag: numberTag(3)}})
 				synctest.Wait()
 				if f.values["job/j"] != `"new"` {
 					t.Errorf("written after the term: %s", f.values["job/j"])
@@ -185,7 +191,7 @@
 				}
 				go func() { _ = l.Run(ctx) }()
 				for _, value := range []any{"hosts", nil} {
-					l.Put(ctx, []Write{{Key: "host/j/0", Value: value, Tag: 1}})
+					l.Put(ctx, []Write{{Key: "host/j/0", Value: value, Tag: numberTag(1)}})
 					<-l.Durable
 				}
 				for _, txn := range f.held {
@@ -195,7 +201,7 @@
 					t.Errorf("the key is back and holds %s", v)
 				}
 				// The fence stands in nobody's way.
-				l.Put(ctx, []Write{{Key: "host/k/0", Value: "hosts", Tag: 2}})
+				l.Put(ctx, []Write{{Key: "host/k/0", Value: "hosts", Tag: numberTag(2)}})
 				<-l.Durable
 			})
 		})
@@ -217,11 +223,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() { _ = l.Run(ctx) }()
-		l.Put(ctx, []Write{{Key: "a", Value: "small", Tag: 1}, {Key: "b", Value: strings.Repeat("x", 50), Tag: 2}, {Key: "c", Value: "small", Tag: 3}})
+		l.Put(ctx, []Write{{Key: "a", Value: "small", Tag: numberTag(1)}, {Key: "b", Value: strings.Repeat("x", 50), Tag: numberTag(2)}, {Key: "c", Value: "small", Tag: numberTag(3)}})
 		synctest.Wait()
 		<-bounds
 		bounds <- Limits{Ops: 1, Bytes: 1 << 14, Value: 20}
-		if tags := <-l.Rejected; !reflect.DeepEqual(tags, []any{2}) {
+		if tags := <-l.Rejected; !reflect.DeepEqual(tags, []Tag{numberTag(2)}) {
 			t.Errorf("given back: %v", tags)
 		}
 		time.Sleep(time.Second)
--- /dev/null
+++ b/internal/node/cancellations_test.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"leadproxy/internal/fake"
+	"leadproxy/internal/wire"
+)
+
+// Users cancel jobs while failures meet. docs/failures.md tells which
+// code answers each combination. What must hold is the same for all: the checker looks
+// at it all the time, and inCluster ends a test only when all that was accepted is
+// served.
+
+// TestCancelThenOutage: the state service refuses the leader alone, cancellations are
+// confirmed through another node, and then the service is out for all for longer
+// than cancel_s, while workers keep reporting. Whoever goes on renewing leases
+// must know of the confirmations.
+func TestCancelThenOutage(t *testing.T) {
+	for _, gap := range []time.Duration{0, 200 * time.Millisecond, time.Second, 2 * time.Second, 2500 * time.Millisecond, 2800 * time.Millisecond,
+		2900 * time.Millisecond, 3 * time.Second, 3100 * time.Millisecond, 3300 * time.Millisecond, 3600 * time.Millisecond, 4 * time.Second, 5 * time.Second, 6 * time.Second} {
+		for _, then := range []string{"", "kill", "cut", "hang", "lost"} {
+			t.Run(fmt.Sprint(gap, then), func(t *testing.T) {
+				inCluster(t, plan{run: long(100 * time.Second)}, func(c *cluster) {
+					jobs := c.stream(0, 8, 300*time.Millisecond, nil)
+					c.running(10)
+					lead := c.leader()
+					c.state.Refuse(c.name(lead), true)
+					if then == "lost" {
+						c.writes.Store(c.share(1, fake.AnswerLost, 0, 0))
+					}
+					// Users call off half the jobs, again and again, while the leader is
+					// refused alone.
+					for _, j := range half(jobs) {
+						c.users.Cancel(j)
+					}
+					time.Sleep(gap)
+					c.state.Outage(true)
+					c.writes.Store(nil)
+					switch now := c.leader(); then {
+					case "kill": // and back at once
+						c.restart(lead, 300*time.Millisecond)
+					case "cut":
+						if now >= 0 {
+							c.alone(now, true, true)
+						}
+					case "hang":
+						for _, w := range half(c.cloud.Workers()) {
+							w.Hang(true)
+						}
+					}
+					time.Sleep(15 * time.Second)
+					for _, w := range c.cloud.Workers() {
+						w.Hang(false)
+					}
+					time.Sleep(cancelLimit)
+					c.state.Refuse(c.name(lead), false)
+					c.state.Outage(false)
+					for i := range c.nodes {
+						c.alone(i, false, false)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestCancelThenOutageWithSlowState: the state service refuses the leader alone and is so slow with
+// the others that they promise not to act, since they can't tell that from an
+// outage; then one of them wins the election, and users cancel through it, while
+// half of the workers reach the former leader only. Either it stops answering them,
+// or nobody else confirms. And it must not take long until somebody does.
+func TestCancelThenOutageWithSlowState(t *testing.T) {
+	for _, slow := range []time.Duration{250 * time.Millisecond, 350 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(fmt.Sprint(slow), func(t *testing.T) {
+			inCluster(t, plan{run: long(100 * time.Second)}, func(c *cluster) {
+				jobs := c.stream(0, 8, 300*time.Millisecond, nil)
+				c.running(20)
+				lead := c.leader()
+				workers := half(c.cloud.Workers())
+				for _, w := range workers {
+					for i := range c.nodes {
+						if i != lead {
+							c.net.Cut(w.Name(), c.name(i), false)
+						}
+					}
+				}
+				c.state.Slow(slow)
+				c.state.Refuse(c.name(lead), true)
+				began := time.Now()
+				for _, j := range half(jobs) {
+					for c.users.CancelAt((lead+1)%len(c.nodes), j) == false && time.Since(began) < time.Minute {
+						time.Sleep(500 * time.Millisecond)
+					}
+				}
+				if took := time.Since(began); took > 40*time.Second {
+					t.Errorf("cancellations took %s", took)
+				}
+				time.Sleep(cancelLimit + 10*time.Second)
+				c.state.Slow(0)
+				c.state.Refuse(c.name(lead), false)
+				for _, w := range workers {
+					for i := range c.nodes {
+						c.net.Heal(w.Name(), c.name(i))
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestCancelConfirmedByRecord: a cancellation is written by the leader, but only
+// that answer is lost; other nodes read it and tell users. Then the service is out
+// for all, and the leader goes on with the promises of all, for longer than
+// cancel_s, without ever learning that its write was carried out.
+func TestCancelConfirmedByRecord(t *testing.T) {
+	inCluster(t, plan{run: long(100 * time.Second)}, func(c *cluster) {
+		jobs := c.stream(0, 8, 300*time.Millisecond, nil)
+		c.running(10)
+		for k, j := range half(jobs) {
+			before := j.Ref
+			for i := range 2 { // one that needs it, and one that needs that
+				child := fake.NewJob(fmt.Sprintf("job-%06d", 200+100*i+k), 1, func(j *wire.Job) { j.WaitsOn = []string{before} })
+				if c.users.Accept(child) {
+					c.users.Poll(child)
+				}
+				before = child.Ref
+			}
+		}
+		c.writes.Store(c.share(1, fake.AnswerLost, 0, 0))
+		for _, j := range half(jobs) {
+			c.users.Cancel(j)
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, j := range half(jobs) {
+			c.users.Look(j.Ref, j)
+		}
+		time.Sleep(200 * time.Millisecond)
+		c.state.Outage(true)
+		c.writes.Store(nil)
+		time.Sleep(cancelLimit + 20*time.Second)
+		c.state.Outage(false)
+	})
+}
+
+// TestCancelAtLastTask: a cancellation, a question or a repeated submission meets
+// the end of a job's last task, with no other trouble.
+func TestCancelAtLastTask(t *testing.T) {
+	eachSeed(t, plan{run: func(string) time.Duration { return 4 * time.Second }}, func(c *cluster, r *rand.Rand) {
+		c.stream(0, 1, 20*time.Second, nil) // machines are up then
+		for k := range 30 {
+			j := fake.NewJob(fmt.Sprintf("job-%06d", 10+k), 1, nil)
+			c.users.Submit(j)
+			done := func() bool { _, n := c.check.On(j.Ref); return n == 1 }
+			for end := time.Now().Add(30 * time.Second); !done() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(some(r, 0, 15*time.Millisecond))
+			c.users.Cancel(j)
+			c.users.Look(j.Ref, j)
+		}
+	})
+}
+
+// TestCancelAtOnce: users cancel a job in the moment in which it is accepted,
+// through other nodes, and ask and repeat everywhere.
+func TestCancelAtOnce(t *testing.T) {
+	eachSeed(t, plan{}, func(c *cluster, r *rand.Rand) {
+		for k := range 30 {
+			j := fake.NewJob(fmt.Sprintf("job-%06d", k), 2, nil)
+			c.users.Submit(j)
+			time.Sleep(some(r, 0, 12*time.Millisecond))
+			for i := range c.nodes {
+				c.users.Go(func() { c.users.Call(i, fake.AskedCancel, j.Ref, nil) })
+			}
+			c.users.Look(j.Ref, j)
+			c.users.Cancel(j)
+			time.Sleep(some(r, 100*time.Millisecond, 2*time.Second))
+			if k == 15 {
+				c.kill(c.leader())
+			}
+		}
+		c.revive()
+	})
+}
+
+// TestCancelDuringHandover: jobs are cancelled in the seconds in which one
+// controller's work changes hands.
+func TestCancelDuringHandover(t *testing.T) {
+	eachSeed(t, plan{run: long(60 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		jobs := c.stream(0, 16, 200*time.Millisecond, nil)
+		c.running(20)
+		c.users.Go(func() {
+			for _, j := range half(jobs) {
+				c.users.Cancel(j)
+				time.Sleep(some(r, 100*time.Millisecond, 900*time.Millisecond))
+			}
+		})
+		time.Sleep(500 * time.Millisecond)
+		c.restart(c.leader(), 800*time.Millisecond)
+		time.Sleep(4 * time.Second)
+		c.state.Refuse(c.name(max(c.leader(), 0)), true)
+		time.Sleep(5 * time.Second)
+		for i := range c.nodes {
+			c.state.Refuse(c.name(i), false)
+		}
+	})
+}
--- a/internal/node/report_handler_test.go
+++ b/internal/node/report_handler_test.go
@@ -17,15 +17,15 @@
 	"leadproxy/internal/wire"
 )
 
-// lineTo is a line to the leader: it answers with what it holds, or not at all.
-type lineTo struct {
+// forwarderTo is a line to the leader: it answers with what it holds, or not at all.
+type forwarderTo struct {
 	answer intake.Answer
 	err    error
 }
 
-func (l lineTo) Connect(context.Context, string) {}
+func (l forwarderTo) Connect(context.Context, string) {}
 
-func (l lineTo) Report(ctx context.Context, _ string, _ []byte) (intake.Answer, error) {
+func (l forwarderTo) Report(ctx context.Context, _ string, _ []byte) (intake.Answer, error) {
 	if l.answer.Status == 0 && l.err == nil {
 		<-ctx.Done()
 		return intake.Answer{}, ctx.Err()
@@ -39,16 +39,16 @@
 func TestCarriedReports(t *testing.T) {
 	cases := []struct {
 		name   string
-		line   lineTo
+		line   forwarderTo
 		status int
 		body   string
 		within time.Duration
 	}{
-		{"the leader's answer is passed on", lineTo{answer: intake.JSON(200, wire.ReportAnswer{Token: 7})}, 200, `{"baton":7,"orders":null}`, 0},
-		{"one that leads no more", lineTo{answer: sendTo("n2")}, 421, `{"boss":"n2"}`, 0},
-		{"one that finds the report malformed", lineTo{answer: problem(400, "x")}, 400, `{"error":"x"}`, 0},
-		{"no line: the leader itself is to be tried", lineTo{err: peers.ErrNoStream}, 421, `{"boss":"n1"}`, 0},
-		{"a leader that is silent", lineTo{}, 421, `{}`, reportLimit},
+		{"the leader's answer is passed on", forwarderTo{answer: intake.JSON(200, wire.ReportAnswer{Token: 7})}, 200, `{"baton":7,"orders":null}`, 0},
+		{"one that leads no more", forwarderTo{answer: sendTo("n2")}, 421, `{"boss":"n2"}`, 0},
+		{"one that finds the report malformed", forwarderTo{answer: problem(400, "x")}, 400, `{"error":"x"}`, 0},
+		{"no line: the leader itself is to be tried", forwarderTo{err: peers.ErrNoStream}, 421, `{"boss":"n1"}`, 0},
+		{"a leader that is silent", forwarderTo{}, 421, `{}`, reportLimit},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- /dev/null
+++ b/internal/node/state_service_test.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"leadproxy/internal/fake"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
+)
+
+// The state service loses answers, delays transactions, is slow or takes less. docs/failures.md tells which
+// code answers each combination. What must hold is the same for all: the checker looks
+// at it all the time, and inCluster ends a test only when all that was accepted is
+// served.
+
+// TestLostTransactionAnswers: a transaction is carried out at once and only its answer
+// is lost, while other nodes read what it wrote.
+func TestLostTransactionAnswers(t *testing.T) {
+	eachSeed(t, plan{run: long(20 * time.Second)}, func(c *cluster, _ *rand.Rand) {
+		c.writes.Store(c.share(0.3, fake.AnswerLost, 0, 0))
+		jobs := c.stream(0, 20, 400*time.Millisecond, nil)
+		for _, j := range half(jobs) {
+			c.users.Cancel(j)
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		c.kill(c.leader())
+		time.Sleep(20 * time.Second)
+		c.writes.Store(nil)
+	})
+}
+
+// TestDelayedTransactions: a transaction without an answer is carried out 2 to 12 s
+// later, after newer ones of the same controller; a note of silent machines and
+// its withdrawal among them.
+func TestDelayedTransactions(t *testing.T) {
+	eachSeed(t, plan{run: long(20 * time.Second)}, func(c *cluster, _ *rand.Rand) {
+		c.writes.Store(c.share(0.25, fake.Delayed, 2*time.Second, 12*time.Second))
+		jobs := c.stream(0, 20, 400*time.Millisecond, nil)
+		for _, w := range half(c.cloud.Workers()) {
+			w.CutOutbound(true)
+		}
+		for _, j := range half(jobs) {
+			c.users.Cancel(j)
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(9 * time.Second)
+		for _, w := range c.cloud.Workers() {
+			w.CutOutbound(false)
+		}
+		c.restart(c.leader(), 500*time.Millisecond)
+		c.stream(100, 10, 400*time.Millisecond, nil)
+		time.Sleep(20 * time.Second)
+		c.writes.Store(nil)
+	})
+}
+
+// TestSlowState: the state service answers slowly, or refuses the leader
+// alone and then everybody for longer than cancel_s, while users cancel and ask.
+func TestSlowState(t *testing.T) {
+	for _, slow := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 1600 * time.Millisecond} {
+		t.Run(fmt.Sprint(slow), func(t *testing.T) {
+			inCluster(t, plan{run: long(60 * time.Second)}, func(c *cluster) {
+				jobs := c.stream(0, 10, 300*time.Millisecond, nil)
+				c.running(10)
+				c.state.Slow(slow)
+				for _, j := range half(jobs) {
+					c.users.Cancel(j)
+					time.Sleep(time.Second)
+				}
+				lead := c.leader()
+				if lead >= 0 {
+					c.state.Refuse(c.name(lead), true)
+				}
+				for _, j := range jobs[:4] {
+					c.users.Look(j.Ref, j)
+					time.Sleep(500 * time.Millisecond)
+				}
+				c.state.Outage(true)
+				for range 6 {
+					c.users.Look(jobs[0].Ref, jobs[0])
+					c.users.Cancel(jobs[1])
+					time.Sleep(cancelLimit / 5)
+				}
+				c.state.Slow(0)
+				c.state.Outage(false)
+				if lead >= 0 {
+					c.state.Refuse(c.name(lead), false)
+				}
+			})
+		})
+	}
+}
+
+// TestStateLimitsFall: the state service takes smaller values, smaller transactions
+// and fewer writes from some moment on, without notice: in the middle of work, as a
+// leader ends, at the end of an outage, or before all nodes are known to be upgraded.
+func TestStateLimitsFall(t *testing.T) {
+	low := settings.StateLimits{RPS: 200, WriteRPS: 40, ValueKB: 1, TxnOps: 5}
+	for name, when := range map[string]func(c *cluster, fall func()){
+		"in the middle": func(_ *cluster, fall func()) { fall() },
+		"as the leader ends": func(c *cluster, fall func()) {
+			fall()
+			c.restart(c.leader(), 2*time.Second)
+		},
+		"just before it ends": func(c *cluster, fall func()) {
+			c.kill(c.leader())
+			fall()
+		},
+		"at the end of an outage": func(c *cluster, fall func()) {
+			c.state.Outage(true)
+			time.Sleep(15 * time.Second)
+			fall()
+			c.state.Outage(false)
+		},
+		"while a node is missing": func(c *cluster, fall func()) {
+			c.kill(c.follower())
+			fall()
+		},
+		"before all nodes are known": func(_ *cluster, fall func()) {
+			time.Sleep(6 * time.Second)
+			fall()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// Every other task ends soon, and of the rest every other one a little later:
+			// their ranges are more than a small value holds.
+			run := func(task string) time.Duration {
+				_, n, _ := wire.SplitTask(task)
+				return []time.Duration{3 * time.Second, 25 * time.Second, 3 * time.Second, 63 * time.Second}[n%4]
+			}
+			absent := 0
+			if name == "before all nodes are known" {
+				absent = 1
+			}
+			inCluster(t, plan{next: &low, machines: 40, run: run, absent: absent}, func(c *cluster) {
+				jobs := c.stream(0, 3, 500*time.Millisecond, func(_ int, j *wire.Job) { j.Tasks, j.CPUs = 600, 0.25 })
+				c.running(300)
+				when(c, func() { c.state.Limit(low) })
+				time.Sleep(20 * time.Second)
+				if large := c.state.Largest("fin/"); large > 1024 && absent == 0 {
+					t.Errorf("%d bytes of finished tasks in a value, all nodes being upgraded", large)
+				} else if large <= 1024 && absent > 0 {
+					t.Error("nothing was written as an older version reads it")
+				}
+				if c.state.Count("fin/job-000000/0.") == 0 {
+					t.Error("no finished tasks are written in parts")
+				}
+				c.users.Cancel(jobs[2])
+				c.stream(100, 6, 500*time.Millisecond, nil)
+				time.Sleep(20 * time.Second)
+				c.revive()
+			})
+		})
+	}
+}
--- a/internal/outbound/line_test.go
+++ b/internal/outbound/conn_test.go
@@ -10,10 +10,10 @@
 	"time"
 )
 
-// TestLine: a line is used again as long as the other side keeps it. One that was
+// TestConn: a line is used again as long as the other side keeps it. One that was
 // hung up while idle is noticed before anything is sent on it: a command that
 // broke off could have been carried out.
-func TestLine(t *testing.T) {
+func TestConn(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/peers/share_test.go
+++ b/internal/peers/share_test.go
@@ -13,15 +13,15 @@
 	"leadproxy/internal/peers/peerpb"
 )
 
-// wireLine is a line whose other end the test holds.
-type wireLine struct {
+// testStream is a line whose other end the test holds.
+type testStream struct {
 	ctx     context.Context
 	sent    chan *peerpb.ReportBatch
 	answers chan *peerpb.AnswerBatch
 	broken  chan struct{}
 }
 
-func (l *wireLine) Send(b *peerpb.ReportBatch) error {
+func (l *testStream) Send(b *peerpb.ReportBatch) error {
 	select {
 	case l.sent <- b:
 		return nil
@@ -32,7 +32,7 @@
 	}
 }
 
-func (l *wireLine) Recv() (*peerpb.AnswerBatch, error) {
+func (l *testStream) Recv() (*peerpb.AnswerBatch, error) {
 	select {
 	case a := <-l.answers:
 		return a, nil
@@ -43,19 +43,19 @@
 	}
 }
 
-// TestCourier: reports on their way to a leader are answered each with its own
+// TestForwarder: reports on their way to a leader are answered each with its own
 // answer, in any order; those of a line that breaks, or of a leader that says
 // nothing at all, are given back so that their workers go on.
-func TestCourier(t *testing.T) {
+func TestForwarder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var l *wireLine
+		var l *testStream
 		opened := 0
 		up := true
 		c := newForwarder("n0", func(ctx context.Context) (reportStream, error) {
 			if opened++; !up {
 				return nil, errors.New("refused")
 			}
-			l = &wireLine{ctx, make(chan *peerpb.ReportBatch, 100), make(chan *peerpb.AnswerBatch), make(chan struct{})}
+			l = &testStream{ctx, make(chan *peerpb.ReportBatch, 100), make(chan *peerpb.AnswerBatch), make(chan struct{})}
 			return l, nil
 		})
 		p := &Peers{byName: map[string]peer{"n1": {forwarder: c}}}
