--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -30,6 +30,7 @@
 	deleted []string
 	writes  map[string]ledger.Write // the last by key
 	puts    int                     // writes so far
+	specs   map[string]*wire.Job    // what was submitted
 }
 
 const testTerm = 7
@@ -58,7 +59,7 @@
 	}
 	p := &settings.Platform{Facts: settings.Facts{Nodes: 3, Teams: teams,
 		Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}}}
-	g := &stage{t: t, seq: map[string]uint64{}, writes: map[string]ledger.Write{}}
+	g := &stage{t: t, seq: map[string]uint64{}, writes: map[string]ledger.Write{}, specs: map[string]*wire.Job{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	g.c = NewCore(Config{Term: testTerm, Platform: p, Operator: settings.Defaults(), ValueBytes: 16 << 10}, s, 0, 0, log)
 	g.take(g.c.TakeStart())
@@ -159,6 +160,7 @@
 }
 
 func (g *stage) submit(j *wire.Job) {
+	g.specs[j.Ref] = j
 	g.step(JobSeen{Ref: j.Ref, Record: ledger.JobRecord{Job: j, AcceptedMS: g.now.Milliseconds()}, Version: 3})
 }
 
--- /dev/null
+++ b/internal/dispatch/graph_model_test.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/wire"
+)
+
+// graphModel is what the protocol says of jobs that wait for others, in the plainest
+// form: everything is reckoned anew from all jobs each time it is asked for.
+type graphModel struct {
+	needs     map[string][]string
+	done      map[string]bool
+	cancelled map[string]bool // by their own users
+}
+
+func (m *graphModel) anyAncestor(ref string, is func(ref string) bool) bool {
+	for _, p := range m.needs[ref] {
+		if is(p) || m.anyAncestor(p, is) {
+			return true
+		}
+	}
+	return false
+}
+
+// aborted tells whether a job is cancelled, by its user or with an ancestor.
+func (m *graphModel) aborted(ref string) bool {
+	own := func(r string) bool { return m.cancelled[r] }
+	return !m.done[ref] && (own(ref) || m.anyAncestor(ref, own))
+}
+
+// ready tells whether a job's tasks may start.
+func (m *graphModel) ready(ref string) bool {
+	return !m.done[ref] && !m.aborted(ref) && !m.anyAncestor(ref, func(r string) bool { return !m.done[r] })
+}
+
+// TestGraphAgreesWithTheModel submits random graphs, ends and cancels jobs at random,
+// and takes over from the ledger in between. The core starts just what the model says
+// is ready, and tells every job's state as the model does.
+func TestGraphAgreesWithTheModel(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 11))
+			m := &graphModel{map[string][]string{}, map[string]bool{}, map[string]bool{}}
+			g := newStage(t, ledger.Snapshot{})
+			g.up("vm-1")
+			var refs []string
+			for step := range 60 {
+				switch k := r.IntN(10); {
+				case k < 5 || len(refs) < 3:
+					ref := fmt.Sprintf("job-%03d", step)
+					j := newTestJob(ref, 1, 0.01)
+					for range r.IntN(4) {
+						if len(refs) > 0 {
+							j.WaitsOn = append(j.WaitsOn, refs[r.IntN(len(refs))])
+						}
+					}
+					slices.Sort(j.WaitsOn)
+					j.WaitsOn = slices.Compact(j.WaitsOn)
+					refs = append(refs, ref)
+					m.needs[ref] = j.WaitsOn
+					g.submit(j)
+				case k < 8:
+					if ref := refs[r.IntN(len(refs))]; m.ready(ref) {
+						g.settle(DirectDone)
+						g.finishTask("vm-1", ref)
+						m.done[ref] = true
+					}
+				case k < 9:
+					ref := refs[r.IntN(len(refs))]
+					g.step(CancelAsked{Ref: ref, To: recipient("u")})
+					m.cancelled[ref] = m.cancelled[ref] || !m.done[ref]
+				default:
+					g = takeOver(t, g, refs)
+				}
+				g.settle(DirectDone)
+				g.agrees(m, refs)
+			}
+		})
+	}
+}
+
+// takeOver begins a new term from the job records that the last one has written, on a
+// machine that has begun anew: what ran there starts again.
+func takeOver(t *testing.T, g *stage, refs []string) *stage {
+	t.Helper()
+	var s ledger.Snapshot
+	for _, ref := range refs {
+		record := ledger.JobRecord{Job: g.specs[ref]}
+		if w, ok := g.writes[ledger.JobKey(ref)]; ok {
+			record = w.Value.(ledger.JobRecord)
+		}
+		s.Jobs = append(s.Jobs, ledger.SavedJob{Ref: ref, Version: 1, Record: record})
+	}
+	n := newStage(t, s)
+	n.specs = g.specs
+	for ref, w := range g.writes {
+		n.writes[ref] = w
+	}
+	n.up("vm-1")
+	return n
+}
+
+// agrees compares all jobs' states, and what is started, with the model.
+func (g *stage) agrees(m *graphModel, refs []string) {
+	g.t.Helper()
+	for _, ref := range refs {
+		want := []string{wire.Queued, wire.Running}
+		switch {
+		case m.done[ref]:
+			want = []string{wire.Done}
+		case m.aborted(ref):
+			want = []string{wire.Aborted}
+		}
+		if got := g.jobStatus(ref); !slices.Contains(want, got) {
+			g.t.Errorf("%s is %s, want %v", ref, got, want)
+		}
+		j := g.c.jobs[g.c.jobIndex[ref]]
+		if booked := j.tasks != nil && !j.over() && j.booked > 0; booked != m.ready(ref) {
+			g.t.Errorf("%s has a task on a machine: %v, ready: %v", ref, booked, m.ready(ref))
+		}
+	}
+}
