--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -54,9 +54,9 @@
 	f.sizes = f.sizes[:min(len(f.sizes), mostSizes)]
 }
 
-// warmSizes are the sizes that warm machines should hold: the heaviest of the
+// headroomSizes are the sizes that the headroom should hold: the heaviest of the
 // demand, then those of classes that must not wait.
-func (c *Core) warmSizes() []slowfit.Size {
+func (c *Core) headroomSizes() []slowfit.Size {
 	var out []slowfit.Size
 	for i, s := range c.fleet.sizes {
 		if i == 0 || s.wait {
@@ -81,10 +81,10 @@
 	return 1
 }
 
-// warmCores are the cores that the learned demand makes worth keeping. What a
+// headroomCores are the cores that the learned demand makes worth keeping. What a
 // team asks for beyond its limit is none of it.
-func (c *Core) warmCores() float64 {
-	spread := c.cfg.Operator.WarmSpread
+func (c *Core) headroomCores() float64 {
+	spread := c.cfg.Operator.HeadroomSpread
 	mean, deviation := fleet.Demand(c.now, c.fleet.streams)
 	variance, capped := deviation*deviation, 0.0
 	for i, t := range c.teams {
--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -14,13 +14,13 @@
 //     oldest job before others. Where it fits nowhere, the machine that will be
 //     free soonest is kept free for it. This costs one task for each such job,
 //     and never more than a heldPart of the machines.
-//   - Shares: a class, and a team, with tasks that wait is owed a part of the
-//     open cores. All classes together are owed an owedPart, and all teams.
+//   - Shares: a class, and a team, with tasks that wait is entitled to a part of the
+//     open cores. All classes together are entitled to a reservedPart, and all teams.
 const (
-	beginWithin = 4 * time.Minute // when every job should have begun
-	agedAfter   = beginWithin / 4
-	heldPart    = 16
-	owedPart    = 0.25
+	beginWithin  = 4 * time.Minute // when every job should have begun
+	agedAfter    = beginWithin / 4
+	heldPart     = 16
+	reservedPart = 0.25
 )
 
 // placeAged starts the first tasks of jobs that have waited too long.
@@ -84,9 +84,9 @@
 	})
 }
 
-// placeOwed starts tasks of classes and teams that have less than their share
+// placeUnderserved starts tasks of classes and teams that have less than their share
 // of the open cores.
-func (c *Core) placeOwed(queue []*job, uncertain []units) {
+func (c *Core) placeUnderserved(queue []*job, uncertain []units) {
 	classes, teams := map[int32]bool{}, map[int32]bool{}
 	for _, j := range c.active {
 		if !j.over() && !j.blocked() {
@@ -96,7 +96,7 @@
 	if len(classes) < 2 && len(teams) < 2 {
 		return
 	}
-	part := owedPart * c.openCores
+	part := reservedPart * c.openCores
 	for _, j := range queue {
 		c.placeJob(j, uncertain, func(int) bool {
 			class := c.classUse[j.class]+j.size.CPUs <= part/float64(len(classes))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,7 +20,7 @@
 	queue := c.queue()
 	uncertain := c.uncertainUse()
 	c.placeAged(queue, uncertain)
-	c.placeOwed(queue, uncertain)
+	c.placeUnderserved(queue, uncertain)
 	for from := 0; from < len(queue); {
 		to := from + 1
 		for to < len(queue) && queue[to].rank == queue[from].rank {
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -43,7 +43,7 @@
 
 // plan describes the situation to plan hires from.
 func (c *Core) plan() fleet.Situation {
-	s := fleet.Situation{MaxMachines: c.cfg.Operator.MaxMachines, Sizes: c.warmSizes(), Warm: c.warmCores()}
+	s := fleet.Situation{MaxMachines: c.cfg.Operator.MaxMachines, Sizes: c.headroomSizes(), Headroom: c.headroomCores()}
 	c.planOffers(&s)
 	c.planMachines(&s)
 	c.planHires(&s)
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -48,7 +48,7 @@
 // returnMachines gives back what is broken, lost, or not needed any more.
 func (c *Core) returnMachines() {
 	cores := c.countFleet()
-	warm := c.warmCores()
+	headroom := c.headroomCores()
 	waiting := c.placeableWithinLimit()
 	for _, m := range c.live {
 		if m.state == machineGone {
@@ -59,7 +59,7 @@
 			continue
 		}
 		// Ordinary machines cost a multiple and are not kept for what may come.
-		target, patience := warm, c.cfg.Operator.IdleReturn
+		target, patience := headroom, c.cfg.Operator.IdleReturn
 		if !m.spot {
 			target, patience = 0, patience/4
 		}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -68,8 +68,8 @@
 	Cores       float64 // of all machines that are up or coming
 	Machines    int
 	MaxMachines int     // 0: no bound
-	Warm        float64 // cores worth keeping, with spot machines
-	// Sizes are what warm machines should hold, the most wanted first. A later
+	Headroom    float64 // cores worth keeping, with spot machines
+	// Sizes are what the headroom should hold, the most wanted first. A later
 	// one counts only when no offer suits those before.
 	Sizes []slowfit.Size
 }
@@ -92,7 +92,7 @@
 	for _, g := range s.Waiting {
 		p.serve(g)
 	}
-	p.keepWarm()
+	p.keepHeadroom()
 	out := make([]PlannedHire, 0, len(p.order))
 	for _, o := range p.order {
 		out = append(out, *p.hires[o])
@@ -168,10 +168,10 @@
 	}
 }
 
-// keepWarm hires for the cheapest cores up to the learned demand. One offer a round:
+// keepHeadroom hires for the cheapest cores up to the learned demand. One offer a round:
 // how much of it there is shows in the answer.
-func (p *planner) keepWarm() {
-	lack := p.Warm - p.Cores
+func (p *planner) keepHeadroom() {
+	lack := p.Headroom - p.Cores
 	for _, size := range p.Sizes {
 		if lack <= 0 || p.budget <= 0 || size.CPUs <= 0 {
 			continue
@@ -182,7 +182,7 @@
 		}
 		machines := int(lack/p.Types[best.Type].Total.CPUs + 0.5)
 		if n := min(machines, p.budget, best.most()-p.asked[best.Offer]); n > 0 {
-			p.add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", p.Warm))
+			p.add(best.Offer, n, fmt.Sprintf("%.0f cores are kept for the learned demand", p.Headroom))
 		}
 		return
 	}
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -45,9 +45,9 @@
 			Waiting: []Group{{Size: four, Count: 480, Run: time.Minute, Allows: any}}}, []PlannedHire{{Offer: large, Count: 120}}},
 		{"the bound on machines holds", Situation{MaxMachines: 3, Machines: 2,
 			Waiting: []Group{{Size: four, Count: 80, Run: time.Minute, Allows: any}}}, []PlannedHire{{Offer: large, Count: 1}}},
-		{"warm cores up to the learned demand", Situation{Cores: 4, Warm: 12, Sizes: []slowfit.Size{four}}, []PlannedHire{{Offer: small, Count: 2}}},
-		{"a size that nothing on offer holds leaves the next to choose", Situation{Warm: 4, Sizes: []slowfit.Size{{CPUs: 99}, four}}, []PlannedHire{{Offer: small, Count: 1}}},
-		{"enough is warm", Situation{Cores: 12, Warm: 12, Sizes: []slowfit.Size{four}}, nil},
+		{"warm cores up to the learned demand", Situation{Cores: 4, Headroom: 12, Sizes: []slowfit.Size{four}}, []PlannedHire{{Offer: small, Count: 2}}},
+		{"a size that nothing on offer holds leaves the next to choose", Situation{Headroom: 4, Sizes: []slowfit.Size{{CPUs: 99}, four}}, []PlannedHire{{Offer: small, Count: 1}}},
+		{"enough is warm", Situation{Cores: 12, Headroom: 12, Sizes: []slowfit.Size{four}}, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -21,15 +21,15 @@
 	LeaseMargin time.Duration
 	// SlowFitC is c of SLOW-FIT.
 	SlowFitC float64
-	// IdleReturn is how long a machine beyond the warm allowance stays idle
+	// IdleReturn is how long a machine beyond the headroom stays idle
 	// before it is returned.
 	IdleReturn time.Duration
 	// BootPatience times a type's published boot time is how long a machine
 	// may take before it is given back.
 	BootPatience float64
-	// WarmSpread is how many standard deviations above the learned mean
-	// demand are kept warm.
-	WarmSpread float64
+	// HeadroomSpread is how many standard deviations above the learned mean
+	// demand are kept as headroom.
+	HeadroomSpread float64
 	// MaxMachines bounds the fleet; 0 sets no bound.
 	MaxMachines int
 }
@@ -37,12 +37,12 @@
 // Defaults returns the settings of an operator who has none of their own.
 func Defaults() Operator {
 	return Operator{
-		LeaderLease:  3 * time.Second,
-		LeaseMargin:  150 * time.Millisecond,
-		SlowFitC:     5,
-		IdleReturn:   25 * time.Second,
-		BootPatience: 3,
-		WarmSpread:   3,
+		LeaderLease:    3 * time.Second,
+		LeaseMargin:    150 * time.Millisecond,
+		SlowFitC:       5,
+		IdleReturn:     25 * time.Second,
+		BootPatience:   3,
+		HeadroomSpread: 3,
 	}
 }
 
@@ -75,7 +75,7 @@
 		return v >= 1.5 && v <= 100
 	}},
 	{"fleet", "warm_spread", "between 0 and 10", func(o *Operator, v float64) bool {
-		o.WarmSpread = v
+		o.HeadroomSpread = v
 		return v >= 0 && v <= 10
 	}},
 	{"fleet", "max_machines", "a whole number, 0 for no bound", func(o *Operator, v float64) bool {
