--- a/internal/dispatch/spending.go
+++ b/internal/dispatch/spending.go
@@ -19,8 +19,12 @@
 	lost      float64 // of running: what tasks had run that have to run again
 }
 
-// spendingEvery is how often the spending is logged.
-const spendingEvery = 30 * time.Second
+// The times of the reckoning: how often all machines are looked at for it, and how often
+// it is logged.
+const (
+	spendEvery    = time.Second
+	spendingEvery = 30 * time.Second
+)
 
 const secondsPerHour = 3600
 
@@ -39,6 +43,9 @@
 
 // spend adds what the machines have cost since the last time.
 func (c *Core) spend() {
+	if c.now-c.spentUntil < spendEvery {
+		return
+	}
 	elapsed := (c.now - c.spentUntil).Seconds()
 	c.spentUntil = c.now
 	for _, m := range c.live {
