Tests: one way to start all controllers of the real-process tests

After a read-over: starting all controllers and waiting for a leader stood in four places, a variable hid a builtin. No assertion changed.

--- a/internal/compat/deployment_test.go
+++ b/internal/compat/deployment_test.go
@@ -206,6 +206,15 @@
 	}
 }
 
+// startAll starts all controllers with a program and waits until one leads.
+func (d *deployment) startAll(program string) {
+	d.t.Helper()
+	for i := range d.nodes {
+		d.start(i, program)
+	}
+	d.await("a leader", 20*time.Second, func() bool { return d.leader() >= 0 })
+}
+
 // kill ends a controller's process without a signal that it could handle.
 func (d *deployment) kill(i int) {
 	n := d.nodes[i]
--- a/internal/compat/record_test.go
+++ b/internal/compat/record_test.go
@@ -72,10 +72,7 @@
 // unknown outcome, an outage, and a leader that ends.
 func (d *deployment) playEverything(program string) {
 	d.t.Helper()
-	for i := range d.nodes {
-		d.start(i, program)
-	}
-	d.await("a leader", 20*time.Second, func() bool { return d.leader() >= 0 })
+	d.startAll(program)
 	for k := range 12 {
 		zone := "a"
 		j := fake.NewJob(fmt.Sprintf("job-%06d", k), 1+4*(k%3), func(j *wire.Job) {
--- a/internal/compat/recording_test.go
+++ b/internal/compat/recording_test.go
@@ -68,11 +68,11 @@
 	for _, v := range readProduction(t).Values {
 		family := KeyFamily(v.Key)
 		seen[family]++
-		make, ok := read[family]
+		newRecord, ok := read[family]
 		if !ok {
 			continue // read as a whole, below, or by its version alone
 		}
-		record := make()
+		record := newRecord()
 		if err := json.Unmarshal(v.Value, record); err != nil {
 			t.Errorf("%s: %v", v.Key, err)
 			continue
--- a/internal/compat/rolling_test.go
+++ b/internal/compat/rolling_test.go
@@ -25,10 +25,7 @@
 		t.Run(order.name, func(t *testing.T) {
 			old, current := build(t, productionCommit(t)), build(t, "")
 			d := newDeployment(t)
-			for i := range d.nodes {
-				d.start(i, old)
-			}
-			d.await("a leader", 20*time.Second, func() bool { return d.leader() >= 0 })
+			d.startAll(old)
 			stop := d.load()
 			time.Sleep(5 * time.Second)
 			turns := d.turns(order.leaderFirst)
@@ -60,10 +57,7 @@
 func TestUpgradeOfAllAtOnce(t *testing.T) {
 	old, current := build(t, productionCommit(t)), build(t, "")
 	d := newDeployment(t)
-	for i := range d.nodes {
-		d.start(i, old)
-	}
-	d.await("a leader", 20*time.Second, func() bool { return d.leader() >= 0 })
+	d.startAll(old)
 	stop := d.load()
 	time.Sleep(8 * time.Second)
 	for i := range d.nodes {
@@ -83,9 +77,7 @@
 func TestGoingBack(t *testing.T) {
 	old, current := build(t, productionCommit(t)), build(t, "")
 	d := newDeployment(t)
-	for i := range d.nodes {
-		d.start(i, current)
-	}
+	d.startAll(current)
 	d.await("all announced", 20*time.Second, func() bool { return d.state.Count(upgrade.Prefix) == nodeCount })
 	stop := d.load()
 	time.Sleep(5 * time.Second)
