No fixed limit below 4,000 machines: streams, redirects, attempts; a test with as many workers

Need: operators run 4,000 machines. Reports in flight on one forwarding stream were bounded at 2,048, and a batch that waited for a slow stream could grow beyond the 4 MiB that gRPC accepts, which broke the stream and gave all its reports back. The memory of redirected workers was emptied at 4,096. The counter of attempts, 24 bits a term, ran over into the term after 16.7 million starts, hours on a large fleet, and numbers came twice.

The fake worker waits for its next report instead of polling.

--- /dev/null
+++ b/internal/dispatch/attempts_test.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"leadproxy/internal/ledger"
+)
+
+// TestAttemptsOfATermAreBounded: the counter of attempts ran over into the term, and
+// numbers came twice. The term is given up in time, and nothing is started beyond it.
+func TestAttemptsOfATermAreBounded(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	ends := func() bool { return slices.Contains(g.out, Effect(EndTerm{})) }
+	g.wait(time.Second)
+	g.want("given up at the start", ends(), false)
+	g.c.attempts = maxAttempts - attemptReserve
+	g.wait(time.Second)
+	g.want("given up when few are left", ends(), true)
+
+	g.c.attempts = maxAttempts - 2
+	g.submit(newTestJob("job-1", 4, 1))
+	orders := g.starts()
+	g.want("started with two left", len(orders), 2)
+	for _, o := range orders {
+		g.want("the term of an attempt", o.Attempt>>tokenBits, uint64(testTerm))
+	}
+	g.settle(DirectDone)
+	g.submit(newTestJob("job-2", 1, 1))
+	g.want("started with none left", len(g.starts()), 0)
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -90,6 +90,7 @@
 	probesAtOnce int
 	inspects     int // workers that are being asked what they are
 	attempts     uint64
+	exhausted    bool         // the term is being given up since attempts are short
 	looks        uint64       // reports looked at
 	answers      []openAnswer // of this step
 	awaiting     []openAnswer // that wait for starts to be written down
@@ -271,6 +272,7 @@
 	c.noteSilence()
 	c.dropNotes()
 	c.fleetTick()
+	c.endExhausted()
 	c.lowerGoal()
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -95,6 +95,7 @@
 func (Put) isEffect()          {}
 func (AnswerUser) isEffect()   {}
 func (CallCloud) isEffect()    {}
+func (EndTerm) isEffect()      {}
 
 // The effects.
 type (
@@ -129,4 +130,6 @@
 	}
 	// CallCloud makes a call to the cloud.
 	CallCloud struct{ Call fleet.Call }
+	// EndTerm has this node give its term up, so that another one begins.
+	EndTerm struct{}
 )
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -144,7 +144,7 @@
 func (c *Core) placeJob(j *job, uncertain []units, more func(placed int) bool) (placed int) {
 	// Most of what waits on a full site, or for its team's limit, has no place:
 	// that must show before anything is looked at machine by machine.
-	if len(j.waiting) == 0 || c.index.Barren(j.size) || !c.withinLimit(j, uncertain) {
+	if len(j.waiting) == 0 || !c.attemptsLeft() || c.index.Barren(j.size) || !c.withinLimit(j, uncertain) {
 		return 0
 	}
 	c.resolveTypes(j)
@@ -152,7 +152,7 @@
 	if j.spec.OneZone {
 		only = c.oneZone(j)
 	}
-	for len(j.waiting) > 0 && (more == nil || more(placed)) {
+	for len(j.waiting) > 0 && c.attemptsLeft() && (more == nil || more(placed)) {
 		if j.suspect() && j.booked > 0 || !c.withinLimit(j, uncertain) {
 			return placed // a suspect job is tried one task at a time
 		}
@@ -174,8 +174,7 @@
 func (c *Core) startOn(j *job, m *machine) {
 	n := j.waiting[len(j.waiting)-1]
 	j.waiting = j.waiting[:len(j.waiting)-1]
-	c.attempts++
-	b := c.book(m, j, n, c.term<<tokenBits|c.attempts, true)
+	b := c.book(m, j, n, c.nextAttempt(), true)
 	c.refresh(m)
 	if c.debug {
 		c.log.Debug("task placed", "task", c.taskName(b), "attempt", b.attempt, "machine", m.name, "goal", c.goal.L, "share", b.share, "load", m.load, "image", m.has(j.image))
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -267,6 +267,8 @@
 			go t.direct(ctx, t.number, e)
 		case Inspect:
 			go t.inspect(ctx, e)
+		case EndTerm:
+			t.elector.Resign(t.number)
 		}
 	}
 	if len(writes) > 0 {
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -44,7 +44,8 @@
 	cancel context.CancelFunc
 	chance *rand.Rand
 
-	changed             bool
+	changed             bool          // since the last report
+	news                chan struct{} // tells of a change; holds one
 	session, seq, token uint64
 	renewed             time.Time // when the last answered report was sent
 	ticked              time.Time
@@ -73,7 +74,7 @@
 	seed.Write([]byte(name))
 	now := time.Now()
 	w := &Worker{actor: newActor(t), name: name, hire: hire, size: size, config: config, net: n, ctx: ctx, cancel: cancel,
-		chance: rand.New(rand.NewPCG(seed.Sum64(), 1)), session: 1, renewed: now, ticked: now,
+		chance: rand.New(rand.NewPCG(seed.Sum64(), 1)), session: 1, renewed: now, ticked: now, news: make(chan struct{}, 1),
 		known: map[uint64]bool{}, images: map[string]time.Time{}}
 	w.host, _ = n.(*Host)
 	mux := http.NewServeMux()
@@ -126,7 +127,8 @@
 func (w *Worker) Reboot() {
 	w.do(func() {
 		w.clear()
-		w.session, w.seq, w.token, w.renewed, w.changed = 1, 0, 0, time.Now(), true
+		w.session, w.seq, w.token, w.renewed = 1, 0, 0, time.Now()
+		w.change()
 		w.images = map[string]time.Time{}
 	})
 }
@@ -208,7 +210,8 @@
 	if time.Since(w.renewed) > w.config.Lease {
 		w.clear()
 		w.session++
-		w.seq, w.renewed, w.changed = 0, time.Now(), true
+		w.seq, w.renewed = 0, time.Now()
+		w.change()
 	}
 }
 
@@ -255,12 +258,14 @@
 }
 
 func (w *Worker) begin(t *workerTask) {
-	t.Status, w.changed = wire.TaskRunning, true
+	t.Status = wire.TaskRunning
+	w.change()
 	w.config.Check.Begins(t.Task, w.name, w.hire.Type, w.hire.Zone, w.hire.Spot)
 }
 
 func (w *Worker) complete(t *workerTask) {
-	t.Status, t.Why, w.changed = wire.TaskEnded, wire.WhyDone, true
+	t.Status, t.Why = wire.TaskEnded, wire.WhyDone
+	w.change()
 	w.config.Check.Ends(t.Task, w.name, true)
 }
 
@@ -296,14 +301,15 @@
 				if t.Status == wire.TaskRunning {
 					w.config.Check.Ends(t.Task, w.name, false)
 				}
-				t.Status, t.Why, w.changed = wire.TaskEnded, wire.WhyStopped, true
+				t.Status, t.Why = wire.TaskEnded, wire.WhyStopped
+				w.change()
 			}
 		case wire.Forget:
 			w.tasks = slices.DeleteFunc(w.tasks, func(t *workerTask) bool {
 				forget := t.Task == o.Task && t.Attempt == o.Attempt && t.Status == wire.TaskEnded
 				if forget {
 					delete(w.known, o.Attempt)
-					w.changed = true
+					w.change()
 				}
 				return forget
 			})
@@ -315,7 +321,8 @@
 	if w.known[o.Attempt] {
 		return
 	}
-	w.known[o.Attempt], w.changed = true, true
+	w.known[o.Attempt] = true
+	w.change()
 	t := &workerTask{TaskReport: wire.TaskReport{Task: o.Task, Attempt: o.Attempt, Status: wire.TaskEnded}}
 	w.tasks = append(w.tasks, t)
 	ref, _, _ := wire.SplitTask(o.Task)
@@ -374,7 +381,8 @@
 // hearToken notes the highest token. It counts as a change.
 func (w *Worker) hearToken(token uint64) {
 	if token > w.token {
-		w.token, w.changed = token, true
+		w.token = token
+		w.change()
 	}
 }
 
@@ -385,20 +393,35 @@
 	patience     = 4 * time.Second
 )
 
+// change notes that something is to be reported, on the actor.
+func (w *Worker) change() {
+	w.changed = true
+	select {
+	case w.news <- struct{}{}:
+	default:
+	}
+}
+
+// awaitReport waits until the next report is due: a while after the last one, or
+// sooner when something has changed.
+func (w *Worker) awaitReport(last time.Time, every time.Duration) {
+	regular := time.NewTimer(time.Until(last.Add(every)))
+	defer regular.Stop()
+	select {
+	case <-regular.C:
+	case <-w.news:
+		outbound.Pause(w.ctx, time.Until(last.Add(leastReports)))
+	case <-w.ctx.Done():
+	}
+}
+
 // reports tells the controllers, moving on as the protocol says.
 func (w *Worker) reports() {
 	at := w.chance.IntN(len(w.config.Nodes))
 	var last time.Time
 	for w.ctx.Err() == nil {
 		every := time.Duration(float64(w.config.Report) * (0.75 + w.chance.Float64()/2))
-		for w.ctx.Err() == nil {
-			var changed bool
-			w.do(func() { changed = w.changed })
-			if past := time.Since(last); past >= every || changed && past >= leastReports {
-				break
-			}
-			outbound.Pause(w.ctx, 50*time.Millisecond)
-		}
+		w.awaitReport(last, every)
 		var hung chan struct{}
 		var outboundCut bool
 		w.do(func() { hung, outboundCut = w.hung, w.outboundCut })
@@ -447,6 +470,10 @@
 	w.do(func() {
 		report = w.report()
 		w.changed, copyAfter = false, w.copyAfter
+		select {
+		case <-w.news:
+		default:
+		}
 		body = w.encode(report)
 	})
 	if copyAfter != nil {
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,6 @@
 	// the few of a small deployment are no burden.
 	leaderPart = 4
 	passSlack  = 16
-	mostPassed = 4096 // workers that are remembered at most
 )
 
 // balancer decides which workers a leader sends to whom. Its state is owned by run.
@@ -73,8 +73,10 @@
 	var nodes []string // with a line to here, in the order of joining
 	left := make(chan string)
 	lines := map[string]int{}
+	// When each worker was sent away, as long as that counts: one in passEvery, for up
+	// to twice passAgain, which are 12,000.
 	sent := map[string]time.Time{}
-	var last time.Time
+	var last, swept time.Time
 	next := 0
 	for {
 		select {
@@ -100,8 +102,9 @@
 				p.to <- ""
 				break
 			}
-			if len(sent) >= mostPassed {
-				clear(sent)
+			if now.Sub(swept) >= passAgain {
+				maps.DeleteFunc(sent, func(_ string, at time.Time) bool { return now.Sub(at) >= passAgain })
+				swept = now
 			}
 			sent[p.machine], last = now, now
 			next++
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -47,6 +48,8 @@
 	writes   float64 // the state service's rate of writes
 	next     *settings.StateLimits
 	absent   int // nodes that are not up yet
+	// reportTo, unless nil, are the nodes that workers know; else all.
+	reportTo []int
 	old      int // nodes that begin with the version before announcements
 	// ledger is what the state service holds at first.
 	ledger map[string]string
@@ -141,7 +144,9 @@
 		}
 		c.nodes = append(c.nodes, &controller{level: level, platform: &settings.Platform{Node: name, Zone: zone,
 			Listen: name + ":80", Back: name + ":81", Facts: f, Services: settings.Services{State: "state:1", Cloud: "cloud:1"}}})
-		workers = append(workers, fake.Node{Name: name, Addr: name + ":80"})
+		if p.reportTo == nil || slices.Contains(p.reportTo, i) {
+			workers = append(workers, fake.Node{Name: name, Addr: name + ":80"})
+		}
 	}
 	for i, n := range c.nodes {
 		for k, o := range c.nodes {
--- a/internal/peers/share_test.go
+++ b/internal/peers/forwarder_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"leadproxy/internal/intake"
 	"leadproxy/internal/peers/peerpb"
 )
 
@@ -155,3 +156,97 @@
 		check("after a while it is tried again", "k 200")
 	})
 }
+
+// blockedStream takes no batch before it is let go, as behind a slow link.
+type blockedStream struct {
+	ctx     context.Context
+	open    chan struct{}
+	batches chan *peerpb.ReportBatch
+	answers chan *peerpb.AnswerBatch
+}
+
+func (s *blockedStream) Send(b *peerpb.ReportBatch) error {
+	select {
+	case <-s.open:
+		s.batches <- b
+		return nil
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+func (s *blockedStream) Recv() (*peerpb.AnswerBatch, error) {
+	select {
+	case a := <-s.answers:
+		return a, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+// TestForwarderTakesAWholeFleet: two reports of each of 4,000 workers wait for a slow
+// stream. All are forwarded in batches that gRPC accepts and answered; what comes
+// beyond the bound is refused at once.
+func TestForwarderTakesAWholeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream := &blockedStream{t.Context(), make(chan struct{}), make(chan *peerpb.ReportBatch, 1000), make(chan *peerpb.AnswerBatch)}
+		f := newForwarder("n0", func(context.Context) (reportStream, error) { return stream, nil })
+		go f.run(t.Context())
+		replies := make(chan forwardReply, maxInFlight+1)
+		body := make([]byte, 2<<10)
+		for range maxInFlight + 1 {
+			f.requests <- forwardRequest{body: body, reply: replies}
+		}
+		synctest.Wait()
+		if len(replies) != 1 || !errors.Is((<-replies).err, ErrNoStream) {
+			t.Errorf("%d refused, want the one beyond the bound", len(replies)+1)
+		}
+		close(stream.open)
+		time.Sleep(gather)
+		synctest.Wait()
+		seen := map[uint64]bool{}
+		for len(stream.batches) > 0 {
+			size := 0
+			answers := &peerpb.AnswerBatch{}
+			for _, r := range (<-stream.batches).Reports {
+				size += len(r.Body)
+				seen[r.Id] = true
+				answers.Answers = append(answers.Answers, &peerpb.SharedAnswer{Id: r.Id, Status: 200})
+			}
+			if size > maxBatchBytes+len(body) {
+				t.Errorf("a batch of %d bytes", size)
+			}
+			stream.answers <- answers
+		}
+		synctest.Wait()
+		if len(seen) != maxInFlight || len(replies) != maxInFlight {
+			t.Errorf("%d forwarded, %d answered, want %d", len(seen), len(replies), maxInFlight)
+		}
+	})
+}
+
+// TestAnswerBatchesAreBounded: long answers to a whole fleet go in batches that gRPC
+// accepts, each answer once and in order.
+func TestAnswerBatchesAreBounded(t *testing.T) {
+	const workers, bytes = 8000, 20 << 10
+	answers := make(chan sharedAnswer, workers)
+	for id := range uint64(workers) {
+		answers <- sharedAnswer{id, func() intake.Answer { return intake.Answer{Status: 200, Body: make([]byte, bytes)} }}
+	}
+	next := uint64(0)
+	for len(answers) > 0 {
+		batch, full := gatherAnswers(<-answers, answers)
+		if size := len(batch.Answers) * bytes; size > maxBatchBytes+bytes || full != (size >= maxBatchBytes) {
+			t.Fatalf("a batch of %d bytes, full: %v", size, full)
+		}
+		for _, a := range batch.Answers {
+			if a.Id != next {
+				t.Fatalf("answer %d in place of %d", a.Id, next)
+			}
+			next++
+		}
+	}
+	if next != workers {
+		t.Errorf("%d answers, want %d", next, workers)
+	}
+}
