--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -16,7 +16,7 @@
 
 // stage drives a core by hand: a fake clock, and effects kept until looked at.
 type stage struct {
-	t        *testing.T
+	t        tester
 	c        *Core
 	now      time.Duration
 	seq      map[string]uint64
@@ -53,7 +53,14 @@
 	return []ledger.SavedRanges{{Key: "fin/job-1/0", Ranges: firstAndLast}}
 }
 
-func newStage(t *testing.T, s ledger.Snapshot, teams ...settings.Team) *stage {
+// tester is a test or a property that fails.
+type tester interface {
+	Helper()
+	Errorf(format string, args ...any)
+	Fatal(args ...any)
+}
+
+func newStage(t tester, s ledger.Snapshot, teams ...settings.Team) *stage {
 	if len(teams) == 0 {
 		teams = []settings.Team{{Name: "t"}}
 	}
--- a/internal/dispatch/graph_model_test.go
+++ b/internal/dispatch/graph_model_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/wire"
 )
@@ -44,49 +46,67 @@
 func TestGraphAgreesWithTheModel(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			r := rand.New(rand.NewPCG(seed, 11))
-			m := &graphModel{map[string][]string{}, map[string]bool{}, map[string]bool{}}
-			g := newStage(t, ledger.Snapshot{})
-			g.up("vm-1")
-			var refs []string
-			for step := range 60 {
-				switch k := r.IntN(10); {
-				case k < 5 || len(refs) < 3:
-					ref := fmt.Sprintf("job-%03d", step)
-					j := newTestJob(ref, 1, 0.01)
-					for range r.IntN(4) {
-						if len(refs) > 0 {
-							j.WaitsOn = append(j.WaitsOn, refs[r.IntN(len(refs))])
-						}
-					}
-					slices.Sort(j.WaitsOn)
-					j.WaitsOn = slices.Compact(j.WaitsOn)
-					refs = append(refs, ref)
-					m.needs[ref] = j.WaitsOn
-					g.submit(j)
-				case k < 8:
-					if ref := refs[r.IntN(len(refs))]; m.ready(ref) {
-						g.settle(DirectDone)
-						g.finishTask("vm-1", ref)
-						m.done[ref] = true
-					}
-				case k < 9:
-					ref := refs[r.IntN(len(refs))]
-					g.step(CancelAsked{Ref: ref, To: recipient("u")})
-					m.cancelled[ref] = m.cancelled[ref] || !m.done[ref]
-				default:
-					g = takeOver(t, g, refs)
+			playGraph(t, rand.New(rand.NewPCG(seed, 11)), 60)
+		})
+	}
+}
+
+// chooser makes the choices of a test, at random from a seed or as rapid has it.
+type chooser interface{ IntN(n int) int }
+
+// drawn has rapid make the choices, which then finds the smallest case that fails.
+type drawn struct{ t *rapid.T }
+
+func (d drawn) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(d.t, "choice") }
+
+// TestGraphProperty has rapid look for a short history in which core and model differ.
+func TestGraphProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playGraph(t, drawn{t}, rapid.IntRange(30, 60).Draw(t, "steps")) })
+}
+
+// playGraph plays one history of graphs, ends, cancellations and takeovers.
+func playGraph(t tester, r chooser, steps int) {
+	m := &graphModel{map[string][]string{}, map[string]bool{}, map[string]bool{}}
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	var refs []string
+	for step := range steps {
+		switch k := r.IntN(10); {
+		case k < 5 || len(refs) < 3:
+			ref := fmt.Sprintf("job-%03d", step)
+			j := newTestJob(ref, 1, 0.01)
+			j.MemGB = 0.01 // the machine has room for all
+			for range r.IntN(4) {
+				if len(refs) > 0 {
+					j.WaitsOn = append(j.WaitsOn, refs[r.IntN(len(refs))])
 				}
+			}
+			slices.Sort(j.WaitsOn)
+			j.WaitsOn = slices.Compact(j.WaitsOn)
+			refs = append(refs, ref)
+			m.needs[ref] = j.WaitsOn
+			g.submit(j)
+		case k < 8:
+			if ref := refs[r.IntN(len(refs))]; m.ready(ref) {
 				g.settle(DirectDone)
-				g.agrees(m, refs)
+				g.finishTask("vm-1", ref)
+				m.done[ref] = true
 			}
-		})
+		case k < 9:
+			ref := refs[r.IntN(len(refs))]
+			g.step(CancelAsked{Ref: ref, To: recipient("u")})
+			m.cancelled[ref] = m.cancelled[ref] || !m.done[ref]
+		default:
+			g = takeOver(t, g, refs)
+		}
+		g.settle(DirectDone)
+		g.agrees(m, refs)
 	}
 }
 
 // takeOver begins a new term from the job records that the last one has written, on a
 // machine that has begun anew: what ran there starts again.
-func takeOver(t *testing.T, g *stage, refs []string) *stage {
+func takeOver(t tester, g *stage, refs []string) *stage {
 	t.Helper()
 	var s ledger.Snapshot
 	for _, ref := range refs {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -268,13 +268,18 @@
 // commit carries out one transaction and, where it fails, does the waiting
 // that must not hold up the ledger's mailbox.
 func (l *Ledger) commit(ctx context.Context, txn wire.Txn) outcome {
-	var o outcome
-	o.ok, o.answer, o.err = l.store.Txn(ctx, state.Leader, txn)
-	if o.err != nil {
+	o := l.transact(ctx, txn)
+	if o.err != nil && !errors.Is(o.err, ErrDeposed) {
 		outbound.Pause(ctx, 100*time.Millisecond)
-		return o
 	}
-	if o.ok {
+	return o
+}
+
+// transact carries out one transaction once.
+func (l *Ledger) transact(ctx context.Context, txn wire.Txn) outcome {
+	var o outcome
+	o.ok, o.answer, o.err = l.store.Txn(ctx, state.Leader, txn)
+	if o.err != nil || o.ok {
 		return o
 	}
 	// An earlier try whose outcome we did not learn was carried out, or a job
--- a/internal/slowfit/slowfit_test.go
+++ b/internal/slowfit/slowfit_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 // Machine is a machine as the plain scan sees it.
@@ -75,133 +77,169 @@
 	}
 }
 
+// chooser makes the choices of a test, at random from a seed or as rapid has it.
+type chooser interface{ IntN(n int) int }
+
+// drawn has rapid make the choices, which then finds the smallest case that fails.
+type drawn struct{ t *rapid.T }
+
+func (d drawn) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(d.t, "choice") }
+
+// failer is a test or a property.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+// TestIndexAgreesWithTheScan plays long random histories from one seed.
 func TestIndexAgreesWithTheScan(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
+	for round := range 60 {
+		agreesWithTheScan(t, r, round, 400, scales[round%len(scales)], factors[round/3%len(factors)])
+	}
+}
+
+// TestIndexProperty has rapid look for a short history in which they differ.
+func TestIndexProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		agreesWithTheScan(t, drawn{t}, rapid.IntRange(0, 20).Draw(t, "machines"), rapid.IntRange(50, 300).Draw(t, "steps"), rapid.SampledFrom(scales).Draw(t, "scale"), rapid.SampledFrom(factors).Draw(t, "c"))
+	})
+}
+
+// scales are how large tasks are. Only small ones, many to a machine, bring totals near
+// c times L, where load counts.
+var scales = []float64{1, 0.125, 0.02}
+
+// factors are values of c. With less than 2, load that should count as nothing after a
+// doubling decides.
+var factors = []float64{5, 1}
+
+// agreesWithTheScan plays one history of machines that come, go and fill up, and
+// compares each placement.
+func agreesWithTheScan(t failer, r chooser, round, steps int, scale, factor float64) {
 	sizes := []Size{{4, 0, 16}, {8, 0, 32}, {8, 2, 32}, {32, 0, 128}}
 	type group struct {
 		size, zone int
 		spot       bool
 	}
-	for round := range 60 {
-		x := &Index{}
-		g := Goal{C: 5}
-		ref := Goal{C: 5}
-		var groups []group
-		for s := range sizes {
-			for z := range 2 {
-				for _, spot := range []bool{true, false} {
-					x.AddPool(sizes[s])
-					groups = append(groups, group{s, z, spot})
-				}
+	x := &Index{}
+	g := Goal{C: factor}
+	ref := Goal{C: factor}
+	var groups []group
+	for s := range sizes {
+		for z := range 2 {
+			for _, spot := range []bool{true, false} {
+				x.AddPool(sizes[s])
+				groups = append(groups, group{s, z, spot})
 			}
 		}
-		type host struct {
-			Machine
-			group int
-			image uint64
-			open  bool
-			phase uint32
-		}
-		var hosts []host
-		join := func() {
-			k := r.IntN(len(groups))
-			h := host{Machine: Machine{Total: sizes[groups[k].size], Free: sizes[groups[k].size], Index: len(hosts)}, group: k, image: r.Uint64N(8), open: true}
-			x.Join(int32(len(hosts)), k)
-			hosts = append(hosts, h)
+	}
+	type host struct {
+		Machine
+		group int
+		image uint64
+		open  bool
+		phase uint32
+	}
+	var hosts []host
+	join := func() {
+		k := r.IntN(len(groups))
+		h := host{Machine: Machine{Total: sizes[groups[k].size], Free: sizes[groups[k].size], Index: len(hosts)}, group: k, image: uint64(r.IntN(8)), open: true}
+		x.Join(int32(len(hosts)), k)
+		hosts = append(hosts, h)
+	}
+	show := func(i int) {
+		h := &hosts[i]
+		if !h.open {
+			x.Close(int32(i))
+			return
 		}
-		show := func(i int) {
-			h := &hosts[i]
-			if !h.open {
-				x.Close(int32(i))
-				return
-			}
-			if h.phase != g.Phase {
-				h.phase, h.Load = g.Phase, 0
-			}
-			x.Open(int32(i), h.Free, h.Load, h.image)
+		if h.phase != g.Phase {
+			h.phase, h.Load = g.Phase, 0
 		}
-		for range 3 + round {
+		x.Open(int32(i), h.Free, h.Load, h.image)
+	}
+	for range 3 + round {
+		join()
+		show(len(hosts) - 1)
+	}
+	for step := range steps {
+		switch r.IntN(12) {
+		case 0: // all room of a machine is given back
+			i := r.IntN(len(hosts))
+			hosts[i].Free, hosts[i].Load = hosts[i].Total, 0
+			show(i)
+		case 1:
+			i := r.IntN(len(hosts))
+			hosts[i].open = !hosts[i].open
+			show(i)
+		case 2:
+			i := r.IntN(len(hosts))
+			hosts[i].image = uint64(r.IntN(8))
+			show(i)
+		case 3:
 			join()
 			show(len(hosts) - 1)
 		}
-		for step := range 400 {
-			switch r.IntN(12) {
-			case 0: // all room of a machine is given back
-				i := r.IntN(len(hosts))
-				hosts[i].Free, hosts[i].Load = hosts[i].Total, 0
-				show(i)
-			case 1:
-				i := r.IntN(len(hosts))
-				hosts[i].open = !hosts[i].open
-				show(i)
-			case 2:
-				i := r.IntN(len(hosts))
-				hosts[i].image = r.Uint64N(8)
-				show(i)
-			case 3:
-				join()
-				show(len(hosts) - 1)
-			}
-			task := Size{CPUs: float64(1 + r.IntN(8)), MemGB: float64(1 + r.IntN(12))}
-			if r.IntN(6) == 0 {
-				task.GPUs = 1
-			}
-			zone, spotOnly, barred, tag := r.IntN(3), r.IntN(3) == 0, r.IntN(len(hosts)), uint64(1)<<r.IntN(3)
-			must := r.IntN(4) == 0
-			w := Request{Task: task, Bonus: 1 + r.IntN(2), FavouredTag: tag,
-				Pool: func(p int) (bool, int) {
-					merit := 0
-					if groups[p].spot {
-						merit = 1
-					}
-					return (zone == 2 || groups[p].zone == zone) && (!spotOnly || groups[p].spot), merit
-				},
-				Favoured: func(m int32) bool { return hosts[m].image&tag != 0 },
-				Allowed:  func(m int32) bool { return int(m) != barred && (!must || hosts[m].image&tag != 0) },
-			}
-			if must {
-				w.AllowedTag = tag
-			}
-			var view []Machine
-			var at []int
-			for i, h := range hosts {
-				if !h.open {
-					continue
-				}
-				m := h.Machine
-				if h.phase != ref.Phase {
-					m.Load = 0
-				}
-				ok, merit := w.Pool(h.group)
-				m.Allowed, m.Merit = ok && w.Allowed(int32(i)), merit
-				if w.Favoured(int32(i)) {
-					m.Merit += w.Bonus
+		task := Size{CPUs: scale * float64(1+r.IntN(8)), MemGB: scale * float64(1+r.IntN(12))}
+		if r.IntN(6) == 0 {
+			task.GPUs = 1
+		}
+		zone, spotOnly, barred, tag := r.IntN(3), r.IntN(3) == 0, r.IntN(len(hosts)), uint64(1)<<r.IntN(3)
+		must := r.IntN(4) == 0
+		w := Request{Task: task, Bonus: 1 + r.IntN(2), FavouredTag: tag,
+			Pool: func(p int) (bool, int) {
+				merit := 0
+				if groups[p].spot {
+					merit = 1
 				}
-				view, at = append(view, m), append(at, i)
+				return (zone == 2 || groups[p].zone == zone) && (!spotOnly || groups[p].spot), merit
+			},
+			Favoured: func(m int32) bool { return hosts[m].image&tag != 0 },
+			Allowed:  func(m int32) bool { return int(m) != barred && (!must || hosts[m].image&tag != 0) },
+		}
+		if must {
+			w.AllowedTag = tag
+		}
+		var view []Machine
+		var at []int
+		for i, h := range hosts {
+			if !h.open {
+				continue
 			}
-			want := int32(-1)
-			if k := scan(&ref, view, task); k >= 0 {
-				want = int32(at[k])
+			m := h.Machine
+			if h.phase != ref.Phase {
+				m.Load = 0
 			}
-			got := x.Place(&g, &w)
-			if got != want || g != ref {
-				t.Fatalf("round %d, step %d: the index says %d with %+v, the scan %d with %+v", round, step, got, g, want, ref)
+			ok, merit := w.Pool(h.group)
+			m.Allowed, m.Merit = ok && w.Allowed(int32(i)), merit
+			if w.Favoured(int32(i)) {
+				m.Merit += w.Bonus
 			}
-			if got >= 0 {
-				h := &hosts[got]
-				h.Free = h.Free.Minus(task)
-				if h.phase != g.Phase {
-					h.phase, h.Load = g.Phase, 0
-				}
-				h.Load += task.Share(h.Total)
-				show(int(got))
+			view, at = append(view, m), append(at, i)
+		}
+		want := int32(-1)
+		if k := scan(&ref, view, task); k >= 0 {
+			want = int32(at[k])
+		}
+		got := x.Place(&g, &w)
+		if got != want || g != ref {
+			t.Fatalf("round %d, step %d: the index says %d with %+v, the scan %d with %+v", round, step, got, g, want, ref)
+		}
+		if got >= 0 {
+			h := &hosts[got]
+			h.Free = h.Free.Minus(task)
+			if h.phase != g.Phase {
+				h.phase, h.Load = g.Phase, 0
 			}
-			if r.IntN(60) == 0 {
-				g.Fall(0.01)
-				ref.Fall(0.01)
-				if len(hosts) > 4 {
-					x.ClearLoads()
-				}
+			h.Load += task.Share(h.Total)
+			show(int(got))
+		}
+		if r.IntN(60) == 0 {
+			phase := g.Phase
+			g.Fall(0.01)
+			ref.Fall(0.01)
+			if g.Phase != phase {
+				x.ClearLoads()
 			}
 		}
 	}
