--- a/cmd/leadproxy/main.go
+++ b/cmd/leadproxy/main.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return err
 	}
+	if err := settings.CheckCells(platform, operator); err != nil {
+		return err
+	}
 	if cl.Check {
 		fmt.Println("the settings are valid")
 		return nil
--- a/internal/ledger/property_test.go
+++ b/internal/ledger/property_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"leadproxy/internal/election"
+	_ "leadproxy/internal/property" // fixes the seed
 )
 
 // ledgerMachine drives a ledger's steps by hand over a state service that loses
--- /dev/null
+++ b/internal/property/property.go
@@ -0,0 +1,30 @@
+// Package property has what the property tests of the packages share.
+package property
+
+import (
+	"flag"
+	"fmt"
+
+	"pgregory.net/rapid"
+)
+
+// seed makes every run of a property try the same cases; -rapid.seed overrides it.
+const seed = "1"
+
+func init() {
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(fmt.Sprintf("rapid has no seed any more: %v", err))
+	}
+}
+
+// Chooser makes the choices of a history, at random from a seed or as rapid has it.
+type Chooser interface {
+	// IntN is a number from 0 to n-1.
+	IntN(n int) int
+}
+
+// Drawn has rapid make the choices, which then finds the smallest history that fails.
+type Drawn struct{ T *rapid.T }
+
+// IntN is a number from 0 to n-1.
+func (d Drawn) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(d.T, "choice") }
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -32,6 +32,8 @@
 	HeadroomSpread float64
 	// MaxMachines bounds the fleet; 0 sets no bound.
 	MaxMachines int
+	// Cells are this cell and its neighbours.
+	Cells Cells
 }
 
 // Defaults returns the settings of an operator who has none of their own.
@@ -43,6 +45,7 @@
 		IdleReturn:     25 * time.Second,
 		BootPatience:   3,
 		HeadroomSpread: 3,
+		Cells:          defaultCells(),
 	}
 }
 
@@ -108,7 +111,11 @@
 		known[k.section+"."+k.key] = k
 	}
 	var errs []error
+	o.Cells, errs = readCells(path, text, f)
 	for _, s := range f.Sections() {
+		if isCells(s.Name()) {
+			continue
+		}
 		for _, k := range s.Keys() {
 			name := s.Name() + "." + k.Name()
 			fe := &FieldError{File: path, Line: lineOf(text, s.Name(), k.Name()), Key: name, Value: strconv.Quote(k.Value())}
--- /dev/null
+++ b/internal/spill/types.go
@@ -0,0 +1,179 @@
+// Package spill moves whole jobs between the cells of one operator. A job has one home
+// for life: the cell whose users submitted it. When home is short of room, it offers
+// jobs that have never been started to a neighbour, which runs them as guests.
+//
+// Both sides of a transfer are pure: Home and Guests take a message, an answer, a
+// durable write or the time, and return effects. Neither does I/O, so that the same code
+// runs in the leader and under a model checker. docs/design-spill.md argues why a job
+// gets one final answer and why at most one cell runs it.
+package spill
+
+import "time"
+
+// AwayState is the state of a transfer in home's record.
+type AwayState string
+
+// The states of a transfer in home's record.
+const (
+	// Offered: the neighbour may have accepted the job, or may yet accept it.
+	Offered AwayState = "offered"
+	// Accepted: the neighbour has accepted the job and alone decides what runs.
+	Accepted AwayState = "accepted"
+	// Returned: the epoch is closed and the job is home's to run.
+	Returned AwayState = "returned"
+)
+
+// AwayRecord is home's record of a job's latest transfer. It is durable before the
+// offer is sent, and stays until the job is over and the neighbour needs nothing more.
+type AwayRecord struct {
+	// Cell is the neighbour.
+	Cell string `json:"to"`
+	// Epoch numbers the transfers of one job from 1. What belongs to another epoch
+	// than the record's changes nothing.
+	Epoch uint64    `json:"epoch"`
+	State AwayState `json:"state"`
+	// SinceMS is the time of day at which the transfer began.
+	SinceMS int64 `json:"since_ms"`
+	// Repeatable is the declaration of the job's class when the transfer began.
+	Repeatable bool `json:"repeatable,omitempty"`
+	// Cleanup is set while the neighbour may still run a job that was taken back.
+	Cleanup bool `json:"cleanup,omitempty"`
+}
+
+// GuestState is the state of a transfer in the neighbour's record.
+type GuestState string
+
+// The states of a transfer in the neighbour's record. All but GuestAccepted close the
+// epoch without a run.
+const (
+	GuestAccepted GuestState = "accepted"
+	GuestRefused  GuestState = "refused"
+	GuestRevoked  GuestState = "revoked"
+	// GuestReleased: home knows the result and will not ask again.
+	GuestReleased GuestState = "released"
+)
+
+// GuestRecord is the neighbour's record of a job's latest transfer from one home. The
+// first write of an epoch decides it: an accept and a revocation need the same key at
+// the same version, so that exactly one of them is carried out. It is never deleted, or a
+// late copy of the offer would find no trace of it.
+type GuestRecord struct {
+	Epoch   uint64     `json:"epoch"`
+	State   GuestState `json:"state"`
+	SinceMS int64      `json:"since_ms"`
+	// Repeatable is home's declaration. The neighbour keeps the stricter of both.
+	Repeatable bool `json:"repeatable,omitempty"`
+	// Reason is why the offer was refused.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Kind is what home asks of a neighbour about one job.
+type Kind int
+
+// The kinds of messages.
+const (
+	// Offer asks the neighbour to accept the job.
+	Offer Kind = iota + 1
+	// Revoke asks it not to accept the job any more. It ends no accepted one.
+	Revoke
+	// Cancel revokes the offer, or has an accepted job cancelled: its user wants that.
+	Cancel
+	// Status asks for the state.
+	Status
+	// Release tells that home has the result.
+	Release
+)
+
+var kindNames = map[Kind]string{Offer: "offer", Revoke: "revoke", Cancel: "cancel", Status: "status", Release: "release"}
+
+// String is the kind's name in logs.
+func (k Kind) String() string { return kindNames[k] }
+
+// Message is what home sends about one job. It may be lost, late or doubled.
+type Message struct {
+	Kind  Kind
+	Ref   string
+	Epoch uint64
+	// Body has the job, with an offer.
+	Body *OfferBody
+}
+
+// OfferBody is what an offer carries. The neighbour's record of the job is made of it.
+type OfferBody struct {
+	// Job is the description as its user submitted it, in JSON.
+	Job []byte
+	// Cores is what all its tasks ask for together.
+	Cores float64
+	// AcceptedMS is the time of day at which home accepted the job. Deadlines count
+	// from then.
+	AcceptedMS int64
+	Repeatable bool
+}
+
+// Outcome is what a neighbour says of a transfer.
+type Outcome int
+
+// The outcomes. Those from OutcomeAccepted on are durable at the neighbour.
+const (
+	// OutcomePending: it is being written; ask again.
+	OutcomePending Outcome = iota + 1
+	// OutcomeAbsent: the neighbour knows nothing of this epoch so far.
+	OutcomeAbsent
+	// OutcomeAccepted: the job is the neighbour's to run.
+	OutcomeAccepted
+	// OutcomeDone and OutcomeAborted are the ends of an accepted job.
+	OutcomeDone
+	OutcomeAborted
+	// OutcomeRefused and OutcomeRevoked: it will never be accepted in this epoch.
+	OutcomeRefused
+	OutcomeRevoked
+	// OutcomeReleased: the neighbour has closed the transfer.
+	OutcomeReleased
+	// OutcomeStale: the neighbour knows a later epoch of the job.
+	OutcomeStale
+)
+
+var outcomeNames = map[Outcome]string{OutcomePending: "pending", OutcomeAbsent: "absent", OutcomeAccepted: "accepted", OutcomeDone: "done",
+	OutcomeAborted: "aborted", OutcomeRefused: "refused", OutcomeRevoked: "revoked", OutcomeReleased: "released", OutcomeStale: "stale"}
+
+// String is the outcome's name in logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Answer is a neighbour's answer to one message.
+type Answer struct {
+	Ref     string
+	Epoch   uint64
+	Outcome Outcome
+	// Done and Running count the tasks of an accepted job, for display.
+	Done, Running int
+	// Reason explains a refusal, and RetryAfter says when another offer is welcome.
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Note is a step of a transfer for logs, counters and traces.
+type Note struct {
+	// Home is the job's home where that is another cell; Cell is the neighbour.
+	Home, Cell string
+	Ref        string
+	Epoch      uint64
+	Step       string
+	Reason     string
+}
+
+// The steps that notes tell of.
+const (
+	StepPlanned    = "planned"
+	StepOffered    = "offered"
+	StepAccepted   = "accepted"
+	StepRefused    = "refused"
+	StepRevoking   = "revoking"
+	StepRevoked    = "revoked"
+	StepCancelling = "cancelling"
+	StepEnded      = "ended"
+	StepTakenBack  = "taken back"
+	StepReturned   = "returned"
+	StepCleaned    = "cleaned"
+	StepReleased   = "released"
+	StepUnreadable = "contradiction"
+)
