Transfers between cells: dispatcher, ledger, messages between the leaders

Need: the handover protocol has to meet jobs, ledger, limits and users.

Change: the core offers jobs that wait too long to neighbours with room, charges them to their team's limit while they are away, runs guests after its own jobs and lends room beyond its own demand; transfers are keys of the ledger; gRPC between the cells' leaders; a user's cancellation of an away job is confirmed when the neighbour has it durably, else 503 at once. Only when every controller has announced that it knows transfers; without settings nothing is offered or taken.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -99,6 +99,7 @@
 	callID       uint64
 	dirty        bool
 	fleet        fleetState
+	transfers    transfers
 
 	// What the machines have cost since it was last logged, and until when that is
 	// reckoned.
@@ -154,6 +155,7 @@
 	c.spareTeam = int32(len(c.teams))
 	c.teams = append(c.teams, team{})
 	c.fleet.begin()
+	c.newTransfers()
 	c.fleet.limited = make([]fleet.Stream, len(c.teams))
 	for _, name := range s.Gone {
 		m := c.machineNamed(name)
@@ -167,6 +169,7 @@
 		c.restoreHire(h)
 	}
 	c.restoreNotes(s.Silent)
+	c.restoreTransfers(&s)
 	c.flush()
 	return c
 }
@@ -204,6 +207,8 @@
 		}
 	case Tick:
 		c.tick()
+	default:
+		c.stepTransfers(event)
 	}
 }
 
@@ -273,6 +278,7 @@
 	c.dropNotes()
 	c.fleetTick()
 	c.endExhausted()
+	c.spillTick()
 	c.lowerGoal()
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"leadproxy/internal/election"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
+	"leadproxy/internal/spill"
 	"leadproxy/internal/state"
 	"leadproxy/internal/wire"
 )
@@ -34,6 +35,11 @@
 	// Upgraded tells whether all nodes run a version that knows what this one
 	// writes.
 	Upgraded func() bool
+	// Transfers tells whether all nodes know transfers between cells, Cells speaks to
+	// the neighbours, and Note is told the steps of transfers.
+	Transfers func() bool
+	Cells     Neighbours
+	Note      func(spill.Note)
 	// machines is how many should be reporting to this leader; unanswered is how
 	// many direct commands in a row no worker has answered.
 	machines   atomic.Int64
@@ -63,7 +69,8 @@
 func NewDispatcher(n outbound.Network, p *settings.Platform, op settings.Operator, e *election.Elector, store *state.Client, lines ConnLimits, log *slog.Logger) *Dispatcher {
 	return &Dispatcher{
 		net: n, platform: p, operator: op, elector: e, store: store, log: log, started: time.Now(),
-		workers: newCallers(n, lines), Upgraded: func() bool { return false },
+		workers: newCallers(n, lines), Upgraded: func() bool { return false }, Transfers: func() bool { return false },
+		Note:    func(spill.Note) {},
 		reports: make(chan ask, 256), inner: make(chan Event, 512), users: make(chan ask, 128),
 	}
 }
@@ -146,8 +153,11 @@
 		return wire.JobStatus{}, false, err
 	}
 	u := a.(AnswerUser)
-	if u.Deciding {
+	switch {
+	case u.Deciding:
 		return wire.JobStatus{}, true, ErrDeciding
+	case u.Unreachable:
+		return wire.JobStatus{}, true, ErrUnreachable
 	}
 	return u.Status, u.Known, nil
 }
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -21,6 +21,14 @@
 func (Rejected) isEvent()    {}
 func (Tick) isEvent()        {}
 
+func (TransfersAnswered) isEvent() {}
+func (RoomAnswered) isEvent()      {}
+func (TransfersAsked) isEvent()    {}
+func (RoomAsked) isEvent()         {}
+func (GuestWritten) isEvent()      {}
+func (TransfersAllowed) isEvent()  {}
+func (TransfersListed) isEvent()   {}
+
 // Recipient is who gets the answer to a report, a question or a cancellation.
 type Recipient interface {
 	// Deliver takes the answer. It does not wait.
@@ -97,6 +105,14 @@
 func (CallCloud) isEffect()    {}
 func (EndTerm) isEffect()      {}
 
+func (SendTransfers) isEffect()   {}
+func (AskRoom) isEffect()         {}
+func (AnswerTransfers) isEffect() {}
+func (AnswerRoom) isEffect()      {}
+func (PutGuest) isEffect()        {}
+func (TransferNote) isEffect()    {}
+func (TransferList) isEffect()    {}
+
 // The effects.
 type (
 	// AnswerReport answers a worker.
@@ -127,6 +143,8 @@
 		// it already, and another node may have told a user: only a fresh read
 		// is as new as that.
 		Deciding bool
+		// Unreachable: another cell may run the job and does not answer.
+		Unreachable bool
 	}
 	// CallCloud makes a call to the cloud.
 	CallCloud struct{ Call fleet.Call }
--- a/internal/dispatch/graph.go
+++ b/internal/dispatch/graph.go
@@ -29,9 +29,9 @@
 	open     int     // predecessors that are not done, seen or not
 }
 
-// blocked tells whether a job waits for others. It takes no part of its team's
-// limit or guarantee, is in no queue, and hires nothing.
-func (j *job) blocked() bool { return j.deps.open > 0 }
+// blocked tells whether a job waits for others, or is away. It takes no part of its
+// team's guarantee, is in no queue, and hires nothing.
+func (j *job) blocked() bool { return j.deps.open > 0 || j.away }
 
 // link brings a new job into the graph, as a job that needs others and as one that
 // others wait for.
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -55,6 +55,12 @@
 	done    int
 	booked  int
 
+	// home is the cell whose job this is, if that is another one, and epoch the number
+	// of its transfer. away is set while another cell may run a job of this one.
+	home  string
+	epoch uint64
+	away  bool
+
 	// For a job that must stay in one zone or be spread: its tasks by zone, and
 	// which zone was last found best.
 	inZone     []int
@@ -110,7 +116,7 @@
 
 func (c *Core) newJob(ref string, rec ledger.JobRecord, version uint64) *job {
 	j := &job{index: int32(len(c.jobs)), ref: ref, spec: rec.Job, version: version, accept: rec.AcceptedMS,
-		terminal: rec.Terminal, terminalDurable: rec.Terminal != "", total: rec.Tasks, done: rec.Done, due: never, zone: -1}
+		home: rec.Home, epoch: rec.Epoch, terminal: rec.Terminal, terminalDurable: rec.Terminal != "", total: rec.Tasks, done: rec.Done, due: never, zone: -1}
 	if rec.EndedMS > 0 {
 		j.doneAt = c.ago(rec.EndedMS)
 	}
@@ -126,7 +132,7 @@
 		j.due = j.arrived + settings.Seconds(*s.DeadlineS)
 	}
 	j.rank = s.Rank()
-	j.size = slowfit.Size{CPUs: s.CPUs, GPUs: s.GPUs, MemGB: s.MemGB}
+	j.size = sizeOf(s)
 	j.class = c.classOf(s.Class)
 	j.image = c.images.of(s.Image)
 	if s.Zone != nil {
@@ -140,6 +146,11 @@
 	return j
 }
 
+// sizeOf is what one task of a job takes of its machine.
+func sizeOf(s *wire.Job) slowfit.Size {
+	return slowfit.Size{CPUs: s.CPUs, GPUs: s.GPUs, MemGB: s.MemGB}
+}
+
 // ago is the steady time of a moment in the past, given by the time of day in ms.
 func (c *Core) ago(ms int64) time.Duration {
 	return c.now - max(0, time.Duration(c.wall-ms)*time.Millisecond)
@@ -205,7 +216,7 @@
 	}
 	c.log.Debug("job accepted", "job", j.ref, "tasks", j.total, "cpus", j.size.CPUs, "class", j.spec.Class)
 	c.settleLinks(j)
-	if !j.over() && !j.blocked() {
+	if !j.over() && !j.blocked() && j.home == "" {
 		c.arrived(j)
 	}
 	c.raiseBy(j)
@@ -225,12 +236,12 @@
 
 // writeTerminal writes a job's terminal state.
 func (c *Core) writeTerminal(j *job, urgent bool) {
-	rec := ledger.JobRecord{AcceptedMS: j.accept, Terminal: j.terminal, Tasks: j.total, Done: j.done, EndedMS: c.wall}
+	rec := ledger.JobRecord{AcceptedMS: j.accept, Terminal: j.terminal, Tasks: j.total, Done: j.done, EndedMS: c.wall, Home: j.home, Epoch: j.epoch}
 	if j.terminal == wire.Aborted {
 		// What a new leader needs stays: it charges the team for tasks that it has
 		// not yet seen gone. The whole description may be more than fits by now.
 		rec.Job = j.spec.Essence()
-	} else {
+	} else if j.home == "" {
 		rec.Class, rec.Team, rec.Cores, rec.RunS = j.spec.Class, j.spec.Team, j.size.CPUs*float64(j.total), c.expectedRun(j).Seconds()
 	}
 	c.put(ledger.Write{Key: ledger.JobKey(j.ref), Value: rec, Urgent: urgent, Version: j.version, Tag: terminalTag{j.index}})
@@ -252,6 +263,8 @@
 	c.dirty = true
 	c.releaseDependents(j)
 	c.settleJob(j)
+	c.transfers.home.Over(j.ref, c.now)
+	c.carryOutHome()
 }
 
 // settleJob drops what is kept for a job that is over, once nothing of it is on
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -109,13 +109,24 @@
 		if crowded[a.rank] {
 			work = cmp.Compare(c.workLeft(a), c.workLeft(b))
 		}
-		return cmp.Or(cmp.Compare(c.turn(a), c.turn(b)), work, cmp.Compare(a.slack(c.now), b.slack(c.now)), int(a.index)-int(b.index))
+		return cmp.Or(cmp.Compare(c.turn(a), c.turn(b)), guestsLast(a, b), work, cmp.Compare(a.slack(c.now), b.slack(c.now)), int(a.index)-int(b.index))
 	})
 	return queue
 }
 
+// guestsLast has this cell's own jobs go before those of other cells.
+func guestsLast(a, b *job) int {
+	switch {
+	case a.home == b.home || a.home != "" && b.home != "":
+		return 0
+	case a.home == "":
+		return -1
+	}
+	return 1
+}
+
 // uncertainUse is what each team's tasks may use on machines that have not been
-// heard of in this term.
+// heard of in this term, and in other cells.
 func (c *Core) uncertainUse() []units {
 	use := make([]units, len(c.teams))
 	for _, j := range c.active {
@@ -123,6 +134,10 @@
 			n := j.total - j.done - j.booked
 			use[j.team] = use[j.team].plus(unitsOf(j.size).times(max(n, 0)))
 		}
+		if c.transfers.home.Elsewhere(j.ref) {
+			// All of its tasks may run there at once.
+			use[j.team] = use[j.team].plus(unitsOf(j.size).times(j.total))
+		}
 	}
 	return use
 }
--- a/internal/dispatch/queries.go
+++ b/internal/dispatch/queries.go
@@ -6,8 +6,8 @@
 
 func (c *Core) statusAsked(e StatusAsked) {
 	i, ok := c.jobIndex[e.Ref]
-	if !ok {
-		c.emit(AnswerUser{To: e.To})
+	if !ok || c.jobs[i].home != "" {
+		c.emit(AnswerUser{To: e.To}) // users speak to a job's home alone
 		return
 	}
 	j := c.jobs[i]
@@ -25,7 +25,9 @@
 			s.Done = j.total
 		}
 	default:
-		if j.tasks != nil {
+		if j.away {
+			s.Done, s.Running = c.transfers.home.Progress(j.ref)
+		} else if j.tasks != nil {
 			s.Running = c.runningTasks(j)
 		}
 		if s.Running > 0 {
@@ -52,7 +54,7 @@
 
 func (c *Core) cancelAsked(e CancelAsked) {
 	i, ok := c.jobIndex[e.Ref]
-	if !ok {
+	if !ok || c.jobs[i].home != "" {
 		c.emit(AnswerUser{To: e.To})
 		return
 	}
@@ -61,6 +63,10 @@
 		c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(j)})
 		return
 	}
+	if !j.over() && !c.transfers.home.Cancel(j.ref, c.now) {
+		c.cancelAway(j, e.To)
+		return
+	}
 	j.waiters = append(j.waiters, e.To)
 	if !j.over() {
 		c.log.Debug("job is being cancelled", "job", j.ref)
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/spill"
 )
 
 // The tags of ledger writes.
@@ -20,6 +21,10 @@
 	terminalTag struct{ job int32 }
 	hireTag     struct{ name string }
 	noteTag     struct{ key string }
+	awayTag     struct {
+		ref    string
+		record spill.AwayRecord
+	}
 )
 
 // IsTag marks the tags for the ledger.
@@ -28,6 +33,7 @@
 func (terminalTag) IsTag() {}
 func (hireTag) IsTag()     {}
 func (noteTag) IsTag()     {}
+func (awayTag) IsTag()     {}
 
 // fin notes a key of finished tasks.
 func (j *job) fin(key string) {
@@ -80,6 +86,8 @@
 		c.writeTerminal(j, true)
 	case hireTag:
 		c.log.Error("a hire takes more than a value may hold", "hire", t.name)
+	case awayTag:
+		c.log.Error("the record of a transfer takes more than a value may hold", "job", t.ref)
 	}
 }
 
@@ -110,6 +118,10 @@
 		c.hireDurable(t.name)
 	case noteTag:
 		c.noteGone(t.key)
+	case awayTag:
+		c.transfers.home.Saved(t.ref, t.record, c.now)
+		c.carryOutHome()
+		c.exchange()
 	}
 }
 
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -52,7 +52,7 @@
 		// within a lease, and what the others ran is over by then.
 		j.notBefore = c.now + c.leaseTime
 	}
-	if !waitsFor(&s.Record) {
+	if !waitsFor(&s.Record) && j.home == "" {
 		c.arrived(j)
 	}
 	switch {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -18,6 +18,8 @@
 	cloud      *fleet.Client
 	tick       *time.Ticker
 	valueBytes int
+	// transfersAllowed: the core knows that transfers are.
+	transfersAllowed bool
 }
 
 // tickEvery is how often the core is told that time passes.
@@ -95,7 +97,7 @@
 			// Whoever asks from here on gets no answer from this term.
 			return
 		}
-		t.adjustValues()
+		t.adjustFormats()
 		t.stepTogether(ctx, event, &pause)
 		began := time.Now()
 		effects := t.core.Settle()
@@ -105,15 +107,19 @@
 	}
 }
 
-// adjustValues tells the core when values may be of another size than before.
-func (t *term) adjustValues() {
+// adjustFormats tells the core when values may be of another size than before, and when
+// every controller knows transfers.
+func (t *term) adjustFormats() {
 	size := t.Dispatcher.valueBytes()
-	if size == t.valueBytes {
-		return
-	}
-	t.valueBytes = size
 	now, wall := t.clocks()
-	t.core.Step(Formats{ValueBytes: size}, now, wall)
+	if size != t.valueBytes {
+		t.valueBytes = size
+		t.core.Step(Formats{ValueBytes: size}, now, wall)
+	}
+	if !t.transfersAllowed && t.Transfers() {
+		t.transfersAllowed = true
+		t.core.Step(TransfersAllowed{}, now, wall)
+	}
 }
 
 // stepTogether steps the core with an event. What waits already, or comes before the
@@ -269,6 +275,8 @@
 			go t.inspect(ctx, e)
 		case EndTerm:
 			t.elector.Resign(t.number)
+		default:
+			t.carryOutTransfer(ctx, e)
 		}
 	}
 	if len(writes) > 0 {
@@ -276,6 +284,26 @@
 	}
 }
 
+// carryOutTransfer turns the effects of transfers into deeds.
+func (t *term) carryOutTransfer(ctx context.Context, effect Effect) {
+	switch e := effect.(type) {
+	case SendTransfers:
+		go t.sendTransfers(ctx, e)
+	case AskRoom:
+		go t.askRoom(ctx, e)
+	case PutGuest:
+		go t.putGuest(ctx, e)
+	case AnswerTransfers:
+		e.To.Deliver(e)
+	case AnswerRoom:
+		e.To.Deliver(e)
+	case TransferList:
+		e.To.Deliver(e)
+	case TransferNote:
+		t.Note(e.Note)
+	}
+}
+
 // callCloud makes a call to the cloud if the term holds. A suspended leader that deletes
 // machines takes them from the next one; the core tries again later.
 func (t *term) callCloud(ctx context.Context, call fleet.Call) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -234,6 +234,9 @@
 // known answers the repetition of an accepted job, whose record was read since
 // the user asked.
 func (s *Service) known(ctx context.Context, ref string, rec ledger.JobRecord, local bool) Answer {
+	if rec.Home != "" {
+		return problem(http.StatusUnprocessableEntity, "a job of this name runs here for cell %s", rec.Home)
+	}
 	if rec.Terminal == "" {
 		if st, ok := s.fromLeader(ctx, ref, local); ok {
 			return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
@@ -386,12 +389,18 @@
 			s.log.Error("job record can't be read", "job", ref, "error", err)
 			return problem(http.StatusInternalServerError, "the job's record can't be read")
 		}
+		if rec.Home != "" {
+			return problem(http.StatusNotFound, "there is no such job of this cell")
+		}
 		s.dispatcher.JobRecorded(dispatch.JobSeen{Ref: ref, Record: rec, Version: e.Version})
 		st, found, err = s.dispatcher.Cancel(ctx, ref)
 		if err != nil || !found {
 			return later(http.StatusServiceUnavailable, 1, "the job is not yet known to the leader")
 		}
 	}
+	if errors.Is(err, dispatch.ErrUnreachable) {
+		return later(http.StatusServiceUnavailable, 1, err.Error())
+	}
 	if err != nil {
 		return later(http.StatusServiceUnavailable, 1, "the cancellation could not be recorded")
 	}
--- a/internal/intake/pipeline.go
+++ b/internal/intake/pipeline.go
@@ -68,8 +68,8 @@
 // fromRecords tells a job's state by its record and those of its ancestors alone.
 func (s *Service) fromRecords(ctx context.Context, ref string) (st wire.JobStatus, found bool, err error) {
 	rec, found, err := s.record(ctx, ref)
-	if err != nil || !found {
-		return st, false, err
+	if err != nil || !found || rec.Home != "" {
+		return st, false, err // users speak to a job's home alone
 	}
 	status, err := s.recorded(ctx, &rec)
 	return wire.JobStatus{Ref: ref, Status: status, Done: rec.Done}, true, err
--- a/internal/ledger/decode.go
+++ b/internal/ledger/decode.go
@@ -11,6 +11,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"leadproxy/internal/fleet"
+	"leadproxy/internal/spill"
 	"leadproxy/internal/wire"
 )
 
@@ -106,6 +107,10 @@
 		return d.addSilent(e)
 	case strings.HasPrefix(e.Key, hirePrefix):
 		return d.addHire(e)
+	case strings.HasPrefix(e.Key, awayPrefix):
+		return d.addAway(e)
+	case strings.HasPrefix(e.Key, guestPrefix):
+		return d.addGuest(e)
 	}
 	return nil
 }
@@ -178,6 +183,38 @@
 	return nil
 }
 
+// addAway reads a transfer of this cell's. A job whose record can't be read may run
+// elsewhere, and is noted as away all the same.
+func (d *decoder) addAway(e *wire.Entry) error {
+	saved := SavedAway{Ref: strings.TrimPrefix(e.Key, awayPrefix)}
+	err := json.Unmarshal(e.Value, &saved.Record)
+	if r := saved.Record; err == nil && (r.Cell == "" || r.Epoch == 0 || r.State != spill.Offered && r.State != spill.Accepted && r.State != spill.Returned) {
+		err = fmt.Errorf("epoch %d to %q is %q", r.Epoch, r.Cell, r.State)
+	}
+	saved.Unknown = err != nil
+	d.snapshot.Away = append(d.snapshot.Away, saved)
+	return err
+}
+
+// addGuest reads a transfer of another cell's. One whose record can't be read is closed
+// for all epochs: it may have been accepted.
+func (d *decoder) addGuest(e *wire.Entry) error {
+	home, ref, found := strings.Cut(strings.TrimPrefix(e.Key, guestPrefix), "/")
+	if !found {
+		return errors.New("the key names no job")
+	}
+	saved := SavedGuest{Key: spill.GuestKey{Home: home, Ref: ref}, Version: e.Version}
+	err := json.Unmarshal(e.Value, &saved.Record)
+	if err == nil && saved.Record.Epoch == 0 {
+		err = errors.New("it has no epoch")
+	}
+	if err != nil {
+		saved.Record = spill.GuestRecord{Epoch: math.MaxUint64, State: spill.GuestRefused}
+	}
+	d.snapshot.Guests = append(d.snapshot.Guests, saved)
+	return err
+}
+
 // finish puts the jobs in one order everywhere, so that a replay decides the same.
 func (d *decoder) finish() Snapshot {
 	s := d.snapshot
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -112,7 +112,7 @@
 func (l *Ledger) Load(ctx context.Context) (Snapshot, error) {
 	var entries []wire.Entry
 	var revision uint64
-	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix, silentPrefix} {
+	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix, silentPrefix, cellPrefix} {
 		under, began, err := state.ListAll(ctx, l.store, state.Leader, prefix)
 		if err != nil {
 			return Snapshot{}, fmt.Errorf("reading %s: %w", prefix, err)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strconv"
 
+	"leadproxy/internal/spill"
 	"leadproxy/internal/wire"
 )
 
@@ -19,6 +20,9 @@
 	hirePrefix   = "hire/"
 	gonePrefix   = "gone/"
 	silentPrefix = "silent/"
+	cellPrefix   = "cell/" // transfers, both ways
+	awayPrefix   = cellPrefix + "away/"
+	guestPrefix  = cellPrefix + "guest/"
 	fenceKey     = "fence" // its version alone counts
 )
 
@@ -39,11 +43,36 @@
 	Team  string  `json:"team,omitempty"`
 	Cores float64 `json:"cores,omitempty"`
 	RunS  float64 `json:"run_s,omitempty"`
+	// Home is the cell whose job this is, if that is another one, and Epoch the number
+	// of its transfer.
+	Home  string `json:"home,omitempty"`
+	Epoch uint64 `json:"epoch,omitempty"`
 }
 
 // JobKey is the key of a job's record.
 func JobKey(ref string) string { return JobPrefix + ref }
 
+// AwayKey is the key of home's record of a job's latest transfer.
+func AwayKey(ref string) string { return awayPrefix + ref }
+
+// GuestKey is the key of the neighbour's record of a job's latest transfer.
+func GuestKey(key spill.GuestKey) string { return guestPrefix + key.Home + "/" + key.Ref }
+
+// SavedAway is a transfer as home's ledger holds it.
+type SavedAway struct {
+	Ref    string
+	Record spill.AwayRecord
+	// Unknown is set when the record could not be read: the job may be anywhere.
+	Unknown bool
+}
+
+// SavedGuest is a transfer as the neighbour's ledger holds it.
+type SavedGuest struct {
+	Key     spill.GuestKey
+	Record  spill.GuestRecord
+	Version uint64
+}
+
 // HireRecord is a hire that was, or may have been, sent to the cloud.
 type HireRecord struct {
 	Hire wire.Hire `json:"hire"`
@@ -182,6 +211,9 @@
 	Jobs  []SavedJob
 	Hires []HireRecord
 	Gone  []string
+	// Away and Guests are the transfers.
+	Away   []SavedAway
+	Guests []SavedGuest
 	// Silent is by the records' keys.
 	Silent map[string]SilentRecord
 	// Revision is where a watch for further job records starts.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,8 @@
 	"github.com/julienschmidt/httprouter"
 	"golang.org/x/net/netutil"
 
+	"leadproxy/internal/cells"
+	"leadproxy/internal/cells/cellpb"
 	"leadproxy/internal/dispatch"
 	"leadproxy/internal/election"
 	"leadproxy/internal/fleet"
@@ -82,6 +84,7 @@
 	health     *health
 	reports    *reportHandler
 	workers    *reachability
+	cells      *cells.Server
 }
 
 // assemble makes the slices of a controller and introduces them to each other. What
@@ -102,10 +105,16 @@
 	}
 	c.elector.Others = others
 	c.versions = upgrade.New(p.Node, level, others.Names(), store, log)
-	c.dispatcher.Upgraded = c.versions.Done
+	pipelines := func() bool { return c.versions.Knows(upgrade.Pipelines) }
+	c.dispatcher.Upgraded = pipelines
+	c.dispatcher.Transfers = func() bool { return c.versions.Knows(upgrade.Transfers) }
+	if c.dispatcher.Cells, err = cells.Dial(ctx, n, op.Cells, f.Workers.CancelS); err != nil {
+		return nil, err
+	}
+	c.cells = cells.NewServer(op.Cells, f.Workers.CancelS, c.dispatcher)
 	types := watchTypes(ctx, fleet.NewClient(n, p.Services.Cloud, f.Cloud.RPS), log)
 	c.intake = intake.New(ctx, p, c.elector, store, c.dispatcher, others, types, rate, log)
-	c.intake.Upgraded = c.versions.Done
+	c.intake.Upgraded = pipelines
 	c.health = &health{serving: store.Serving, peers: others, log: log}
 	c.intake.Healthy = c.health.OK
 	c.reports = newReportHandler(ctx, p.Node, c.elector, c.dispatcher, others, c.sockets, log)
@@ -130,6 +139,7 @@
 	c.intake.Routes(router)
 	router.POST("/v1/report", c.reports.serve)
 	grpcServer := peers.NewServer(c.intake, c.reports, c.elector.GrantExtension, c.reports.heard.last)
+	cellpb.RegisterCellServer(grpcServer, c.cells)
 	web := newServer(router, c.sockets, settings.Seconds(c.platform.Facts.Workers.LeaseS), c.log)
 	failed := make(chan error, 2)
 	go func() { failed <- grpcServer.Serve(back) }()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -130,6 +130,7 @@
 // NewServer makes the server for the other controllers. reports answers workers'
 // reports if this node leads; promise is the elector's; heard counts the reports
 // that have come straight here.
+// The caller may register further services with it.
 func NewServer(in *intake.Service, reports Reports,
 	promise func(ctx context.Context, hold time.Duration) bool, heard func(within time.Duration) int) *grpc.Server {
 	g := grpc.NewServer(grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window))
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -23,9 +22,17 @@
 // Prefix is where the nodes announce themselves, by name.
 const Prefix = "node/"
 
-// Level counts the capabilities: 1 knows jobs that wait for others, finished tasks in
-// parts, and keys of hosts of any length.
-const Level = 1
+// The capabilities, in the order in which they came. A version knows all up to its own.
+const (
+	// Pipelines: jobs that wait for others, finished tasks in parts, and keys of hosts of
+	// any length.
+	Pipelines = 1
+	// Transfers: jobs that are away in another cell, which an older version would start,
+	// and jobs of other cells.
+	Transfers = 2
+	// Level is this version's.
+	Level = Transfers
+)
 
 // announcement is the value of a node's key. A field that is not known is kept by
 // nobody: each node writes its own key only.
@@ -46,7 +53,7 @@
 	all   []string
 	store Store
 	log   *slog.Logger
-	done  atomic.Bool
+	known atomic.Int64
 }
 
 // New makes a watch for a node that knows the capabilities of a level; Run starts it.
@@ -55,8 +62,8 @@
 	return &Watch{node: node, level: level, all: append([]string{node}, others...), store: store, log: log}
 }
 
-// Done tells whether all nodes know what this one does.
-func (w *Watch) Done() bool { return w.done.Load() }
+// Knows tells whether all nodes know a capability, this one included.
+func (w *Watch) Knows(capability int) bool { return int(w.known.Load()) >= capability }
 
 // lookEvery is how often the others are looked for.
 const lookEvery = 2 * time.Second
@@ -68,14 +75,17 @@
 	}
 	missing := ""
 	for ctx.Err() == nil {
-		left, err := w.look(ctx)
+		left, known, err := w.look(ctx)
 		switch {
 		case err != nil:
 			w.log.Debug("announcements not read", "error", err)
 		case len(left) == 0:
 			w.log.Info("all nodes know this version's capabilities", "level", w.level)
-			w.done.Store(true)
+			w.known.Store(int64(w.level))
 			return
+		case int(w.known.Load()) < known:
+			w.log.Info("all nodes know capabilities", "level", known)
+			w.known.Store(int64(known))
 		case missing != strings.Join(left, " "):
 			missing = strings.Join(left, " ")
 			w.log.Info("not all nodes are known to have been upgraded", "missing", missing)
@@ -84,14 +94,14 @@
 	}
 }
 
-// look announces this node where that is missing, and names the nodes that have not
-// announced themselves.
-func (w *Watch) look(ctx context.Context) (left []string, err error) {
-	left = slices.Clone(w.all)
+// look announces this node where that is missing. It names the nodes that have not
+// announced as much as this one, and tells the level that all have announced.
+func (w *Watch) look(ctx context.Context) (left []string, known int, err error) {
 	entries, _, err := state.ListAll(ctx, w.store, state.Read, Prefix)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
+	levels := map[string]int{}
 	var own uint64
 	for _, e := range entries {
 		name := strings.TrimPrefix(e.Key, Prefix)
@@ -99,21 +109,36 @@
 		if name == w.node {
 			own = e.Version
 		}
-		if json.Unmarshal(e.Value, &a) == nil && a.Level >= w.level {
-			left = slices.DeleteFunc(left, func(n string) bool { return n == name })
+		if json.Unmarshal(e.Value, &a) == nil {
+			levels[name] = a.Level
+		}
+	}
+	if levels[w.node] < w.level {
+		announced, err := w.announce(ctx, own)
+		if err != nil {
+			return nil, 0, err
+		}
+		if announced {
+			levels[w.node] = w.level
 		}
 	}
-	if !slices.Contains(left, w.node) {
-		return left, nil
+	known = w.level
+	for _, name := range w.all {
+		known = min(known, levels[name])
+		if levels[name] < w.level {
+			left = append(left, name)
+		}
 	}
+	return left, known, nil
+}
+
+// announce writes this node's key unless it has changed since it was read.
+func (w *Watch) announce(ctx context.Context, version uint64) (bool, error) {
 	value, err := json.Marshal(announcement{w.level})
 	if err != nil {
-		return nil, err
+		return false, err
 	}
 	key := Prefix + w.node
-	ok, _, err := w.store.Txn(ctx, state.Read, wire.Txn{If: []wire.Condition{{Key: key, Version: own}}, Then: []wire.Change{{Set: key, Value: value}}})
-	if err != nil || !ok {
-		return left, err // it is looked at again
-	}
-	return slices.DeleteFunc(left, func(n string) bool { return n == w.node }), nil
+	ok, _, err := w.store.Txn(ctx, state.Read, wire.Txn{If: []wire.Condition{{Key: key, Version: version}}, Then: []wire.Change{{Set: key, Value: value}}})
+	return ok, err
 }
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -49,14 +49,16 @@
 		name   string
 		others map[string]string
 		down   bool
-		done   bool
+		known  int // what all know
 	}{
-		{"all", map[string]string{"node/n2": `{"level":1}`, "node/n3": `{"level":2,"more":7}`}, false, true},
-		{"one is missing", map[string]string{"node/n2": `{"level":1}`}, false, false},
-		{"one knows less", map[string]string{"node/n2": `{"level":1}`, "node/n3": `{"level":0}`}, false, false},
-		{"one can't be read", map[string]string{"node/n2": `{"level":1}`, "node/n3": `7`}, false, false},
-		{"another name", map[string]string{"node/n2": `{"level":1}`, "node/n4": `{"level":1}`}, false, false},
-		{"the state service is out", map[string]string{"node/n2": `{"level":1}`, "node/n3": `{"level":1}`}, true, false},
+		{"all", map[string]string{"node/n2": `{"level":2}`, "node/n3": `{"level":3,"more":7}`}, false, Level},
+		{"one knows a level less", map[string]string{"node/n2": `{"level":1}`, "node/n3": `{"level":2}`}, false, Pipelines},
+		{"this one knew less", map[string]string{"node/n1": `{"level":1}`, "node/n2": `{"level":2}`, "node/n3": `{"level":2}`}, false, Level},
+		{"one is missing", map[string]string{"node/n2": `{"level":2}`}, false, 0},
+		{"one knows nothing", map[string]string{"node/n2": `{"level":2}`, "node/n3": `{"level":0}`}, false, 0},
+		{"one can't be read", map[string]string{"node/n2": `{"level":2}`, "node/n3": `7`}, false, 0},
+		{"another name", map[string]string{"node/n2": `{"level":2}`, "node/n4": `{"level":2}`}, false, 0},
+		{"the state service is out", map[string]string{"node/n2": `{"level":2}`, "node/n3": `{"level":2}`}, true, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -67,23 +69,25 @@
 				go w.Run(t.Context())
 				time.Sleep(3 * lookEvery)
 				synctest.Wait()
-				if w.Done() != c.done {
-					t.Errorf("done: %v, want %v", w.Done(), c.done)
+				for level := 1; level <= Level; level++ {
+					if w.Knows(level) != (c.known >= level) {
+						t.Errorf("level %d: %v, want those up to %d", level, w.Knows(level), c.known)
+					}
 				}
 				keys := <-f.keys
-				if got := keys["node/n1"]; (got == `{"level":1}`) == c.down {
+				if got := keys["node/n1"]; (got == `{"level":2}`) == c.down {
 					t.Errorf("announced as %q", got)
 				}
-				if c.done || c.down {
+				if c.known == Level || c.down {
 					f.keys <- keys
 					return
 				}
 				// The last one comes up with the new version.
-				keys["node/n3"] = `{"level":1}`
+				keys["node/n2"], keys["node/n3"] = `{"level":2}`, `{"level":2}`
 				f.keys <- keys
 				time.Sleep(2 * lookEvery)
 				synctest.Wait()
-				if !w.Done() {
+				if !w.Knows(Level) {
 					t.Error("not done when all are there")
 				}
 			})
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -65,6 +65,9 @@
 	return len(priorities)
 }
 
+// PriorityName is the priority of a rank.
+func PriorityName(rank int) string { return priorities[min(max(rank, 0), len(priorities)-1)] }
+
 // ValidRef tells whether s has the form of a job id.
 func ValidRef(s string) bool {
 	digits, ok := strings.CutPrefix(s, "job-")
