--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -19,6 +20,7 @@
 	Boot    time.Duration // how long a machine takes to come up
 	ListLag time.Duration // how late a machine is listed
 	Most    int           // machines at the same time; 0: no bound
+	Prefix  string        // of the machines' names; "": vm-
 	Worker  WorkerConfig
 	// Host makes the network of a machine, and its address there.
 	Host    func(name string) (n outbound.Network, addr string)
@@ -96,7 +98,7 @@
 
 // rent has a machine come up.
 func (c *Cloud) rent(h wire.Hire, size wire.MachineType) string {
-	name := fmt.Sprintf("vm-%06d", c.count)
+	name := fmt.Sprintf("%s%06d", cmp.Or(c.config.Prefix, "vm-"), c.count)
 	c.count++
 	n, addr := c.config.Host(name)
 	m := &rented{since: time.Now(), listed: wire.ListedMachine{Name: name, Address: addr, Type: h.Type, Zone: h.Zone, Spot: h.Spot, Status: wire.Booting}}
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -100,6 +100,19 @@
 	})
 }
 
+// CutOneWay has what one host sends to another wait until the cut is healed. The other
+// way stays open for connections that there are; none can be made.
+func (n *Net) CutOneWay(from, to string) {
+	n.do(func() {
+		n.cuts[linkOf(from, to)] = true
+		for c := range n.conns {
+			if c.host.name == to && c.other.host.name == from {
+				c.in.hold(true)
+			}
+		}
+	})
+}
+
 // Heal ends the cut between two hosts.
 func (n *Net) Heal(a, b string) {
 	n.do(func() {
--- a/internal/spill/home.go
+++ b/internal/spill/home.go
@@ -80,6 +80,7 @@
 	// cancelling: the job's user wants it cancelled.
 	cancelling bool
 	over       bool          // home's record of the job has its end
+	ended      bool          // the neighbour's run of what was taken back has ended
 	began      time.Duration // of the transfer, as far as this leader knows
 	heard      time.Duration // the last answer of this epoch
 	next       time.Duration // when the next message is due
@@ -240,6 +241,9 @@
 	case running:
 		return Status, PollEvery
 	case cleaning:
+		if t.ended {
+			return Release, RetryEvery
+		}
 		return Cancel, PollEvery
 	case releasing:
 		return Release, PollEvery
@@ -323,10 +327,14 @@
 	}
 }
 
-// answeredCleaning ends the cleanup once the neighbour surely does not run the job.
+// answeredCleaning ends the cleanup once the neighbour surely does not run the job, and
+// knows that nobody wants its result.
 func (h *Home) answeredCleaning(t *transfer, a Answer) {
 	switch a.Outcome {
-	case OutcomeDone, OutcomeAborted, OutcomeRefused, OutcomeRevoked, OutcomeReleased, OutcomeStale:
+	case OutcomeDone, OutcomeAborted:
+		t.ended, t.next = true, t.heard
+		return
+	case OutcomeRefused, OutcomeRevoked, OutcomeReleased, OutcomeStale:
 	default:
 		return
 	}
