Operators see transfers: a trace of both cells, a list with state and age

Need: an operator has to see where a job is, since when and why.

Change: every step of a transfer is logged and, if a file is set, written as an OpenTelemetry span; the spans of a job in both cells, under all leaders, are one trace. 'leadproxy transfers' lists jobs away, guests, neighbours and counters, 'leadproxy trace' shows traces as text or as a page. Without a command's name the program runs a controller as before.

--- /dev/null
+++ b/cmd/leadproxy/commands.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"leadproxy/internal/cells"
+	"leadproxy/internal/node"
+	"leadproxy/internal/outbound"
+	"leadproxy/internal/settings"
+)
+
+// runCommand runs a controller.
+type runCommand struct {
+	Config   string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
+	Settings string `placeholder:"FILE" help:"The operators' own settings (INI). Optional."`
+	Check    bool   `help:"Validate the settings and exit."`
+}
+
+// Run runs the command.
+func (c *runCommand) Run() error {
+	log, err := newLog(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		return err
+	}
+	platform, err := settings.LoadPlatform(c.Config)
+	if err != nil {
+		return err
+	}
+	operator, err := settings.LoadOperator(c.Settings)
+	if err != nil {
+		return err
+	}
+	if err := settings.CheckCells(platform, operator); err != nil {
+		return err
+	}
+	if c.Check {
+		fmt.Println("the settings are valid")
+		return nil
+	}
+	return node.Run(context.Background(), outbound.TCP{}, platform, operator, log)
+}
+
+// transfersCommand lists a cell's transfers.
+type transfersCommand struct {
+	Config string `required:"" placeholder:"FILE" help:"The platform's settings file of any controller of the cell."`
+}
+
+// Run runs the command.
+func (c *transfersCommand) Run() error {
+	platform, err := settings.LoadPlatform(c.Config)
+	if err != nil {
+		return err
+	}
+	list, err := cells.FetchList(context.Background(), outbound.TCP{}, platform)
+	if err != nil {
+		return err
+	}
+	return cells.WriteList(os.Stdout, list, time.Now())
+}
+
+// traceCommand shows what was traced of jobs that left their cell.
+type traceCommand struct {
+	Files []string `arg:"" name:"file" help:"Trace files of any controllers of any cells."`
+	Job   string   `placeholder:"REF" help:"This job alone."`
+	HTML  string   `name:"html" placeholder:"FILE" help:"Write a page instead of text."`
+}
+
+// Run runs the command.
+func (c *traceCommand) Run() error {
+	steps, err := cells.ReadSteps(c.Files...)
+	if err != nil {
+		return err
+	}
+	var journeys []*cells.Journey
+	for _, j := range cells.Journeys(steps) {
+		if c.Job == "" || j.Job == c.Job {
+			journeys = append(journeys, j)
+		}
+	}
+	if len(journeys) == 0 {
+		return fmt.Errorf("the files hold nothing of job %q", c.Job)
+	}
+	if c.HTML == "" {
+		return cells.WriteText(os.Stdout, journeys)
+	}
+	f, err := os.Create(c.HTML)
+	if err != nil {
+		return err
+	}
+	out := bufio.NewWriter(f)
+	if err := cells.WritePage(out, journeys); err != nil {
+		return err
+	}
+	if err := out.Flush(); err != nil {
+		return err
+	}
+	return f.Close()
+}
--- a/cmd/leadproxy/main.go
+++ b/cmd/leadproxy/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"os"
@@ -10,57 +9,31 @@
 	"strings"
 
 	"github.com/alecthomas/kong"
-
-	"leadproxy/internal/node"
-	"leadproxy/internal/outbound"
-	"leadproxy/internal/settings"
 )
 
 // version is set at release builds.
 var version = "0.1.0-dev"
 
+// commandLine is the program's commands. Without a name it runs a controller.
 type commandLine struct {
-	Config   string           `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
-	Settings string           `placeholder:"FILE" help:"The operators' own settings (INI). Optional."`
-	Check    bool             `help:"Validate the settings and exit."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Run       runCommand       `cmd:"" default:"withargs" help:"Run a controller (the default)."`
+	Transfers transfersCommand `cmd:"" help:"List the jobs that are away in other cells, and those of other cells here."`
+	Trace     traceCommand     `cmd:"" help:"Show the steps of jobs that left their cell, from trace files."`
+	Version   kong.VersionFlag `help:"Print the version and exit."`
 }
 
 func main() {
 	var cl commandLine
-	kong.Parse(&cl,
+	command := kong.Parse(&cl,
 		kong.Name("leadproxy"),
 		kong.Description("A controller of a cluster scheduler: it takes users' jobs, hires machines and runs the jobs' tasks on them."),
 		kong.Vars{"version": version + revision()})
-	if err := run(cl); err != nil {
+	if err := command.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "leadproxy:", err)
 		os.Exit(1)
 	}
 }
 
-func run(cl commandLine) error {
-	log, err := newLog(os.Getenv("LOG_LEVEL"))
-	if err != nil {
-		return err
-	}
-	platform, err := settings.LoadPlatform(cl.Config)
-	if err != nil {
-		return err
-	}
-	operator, err := settings.LoadOperator(cl.Settings)
-	if err != nil {
-		return err
-	}
-	if err := settings.CheckCells(platform, operator); err != nil {
-		return err
-	}
-	if cl.Check {
-		fmt.Println("the settings are valid")
-		return nil
-	}
-	return node.Run(context.Background(), outbound.TCP{}, platform, operator, log)
-}
-
 func newLog(level string) (*slog.Logger, error) {
 	levels := map[string]slog.Level{"": slog.LevelInfo, "error": slog.LevelError, "info": slog.LevelInfo, "debug": slog.LevelDebug}
 	l, ok := levels[strings.ToLower(level)]
--- /dev/null
+++ b/internal/cells/list.go
@@ -0,0 +1,100 @@
+package cells
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"leadproxy/internal/cells/cellpb"
+	"leadproxy/internal/outbound"
+	"leadproxy/internal/settings"
+)
+
+// FetchList asks the controllers of a cell for its transfers until one answers that
+// leads.
+func FetchList(ctx context.Context, n outbound.Network, p *settings.Platform) (*cellpb.ListReply, error) {
+	addresses := []string{p.Back}
+	for _, peer := range p.Peers {
+		addresses = append(addresses, peer.Addr)
+	}
+	var errs []error
+	for _, addr := range addresses {
+		list, err := fetchFrom(ctx, n, addr)
+		if err == nil {
+			return list, nil
+		}
+		errs = append(errs, fmt.Errorf("controller %s: %w", addr, err))
+	}
+	return nil, errors.Join(errs...)
+}
+
+func fetchFrom(ctx context.Context, n outbound.Network, addr string) (*cellpb.ListReply, error) {
+	conn, err := connect(n, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return cellpb.NewCellClient(conn).List(ctx, &cellpb.ListRequest{})
+}
+
+// WriteList writes a cell's transfers as tables.
+func WriteList(out io.Writer, l *cellpb.ListReply, now time.Time) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if l.Cell == "" {
+		fmt.Fprintln(w, "this cell has no neighbours")
+	} else {
+		fmt.Fprintf(w, "cell %s\n", l.Cell)
+	}
+	age := func(ms int64) string { return now.Sub(time.UnixMilli(ms)).Round(time.Second).String() }
+	fmt.Fprintf(w, "\nNEIGHBOUR\tSTATE\tAWAY\tCORES\tCREDIT\tLENT\n")
+	for _, n := range l.Neighbours {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%g\t%g\t%g\n", n.Name, relation(n), n.Jobs, n.Cores, n.Credit, n.Lent)
+	}
+	fmt.Fprintf(w, "\nAWAY\tCELL\tEPOCH\tSTATE\tAGE\tHEARD\tDONE\tRUNNING\tREPEATABLE\n")
+	for _, a := range l.Away {
+		state := a.Phase
+		if a.Cancelling {
+			state += ", cancelling"
+		}
+		heard := (time.Duration(a.HeardMs) * time.Millisecond).Round(100 * time.Millisecond)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s ago\t%d\t%d\t%v\n", a.Ref, a.Cell, a.Epoch, state, age(a.SinceMs), heard, a.Done, a.Running, a.Repeatable)
+	}
+	fmt.Fprintf(w, "\nGUEST\tHOME\tEPOCH\tSTATE\tAGE\tDONE\tRUNNING\n")
+	for _, g := range l.Guests {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d\t%d\n", g.Ref, g.Home, g.Epoch, g.State, age(g.SinceMs), g.Done, g.Running)
+	}
+	fmt.Fprintf(w, "\nSTEPS IN THIS TERM\tCELL\tDIRECTION\tCOUNT\n")
+	slices.SortFunc(l.Counts, func(a, b *cellpb.Count) int {
+		return cmp.Or(cmp.Compare(a.Cell, b.Cell), cmp.Compare(direction(a), direction(b)), cmp.Compare(a.Step, b.Step))
+	})
+	for _, c := range l.Counts {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", c.Step, c.Cell, direction(c), c.Count)
+	}
+	return w.Flush()
+}
+
+func relation(n *cellpb.Neighbour) string {
+	switch {
+	case n.Silent && n.Drain:
+		return "draining, silent"
+	case n.Silent:
+		return "silent"
+	case n.Drain:
+		return "draining"
+	}
+	return "open"
+}
+
+func direction(c *cellpb.Count) string {
+	if c.Out {
+		return "out"
+	}
+	return "in"
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,6 +111,11 @@
 	if c.dispatcher.Cells, err = cells.Dial(ctx, n, op.Cells, f.Workers.CancelS); err != nil {
 		return nil, err
 	}
+	tracer, err := cells.NewTracer(ctx, op.Cells.Name, op.Cells.TraceFile, log)
+	if err != nil {
+		return nil, err
+	}
+	c.dispatcher.Note = tracer.Note
 	c.cells = cells.NewServer(op.Cells, f.Workers.CancelS, c.dispatcher)
 	types := watchTypes(ctx, fleet.NewClient(n, p.Services.Cloud, f.Cloud.RPS), log)
 	c.intake = intake.New(ctx, p, c.elector, store, c.dispatcher, others, types, rate, log)
