--- a/internal/fake/checker.go
+++ b/internal/fake/checker.go
@@ -32,6 +32,31 @@
 	// lateStarts counts starts after the confirmation of a cancellation, which may
 	// just have been on their way.
 	lateStarts int
+	runs       []Run
+}
+
+// Run is one stay of a task on a machine.
+type Run struct {
+	Task, Machine string
+	Began         time.Time
+	Ended         time.Time // zero while it is there
+	Completed     bool
+}
+
+// Runs lists all stays of tasks on machines, in the order in which they began.
+func (c *Checker) Runs() (runs []Run) {
+	c.do(func() { runs = slices.Clone(c.runs) })
+	return runs
+}
+
+// ended notes the end of a task's stay on a machine.
+func (c *Checker) ended(task, machine string, completed bool) {
+	for i := len(c.runs) - 1; i >= 0; i-- {
+		if r := &c.runs[i]; r.Task == task && r.Machine == machine {
+			r.Ended, r.Completed = time.Now(), completed
+			return
+		}
+	}
 }
 
 type checkedJob struct {
@@ -236,6 +261,7 @@
 		}
 		c.place(task, j, place{machine, typ, zone, spot})
 		c.on[task] = place{machine, typ, zone, spot}
+		c.runs = append(c.runs, Run{Task: task, Machine: machine, Began: time.Now()})
 		c.quota(j.job.Team)
 	})
 }
@@ -301,6 +327,7 @@
 			c.stays(task)
 			delete(c.on, task)
 		}
+		c.ended(task, machine, completed)
 		ref, _, _ := wire.SplitTask(task)
 		if j := c.jobs[ref]; completed && j != nil {
 			j.done[task] = true
--- /dev/null
+++ b/internal/node/cells_measure_test.go
@@ -0,0 +1,139 @@
+//go:build measure
+
+package node
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"leadproxy/internal/fake"
+	"leadproxy/internal/wire"
+)
+
+// The measured load: one cell is asked for more than it has for five minutes, the others
+// for less. docs/operations-spill.md has the command.
+const (
+	measuredFor   = 5 * time.Minute
+	floodedEvery  = 2 * time.Second // jobs of 8 cores for 20 s: 80 cores of the 64 there are
+	easyEvery     = 5 * time.Second // 32 of 96
+	meanRun       = 20 * time.Second
+	measuredDue   = 90.0 // seconds
+	measuredSeeds = 5
+)
+
+// runOf is how long a job's tasks run: 10 to 30 s, the same with and without spilling.
+func runOf(seed uint64) func(task string) time.Duration {
+	return func(task string) time.Duration {
+		ref, _, _ := wire.SplitTask(task)
+		h := fnv.New64a()
+		fmt.Fprint(h, seed, ref)
+		return meanRun/2 + time.Duration(rand.New(rand.NewPCG(h.Sum64(), 1)).Int64N(int64(meanRun)))
+	}
+}
+
+// measured is what one cell's users saw.
+type measured struct {
+	waits, ends []float64 // seconds to the start of the last task, and to the end
+	late, jobs  int
+}
+
+func percentile(values []float64, share float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[min(len(values)-1, int(share*float64(len(values))))]
+}
+
+// measure plays the load and returns what the users of each cell saw, and how many of
+// the first's jobs ran elsewhere.
+func measure(t *testing.T, seed uint64, spilling bool) (seen map[string]*measured, spilled int) {
+	seen = map[string]*measured{}
+	synctest.Test(t, func(t *testing.T) {
+		p := federationPlan{names: []string{"a", "b", "c"}, machines: map[string]int{"a": 8}, run: runOf(seed), seed: seed}
+		f := newFederation(t, p)
+		submitted := make(chan map[string]time.Time, 1)
+		submitted <- map[string]time.Time{}
+		for _, c := range f.cells {
+			c.operator.Cells.Spill = spilling
+			for i := range c.nodes {
+				c.start(i)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		for i, name := range p.names {
+			every := easyEvery
+			if i == 0 {
+				every = floodedEvery
+			}
+			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			f.cells["a"].users.Go(func() {
+				for k, end := 0, time.Now().Add(measuredFor); time.Now().Before(end); k++ {
+					due := measuredDue
+					j := fake.NewJob(f.refOf(name, k), 4, func(j *wire.Job) { j.CPUs, j.EstimateS, j.DeadlineS = 2, meanRun.Seconds(), &due })
+					at := <-submitted
+					at[j.Ref] = time.Now()
+					submitted <- at
+					f.cells[name].users.Submit(j)
+					time.Sleep(time.Duration(random.ExpFloat64() * float64(every)))
+				}
+			})
+		}
+		f.cells["a"].users.Wait()
+		f.finish()
+		spilled = len(f.spilled("a"))
+		starts, ends := map[string]time.Time{}, map[string]time.Time{}
+		for _, run := range f.check.Runs() {
+			ref, _, _ := wire.SplitTask(run.Task)
+			if run.Began.After(starts[ref]) {
+				starts[ref] = run.Began
+			}
+			if run.Ended.After(ends[ref]) {
+				ends[ref] = run.Ended
+			}
+		}
+		for ref, at := range <-submitted {
+			for _, name := range p.names {
+				if !f.owns(name)(ref) {
+					continue
+				}
+				if seen[name] == nil {
+					seen[name] = &measured{}
+				}
+				m := seen[name]
+				m.jobs++
+				m.waits = append(m.waits, starts[ref].Sub(at).Seconds())
+				m.ends = append(m.ends, ends[ref].Sub(at).Seconds())
+				if ends[ref].Sub(at).Seconds() > measuredDue {
+					m.late++
+				}
+			}
+		}
+	})
+	return seen, spilled
+}
+
+// TestMeasureSpilling plays the same load with and without spilling, several seeds each.
+func TestMeasureSpilling(t *testing.T) {
+	t.Log("| seed | spilling | cell | jobs | elsewhere | wait p50 | p90 | p99 | end p50 | p90 | p99 | late |")
+	for seed := range uint64(measuredSeeds) {
+		for _, spilling := range []bool{false, true} {
+			seen, spilled := measure(t, seed+1, spilling)
+			for _, name := range []string{"a", "b", "c"} {
+				m := seen[name]
+				elsewhere := 0
+				if name == "a" {
+					elsewhere = spilled
+				}
+				t.Logf("| %d | %v | %s | %d | %d | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.1f%% |", seed+1, spilling, name, m.jobs, elsewhere,
+					percentile(m.waits, 0.5), percentile(m.waits, 0.9), percentile(m.waits, 0.99), percentile(m.ends, 0.5), percentile(m.ends, 0.9), percentile(m.ends, 0.99),
+					100*float64(m.late)/float64(m.jobs))
+			}
+		}
+	}
+}
