Intake: a cancellation's steps are functions

Change: asking the leader, telling the dispatcher of a new job and the answer are functions of their own; what is answered stays.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -360,54 +360,66 @@
 	defer cancel()
 	v := s.elector.View()
 	if !v.InTerm(time.Now()) {
-		if !local && v.Leader != "" && v.Leader != s.node {
-			if a, err := s.ask(ctx, 4*time.Second, v.Leader, Cancel, ref, nil); err == nil {
-				return a
-			}
-		}
-		// Without a leader, what is over already can still be told.
-		switch st, found, err := s.fromRecords(ctx, ref); {
-		case err == nil && !found:
-			return problem(http.StatusNotFound, "there is no such job")
-		case err == nil && st.Status != wire.Queued:
-			return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
-		}
-		return later(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
+		return s.cancelElsewhere(ctx, v.Leader, ref, local)
 	}
 	st, found, err := s.dispatcher.Cancel(ctx, ref)
 	if err == nil && !found {
-		// It may be so new that the leader has not seen it.
-		e, there, _, err := s.store.Get(ctx, state.Read, ledger.JobKey(ref))
-		switch {
-		case err != nil:
-			return noState
-		case !there:
-			return problem(http.StatusNotFound, "there is no such job")
-		}
-		rec, err := ledger.DecodeJob(ref, e.Value)
-		if err != nil {
-			s.log.Error("job record can't be read", "job", ref, "error", err)
-			return problem(http.StatusInternalServerError, "the job's record can't be read")
+		if refusal := s.tellDispatcher(ctx, ref); refusal.Status != 0 {
+			return refusal
 		}
-		if rec.Home != "" {
-			return problem(http.StatusNotFound, "there is no such job of this cell")
-		}
-		s.dispatcher.JobRecorded(dispatch.JobSeen{Ref: ref, Record: rec, Version: e.Version})
 		st, found, err = s.dispatcher.Cancel(ctx, ref)
-		if err != nil || !found {
-			return later(http.StatusServiceUnavailable, 1, "the job is not yet known to the leader")
-		}
 	}
-	if errors.Is(err, dispatch.ErrUnreachable) {
+	switch {
+	case errors.Is(err, dispatch.ErrUnreachable):
 		return later(http.StatusServiceUnavailable, 1, err.Error())
-	}
-	if err != nil {
+	case err != nil:
 		return later(http.StatusServiceUnavailable, 1, "the cancellation could not be recorded")
+	case !found:
+		return later(http.StatusServiceUnavailable, 1, "the job is not yet known to the leader")
 	}
 	// The state that the dispatcher tells here is durable.
 	return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
 }
 
+// cancelElsewhere has the leader cancel a job. Without one, what is over already can
+// still be told.
+func (s *Service) cancelElsewhere(ctx context.Context, leader, ref string, local bool) Answer {
+	if !local && leader != "" && leader != s.node {
+		if a, err := s.ask(ctx, 4*time.Second, leader, Cancel, ref, nil); err == nil {
+			return a
+		}
+	}
+	switch st, found, err := s.fromRecords(ctx, ref); {
+	case err == nil && !found:
+		return problem(http.StatusNotFound, "there is no such job")
+	case err == nil && st.Status != wire.Queued:
+		return JSON(http.StatusOK, wire.Accepted{Ref: ref, Status: st.Status})
+	}
+	return later(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
+}
+
+// tellDispatcher tells this node's dispatcher of a job that is so new that it has not
+// seen it. A zero answer is no refusal.
+func (s *Service) tellDispatcher(ctx context.Context, ref string) (refusal Answer) {
+	e, found, _, err := s.store.Get(ctx, state.Read, ledger.JobKey(ref))
+	switch {
+	case err != nil:
+		return noState
+	case !found:
+		return problem(http.StatusNotFound, "there is no such job")
+	}
+	rec, err := ledger.DecodeJob(ref, e.Value)
+	switch {
+	case err != nil:
+		s.log.Error("job record can't be read", "job", ref, "error", err)
+		return problem(http.StatusInternalServerError, "the job's record can't be read")
+	case rec.Home != "":
+		return problem(http.StatusNotFound, "there is no such job of this cell")
+	}
+	s.dispatcher.JobRecorded(dispatch.JobSeen{Ref: ref, Record: rec, Version: e.Version})
+	return Answer{}
+}
+
 // --- other nodes ---
 
 func (s *Service) ask(ctx context.Context, limit time.Duration, node string, k Kind, ref string, body []byte) (Answer, error) {
