Offers decided on one look at neighbours and teams; tests of offers, lending, guests

Need: with long queues each job that waited too long had all transfers counted anew.

Change: neighbours and teams are looked at once a second and kept up as jobs are offered; choosing what leaves stands in a file of its own; why a neighbour has no room is logged when that changes. Tables of what is offered, lent and accepted; malformed records of transfers.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -23,6 +23,7 @@
 	start    []Direct     // commands not yet settled
 	answered []wire.Order // in answers to reports, since the last settle
 	out      []Effect
+	others   []Effect // those that have no place above, from the beginning
 	// held, while set, keeps ledger writes from becoming durable.
 	held    bool
 	pending []ledger.Tag
@@ -61,6 +62,10 @@
 }
 
 func newStage(t tester, s ledger.Snapshot, teams ...settings.Team) *stage {
+	return newStageWith(t, settings.Defaults(), s, teams...)
+}
+
+func newStageWith(t tester, operator settings.Operator, s ledger.Snapshot, teams ...settings.Team) *stage {
 	if len(teams) == 0 {
 		teams = []settings.Team{{Name: "t"}}
 	}
@@ -68,7 +73,7 @@
 		Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}}}
 	g := &stage{t: t, seq: map[string]uint64{}, writes: map[string]ledger.Write{}, specs: map[string]*wire.Job{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	g.c = NewCore(Config{Term: testTerm, Platform: p, Operator: settings.Defaults(), ValueBytes: 16 << 10}, s, 0, 0, log)
+	g.c = NewCore(Config{Term: testTerm, Platform: p, Operator: operator, ValueBytes: 16 << 10}, s, 0, 0, log)
 	g.take(g.c.TakeStart())
 	g.step(CloudBack{fleet.Result{Call: fleet.Call{Types: true}, Types: []wire.MachineType{
 		{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, Price: 1, SpotPrice: 0.5, BootS: 40, Zones: []string{"a", "b"}}}}})
@@ -106,6 +111,7 @@
 			}
 		default:
 			g.out = append(g.out, e)
+			g.others = append(g.others, e)
 		}
 	}
 	if g.held {
--- /dev/null
+++ b/internal/dispatch/offers.go
@@ -0,0 +1,227 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"leadproxy/internal/fleet"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/spill"
+)
+
+// Which jobs are offered to other cells, when, and to whom.
+
+// lookEvery is how often the queue is looked through for jobs to be offered.
+const lookEvery = time.Second
+
+// mayLeave tells whether a job can run in another cell: whole, never started anywhere,
+// of this cell, and not bound to a zone of it.
+func (c *Core) mayLeave(j *job) bool {
+	return j.placeable(c.now) && j.home == "" && !j.begun && j.booked == 0 && len(j.hosts) == 0 && j.done == 0 &&
+		j.held == nil && j.zone < 0 && !j.suspect() && c.transfers.home.MayBegin(j.ref)
+}
+
+// expectedLate tells whether a job that begins after a wait misses its deadline or,
+// without one, waits longer than it may.
+func (c *Core) expectedLate(j *job, wait time.Duration) bool {
+	if j.due == never {
+		return c.now-j.arrived+wait > c.transfers.cells.MaxWait
+	}
+	return c.now+wait+c.expectedRun(j) > j.due
+}
+
+// lookForRoom offers jobs to neighbours that have room for them while this cell is short
+// of it.
+func (c *Core) lookForRoom() {
+	t := &c.transfers
+	late := c.expectedLateJobs()
+	if !t.shortage.Look(c.now, len(late) > 0 && !c.canHire()) {
+		return
+	}
+	wanted := 0.0
+	for _, j := range late {
+		wanted += j.cores()
+	}
+	choice := c.offering()
+	c.askForRoom(choice, wanted)
+	for _, j := range late {
+		if !choice.credit() {
+			break
+		}
+		c.offer(j, choice)
+	}
+	c.carryOutHome()
+}
+
+// offering is what offers are decided by at one moment.
+type offering struct {
+	cells []spill.Cell // the neighbours, in order
+	used  []units      // by team, in all cells
+}
+
+// offering looks at the neighbours and the teams.
+func (c *Core) offering() *offering {
+	t := &c.transfers
+	o := &offering{cells: make([]spill.Cell, len(t.neighbours)), used: c.uncertainUse()}
+	for i := range o.used {
+		o.used[i] = o.used[i].plus(c.teams[i].booked)
+	}
+	idle := true
+	for i, n := range t.neighbours {
+		jobs, cores := c.awayIn(n)
+		idle = idle && jobs == 0
+		o.cells[i] = spill.Cell{Capacity: n.MaxCores, Used: cores, Jobs: n.MaxJobs - jobs}
+		if c.now < n.until && !n.Drain {
+			o.cells[i].Credit = n.credit
+		}
+	}
+	if idle {
+		t.chooser.Rest()
+	}
+	return o
+}
+
+// credit tells whether some neighbour has offered room.
+func (o *offering) credit() bool {
+	return slices.ContainsFunc(o.cells, func(cell spill.Cell) bool { return cell.Credit > 0 })
+}
+
+// expectedLateJobs lists, in the order of the queue, the jobs that may leave and whose
+// wait here is expected to be too long: what is ahead of them, and left of what runs,
+// shared by the cores that there are. A job that leaves is ahead of none.
+func (c *Core) expectedLateJobs() []*job {
+	cores, ahead := 0.0, 0.0
+	for _, m := range c.live {
+		if c.counts(m) {
+			cores += m.total.CPUs
+			ahead += c.busy(m)
+		}
+	}
+	var late []*job
+	for _, j := range c.queue() {
+		wait := c.transfers.cells.MaxWait + time.Second
+		if cores > 0 {
+			wait = settings.Seconds(ahead / cores)
+		}
+		if c.mayLeave(j) && c.expectedLate(j, wait) {
+			late = append(late, j)
+			continue
+		}
+		ahead += c.workLeft(j)
+	}
+	return late
+}
+
+// canHire tells whether machines are coming or could be asked for.
+func (c *Core) canHire() bool {
+	if len(c.openHires()) > 0 {
+		return true
+	}
+	machines, booting := 0, false
+	for _, m := range c.live {
+		if m.state != machineGone {
+			machines++
+		}
+		booting = booting || m.state == machineBooting && m.typ >= 0
+	}
+	if booting {
+		return true
+	}
+	if most := c.cfg.Operator.MaxMachines; most > 0 && machines >= most {
+		return false
+	}
+	return c.offersOpen()
+}
+
+// offersOpen tells whether some offer of the cloud was not refused a moment ago.
+func (c *Core) offersOpen() bool {
+	for i := range c.types {
+		for _, z := range c.types[i].zones {
+			for _, spot := range []bool{true, false} {
+				if c.now >= c.fleet.offer(fleet.Offer{Type: int32(i), Zone: z, Spot: spot}).blockedUntil {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// askForRoom asks the neighbours what they have for so many cores.
+func (c *Core) askForRoom(choice *offering, cores float64) {
+	for i, n := range c.transfers.neighbours {
+		cell := choice.cells[i]
+		free := min(cores, cell.Capacity-cell.Used)
+		if n.Drain || n.asking || c.now < n.askAt || cell.Jobs <= 0 || free <= 0 || cell.Credit >= free {
+			continue
+		}
+		n.asking = true
+		c.emit(AskRoom{Cell: n.Name, Cores: free})
+	}
+}
+
+// askAgain is how long a neighbour rests that was asked for room.
+const askAgain = 2 * time.Second
+
+// roomAnswered takes a neighbour's answer to the question for room.
+func (c *Core) roomAnswered(e RoomAnswered) {
+	n := c.neighbourNamed(e.Cell)
+	if n == nil {
+		return
+	}
+	n.asking = false
+	n.askAt = c.now + max(askAgain, e.RetryAfter)
+	if e.Err != nil {
+		c.log.Debug("neighbour not asked for room", "cell", n.Name, "error", e.Err)
+		return
+	}
+	n.credit, n.until = e.Cores, c.now+e.For
+	if n.reason != e.Reason {
+		n.reason = e.Reason
+		if e.Reason != "" {
+			c.log.Info("neighbour has no room", "cell", n.Name, "why", e.Reason, "again_s", e.RetryAfter.Seconds())
+		}
+	}
+	if e.Cores <= 0 {
+		return
+	}
+	c.lookForRoom()
+	c.exchange()
+}
+
+// awayIn is what is away in a cell: jobs, and their cores.
+func (c *Core) awayIn(n *neighbour) (jobs int, cores float64) {
+	for _, ref := range c.transfers.home.With(n.Name) {
+		if at, ok := c.jobIndex[ref]; ok && !c.jobs[at].over() {
+			jobs++
+			cores += c.jobs[at].cores()
+		}
+	}
+	return jobs, cores
+}
+
+// offer begins the transfer of a job to the neighbour that the choice names, if its
+// team's limit leaves room for all of it: tasks in other cells count there as well.
+func (c *Core) offer(j *job, o *offering) {
+	if c.roomInLimit(j, o.used[j.team]) < j.total {
+		return
+	}
+	for i, n := range c.transfers.neighbours {
+		o.cells[i].Barred = n.refused[j.ref]
+	}
+	at := c.transfers.chooser.Choose(o.cells, j.cores())
+	if at < 0 {
+		return
+	}
+	body := c.offerBody(j)
+	if body == nil {
+		return
+	}
+	n, cell := c.transfers.neighbours[at], &o.cells[at]
+	n.credit -= j.cores()
+	cell.Credit, cell.Used, cell.Jobs = n.credit, cell.Used+j.cores(), cell.Jobs-1
+	o.used[j.team] = o.used[j.team].plus(unitsOf(j.size).times(j.total))
+	j.away = true
+	c.transfers.home.Begin(j.ref, n.Name, body, c.now, c.wall)
+	c.log.Info("job is offered to a neighbour", "job", j.ref, "cell", n.Name, "cores", j.cores(), "waited_s", (c.now - j.arrived).Seconds(), "share", j.cores()/n.MaxCores)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -129,12 +129,13 @@
 // heard of in this term, and in other cells.
 func (c *Core) uncertainUse() []units {
 	use := make([]units, len(c.teams))
+	transfers := !c.transfers.home.Idle()
 	for _, j := range c.active {
 		if len(j.unclear) > 0 && j.terminal != wire.Done {
 			n := j.total - j.done - j.booked
 			use[j.team] = use[j.team].plus(unitsOf(j.size).times(max(n, 0)))
 		}
-		if c.transfers.home.Elsewhere(j.ref) {
+		if transfers && c.transfers.home.Elsewhere(j.ref) {
 			// All of its tasks may run there at once.
 			use[j.team] = use[j.team].plus(unitsOf(j.size).times(j.total))
 		}
--- /dev/null
+++ b/internal/dispatch/transfers_test.go
@@ -0,0 +1,262 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/spill"
+	"leadproxy/internal/wire"
+)
+
+// newCell is a stage of cell "lima" with neighbour "puno", whose only machine of four
+// cores is up and the last that there may be.
+func newCell(t *testing.T, change func(o *settings.Operator), teams ...settings.Team) *stage {
+	o := settings.Defaults()
+	o.MaxMachines = 1
+	o.Cells = settings.Cells{Name: "lima", Spill: true, ShortageFor: 5 * time.Second, MaxWait: 10 * time.Second, Repeatable: map[string]bool{},
+		Neighbours: []settings.Neighbour{{Name: "puno", MaxJobs: 5, MaxCores: 40, LendCores: 12, TakeBack: time.Minute}}}
+	if change != nil {
+		change(&o)
+	}
+	g := newStageWith(t, o, ledger.Snapshot{}, teams...)
+	g.up("vm-1")
+	g.step(TransfersAllowed{})
+	return g
+}
+
+// wait lets time pass while the machine reports what it runs.
+func (g *stage) waitWith(d time.Duration, machine string, tasks ...wire.TaskReport) {
+	for end := g.now + d; g.now < end; {
+		g.wait(time.Second)
+		g.echo(machine, tasks...)
+	}
+}
+
+// fill has a job take the whole machine for long and returns how it is reported.
+func (g *stage) fill(ref string) []wire.TaskReport {
+	j := newTestJob(ref, 4, 1)
+	j.EstimateS = 1000
+	g.submit(j)
+	var running []wire.TaskReport
+	for _, o := range g.starts() {
+		running = append(running, taskIn(o, wire.TaskRunning, ""))
+	}
+	g.settle(DirectDone)
+	return running
+}
+
+// last returns the latest effect of a type.
+func last[E Effect](g *stage) (e E, ok bool) {
+	for i := len(g.others) - 1; i >= 0; i-- {
+		if e, ok = g.others[i].(E); ok {
+			return e, true
+		}
+	}
+	return e, false
+}
+
+// offered plays a shortage up to the neighbour's offer of room and names the jobs that
+// are offered to it.
+func (g *stage) offered(room float64, running []wire.TaskReport) (refs []string) {
+	g.waitWith(20*time.Second, "vm-1", running...)
+	if ask, ok := last[AskRoom](g); ok {
+		g.step(RoomAnswered{Cell: ask.Cell, Cores: min(room, ask.Cores), For: 5 * time.Second})
+	}
+	if send, ok := last[SendTransfers](g); ok {
+		for _, m := range send.Messages {
+			refs = append(refs, fmt.Sprintf("%s %s/%d", m.Kind, m.Ref, m.Epoch))
+		}
+	}
+	return refs
+}
+
+// TestOffers: which jobs leave a cell that is short of room.
+func TestOffers(t *testing.T) {
+	zone := "a"
+	cases := []struct {
+		name   string
+		change func(o *settings.Operator)
+		job    func(j *wire.Job)
+		room   float64
+		want   string
+	}{
+		{"one that waits too long", nil, nil, 100, "offer job-2/1"},
+		{"more than the room that was offered", nil, nil, 1, ""},
+		{"nobody has room", nil, nil, 0, ""},
+		{"bound to a zone", nil, func(j *wire.Job) { j.Zone = &zone }, 100, ""},
+		{"waits for another one", nil, func(j *wire.Job) { j.WaitsOn = []string{"job-1"} }, 100, ""},
+		{"more than may be away", func(o *settings.Operator) { o.Cells.Neighbours[0].MaxCores = 1 }, nil, 100, ""},
+		{"no jobs may be away", func(o *settings.Operator) { o.Cells.Neighbours[0].MaxJobs = 0 }, nil, 100, ""},
+		{"the relation is being drained", func(o *settings.Operator) { o.Cells.Neighbours[0].Drain = true }, nil, 100, ""},
+		{"spilling is off", func(o *settings.Operator) { o.Cells.Spill = false }, nil, 100, ""},
+		{"machines can be hired", func(o *settings.Operator) { o.MaxMachines = 0 }, nil, 100, ""},
+		{"it may wait for longer", func(o *settings.Operator) { o.Cells.MaxWait = time.Hour }, nil, 100, ""},
+		{"its deadline is far", nil, func(j *wire.Job) { j.DeadlineS = seconds(7200) }, 100, ""},
+		{"its deadline is near", func(o *settings.Operator) { o.Cells.MaxWait = time.Hour }, func(j *wire.Job) { j.DeadlineS = seconds(60) }, 100, "offer job-2/1"},
+		{"its team's limit leaves too little", nil, func(j *wire.Job) { j.Team = "tight" }, 100, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newCell(t, c.change, settings.Team{Name: "t"}, settings.Team{Name: "tight", CPUsMax: 1})
+			running := g.fill("job-1")
+			j := newTestJob("job-2", 2, 1)
+			if c.job != nil {
+				c.job(j)
+			}
+			g.submit(j)
+			g.want("offered", strings.Join(g.offered(c.room, running), ", "), c.want)
+		})
+	}
+}
+
+func seconds(s float64) *float64 { return &s }
+
+// TestAwayJob follows a job through the neighbour to its end: it is charged to its team,
+// never placed here, and over when its end is durable here.
+func TestAwayJob(t *testing.T) {
+	g := newCell(t, nil, settings.Team{Name: "t"}, settings.Team{Name: "tight", CPUsMax: 3})
+	tight := func(ref string) *wire.Job {
+		j := newTestJob(ref, 2, 1)
+		j.Team = "tight"
+		return j
+	}
+	running := g.fill("job-1")
+	g.submit(tight("job-2"))
+	g.want("offered", len(g.offered(100, running)), 1)
+	g.want("its record", g.writes[ledger.AwayKey("job-2")].Value.(spill.AwayRecord).State, spill.Offered)
+	answer := func(o spill.Outcome, running int) {
+		g.step(TransfersAnswered{Cell: "puno", Answers: []spill.Answer{{Ref: "job-2", Epoch: 1, Outcome: o, Running: running}}})
+	}
+	answer(spill.OutcomeAccepted, 2)
+	g.want("told while it runs there", g.jobStatus("job-2"), wire.Running)
+	g.up("vm-2")
+	g.submit(tight("job-3"))
+	g.want("started within the limit of both cells", len(g.starts()), 1)
+	answer(spill.OutcomeDone, 0)
+	g.want("told in the end", g.jobStatus("job-2"), wire.Done)
+	g.wait(time.Second)
+	if send, ok := last[SendTransfers](g); !ok || send.Messages[0].Kind != spill.Release {
+		t.Errorf("after the end: %+v", send)
+	}
+	answer(spill.OutcomeReleased, 0)
+	if w := g.writes[ledger.AwayKey("job-2")]; w.Value != nil {
+		t.Errorf("the record stays: %+v", w.Value)
+	}
+}
+
+// TestCancelAway: the cancellation of an away job is told when the neighbour has it, and
+// refused at once while that does not answer.
+func TestCancelAway(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		g := newCell(t, nil)
+		running := g.fill("job-1")
+		g.submit(newTestJob("job-2", 1, 1))
+		g.offered(100, running)
+		g.step(TransfersAnswered{Cell: "puno", Answers: []spill.Answer{{Ref: "job-2", Epoch: 1, Outcome: spill.OutcomeAccepted}}})
+		if silent {
+			g.step(TransfersAnswered{Cell: "puno", Err: ErrNotLeading})
+		}
+		g.others = nil
+		g.step(CancelAsked{Ref: "job-2", To: recipient("u")})
+		told, ok := last[AnswerUser](g)
+		g.want("told at once", ok, silent)
+		g.want("as unreachable", told.Unreachable, silent)
+		g.step(TransfersAnswered{Cell: "puno", Answers: []spill.Answer{{Ref: "job-2", Epoch: 1, Outcome: spill.OutcomeAborted}}})
+		g.want("in the end", g.jobStatus("job-2"), wire.Aborted)
+	}
+}
+
+// TestLending: what another cell is offered.
+func TestLending(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(o *settings.Operator)
+		teams  []settings.Team
+		before func(g *stage)
+		home   string
+		ask    float64
+		want   float64
+		why    string
+	}{
+		{"what is free", nil, nil, nil, "puno", 100, 4, ""},
+		{"no more than asked for", nil, nil, nil, "puno", 1, 1, ""},
+		{"what could be hired as well, up to what may be lent", func(o *settings.Operator) { o.MaxMachines = 9 }, nil, nil, "puno", 100, 12, ""},
+		{"a stranger", nil, nil, nil, "cusco", 100, 0, "not a neighbour"},
+		{"a relation that is being drained", func(o *settings.Operator) { o.Cells.Neighbours[0].Drain = true }, nil, nil, "puno", 100, 0, "drained"},
+		{"nothing is lent", func(o *settings.Operator) { o.Cells.Neighbours[0].LendCores = 0 }, nil, nil, "puno", 100, 0, "own work"},
+		{"this cell's own work waits", nil, nil, func(g *stage) { g.fill("job-1"); g.submit(newTestJob("job-2", 1, 1)) }, "puno", 100, 0, "own work"},
+		{"what is guaranteed to a team", nil, []settings.Team{{Name: "t"}, {Name: "sure", CPUs: 3}}, nil, "puno", 100, 1, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newCell(t, c.change, c.teams...)
+			if c.before != nil {
+				c.before(g)
+			}
+			g.step(RoomAsked{Home: c.home, Cores: c.ask, To: recipient("r")})
+			answer, _ := last[AnswerRoom](g)
+			if answer.Cores != c.want || !strings.Contains(answer.Reason, c.why) || (answer.Cores == 0) != (answer.RetryAfter > 0) {
+				t.Errorf("%+v, want %v cores, %q", answer, c.want, c.why)
+			}
+		})
+	}
+}
+
+// offerOf is another cell's offer.
+func offerOf(g *stage, ref, job string) spill.Outcome {
+	m := spill.Message{Kind: spill.Offer, Ref: ref, Epoch: 1, Body: &spill.OfferBody{Job: []byte(job), Cores: 1}}
+	g.step(TransfersAsked{Home: "puno", Messages: []spill.Message{m}, To: recipient("r")})
+	if put, ok := last[PutGuest](g); ok && put.Write.Key.Ref == ref {
+		g.step(GuestWritten{Write: put.Write, Job: put.Job, Version: 9})
+	}
+	g.step(TransfersAsked{Home: "puno", Messages: []spill.Message{{Kind: spill.Status, Ref: ref, Epoch: 1}}, To: recipient("r")})
+	answer, _ := last[AnswerTransfers](g)
+	return answer.Answers[0].Outcome
+}
+
+// TestGuests: which offers are accepted. A guest runs after this cell's own jobs, is
+// nobody's here, and is not offered on.
+func TestGuests(t *testing.T) {
+	const described = `{"ref":"%s","lane":"c","owner":"t","shape":"batch","urgency":"high","pieces":1,"vcpus":%v,"gpus":0,"mem_gb":1,"bundle":"i","size_gb":1,
+		"flavors":null,"room":%s,"together":false,"spread":false,"loaners":true,"guess_s":9,"snapshot_s":0,"flush_s":0,"due_s":60,"waits_on":%s}`
+	g := newCell(t, nil)
+	g.submit(newTestJob("job-1", 1, 1))
+	none := offerOf(g, "job-80", fmt.Sprintf(described, "job-80", 1, "null", "[]"))
+	g.want("without a promise of room", none, spill.OutcomeRefused)
+	g.step(RoomAsked{Home: "puno", Cores: 3, To: recipient("r")})
+	cases := []struct {
+		name, ref, job string
+		want           spill.Outcome
+	}{
+		{"a name that is known here", "job-1", fmt.Sprintf(described, "job-1", 1, "null", "[]"), spill.OutcomeRefused},
+		{"another job's description", "job-81", fmt.Sprintf(described, "job-82", 1, "null", "[]"), spill.OutcomeRefused},
+		{"what is no job", "job-83", `{"ref":"job-83"}`, spill.OutcomeRefused},
+		{"bound to a zone", "job-84", fmt.Sprintf(described, "job-84", 1, `"a"`, "[]"), spill.OutcomeRefused},
+		{"waits for a job of its home", "job-85", fmt.Sprintf(described, "job-85", 1, "null", `["job-1"]`), spill.OutcomeRefused},
+		{"fits no machine", "job-86", fmt.Sprintf(described, "job-86", 64, "null", "[]"), spill.OutcomeRefused},
+		{"within the promise", "job-87", fmt.Sprintf(described, "job-87", 2, "null", "[]"), spill.OutcomeAccepted},
+		{"beyond it", "job-88", fmt.Sprintf(described, "job-88", 2, "null", "[]"), spill.OutcomeRefused},
+	}
+	for _, c := range cases {
+		g.want(c.name, offerOf(g, c.ref, c.job).String(), c.want.String())
+	}
+	g.step(StatusAsked{Ref: "job-87", To: recipient("u")})
+	told, _ := last[AnswerUser](g)
+	g.want("its state is told to users here", told.Known, false)
+	guest := g.c.jobs[g.c.jobIndex["job-87"]]
+	g.want("it may leave", g.c.mayLeave(guest), false)
+	own := newTestJob("job-2", 1, 1)
+	own.Priority = "high"
+	guest.booked, guest.waiting = 0, []int32{0} // as if it waited
+	g.submit(own)
+	queue := g.c.queue()
+	own2, theirs := slices.IndexFunc(queue, func(j *job) bool { return j.ref == "job-2" }), slices.Index(queue, guest)
+	if own2 >= 0 && theirs >= 0 && own2 > theirs {
+		t.Error("a guest goes before a job of this cell of the same priority")
+	}
+}
--- a/internal/ledger/decode_test.go
+++ b/internal/ledger/decode_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"leadproxy/internal/spill"
 	"leadproxy/internal/wire"
 )
 
@@ -23,6 +24,9 @@
 	"host/job-000001/99999999999999999999": {`["vm-1"]`},
 	"host/job-000001/900000000000":         {`["vm-1"]`},
 	"silent/7-1":                           {`[]`, `{"machines":7}`},
+	"cell/away/job-000009":                 {`7`, `{}`, `{"to":"b","epoch":0,"state":"offered"}`, `{"to":"b","epoch":1,"state":"lost"}`, `{"epoch":1,"state":"offered"}`},
+	"cell/guest/b/job-000009":              {`7`, `{}`, `{"epoch":-1}`},
+	"cell/guest/job-000009":                {`{"epoch":1,"state":"accepted"}`},
 	"hire/h7-1":                            {`7`, `{}`, `{"hire":{"hire":"h7-2","number":1}}`, `{"hire":{"hire":"h7-1","number":-1}}`, `{"hire":{"hire":"h7-1","number":1000}}`},
 }
 
@@ -41,6 +45,12 @@
 			if len(s.Jobs) != 1 || s.Jobs[0].Record.Job == nil || len(s.Jobs[0].Finished) != 1 || len(s.Jobs[0].Hosts) != 1 || len(s.Hires) != 1 {
 				t.Errorf("%s: %.60s: what is left: %+v", key, value, s)
 			}
+			if strings.HasPrefix(key, "cell/away/") && (len(s.Away) != 1 || !s.Away[0].Unknown) {
+				t.Errorf("%s: %.60s: the job is not noted as away: %+v", key, value, s.Away)
+			}
+			if strings.HasPrefix(key, "cell/guest/b/") && (len(s.Guests) != 1 || s.Guests[0].Record.State != spill.GuestRefused) {
+				t.Errorf("%s: %.60s: the transfer is not closed: %+v", key, value, s.Guests)
+			}
 			if unknown := strings.HasPrefix(key, "host/") && len(key) < 20; s.Jobs[0].HostsUnknown != unknown {
 				t.Errorf("%s: %.60s: hosts unknown: %v", key, value, s.Jobs[0].HostsUnknown)
 			}
--- a/internal/spill/types.go
+++ b/internal/spill/types.go
@@ -61,7 +61,7 @@
 	Epoch   uint64     `json:"epoch"`
 	State   GuestState `json:"state"`
 	SinceMS int64      `json:"since_ms"`
-	// Repeatable is home's declaration. The neighbour keeps the stricter of both.
+	// Repeatable is home's declaration, as the offer carried it.
 	Repeatable bool `json:"repeatable,omitempty"`
 	// Reason is why the offer was refused.
 	Reason string `json:"reason,omitempty"`
