--- a/internal/cells/proof_test.go
+++ b/internal/cells/proof_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,9 +17,6 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
-	"leadproxy/internal/election"
 	"leadproxy/internal/fake"
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/outbound"
@@ -35,6 +31,7 @@
 var ledgerFile = flag.String("ledger", "", "where to write the ledger of jobs")
 
 const (
+	repository  = "../.."
 	controllers = 3
 	taskTime    = 4 * time.Second
 	floodJobs   = 120
@@ -49,48 +46,18 @@
 	state    *fake.State
 	cloud    *fake.Cloud
 	users    *fake.Users
-	nodes    []*process
+	nodes    []*fake.Process
 	relays   []*fake.Relay // that other cells reach the controllers through
 	settings string
 	trace    string
 }
 
-// process is one controller.
-type process struct {
-	platform settings.Platform
-	config   string
-	command  *exec.Cmd
-}
-
-func build(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "leadproxy")
-	compile := exec.Command("go", "build", "-o", program, "leadproxy/cmd/leadproxy")
-	if out, err := compile.CombinedOutput(); err != nil {
-		t.Fatalf("building: %v: %s", err, out)
-	}
-	return program
-}
-
-func reserve(t *testing.T, n int) (addresses []string) {
-	t.Helper()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses
-}
-
 // newCell starts everything of a cell but its controllers.
 func newCell(t *testing.T, name string, machines int, check *fake.Checker) *cell {
 	t.Helper()
 	network := outbound.TCP{}
 	c := &cell{t: t, name: name, state: fake.NewState(t, network, "127.0.0.1:0", nil)}
-	public, back := reserve(t, controllers), reserve(t, controllers)
+	public, back := fake.Reserve(t, controllers), fake.Reserve(t, controllers)
 	var workers []fake.Node
 	for i, addr := range public {
 		workers = append(workers, fake.Node{Name: c.nodeName(i), Addr: addr})
@@ -113,27 +80,15 @@
 	c.settings, c.trace = filepath.Join(dir, "cells.ini"), filepath.Join(dir, "trace")
 	for i := range controllers {
 		c.relays = append(c.relays, fake.NewRelay(t, back[i]))
-		p := &process{config: filepath.Join(dir, c.nodeName(i)+".toml"), platform: settings.Platform{Node: c.nodeName(i), Zone: zones[i],
-			Listen: public[i], Back: back[i], Facts: facts, Services: settings.Services{State: c.state.Addr(), Cloud: c.cloud.Addr()}}}
+		p := settings.Platform{Node: c.nodeName(i), Zone: zones[i], Listen: public[i], Back: back[i], Facts: facts,
+			Services: settings.Services{State: c.state.Addr(), Cloud: c.cloud.Addr()}}
 		for k := range controllers {
 			if k != i {
-				p.platform.Peers = append(p.platform.Peers, settings.Peer{Node: c.nodeName(k), Zone: zones[k], Addr: back[k]})
+				p.Peers = append(p.Peers, settings.Peer{Node: c.nodeName(k), Zone: zones[k], Addr: back[k]})
 			}
 		}
-		var text bytes.Buffer
-		if err := toml.NewEncoder(&text).Encode(p.platform); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(p.config, text.Bytes(), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		c.nodes = append(c.nodes, p)
+		c.nodes = append(c.nodes, fake.NewProcess(t, dir, p, "--settings", c.settings))
 	}
-	t.Cleanup(func() {
-		for i := range c.nodes {
-			c.kill(i)
-		}
-	})
 	return c
 }
 
@@ -155,51 +110,16 @@
 	}
 }
 
-func (c *cell) start(i int, program string) {
-	c.t.Helper()
-	n := c.nodes[i]
-	log, err := os.OpenFile(n.config+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	defer log.Close()
-	n.command = exec.Command(program, "--config", n.config, "--settings", c.settings)
-	n.command.Env = append(os.Environ(), "LOG_LEVEL=debug")
-	n.command.Stderr = log
-	if err := n.command.Start(); err != nil {
-		c.t.Fatal(err)
-	}
-}
-
-func (c *cell) kill(i int) {
-	n := c.nodes[i]
-	if n.command != nil {
-		n.command.Process.Kill()
-		n.command.Wait()
-		n.command = nil
-	}
-}
-
-func (c *cell) leader() int {
-	var holder struct {
-		Node string `json:"node"`
-	}
-	if value := c.state.Value(election.Key); value == nil || json.Unmarshal(value, &holder) != nil {
-		return -1
-	}
-	return slices.IndexFunc(c.nodes, func(p *process) bool { return p.platform.Node == holder.Node })
-}
-
 // replaceLeader ends the leader's process and starts it again.
 func (c *cell) replaceLeader(program string) {
-	i := c.leader()
+	i := fake.Leader(c.state, c.nodes)
 	if i < 0 {
 		c.t.Errorf("nobody leads %s", c.name)
 		return
 	}
-	c.kill(i)
+	c.nodes[i].Kill()
 	time.Sleep(2 * time.Second)
-	c.start(i, program)
+	c.nodes[i].Start(program)
 }
 
 // lose has what this cell is sent by others, or answers them, be lost.
@@ -212,16 +132,6 @@
 	}
 }
 
-func await(t *testing.T, what string, limit time.Duration, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	t.Errorf("not within %s: %s", limit, what)
-}
-
 // entry is what the ledger says of one job.
 type entry struct {
 	ref      string
@@ -295,17 +205,17 @@
 // TestThreeCells floods one cell while controllers are killed and links are cut: each
 // job has a single final answer and ran in a single cell.
 func TestThreeCells(t *testing.T) {
-	program := build(t)
+	program := fake.Build(t, repository)
 	check := fake.NewChecker(t, fake.Limits{Cancel: cancelLimit, Waiting: 90 * time.Second, Silent: 75 * time.Second})
 	a, b, c := newCell(t, "a", 2, check), newCell(t, "b", 12, check), newCell(t, "c", 12, check)
 	a.introduce(2, b, c)
 	b.introduce(12, a, c)
 	c.introduce(12, a, b)
 	for _, x := range []*cell{a, b, c} {
-		for i := range x.nodes {
-			x.start(i, program)
+		for _, n := range x.nodes {
+			n.Start(program)
 		}
-		await(t, "a leader of "+x.name, 20*time.Second, func() bool { return x.leader() >= 0 })
+		fake.Await(t, "a leader of "+x.name, 20*time.Second, func() bool { return fake.Leader(x.state, x.nodes) >= 0 })
 	}
 	time.Sleep(6 * time.Second) // all have announced what they know
 	troubles := []struct {
@@ -320,11 +230,11 @@
 		{"what c answers is lost", 38 * time.Second, func() { c.lose(fake.Back, true) }},
 		{"and no longer", 48 * time.Second, func() { c.lose(fake.Back, false) }},
 		{"all controllers of a are killed", 52 * time.Second, func() {
-			for i := range a.nodes {
-				a.kill(i)
+			for _, n := range a.nodes {
+				n.Kill()
 			}
-			for i := range a.nodes {
-				a.start(i, program)
+			for _, n := range a.nodes {
+				n.Start(program)
 			}
 		}},
 	}
@@ -344,9 +254,9 @@
 		}
 		time.Sleep(floodEvery)
 	}
-	await(t, "all jobs over", 4*time.Minute, func() bool { return len(check.Open()) == 0 })
+	fake.Await(t, "all jobs over", 4*time.Minute, func() bool { return len(check.Open()) == 0 })
 	a.users.Wait()
-	await(t, "no transfer left at home", 30*time.Second, func() bool { return a.state.Count("cell/away/") == 0 })
+	fake.Await(t, "no transfer left at home", 30*time.Second, func() bool { return a.state.Count("cell/away/") == 0 })
 	entries := ledgerOf(check, a, b, c)
 	writeLedger(t, entries)
 	spilled, restarted := 0, 0
@@ -372,11 +282,11 @@
 		t.Error("that is not what the test is about")
 	}
 	showTrace(t, program, a, b, c)
-	if list, err := FetchList(context.Background(), outbound.TCP{}, &a.nodes[0].platform); err != nil || list.Cell != "a" {
+	if list, err := FetchList(context.Background(), outbound.TCP{}, &a.nodes[0].Platform); err != nil || list.Cell != "a" {
 		t.Errorf("the list: %v, %v", list, err)
 	}
 	if t.Failed() {
-		keepLogs(t, a, b, c)
+		fake.KeepLogs(t, slices.Concat(a.nodes, b.nodes, c.nodes))
 	}
 }
 
@@ -392,24 +302,3 @@
 		t.Errorf("the trace: %v: %.500s", err, out)
 	}
 }
-
-// keepLogs copies the controllers' logs to where they outlive the test.
-func keepLogs(t *testing.T, cells ...*cell) {
-	t.Helper()
-	dir, err := os.MkdirTemp("", "leadproxy-cells-")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range cells {
-		for _, n := range c.nodes {
-			text, err := os.ReadFile(n.config + ".log")
-			if err == nil {
-				err = os.WriteFile(filepath.Join(dir, n.platform.Node+".log"), text, 0o600)
-			}
-			if err != nil {
-				t.Error(err)
-			}
-		}
-	}
-	t.Logf("the controllers' logs are in %s", dir)
-}
--- a/internal/dispatch/transfers_test.go
+++ b/internal/dispatch/transfers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -250,13 +249,13 @@
 	g.want("its state is told to users here", told.Known, false)
 	guest := g.c.jobs[g.c.jobIndex["job-87"]]
 	g.want("it may leave", g.c.mayLeave(guest), false)
-	own := newTestJob("job-2", 1, 1)
+	own := newTestJob("job-2", 4, 1)
 	own.Priority = "high"
 	guest.booked, guest.waiting = 0, []int32{0} // as if it waited
 	g.submit(own)
-	queue := g.c.queue()
-	own2, theirs := slices.IndexFunc(queue, func(j *job) bool { return j.ref == "job-2" }), slices.Index(queue, guest)
-	if own2 >= 0 && theirs >= 0 && own2 > theirs {
-		t.Error("a guest goes before a job of this cell of the same priority")
+	var order []string
+	for _, j := range g.c.queue() {
+		order = append(order, j.ref)
 	}
+	g.want("the order of jobs of one priority", strings.Join(order, " "), "job-2 job-87")
 }
--- /dev/null
+++ b/internal/fake/process.go
@@ -0,0 +1,142 @@
+package fake
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"leadproxy/internal/election"
+	"leadproxy/internal/settings"
+)
+
+// Process is a real controller on the loopback interface: its settings stay, its
+// processes come and go.
+type Process struct {
+	Platform settings.Platform
+	// Arguments are given to the program besides the settings file.
+	Arguments []string
+	t         testing.TB
+	config    string
+	command   *exec.Cmd // nil while it is down
+}
+
+// NewProcess writes a controller's settings file into a directory. The process that is
+// up at the test's end is killed.
+func NewProcess(t testing.TB, dir string, p settings.Platform, arguments ...string) *Process {
+	t.Helper()
+	var text bytes.Buffer
+	if err := toml.NewEncoder(&text).Encode(p); err != nil {
+		t.Fatal(err)
+	}
+	c := &Process{Platform: p, Arguments: arguments, t: t, config: filepath.Join(dir, p.Node+".toml")}
+	if err := os.WriteFile(c.config, text.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Kill)
+	return c
+}
+
+// Start starts it with a program. It appends to its log.
+func (c *Process) Start(program string) {
+	c.t.Helper()
+	log, err := os.OpenFile(c.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer log.Close()
+	c.command = exec.Command(program, append([]string{"--config", c.config}, c.Arguments...)...)
+	c.command.Env = append(os.Environ(), "LOG_LEVEL=debug")
+	c.command.Stderr = log
+	if err := c.command.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Kill ends it without a signal that it could handle.
+func (c *Process) Kill() {
+	if c.command == nil {
+		return
+	}
+	c.command.Process.Kill()
+	c.command.Wait()
+	c.command = nil
+}
+
+func (c *Process) logFile() string { return c.config + ".log" }
+
+// Leader is the place of the controller that a state service names, or -1.
+func Leader(s *State, controllers []*Process) int {
+	var holder struct {
+		Node string `json:"node"`
+	}
+	if value := s.Value(election.Key); value == nil || json.Unmarshal(value, &holder) != nil {
+		return -1
+	}
+	return slices.IndexFunc(controllers, func(c *Process) bool { return c.Platform.Node == holder.Node })
+}
+
+// KeepLogs copies controllers' logs to where they outlive the test.
+func KeepLogs(t testing.TB, controllers []*Process) {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "leadproxy-logs-")
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for _, c := range controllers {
+		text, err := os.ReadFile(c.logFile())
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, c.Platform.Node+".log"), text, 0o600)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	t.Logf("the controllers' logs are in %s", dir)
+}
+
+// Build compiles the program of a source tree and returns its path.
+func Build(t testing.TB, tree string) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "leadproxy")
+	compile := exec.Command("go", "build", "-o", program, "./cmd/leadproxy")
+	compile.Dir = tree
+	if out, err := compile.CombinedOutput(); err != nil {
+		t.Fatalf("building %q: %v: %s", tree, err, out)
+	}
+	return program
+}
+
+// Reserve finds free loopback addresses.
+func Reserve(t testing.TB, n int) (addresses []string) {
+	t.Helper()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Only when all are found, or the next may be the same again.
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
+// Await waits for a condition, and fails the test when it does not come true in time.
+func Await(t testing.TB, what string, limit time.Duration, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Errorf("not within %s: %s", limit, what)
+}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -163,6 +163,11 @@
 		{name: "cancelling what is done", method: "POST", path: "/v2/runs/job-7/cancel", status: 200, says: "done"},
 		{name: "cancelling what nobody submitted", method: "POST", path: "/v2/runs/job-99/cancel", status: 404},
 		{name: "cancelling without a leader", method: "POST", path: "/v2/runs/job-8/cancel", status: 503, retry: true},
+		{name: "a name that another cell's job has here", method: "POST", path: "/v2/runs", body: body(old, `"job-3"`), status: 422, says: "cell lima"},
+		{name: "that while nothing can be written", method: "POST", path: "/v2/runs", body: body(old, `"job-3"`), busy: true, status: 422, says: "cell lima"},
+		{name: "it waits for another cell's job", method: "POST", path: "/v2/runs", body: body(`"due_s":null`, `"due_s":null,"waits_on":["job-3"]`), status: 422, says: "job-3"},
+		{name: "another cell's job", method: "GET", path: "/v2/runs/job-3", status: 404},
+		{name: "cancelling another cell's job", method: "POST", path: "/v2/runs/job-3/cancel", status: 404},
 		{name: "a wrong path", method: "GET", path: "/v2/walks", status: 404, says: "path"},
 		{name: "a wrong method", method: "DELETE", path: "/v2/runs/job-7", status: 405, says: "DELETE"},
 		{name: "health", method: "GET", path: "/healthz", status: 200},
@@ -171,6 +176,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			log := slog.New(slog.NewTextHandler(io.Discard, nil))
 			store := &fakeStore{down: c.down, busy: c.busy, records: map[string]ledger.JobRecord{
+				"job/job-3": {Home: "lima", Epoch: 1, Terminal: wire.Done, Tasks: 1, Done: 1},
 				"job/job-7": {Terminal: wire.Done, Tasks: 2, Done: 2}, "job/job-8": {Job: &wire.Job{Ref: "job-8", Tasks: 1}},
 				"job/job-6":  {Terminal: wire.Aborted, Job: &wire.Job{Ref: "job-6", Tasks: 1}},
 				"job/job-5":  {Job: &wire.Job{Ref: "job-5", Tasks: 1, WaitsOn: []string{"job-7", "job-51"}}},
