Names; cells are heard before users; a refusal for want of room is not for good

Need: 'most' and 'least' for bounds, 'barren' and 'sheltered' were words of our own. Under a storm of users another cell's messages waited behind them. Cause of a flaky test (TestSpillTroubles, an offer that is held up, 4 of some 40 runs of the package): an offer that came after its credit had run out was refused for good, and when all were, nothing was offered again.

Change: max and min, infeasible, within guarantee; questions of cells come with what decisions need; refusals say whether they are for want of room, after which the job may be offered again; how many jobs wait for a silent neighbour is logged every 30 s. The two-version test starts its processes with the same code as the cells' test.

--- a/internal/cells/client.go
+++ b/internal/cells/client.go
@@ -29,8 +29,8 @@
 const (
 	callLimit = 2 * time.Second
 	tryLimit  = 700 * time.Millisecond
-	// mostReconnect bounds how long a broken connection rests.
-	mostReconnect = time.Second
+	// maxReconnect bounds how long a broken connection rests.
+	maxReconnect = time.Second
 )
 
 // ErrNoCell means that the settings name no such neighbour.
@@ -70,10 +70,10 @@
 }
 
 func connect(n outbound.Network, addr string) (*grpc.ClientConn, error) {
-	pause := backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: mostReconnect}
+	pause := backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnect}
 	return grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: pause, MinConnectTimeout: mostReconnect}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: pause, MinConnectTimeout: maxReconnect}),
 		grpc.WithContextDialer(n.Dial))
 }
 
--- a/internal/cells/convert.go
+++ b/internal/cells/convert.go
@@ -50,13 +50,13 @@
 // answerOut is an answer as it travels.
 func answerOut(a spill.Answer) *cellpb.Answer {
 	return &cellpb.Answer{Ref: a.Ref, Epoch: a.Epoch, Outcome: cellpb.Answer_Outcome(a.Outcome), Done: int32(a.Done), Running: int32(a.Running),
-		Reason: a.Reason, RetryAfterMs: a.RetryAfter.Milliseconds()}
+		Reason: a.Reason, Temporary: a.Temporary, RetryAfterMs: a.RetryAfter.Milliseconds()}
 }
 
 // answerIn reads an answer. An outcome that is not known tells nothing.
 func answerIn(a *cellpb.Answer) spill.Answer {
 	return spill.Answer{Ref: a.Ref, Epoch: a.Epoch, Outcome: spill.Outcome(a.Outcome), Done: int(a.Done), Running: int(a.Running),
-		Reason: a.Reason, RetryAfter: milliseconds(a.RetryAfterMs)}
+		Reason: a.Reason, Temporary: a.Temporary, RetryAfter: milliseconds(a.RetryAfterMs)}
 }
 
 // longestPause bounds what another cell can ask us to wait.
--- a/internal/cells/page.go
+++ b/internal/cells/page.go
@@ -44,16 +44,16 @@
 	Bars []bar
 }
 
-// leastWidth keeps a step without duration visible.
-const leastWidth = 0.6
+// minWidth keeps a step without duration visible.
+const minWidth = 0.6
 
 func view(j *Journey) journeyView {
 	v := journeyView{Journey: j, Took: seconds(j.End.Sub(j.Begin))}
 	whole := max(j.End.Sub(j.Begin).Seconds(), 1e-3)
 	for _, s := range j.Steps {
 		left := 100 * s.Begin.Sub(j.Begin).Seconds() / whole
-		width := max(100*s.End.Sub(s.Begin).Seconds()/whole, leastWidth)
-		v.Bars = append(v.Bars, bar{Step: s, At: at(s), Offset: "+" + seconds(s.End.Sub(j.Begin)), Left: min(left, 100-leastWidth), Width: min(width, 100-left+leastWidth)})
+		width := max(100*s.End.Sub(s.Begin).Seconds()/whole, minWidth)
+		v.Bars = append(v.Bars, bar{Step: s, At: at(s), Offset: "+" + seconds(s.End.Sub(j.Begin)), Left: min(left, 100-minWidth), Width: min(width, 100-left+minWidth)})
 	}
 	return v
 }
--- a/internal/compat/deployment_test.go
+++ b/internal/compat/deployment_test.go
@@ -4,20 +4,14 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"os/exec"
-	"path/filepath"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
-	"leadproxy/internal/election"
 	"leadproxy/internal/fake"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
@@ -44,18 +38,11 @@
 	check    *fake.Checker
 	users    *fake.Users
 	recorder *recorder
-	nodes    []*process
+	nodes    []*fake.Process
 	calm     atomic.Pointer[time.Time]
 	writes   atomic.Pointer[fake.Troubles]
 }
 
-// process is one controller: its settings stay, its processes come and go.
-type process struct {
-	platform settings.Platform
-	config   string
-	command  *exec.Cmd // nil while it is down
-}
-
 // build builds a commit of the repository, or the working tree with "", and returns
 // the program.
 func build(t *testing.T, commit string) string {
@@ -73,13 +60,7 @@
 			t.Fatalf("unpacking %s: %v: %s", commit, err, out)
 		}
 	}
-	program := filepath.Join(t.TempDir(), "leadproxy")
-	compile := exec.Command("go", "build", "-o", program, "./cmd/leadproxy")
-	compile.Dir = dir
-	if out, err := compile.CombinedOutput(); err != nil {
-		t.Fatalf("building %q: %v: %s", commit, err, out)
-	}
-	return program
+	return fake.Build(t, dir)
 }
 
 // newDeployment starts everything but the controllers.
@@ -89,7 +70,7 @@
 	d := &deployment{t: t, recorder: newRecorder()}
 	d.check = fake.NewChecker(t, fake.Limits{Cancel: cancelLimit, CPUs: map[string]float64{"tight": cpuLimit}, Waiting: 90 * time.Second, Silent: 75 * time.Second})
 	d.state = fake.NewState(t, network, "127.0.0.1:0", d.troubleWrites)
-	public := reserve(t, nodeCount)
+	public := fake.Reserve(t, nodeCount)
 	var workers []fake.Node
 	for i, addr := range public {
 		workers = append(workers, fake.Node{Name: nodeName(i), Addr: addr})
@@ -104,36 +85,17 @@
 		Host: func(string) (outbound.Network, string) { return network, "127.0.0.1:0" },
 	})
 	d.configure(public, zones)
-	t.Cleanup(func() {
-		for i := range d.nodes {
-			d.kill(i)
-		}
-	})
 	go d.watchRules()
 	return d
 }
 
 func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
 
-// reserve finds free loopback addresses.
-func reserve(t *testing.T, n int) (addresses []string) {
-	t.Helper()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses
-}
-
 // configure writes the controllers' settings. What they send one another goes
 // through relays.
 func (d *deployment) configure(public, zones []string) {
 	d.t.Helper()
-	back := reserve(d.t, nodeCount)
+	back := fake.Reserve(d.t, nodeCount)
 	var relays []string
 	for _, to := range back {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -151,21 +113,14 @@
 		Resources: settings.Resources{CPUShare: 1, RAMMB: 500, Sockets: 2000}}
 	dir := d.t.TempDir()
 	for i := range nodeCount {
-		p := &process{config: filepath.Join(dir, nodeName(i)+".toml"), platform: settings.Platform{Node: nodeName(i), Zone: zones[i],
-			Listen: public[i], Back: back[i], Facts: facts, Services: settings.Services{State: d.state.Addr(), Cloud: d.cloud.Addr()}}}
+		p := settings.Platform{Node: nodeName(i), Zone: zones[i], Listen: public[i], Back: back[i], Facts: facts,
+			Services: settings.Services{State: d.state.Addr(), Cloud: d.cloud.Addr()}}
 		for k := range nodeCount {
 			if k != i {
-				p.platform.Peers = append(p.platform.Peers, settings.Peer{Node: nodeName(k), Zone: zones[k], Addr: relays[k]})
+				p.Peers = append(p.Peers, settings.Peer{Node: nodeName(k), Zone: zones[k], Addr: relays[k]})
 			}
 		}
-		var text bytes.Buffer
-		if err := toml.NewEncoder(&text).Encode(p.platform); err != nil {
-			d.t.Fatal(err)
-		}
-		if err := os.WriteFile(p.config, text.Bytes(), 0o600); err != nil {
-			d.t.Fatal(err)
-		}
-		d.nodes = append(d.nodes, p)
+		d.nodes = append(d.nodes, fake.NewProcess(d.t, dir, p))
 	}
 }
 
@@ -192,18 +147,7 @@
 // start starts a controller with a program.
 func (d *deployment) start(i int, program string) {
 	d.t.Helper()
-	n := d.nodes[i]
-	log, err := os.OpenFile(n.config+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	defer log.Close()
-	n.command = exec.Command(program, "--config", n.config)
-	n.command.Env = append(os.Environ(), "LOG_LEVEL=debug")
-	n.command.Stderr = log
-	if err := n.command.Start(); err != nil {
-		d.t.Fatal(err)
-	}
+	d.nodes[i].Start(program)
 }
 
 // startAll starts all controllers with a program and waits until one leads.
@@ -216,15 +160,7 @@
 }
 
 // kill ends a controller's process without a signal that it could handle.
-func (d *deployment) kill(i int) {
-	n := d.nodes[i]
-	if n.command == nil {
-		return
-	}
-	n.command.Process.Kill()
-	n.command.Wait()
-	n.command = nil
-}
+func (d *deployment) kill(i int) { d.nodes[i].Kill() }
 
 // replace ends a controller and starts it again with a program.
 func (d *deployment) replace(i int, program string, away time.Duration) {
@@ -237,7 +173,7 @@
 
 func (d *deployment) healthy(i int) bool {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + d.nodes[i].platform.Listen + "/healthz")
+	resp, err := client.Get("http://" + d.nodes[i].Platform.Listen + "/healthz")
 	if err != nil {
 		return false
 	}
@@ -246,29 +182,11 @@
 }
 
 // leader is the controller that the state service names, or -1.
-func (d *deployment) leader() int {
-	var holder struct {
-		Node string `json:"node"`
-	}
-	if value := d.state.Value(election.Key); value == nil || json.Unmarshal(value, &holder) != nil {
-		return -1
-	}
-	for i := range d.nodes {
-		if nodeName(i) == holder.Node {
-			return i
-		}
-	}
-	return -1
-}
+func (d *deployment) leader() int { return fake.Leader(d.state, d.nodes) }
 
 func (d *deployment) await(what string, limit time.Duration, ok func() bool) {
 	d.t.Helper()
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	d.t.Errorf("not within %s: %s", limit, what)
+	fake.Await(d.t, what, limit, ok)
 }
 
 // finish ends a test: with the troubles over, all that was accepted has to be served,
@@ -289,25 +207,6 @@
 		d.t.Error(broken)
 	}
 	if d.t.Failed() {
-		d.keepLogs()
-	}
-}
-
-// keepLogs copies the controllers' logs to where they outlive the test.
-func (d *deployment) keepLogs() {
-	dir, err := os.MkdirTemp("", "leadproxy-upgrade-")
-	if err != nil {
-		d.t.Error(err)
-		return
-	}
-	for _, n := range d.nodes {
-		text, err := os.ReadFile(n.config + ".log")
-		if err == nil {
-			err = os.WriteFile(filepath.Join(dir, n.platform.Node+".log"), text, 0o600)
-		}
-		if err != nil {
-			d.t.Error(err)
-		}
+		fake.KeepLogs(d.t, d.nodes)
 	}
-	d.t.Logf("the controllers' logs are in %s", dir)
 }
--- a/internal/dispatch/cells.go
+++ b/internal/dispatch/cells.go
@@ -37,20 +37,41 @@
 
 // Answer answers another cell's messages, if this node leads.
 func (d *Dispatcher) Answer(ctx context.Context, home string, messages []spill.Message) ([]spill.Answer, error) {
-	v := d.elector.View()
-	answer, err := d.ask(ctx, d.users, func(to Recipient) Event { return TransfersAsked{Home: home, Messages: messages, To: to} })
+	answer, err := d.askLeader(ctx, func(to Recipient) Event { return TransfersAsked{Home: home, Messages: messages, To: to} })
 	if err != nil {
 		return nil, err
 	}
-	if !d.elector.InTerm(v.Term) {
+	return answer.(AnswerTransfers).Answers, nil
+}
+
+// askLeader asks the core before users are heard, if this node leads. The answer counts
+// only while the term does.
+func (d *Dispatcher) askLeader(ctx context.Context, event func(to Recipient) Event) (Effect, error) {
+	v := d.elector.View()
+	if !v.InTerm(time.Now()) {
 		return nil, ErrNotLeading
 	}
-	return answer.(AnswerTransfers).Answers, nil
+	reply := make(chan Effect, 1)
+	to := answerTo(func(answer Effect, _ error) { reply <- answer })
+	select {
+	case d.inner <- event(to):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case answer := <-reply:
+		if !d.elector.InTerm(v.Term) {
+			return nil, ErrNotLeading
+		}
+		return answer, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 // Lend answers another cell's question for room, if this node leads.
 func (d *Dispatcher) Lend(ctx context.Context, home string, cores float64) (RoomOffer, error) {
-	answer, err := d.ask(ctx, d.users, func(to Recipient) Event { return RoomAsked{Home: home, Cores: cores, To: to} })
+	answer, err := d.askLeader(ctx, func(to Recipient) Event { return RoomAsked{Home: home, Cores: cores, To: to} })
 	if err != nil {
 		return RoomOffer{}, err
 	}
@@ -60,7 +81,7 @@
 
 // ListTransfers lists the transfers, if this node leads.
 func (d *Dispatcher) ListTransfers(ctx context.Context) (TransferList, error) {
-	answer, err := d.ask(ctx, d.users, func(to Recipient) Event { return TransfersListed{To: to} })
+	answer, err := d.askLeader(ctx, func(to Recipient) Event { return TransfersListed{To: to} })
 	if err != nil {
 		return TransferList{}, err
 	}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -33,8 +33,8 @@
 	wait   bool // some class of that size has an aim on waiting
 }
 
-// mostSizes bounds the sizes that are remembered.
-const mostSizes = 16
+// maxSizes bounds the sizes that are remembered.
+const maxSizes = 16
 
 func (f *fleetState) addSize(size slowfit.Size, weight float64, wait bool) {
 	at := -1
@@ -51,7 +51,7 @@
 	f.sizes[at].weight += weight
 	f.sizes[at].wait = f.sizes[at].wait || wait
 	slices.SortStableFunc(f.sizes, func(a, b sized) int { return cmp.Compare(b.weight, a.weight) })
-	f.sizes = f.sizes[:min(len(f.sizes), mostSizes)]
+	f.sizes = f.sizes[:min(len(f.sizes), maxSizes)]
 }
 
 // headroomSizes are the sizes that the headroom should hold: the heaviest of the
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -16,7 +16,7 @@
 	planEvery    = 500 * time.Millisecond
 	refusedFirst = 8 * time.Second
 	refusedMost  = 30 * time.Second
-	leastRental  = 60 * time.Second // a machine is charged for this long at least
+	minRental    = 60 * time.Second // a machine is charged for this long at least
 	maxOpenHires = 8
 	maxCalls     = 4 // for one offer at once
 )
--- a/internal/dispatch/guests.go
+++ b/internal/dispatch/guests.go
@@ -27,7 +27,7 @@
 	answers := make([]spill.Answer, 0, len(e.Messages))
 	for _, m := range e.Messages {
 		a := c.transfers.guests.Asked(e.Home, m, c.wall)
-		if a.Outcome == spill.OutcomeRefused {
+		if a.Temporary {
 			a.RetryAfter = noRoomFor
 		}
 		answers = append(answers, a)
@@ -91,34 +91,34 @@
 }
 
 // Admit tells whether an offer is taken now, and else why not.
-func (c guestJobs) Admit(home, ref string, body *spill.OfferBody) (refusal string) {
+func (c guestJobs) Admit(home, ref string, body *spill.OfferBody) spill.Refusal {
 	n, ok := c.transfers.cells.Find(home)
 	switch {
 	case !ok || n.LendCores <= 0:
-		return "nothing is lent to cell " + home
+		return spill.Refusal{Reason: "nothing is lent to cell " + home}
 	case n.Drain:
-		return "the relation is being drained"
+		return spill.Refusal{Reason: "the relation is being drained"}
 	case !c.transfers.allowed:
-		return "not all controllers here know transfers"
+		return spill.Refusal{Reason: "not all controllers here know transfers", Temporary: true}
 	}
 	spec, _, err := wire.ParseJob(body.Job)
 	if err != nil {
-		return "the job can't be read: " + err.Error()
+		return spill.Refusal{Reason: "the job can't be read: " + err.Error()}
 	}
-	if refusal := c.refuseGuest(ref, spec); refusal != "" {
-		return refusal
+	if reason := c.refuseGuest(ref, spec); reason != "" {
+		return spill.Refusal{Reason: reason}
 	}
 	credit := c.transfers.credits[home]
 	cores := spec.CPUs * float64(spec.Tasks)
 	if credit == nil || c.now >= credit.until || cores > credit.cores {
-		return fmt.Sprintf("no room was promised for %v cores", cores)
+		return spill.Refusal{Reason: fmt.Sprintf("no room was promised for %v cores", cores), Temporary: true}
 	}
 	credit.cores -= cores
-	return ""
+	return spill.Refusal{}
 }
 
 // refuseGuest tells why a job of another cell can't run here at all.
-func (c *Core) refuseGuest(ref string, spec *wire.Job) string {
+func (c *Core) refuseGuest(ref string, spec *wire.Job) (reason string) {
 	if spec.Ref != ref {
 		return "the offer describes another job"
 	}
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -495,7 +495,7 @@
 		takes time.Duration
 		most  int // on their way at once, at the end
 	}{
-		{"at once", 50 * time.Millisecond, mostProbes},
+		{"at once", 50 * time.Millisecond, maxProbes},
 		{"neither soon nor late", 300 * time.Millisecond, fewProbes},
 		{"late", time.Second, fewProbes},
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -90,13 +90,13 @@
 	}
 	// A team whose unfinished jobs all fit within its guarantee need not wait
 	// for other teams.
-	sheltered := func(j *job) bool {
+	withinGuarantee := func(j *job) bool {
 		g := c.teams[j.team].guarantee
 		d := demand[j.team]
 		return (g.cpus > 0 || g.gpus > 0) && d.cpus <= g.cpus && d.gpus <= g.gpus
 	}
 	slices.SortStableFunc(queue, func(a, b *job) int {
-		if sa, sb := sheltered(a), sheltered(b); sa != sb {
+		if sa, sb := withinGuarantee(a), withinGuarantee(b); sa != sb {
 			if sa {
 				return -1
 			}
@@ -160,7 +160,7 @@
 func (c *Core) placeJob(j *job, uncertain []units, more func(placed int) bool) (placed int) {
 	// Most of what waits on a full site, or for its team's limit, has no place:
 	// that must show before anything is looked at machine by machine.
-	if len(j.waiting) == 0 || !c.attemptsLeft() || c.index.Barren(j.size) || !c.withinLimit(j, uncertain) {
+	if len(j.waiting) == 0 || !c.attemptsLeft() || c.index.Infeasible(j.size) || !c.withinLimit(j, uncertain) {
 		return 0
 	}
 	c.resolveTypes(j)
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -17,10 +17,10 @@
 // reports that would have brought the same. So there are few at first, one more
 // for each that is back soon, and fewer again when they come back late.
 const (
-	fewProbes  = 4
-	mostProbes = 64
-	probeSoon  = 150 * time.Millisecond
-	probeLate  = 500 * time.Millisecond
+	fewProbes = 4
+	maxProbes = 64
+	probeSoon = 150 * time.Millisecond
+	probeLate = 500 * time.Millisecond
 )
 
 // probeFor is how long after the beginning of a term machines are probed. What
@@ -60,7 +60,7 @@
 	case outcome == DirectUnknown || outcome == DirectNotSent:
 		// It tells of that machine only.
 	case took <= probeSoon:
-		c.probesAtOnce = min(c.probesAtOnce+1, mostProbes)
+		c.probesAtOnce = min(c.probesAtOnce+1, maxProbes)
 	case took >= probeLate:
 		c.probesAtOnce = max(c.probesAtOnce/2, fewProbes)
 	}
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -106,9 +106,9 @@
 	for len(c.cutAt) < len(zones) {
 		c.cutAt = append(c.cutAt, math.MinInt64/2)
 	}
-	mostSilent := 2*all.silent > max(all.up, 2)
+	maxSilent := 2*all.silent > max(all.up, 2)
 	for i, z := range zones {
-		if mostSilent || z.up > 1 && z.silent == z.up {
+		if maxSilent || z.up > 1 && z.silent == z.up {
 			c.cutAt[i] = c.now
 		}
 	}
@@ -130,7 +130,7 @@
 // them is not: on a large site there is always something waiting. Nor is one that only
 // tasks beyond their team's limit would use.
 func (c *Core) mayGoIdle(m *machine, waiting []*job) bool {
-	if m.state != machineUp || len(m.bookings) > 0 || c.now-m.hired < leastRental || !m.known(c.term) {
+	if m.state != machineUp || len(m.bookings) > 0 || c.now-m.hired < minRental || !m.known(c.term) {
 		return false
 	}
 	return !slices.ContainsFunc(waiting, func(j *job) bool {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -129,7 +129,7 @@
 	var enough <-chan time.Time
 	for n, ok := 1, true; ok; n++ {
 		t.step(event)
-		if n == mostAtOnce {
+		if n == maxEventsAtOnce {
 			return
 		}
 		if event, ok = t.waiting(); !ok && t.core.Unplaced() {
@@ -165,8 +165,8 @@
 	return size - size/8
 }
 
-// mostAtOnce bounds the events that share a placement.
-const mostAtOnce = 256
+// maxEventsAtOnce bounds the events that share a placement.
+const maxEventsAtOnce = 256
 
 // pause keeps placing tasks from taking more than a quarter of the time: on a
 // full site with much that waits, placing after each event by itself took more
--- a/internal/dispatch/transfers.go
+++ b/internal/dispatch/transfers.go
@@ -38,7 +38,8 @@
 	askAt   time.Duration   // when it may be asked again
 	credit  float64         // cores that it has offered and that are not used yet
 	until   time.Duration   // when the offer ends
-	refused map[string]bool // jobs that it has refused in this term
+	refused map[string]bool // jobs that it can't run, as it has said in this term
+	noted   time.Duration   // when it was last logged that jobs wait for it
 	reason  string          // why it had no room when it was last asked
 }
 
@@ -221,6 +222,22 @@
 	}
 }
 
+// noteWaiting logs now and then how many jobs wait for neighbours that do not answer.
+func (c *Core) noteWaiting() {
+	for _, n := range c.transfers.neighbours {
+		if !n.silent || c.now-n.noted < noteWaitingEvery {
+			continue
+		}
+		n.noted = c.now
+		if jobs, cores := c.awayIn(n); jobs > 0 {
+			c.log.Info("jobs wait for a neighbour that does not answer", "cell", n.Name, "jobs", jobs, "cores", cores)
+		}
+	}
+}
+
+// noteWaitingEvery is how often that is logged.
+const noteWaitingEvery = 30 * time.Second
+
 // exchangeable is how many of the waiting messages go into one exchange.
 func (n *neighbour) exchangeable() int {
 	bytes := 0
@@ -243,7 +260,7 @@
 	}
 	n.calling = false
 	if silent := e.Err != nil; silent != n.silent {
-		n.silent = silent
+		n.silent, n.noted = silent, c.now
 		if silent {
 			c.log.Info("neighbour does not answer", "cell", n.Name, "error", e.Err)
 			c.refuseCancellations(n)
@@ -253,9 +270,12 @@
 	}
 	for _, a := range e.Answers {
 		c.transfers.home.Answered(e.Cell, a, c.now)
-		if a.Outcome == spill.OutcomeRefused {
-			n.refused[a.Ref] = true
+		switch {
+		case a.Outcome != spill.OutcomeRefused:
+		case a.Temporary:
 			n.askAt, n.credit = max(n.askAt, c.now+a.RetryAfter), 0
+		default:
+			n.refused[a.Ref] = true
 		}
 	}
 	c.carryOutHome()
@@ -333,6 +353,7 @@
 	}
 	t.home.Tick(c.now)
 	c.carryOutHome()
+	c.noteWaiting()
 	if t.cells.Spill && t.allowed && c.now >= t.nextLook {
 		t.nextLook = c.now + lookEvery
 		c.lookForRoom()
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -388,9 +388,9 @@
 
 // The times of reporting, by the protocol.
 const (
-	leastReports = 500 * time.Millisecond
-	nextNode     = time.Second
-	patience     = 4 * time.Second
+	minReportInterval = 500 * time.Millisecond
+	nextNode          = time.Second
+	patience          = 4 * time.Second
 )
 
 // change notes that something is to be reported, on the actor.
@@ -410,7 +410,7 @@
 	select {
 	case <-regular.C:
 	case <-w.news:
-		outbound.Pause(w.ctx, time.Until(last.Add(leastReports)))
+		outbound.Pause(w.ctx, time.Until(last.Add(minReportInterval)))
 	case <-w.ctx.Done():
 	}
 }
@@ -443,7 +443,7 @@
 		wait := nextNode
 		next := (at + 1) % len(w.config.Nodes)
 		if i := slices.IndexFunc(w.config.Nodes, func(n Node) bool { return n.Name == boss }); i >= 0 && i != at {
-			next, wait = i, time.Duration(w.chance.Int64N(int64(leastReports)))
+			next, wait = i, time.Duration(w.chance.Int64N(int64(minReportInterval)))
 		}
 		at, last = next, time.Time{}
 		outbound.Pause(w.ctx, wait)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -183,7 +183,7 @@
 				"job/job-51": {Job: &wire.Job{Ref: "job-51", Tasks: 1, WaitsOn: []string{"job-6"}}},
 				"job/job-4":  {Job: &wire.Job{Ref: "job-4", Tasks: 1}}}}
 			many := []string{}
-			for i := range mostAncestors + 1 {
+			for i := range maxAncestors + 1 {
 				ref := fmt.Sprintf("job-4%d", i)
 				many = append(many, ref)
 				store.records["job/"+ref] = ledger.JobRecord{Job: &wire.Job{Ref: ref, Tasks: 1}}
--- a/internal/intake/pipeline.go
+++ b/internal/intake/pipeline.go
@@ -10,9 +10,9 @@
 	"leadproxy/internal/wire"
 )
 
-// mostAncestors bounds how many records are read to tell the state of a job that
+// maxAncestors bounds how many records are read to tell the state of a job that
 // waits for others, where the leader can't be asked.
-const mostAncestors = 64
+const maxAncestors = 64
 
 // errAncestors: whether a job is cancelled with one that it needs can't be told.
 var errAncestors = errors.New("too many jobs to look at")
@@ -93,7 +93,7 @@
 		if seen[ref] {
 			continue
 		}
-		if len(seen) >= mostAncestors {
+		if len(seen) >= maxAncestors {
 			return "", errAncestors
 		}
 		seen[ref] = true
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -232,7 +232,7 @@
 	n.host, n.cancel, n.done = c.net.Host(n.platform.Node), cancel, make(chan struct{})
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	if os.Getenv("CLUSTER_LOG") != "" {
-		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", n.platform.Node)
+		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", n.platform.Node, "test", c.t.Name())
 	}
 	go func(host *fake.Host, level int, done chan struct{}) {
 		defer close(done)
--- a/internal/slowfit/index.go
+++ b/internal/slowfit/index.go
@@ -18,15 +18,15 @@
 	pools []*pool
 	speed []int // pools, the slowest first
 	seats []seat
-	// barren are sizes for which no open machine has room. On a full site many
+	// infeasible are sizes for which no open machine has room. On a full site many
 	// jobs wait and hardly any has room: those must not cost a search each time
 	// that some machine gets a little free.
-	barren []Size
-	looks  int
+	infeasible []Size
+	looks      int
 }
 
-// mostBarren bounds the sizes that are remembered.
-const mostBarren = 16
+// maxInfeasible bounds the sizes that are remembered.
+const maxInfeasible = 16
 
 type seat struct{ pool, leaf int32 }
 
@@ -160,27 +160,27 @@
 func (x *Index) Open(machine int32, free Size, load float64, tags uint64) {
 	s := x.seats[machine]
 	x.pools[s.pool].set(int(s.leaf), node{free, load, tags})
-	x.barren = slices.DeleteFunc(x.barren, func(b Size) bool { return b.Within(free) })
+	x.infeasible = slices.DeleteFunc(x.infeasible, func(b Size) bool { return b.Within(free) })
 }
 
 // Looks is how many nodes have been looked at so far.
 func (x *Index) Looks() int { return x.looks }
 
-// Barren tells whether it is known that no open machine has room for a task.
-func (x *Index) Barren(task Size) bool {
-	return slices.ContainsFunc(x.barren, func(b Size) bool { return b.Within(task) })
+// Infeasible tells whether it is known that no open machine has room for a task.
+func (x *Index) Infeasible(task Size) bool {
+	return slices.ContainsFunc(x.infeasible, func(b Size) bool { return b.Within(task) })
 }
 
-// noteBarren remembers a task's size if no open machine at all has room for it.
-func (x *Index) noteBarren(task Size) {
+// noteInfeasible remembers a task's size if no open machine at all has room for it.
+func (x *Index) noteInfeasible(task Size) {
 	for _, p := range x.pools {
 		if q := (query{x: x, p: p, task: task, load: math.Inf(1)}); p.open > 0 && q.first(1) >= 0 {
 			return // it has room, only not where this job may go
 		}
 	}
-	x.barren = slices.DeleteFunc(x.barren, func(b Size) bool { return task.Within(b) })
-	if len(x.barren) < mostBarren {
-		x.barren = append(x.barren, task)
+	x.infeasible = slices.DeleteFunc(x.infeasible, func(b Size) bool { return task.Within(b) })
+	if len(x.infeasible) < maxInfeasible {
+		x.infeasible = append(x.infeasible, task)
 	}
 }
 
@@ -228,12 +228,12 @@
 // machine has room but none passes the goal, L doubles and load booked before
 // counts as nothing, until one passes.
 func (x *Index) Place(g *Goal, w *Request) int32 {
-	if x.Barren(w.Task) {
+	if x.Infeasible(w.Task) {
 		return -1
 	}
 	if g.L == 0 {
 		if x.find(w, math.Inf(1), math.Inf(1)) < 0 {
-			x.noteBarren(w.Task)
+			x.noteInfeasible(w.Task)
 			return -1
 		}
 		if g.L = x.fastestShare(w.Task); g.L == 0 {
@@ -246,7 +246,7 @@
 			return at
 		}
 		if !room && x.find(w, math.Inf(1), math.Inf(1)) < 0 {
-			x.noteBarren(w.Task)
+			x.noteInfeasible(w.Task)
 			return -1
 		}
 		room = true
--- a/internal/spill/guests.go
+++ b/internal/spill/guests.go
@@ -45,7 +45,7 @@
 	// GuestState is the state of a guest.
 	GuestState(key GuestKey) (JobState, bool)
 	// Admit tells whether an offer is taken now, and else why not.
-	Admit(home string, ref string, body *OfferBody) (refusal string)
+	Admit(home string, ref string, body *OfferBody) Refusal
 }
 
 // guest is the neighbour's view of one job's latest transfer from one home.
@@ -134,7 +134,7 @@
 func (g *Guests) askedAgain(key GuestKey, r *guest, m Message, wallMS int64, a *Answer) {
 	switch r.record.State {
 	case GuestRefused:
-		a.Outcome, a.Reason = OutcomeRefused, r.record.Reason
+		a.Outcome, a.Reason, a.Temporary = OutcomeRefused, r.record.Reason, r.record.Temporary
 	case GuestRevoked:
 		a.Outcome = OutcomeRevoked
 	case GuestReleased:
@@ -203,8 +203,8 @@
 	if body == nil {
 		return // malformed; nothing is decided by it
 	}
-	if refusal := g.jobs.Admit(key.Home, key.Ref, body); refusal != "" {
-		record.State, record.Reason = GuestRefused, refusal
+	if refusal := g.jobs.Admit(key.Home, key.Ref, body); refusal.Reason != "" {
+		record.State, record.Reason, record.Temporary = GuestRefused, refusal.Reason, refusal.Temporary
 		g.write(key, r, record, nil)
 		return
 	}
--- a/internal/spill/model_test.go
+++ b/internal/spill/model_test.go
@@ -285,11 +285,11 @@
 }
 
 // Admit takes an offer if the test lets it.
-func (g modelGuests) Admit(string, string, *OfferBody) string {
+func (g modelGuests) Admit(string, string, *OfferBody) Refusal {
 	if g.admits {
-		return ""
+		return Refusal{}
 	}
-	return "full"
+	return Refusal{Reason: "full", Temporary: true}
 }
 
 func (w *world) carryOutGuest(g *guestCell) {
--- a/internal/spill/types.go
+++ b/internal/spill/types.go
@@ -63,8 +63,10 @@
 	SinceMS int64      `json:"since_ms"`
 	// Repeatable is home's declaration, as the offer carried it.
 	Repeatable bool `json:"repeatable,omitempty"`
-	// Reason is why the offer was refused.
-	Reason string `json:"reason,omitempty"`
+	// Reason is why the offer was refused, and Temporary is set when another one may
+	// be accepted: there was no room.
+	Reason    string `json:"reason,omitempty"`
+	Temporary bool   `json:"temporary,omitempty"`
 }
 
 // Kind is what home asks of a neighbour about one job.
@@ -146,11 +148,19 @@
 	Outcome Outcome
 	// Done and Running count the tasks of an accepted job, for display.
 	Done, Running int
-	// Reason explains a refusal, and RetryAfter says when another offer is welcome.
+	// Reason explains a refusal. A temporary one is for want of room, and RetryAfter says
+	// when to ask for that again.
 	Reason     string
+	Temporary  bool
 	RetryAfter time.Duration
 }
 
+// Refusal is why an offer is not accepted. The zero value is none.
+type Refusal struct {
+	Reason    string
+	Temporary bool
+}
+
 // Note is a step of a transfer for logs, counters and traces.
 type Note struct {
 	// Home is the job's home where that is another cell; Cell is the neighbour.
