Drained relations and trace files in tests; addresses of test processes can't be taken

Cause of a failed TestThreeCells in a clean clone (one of two runs): a relay was given the port that a controller of another cell had reserved and not yet bound; its controllers refused the settings, as they should.

Change: TestSpillDrained, FuzzReadSteps; reserved addresses are on another loopback address, each handed out once.

--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -299,3 +299,24 @@
 		}
 	})
 }
+
+// FuzzReadSteps: whatever a trace file holds, it is read or refused, and can be shown.
+func FuzzReadSteps(f *testing.F) {
+	f.Add([]byte(`{"Name":"accepted","SpanContext":{"TraceID":"ab"},"StartTime":"2026-01-01T00:00:00Z","EndTime":"2026-01-01T00:00:01Z",
+		"Attributes":[{"Key":"leadproxy.epoch","Value":{"Type":"INT64","Value":1}},{"Key":"leadproxy.side","Value":{"Type":"STRING","Value":"home"}}]}`))
+	f.Add([]byte(`{"Name":"x"} [`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		steps, err := readSteps(bytes.NewReader(text))
+		if err != nil {
+			return
+		}
+		journeys := Journeys(steps)
+		if err := WriteText(io.Discard, journeys); err != nil {
+			t.Error(err)
+		}
+		if err := WritePage(io.Discard, journeys); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/fake/process.go
+++ b/internal/fake/process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -115,17 +116,24 @@
 	return program
 }
 
-// Reserve finds free loopback addresses.
+// reserved are the addresses that were handed out: nobody listens there until a
+// controller starts, and the next search could find the same.
+var reserved sync.Map
+
+// Reserve finds free loopback addresses, each once in a test run. They are not on
+// 127.0.0.1, where a fake or a connection could take the port before the controller does.
 func Reserve(t testing.TB, n int) (addresses []string) {
 	t.Helper()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < n {
+		l, err := net.Listen("tcp", "127.7.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		// Only when all are found, or the next may be the same again.
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
+		l.Close()
+		address := l.Addr().String()
+		if _, taken := reserved.LoadOrStore(address, true); !taken {
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -48,22 +48,6 @@
 	return resp.StatusCode
 }
 
-// freeAddrs finds addresses for nodes. They are not on 127.0.0.1, where a
-// connection of the fakes could take the port before the node does.
-func freeAddrs(t testing.TB, n int) []string {
-	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp", "127.7.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		// Only when all are found, or the next may be the same again.
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
-	}
-	return addrs
-}
-
 // alone starts one controller that leads, over our own fakes.
 func alone(b *testing.B) string {
 	store := fake.NewState(b, outbound.TCP{}, "127.0.0.1:0", nil)
@@ -76,7 +60,7 @@
 	}
 	cloud := fake.NewCloud(b, outbound.TCP{}, "127.0.0.1:0", fake.CloudConfig{Trouble: refuse,
 		Types: []wire.MachineType{{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"}}}})
-	addrs := freeAddrs(b, 2)
+	addrs := fake.Reserve(b, 2)
 	p := &settings.Platform{Node: "n0", Zone: "a", Listen: addrs[0], Back: addrs[1], Services: settings.Services{State: store.Addr(), Cloud: cloud.Addr()}}
 	p.Facts = settings.Facts{Nodes: 1, Teams: []settings.Team{{Name: "t"}},
 		Workers:   settings.Workers{ReportS: 8, LeaseS: 36, CancelS: 56},
--- a/internal/node/cells_test.go
+++ b/internal/node/cells_test.go
@@ -523,3 +523,36 @@
 		f.wantSpilled("a")
 	})
 }
+
+// TestSpillDrained: a relation is drained and then removed, on both sides and with the
+// controllers restarted one after the other, as the operators' page has it. What is away
+// comes to its end, and nothing leaves or comes any more.
+func TestSpillDrained(t *testing.T) {
+	inFederation(t, twoCells(), func(f *federation) {
+		f.cells["a"].users.Go(func() { f.flood("a", 24, nil) })
+		f.awaitAway("a", spill.Accepted)
+		f.reconfigure(func(o *settings.Operator) { o.Cells.Neighbours[0].Drain = true })
+		f.cells["a"].await("no job away", 2*time.Minute, func() bool { return f.cells["a"].state.Count("cell/away/") == 0 })
+		f.cells["b"].await("no guest", time.Minute, func() bool { return len(f.guests("b", spill.GuestAccepted)) == 0 })
+		drained := len(f.spilled("a"))
+		f.reconfigure(func(o *settings.Operator) { o.Cells = settings.Cells{} })
+		f.cells["a"].users.Go(func() { f.flood("a", 40, func(k int, j *wire.Job) { j.Ref = f.refOf("a", 100+k) }) })
+		f.cells["a"].users.Wait()
+		if n := len(f.spilled("a")); drained == 0 || n != drained {
+			t.Errorf("%d jobs ran elsewhere before the relation was drained, %d in the end", drained, n)
+		}
+	})
+}
+
+// reconfigure restarts all controllers, one after the other, with other settings.
+func (f *federation) reconfigure(change func(o *settings.Operator)) {
+	for _, name := range f.names {
+		c := f.cells[name]
+		c.operator.Cells.Neighbours = slices.Clone(c.operator.Cells.Neighbours)
+		change(&c.operator)
+		for i := range c.nodes {
+			c.restart(i, 2*time.Second)
+			time.Sleep(3 * time.Second)
+		}
+	}
+}
