Dispatch: silence, probes and costs are values of their own; a read key has no revision

Need: the core held the fields of every subject itself; reading a key returned four values, of which one was never needed.

Change: what is noted of silent machines, probes under way and costs are types next to their code; state.Client.Get returns the entry, whether it is there, and the error; the handover's model delivers and writes in one function.

Measured: tests of dispatch, ledger, intake, compat, spill, state pass.

--- a/internal/compat/recording_test.go
+++ b/internal/compat/recording_test.go
@@ -114,13 +114,13 @@
 	return page, nil
 }
 
-func (s recordedStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
+func (s recordedStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, error) {
 	for _, v := range s.values {
 		if v.Key == key {
-			return wire.Entry{Key: key, Value: v.Value, Version: 1}, true, 1, nil
+			return wire.Entry{Key: key, Value: v.Value, Version: 1}, true, nil
 		}
 	}
-	return wire.Entry{}, false, 1, nil
+	return wire.Entry{}, false, nil
 }
 
 func (s recordedStore) Txn(context.Context, state.Priority, wire.Txn) (bool, wire.TxnAnswer, error) {
--- a/internal/dispatch/cells.go
+++ b/internal/dispatch/cells.go
@@ -160,7 +160,7 @@
 // rereadGuest tells what came of a write whose conditions failed: an earlier try of it
 // was carried out, or there is a job of that name.
 func (t *term) rereadGuest(ctx context.Context, e PutGuest) (GuestWritten, error) {
-	entry, found, _, err := t.store.Get(ctx, state.Leader, ledger.GuestKey(e.Write.Key))
+	entry, found, err := t.store.Get(ctx, state.Leader, ledger.GuestKey(e.Write.Key))
 	if err != nil {
 		return GuestWritten{}, err
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -75,37 +75,28 @@
 	reporting int        // machines that should be
 	openCores float64    // of the machines in the index
 	classUse  []float64  // booked cores, by class
-	notes     []*note
-	freeNotes []string // keys that hold no note any more
-	noteCount int
-	nextNotes time.Duration
+	silence   silence
 	// How many tags of writes are not durable yet, and since when none has
 	// become so.
-	wantDurable  int
-	durableAt    time.Duration
-	held         []openAnswer // to machines that are noted as silent
-	holders      []*job       // jobs for which a machine is kept free
-	toProbe      []*machine
-	probing      int
-	probesAtOnce int
-	inspects     int // workers that are being asked what they are
-	attempts     uint64
-	exhausted    bool         // the term is being given up since attempts are short
-	looks        uint64       // reports looked at
-	answers      []openAnswer // of this step
-	awaiting     []openAnswer // that wait for starts to be written down
-	outboxes     []*machine   // with orders of this step
-	calls        map[uint64]*directCall
-	callID       uint64
-	dirty        bool
-	fleet        fleetState
-	transfers    transfers
+	wantDurable int
+	durableAt   time.Duration
+	held        []openAnswer // to machines that are noted as silent
+	holders     []*job       // jobs for which a machine is kept free
+	probes      probes
+	inspects    int // workers that are being asked what they are
+	attempts    uint64
+	exhausted   bool         // the term is being given up since attempts are short
+	looks       uint64       // reports looked at
+	answers     []openAnswer // of this step
+	awaiting    []openAnswer // that wait for starts to be written down
+	outboxes    []*machine   // with orders of this step
+	calls       map[uint64]*directCall
+	callID      uint64
+	dirty       bool
+	fleet       fleetState
+	transfers   transfers
 
-	// What the machines have cost since it was last logged, and until when that is
-	// reckoned.
-	spent          spending
-	spentUntil     time.Duration
-	spendingLogged time.Duration
+	costs costs
 
 	out []Effect
 }
@@ -139,14 +130,14 @@
 func NewCore(cfg Config, s ledger.Snapshot, now time.Duration, wall int64, log *slog.Logger) *Core {
 	w := cfg.Platform.Facts.Workers
 	c := &Core{
-		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now, spentUntil: now, spendingLogged: now,
+		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now, costs: costs{until: now, logged: now},
 		leaseTime: settings.Stretch(settings.Seconds(w.LeaseS)) + 250*time.Millisecond,
 		report:    settings.Seconds(w.ReportS),
 		unseen:    map[string][]int32{}, aborting: map[int32]bool{},
 		jobIndex: map[string]int32{}, machineAt: map[string]int32{},
 		typeAt: map[string]int32{}, teamAt: map[string]int32{},
-		goal:         slowfit.Goal{C: cfg.Operator.SlowFitC},
-		probesAtOnce: fewProbes, calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
+		goal:   slowfit.Goal{C: cfg.Operator.SlowFitC},
+		probes: probes{atOnce: fewProbes}, calls: map[uint64]*directCall{}, poolAt: map[poolKey]int32{},
 	}
 	for _, t := range cfg.Platform.Facts.Teams {
 		c.teamAt[t.Name] = int32(len(c.teams))
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -23,6 +23,13 @@
 	probeLate = 500 * time.Millisecond
 )
 
+// probes are the machines that are to be probed, and how many of them may be at once.
+type probes struct {
+	waiting  []*machine
+	underWay int
+	atOnce   int
+}
+
 // probeFor is how long after the beginning of a term machines are probed. What
 // is silent then is treated as silent.
 const probeFor = 20 * time.Second
@@ -33,18 +40,18 @@
 		return
 	}
 	m.probes = 1
-	c.toProbe = append(c.toProbe, m)
+	c.probes.waiting = append(c.probes.waiting, m)
 	c.sendProbes()
 }
 
 func (c *Core) sendProbes() {
-	for len(c.toProbe) > 0 && c.probing < c.probesAtOnce {
-		m := c.toProbe[0]
-		c.toProbe = c.toProbe[1:]
+	for len(c.probes.waiting) > 0 && c.probes.underWay < c.probes.atOnce {
+		m := c.probes.waiting[0]
+		c.probes.waiting = c.probes.waiting[1:]
 		if m.known(c.term) || m.state == machineGone || m.state == machineDeleting {
 			continue
 		}
-		c.probing++
+		c.probes.underWay++
 		// Its session is not known before its first word; nearly all are in
 		// their first.
 		c.send(&directCall{machine: m, session: max(m.session, 1), token: m.token, probe: true, sent: c.now}, []wire.Order{})
@@ -55,18 +62,18 @@
 // once with the right one.
 func (c *Core) probeBack(call *directCall, outcome DirectOutcome) {
 	m := call.machine
-	c.probing--
+	c.probes.underWay--
 	switch took := c.now - call.sent; {
 	case outcome == DirectUnknown || outcome == DirectNotSent:
 		// It tells of that machine only.
 	case took <= probeSoon:
-		c.probesAtOnce = min(c.probesAtOnce+1, maxProbes)
+		c.probes.atOnce = min(c.probes.atOnce+1, maxProbes)
 	case took >= probeLate:
-		c.probesAtOnce = max(c.probesAtOnce/2, fewProbes)
+		c.probes.atOnce = max(c.probes.atOnce/2, fewProbes)
 	}
 	if outcome == DirectRefused && m.probes == 1 && !m.known(c.term) {
 		m.probes++
-		c.toProbe = append(c.toProbe, m)
+		c.probes.waiting = append(c.probes.waiting, m)
 	}
 	c.sendProbes()
 }
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -17,6 +17,14 @@
 // machines are silent and when their leases must be over. From then on it does
 // not answer such a machine until the note is withdrawn, as durably.
 
+// silence is what is noted of silent machines.
+type silence struct {
+	notes []*note
+	free  []string // keys that hold no note any more
+	count int      // keys of this term so far
+	next  time.Duration
+}
+
 // note is one key of silent machines.
 type note struct {
 	key       string
@@ -32,10 +40,10 @@
 func (c *Core) noteSilence() {
 	// In an outage a note could not be withdrawn, and a machine that is back
 	// would lose its lease for want of an answer.
-	if c.now < c.nextNotes || c.wantDurable > 0 && c.now-c.durableAt > noteEvery {
+	if c.now < c.silence.next || c.wantDurable > 0 && c.now-c.durableAt > noteEvery {
 		return
 	}
-	c.nextNotes = c.now + noteEvery
+	c.silence.next = c.now + noteEvery
 	var silent []*machine
 	for _, m := range c.live {
 		if m.note == nil && m.hostOf > 0 && m.state != machineGone && c.now-max(m.heard, c.began, c.awake) > c.silentAfter() {
@@ -58,7 +66,7 @@
 
 func (c *Core) writeNote(machines []*machine) {
 	n := &note{key: c.noteKey(), machines: machines}
-	c.notes = append(c.notes, n)
+	c.silence.notes = append(c.silence.notes, n)
 	record := ledger.SilentRecord{}
 	over := c.began
 	for _, m := range machines {
@@ -76,13 +84,13 @@
 // deleted: a write of unknown outcome may yet be carried out, and where its key
 // is missing, as it was before, it would bring back a note that is withdrawn.
 func (c *Core) noteKey() string {
-	if n := len(c.freeNotes); n > 0 {
-		key := c.freeNotes[n-1]
-		c.freeNotes = c.freeNotes[:n-1]
+	if n := len(c.silence.free); n > 0 {
+		key := c.silence.free[n-1]
+		c.silence.free = c.silence.free[:n-1]
 		return key
 	}
-	c.noteCount++
-	return ledger.SilentKey(fmt.Sprintf("%d-%d", c.term, c.noteCount))
+	c.silence.count++
+	return ledger.SilentKey(fmt.Sprintf("%d-%d", c.term, c.silence.count))
 }
 
 // restoreNotes takes over what earlier leaders have noted.
@@ -92,11 +100,11 @@
 	for _, key := range slices.Sorted(maps.Keys(records)) {
 		r := records[key]
 		if len(r.Machines) == 0 {
-			c.freeNotes = append(c.freeNotes, key)
+			c.silence.free = append(c.silence.free, key)
 			continue
 		}
 		n := &note{key: key}
-		c.notes = append(c.notes, n)
+		c.silence.notes = append(c.silence.notes, n)
 		over := c.now + settings.Stretch(time.Duration(r.OverMS-c.wall)*time.Millisecond) + margin
 		for _, name := range r.Machines {
 			m := c.machineNamed(name)
@@ -125,13 +133,13 @@
 // noteGone is told that a note is withdrawn durably: its machines may be
 // answered again.
 func (c *Core) noteGone(key string) {
-	i := slices.IndexFunc(c.notes, func(n *note) bool { return n.key == key })
+	i := slices.IndexFunc(c.silence.notes, func(n *note) bool { return n.key == key })
 	if i < 0 {
 		return
 	}
-	n := c.notes[i]
-	c.notes = slices.Delete(c.notes, i, i+1)
-	c.freeNotes = append(c.freeNotes, key)
+	n := c.silence.notes[i]
+	c.silence.notes = slices.Delete(c.silence.notes, i, i+1)
+	c.silence.free = append(c.silence.free, key)
 	for _, m := range n.machines {
 		if m.note == n {
 			m.note = nil
@@ -151,7 +159,7 @@
 
 // dropNotes withdraws the notes that are of no use any more.
 func (c *Core) dropNotes() {
-	for _, n := range c.notes {
+	for _, n := range c.silence.notes {
 		if !slices.ContainsFunc(n.machines, func(m *machine) bool { return m.state != machineGone && m.hostOf > 0 }) {
 			c.withdraw(n)
 		}
--- a/internal/dispatch/spending.go
+++ b/internal/dispatch/spending.go
@@ -19,6 +19,13 @@
 	lost      float64 // of running: what tasks had run that have to run again
 }
 
+// costs is what the machines have cost since it was last logged.
+type costs struct {
+	spent  spending
+	until  time.Duration // as far as that is reckoned
+	logged time.Duration
+}
+
 // The times of the reckoning: how often all machines are looked at for it, and how often
 // it is logged.
 const (
@@ -43,24 +50,24 @@
 
 // spend adds what the machines have cost since the last time.
 func (c *Core) spend() {
-	if c.now-c.spentUntil < spendEvery {
+	if c.now-c.costs.until < spendEvery {
 		return
 	}
-	elapsed := (c.now - c.spentUntil).Seconds()
-	c.spentUntil = c.now
+	elapsed := (c.now - c.costs.until).Seconds()
+	c.costs.until = c.now
 	for _, m := range c.live {
 		cost := c.pricePerSecond(m) * elapsed
 		switch m.state {
 		case machineBooting:
-			c.spent.booting += cost
+			c.costs.spent.booting += cost
 		case machineUp:
 			c.spendOn(m, cost)
 		case machineDeleting:
-			c.spent.returning += cost
+			c.costs.spent.returning += cost
 		case machineGone:
 		}
 	}
-	if c.now-c.spendingLogged >= spendingEvery {
+	if c.now-c.costs.logged >= spendingEvery {
 		c.logSpending()
 	}
 }
@@ -68,7 +75,7 @@
 // spendOn divides the cost of a machine that is up.
 func (c *Core) spendOn(m *machine, cost float64) {
 	if len(m.bookings) == 0 || m.total.CPUs <= 0 {
-		c.spent.idle += cost
+		c.costs.spent.idle += cost
 		return
 	}
 	free := cost
@@ -77,14 +84,14 @@
 		free -= share
 		switch {
 		case b.stopping:
-			c.spent.saving += share
+			c.costs.spent.saving += share
 		case b.status == wire.TaskRunning:
-			c.spent.running += share
+			c.costs.spent.running += share
 		default:
-			c.spent.fetching += share
+			c.costs.spent.fetching += share
 		}
 	}
-	c.spent.partIdle += max(free, 0)
+	c.costs.spent.partIdle += max(free, 0)
 }
 
 // lostWork counts what a task had run that has to run again.
@@ -93,14 +100,14 @@
 	if b.ranSince == 0 || m.total.CPUs <= 0 || j.over() {
 		return
 	}
-	c.spent.lost += c.pricePerSecond(m) * j.size.CPUs / m.total.CPUs * (c.now - b.ranSince).Seconds()
+	c.costs.spent.lost += c.pricePerSecond(m) * j.size.CPUs / m.total.CPUs * (c.now - b.ranSince).Seconds()
 }
 
 func (c *Core) logSpending() {
-	s := &c.spent
+	s := &c.costs.spent
 	if s.total() > 0 {
-		c.log.Info("money spent", "seconds", (c.now - c.spendingLogged).Seconds(), "total", s.total(), "booting", s.booting, "fetching", s.fetching,
+		c.log.Info("money spent", "seconds", (c.now - c.costs.logged).Seconds(), "total", s.total(), "booting", s.booting, "fetching", s.fetching,
 			"running", s.running, "saving", s.saving, "part_idle", s.partIdle, "idle", s.idle, "returning", s.returning, "lost", s.lost, "machines", len(c.live))
 	}
-	c.spent, c.spendingLogged = spending{}, c.now
+	c.costs.spent, c.costs.logged = spending{}, c.now
 }
--- a/internal/dispatch/spending_test.go
+++ b/internal/dispatch/spending_test.go
@@ -39,7 +39,7 @@
 			for _, book := range tc.bookings {
 				m.bookings = append(m.bookings, book(j))
 			}
-			c.spent, c.spentUntil, c.spendingLogged = spending{}, c.now, c.now
+			c.costs.spent, c.costs.until, c.costs.logged = spending{}, c.now, c.now
 			c.now += 10 * time.Second
 			c.spend()
 			unit := c.pricePerSecond(m) * 10 / 100
@@ -47,10 +47,10 @@
 				name      string
 				got, want float64
 			}{
-				{"booting", c.spent.booting, tc.want.booting}, {"fetching", c.spent.fetching, tc.want.fetching},
-				{"running", c.spent.running, tc.want.running}, {"saving", c.spent.saving, tc.want.saving},
-				{"partly idle", c.spent.partIdle, tc.want.partIdle}, {"idle", c.spent.idle, tc.want.idle},
-				{"returning", c.spent.returning, tc.want.returning},
+				{"booting", c.costs.spent.booting, tc.want.booting}, {"fetching", c.costs.spent.fetching, tc.want.fetching},
+				{"running", c.costs.spent.running, tc.want.running}, {"saving", c.costs.spent.saving, tc.want.saving},
+				{"partly idle", c.costs.spent.partIdle, tc.want.partIdle}, {"idle", c.costs.spent.idle, tc.want.idle},
+				{"returning", c.costs.spent.returning, tc.want.returning},
 			} {
 				if unit == 0 || math.Abs(part.got/unit-part.want) > 1e-6 {
 					t.Errorf("%s: %v of the cost, want %v", part.name, part.got/unit, part.want)
--- a/internal/intake/groupcommit.go
+++ b/internal/intake/groupcommit.go
@@ -16,7 +16,7 @@
 
 // Store is the part of the state service that intake needs.
 type Store interface {
-	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, uint64, error)
+	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, error)
 	Txn(ctx context.Context, p state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error)
 	Limits() state.Limits
 	Serving() bool
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -282,7 +282,7 @@
 
 // record reads a job's record from the state service.
 func (s *Service) record(ctx context.Context, ref string) (rec ledger.JobRecord, found bool, err error) {
-	e, found, _, err := s.store.Get(ctx, state.Read, ledger.JobKey(ref))
+	e, found, err := s.store.Get(ctx, state.Read, ledger.JobKey(ref))
 	if err != nil || !found {
 		return rec, false, err
 	}
@@ -401,7 +401,7 @@
 // tellDispatcher tells this node's dispatcher of a job that is so new that it has not
 // seen it. A zero answer is no refusal.
 func (s *Service) tellDispatcher(ctx context.Context, ref string) (refusal Answer) {
-	e, found, _, err := s.store.Get(ctx, state.Read, ledger.JobKey(ref))
+	e, found, err := s.store.Get(ctx, state.Read, ledger.JobKey(ref))
 	switch {
 	case err != nil:
 		return noState
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -36,17 +36,17 @@
 	unserved bool
 }
 
-func (f *fakeStore) Get(ctx context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
+func (f *fakeStore) Get(ctx context.Context, _ state.Priority, key string) (wire.Entry, bool, error) {
 	if f.unserved {
 		<-ctx.Done()
-		return wire.Entry{}, false, 0, state.ErrUnknown
+		return wire.Entry{}, false, state.ErrUnknown
 	}
 	if f.down {
-		return wire.Entry{}, false, 0, state.ErrRefused
+		return wire.Entry{}, false, state.ErrRefused
 	}
 	rec, ok := f.records[key]
 	value, err := json.Marshal(rec)
-	return wire.Entry{Key: key, Value: value, Version: 3}, ok, 3, err
+	return wire.Entry{Key: key, Value: value, Version: 3}, ok, err
 }
 
 func (f *fakeStore) Serving() bool { return !f.unserved }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -18,7 +18,7 @@
 
 // Store is the part of the state service that the ledger needs.
 type Store interface {
-	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, uint64, error)
+	Get(ctx context.Context, p state.Priority, key string) (wire.Entry, bool, error)
 	List(ctx context.Context, p state.Priority, under, after string, limit int) (wire.Entries, error)
 	Txn(ctx context.Context, p state.Priority, t wire.Txn) (bool, wire.TxnAnswer, error)
 }
@@ -125,12 +125,12 @@
 		}
 		entries = append(entries, under...)
 	}
-	_, found, version, err := l.store.Get(ctx, state.Leader, fenceKey)
+	fence, found, err := l.store.Get(ctx, state.Leader, fenceKey)
 	switch {
 	case err != nil:
 		return Snapshot{}, fmt.Errorf("reading %s: %w", fenceKey, err)
 	case found:
-		l.versions[fenceKey] = version
+		l.versions[fenceKey] = fence.Version
 	}
 	s := collect(entries)
 	s.Revision = revision
@@ -290,7 +290,7 @@
 			o.err = ErrDeposed
 			return o
 		}
-		e, _, _, err := l.store.Get(ctx, state.Leader, key)
+		e, _, err := l.store.Get(ctx, state.Leader, key)
 		if err != nil {
 			l.log.Debug("ledger key not reread", "key", key, "error", err)
 			continue
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -80,9 +80,9 @@
 	return func() { <-f.turn }
 }
 
-func (f *fakeStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, uint64, error) {
+func (f *fakeStore) Get(_ context.Context, _ state.Priority, key string) (wire.Entry, bool, error) {
 	v, ok := f.keys[key]
-	return wire.Entry{Key: key, Version: v}, ok, v, nil
+	return wire.Entry{Key: key, Version: v}, ok, nil
 }
 
 func (f *fakeStore) List(context.Context, state.Priority, string, string, int) (wire.Entries, error) {
--- a/internal/spill/model_test.go
+++ b/internal/spill/model_test.go
@@ -452,22 +452,29 @@
 	}
 }
 
+// carry delivers all packets and carries out all writes.
+func (w *world) carry() {
+	packets := w.packets
+	w.packets = nil
+	for _, p := range packets {
+		w.deliver(p)
+	}
+	for len(w.home.writes) > 0 {
+		w.writeHome()
+	}
+	for _, cell := range w.cells {
+		for g := w.guests[cell]; len(g.writes) > 0; {
+			w.writeGuest(g, 0)
+		}
+	}
+}
+
 // settle ends all troubles and has everything go on.
 func (w *world) settle() {
 	for range 400 {
-		packets := w.packets
-		w.packets = nil
-		for _, p := range packets {
-			w.deliver(p)
-		}
-		for len(w.home.writes) > 0 {
-			w.writeHome()
-		}
+		w.carry()
 		for _, cell := range w.cells {
 			g := w.guests[cell]
-			for len(g.writes) > 0 {
-				w.writeGuest(g, 0)
-			}
 			for _, ref := range w.refs {
 				w.cancelGuest(g, ref)
 				w.startGuest(g, ref)
@@ -544,21 +551,10 @@
 // flush has everything go on for a while, without an end of any job.
 func (w *world) flush() {
 	for range 8 {
-		packets := w.packets
-		w.packets = nil
-		for _, p := range packets {
-			w.deliver(p)
-		}
-		for len(w.home.writes) > 0 {
-			w.writeHome()
-		}
+		w.carry()
 		for _, cell := range w.cells {
-			g := w.guests[cell]
-			for len(g.writes) > 0 {
-				w.writeGuest(g, 0)
-			}
 			for _, ref := range w.refs {
-				w.cancelGuest(g, ref)
+				w.cancelGuest(w.guests[cell], ref)
 			}
 		}
 		w.pass(RetryEvery)
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -181,23 +181,20 @@
 	return fmt.Errorf("%w: status %d: %s", ErrBad, status, answer)
 }
 
-// Get reads a key; found is false when it does not exist. The revision is the
-// entry's version or, for a missing key, the service's revision.
-func (c *Client) Get(ctx context.Context, p Priority, key string) (e wire.Entry, found bool, revision uint64, err error) {
+// Get reads a key; found is false when it does not exist.
+func (c *Client) Get(ctx context.Context, p Priority, key string) (e wire.Entry, found bool, err error) {
 	status, answer, err := c.do(ctx, p, 0, timeout, http.MethodGet, "/store/"+key, nil)
 	if err != nil {
-		return e, false, 0, err
+		return e, false, err
 	}
 	switch status {
 	case http.StatusOK:
 		err = decode(answer, &e)
-		return e, err == nil, e.Version, err
+		return e, err == nil, err
 	case http.StatusNotFound:
-		var n wire.News
-		err = decode(answer, &n)
-		return e, false, n.Revision, err
+		return e, false, nil
 	}
-	return e, false, 0, unexpected(status, answer)
+	return e, false, unexpected(status, answer)
 }
 
 // List reads one page of the keys under a prefix, and the service's revision.
