Standby: nodes follow the ledger and take over on it, behind a gate; off by default

Need: a new leader reads everything anew; it is to decide on a copy that was followed, and only once it is known to be complete.

Change: internal/standby has a replica that follows the state service's changes, and a gate whose conditions are written down before a term decides: the term before has ended, the view is as new as the term by an answer that the service gave since, nothing of earlier terms can follow. Where they can't be had in 1.2 s, everything is read as before. Nodes that could decide at once stand first.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/spill"
+	"leadproxy/internal/standby"
 	"leadproxy/internal/state"
 	"leadproxy/internal/wire"
 )
@@ -35,6 +36,8 @@
 	// Upgraded tells whether all nodes run a version that knows what this one
 	// writes.
 	Upgraded func() bool
+	// Standby has a copy of the ledger for a term that begins here; nil: there is none.
+	Standby Standby
 	// Transfers tells whether all nodes know transfers between cells, Cells speaks to
 	// the neighbours, and Note is told the steps of transfers.
 	Transfers func() bool
@@ -52,6 +55,14 @@
 	users   chan ask
 }
 
+// Standby keeps a copy of the ledger.
+type Standby interface {
+	// Promote returns the view that a term may decide on, or why there is none.
+	Promote(ctx context.Context, term uint64) (standby.View, error)
+	// Release tells that the term is over.
+	Release()
+}
+
 // ask is an event with who wants to be told of its outcome: an effect, or an
 // error.
 type ask struct {
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// Unsettled is how many machines may still run what an earlier leader started there.
+func (c *Core) Unsettled() int {
+	n := 0
+	for _, m := range c.live {
+		if len(m.unclear) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Jobs is how many jobs this term knows.
+func (c *Core) Jobs() int { return len(c.jobs) }
+
 // clearMachine ends the doubt about what an earlier leader started on m.
 func (c *Core) clearMachine(m *machine, why string) {
 	if len(m.unclear) > 0 {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -20,6 +20,7 @@
 	valueBytes int
 	// transfersAllowed: the core knows that transfers are.
 	transfersAllowed bool
+	takeover         takeover
 }
 
 // tickEvery is how often the core is told that time passes.
@@ -43,10 +44,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	book := ledger.New(number, d.store, d.ledgerLimits, d.log)
-	snapshot, ok := d.loadLedger(ctx, book, number)
+	var times takeover
+	times.began = time.Now()
+	if d.Standby != nil {
+		defer d.Standby.Release()
+	}
+	snapshot, ok := d.takeOver(ctx, book, number, &times)
 	if !ok {
 		return
 	}
+	times.viewed = time.Now()
 	go func() {
 		if err := book.Run(ctx); err != nil && ctx.Err() == nil {
 			d.log.Info("ledger closed", "term", number, "error", err)
@@ -63,6 +70,7 @@
 	t := &term{Dispatcher: d, number: number, core: core, ledger: book, cloud: cloud, tick: time.NewTicker(tickEvery), valueBytes: size}
 	defer t.tick.Stop()
 	defer d.machines.Store(0)
+	t.takeover = times
 	t.carryOut(ctx, core.TakeStart())
 	t.run(ctx)
 }
@@ -104,6 +112,7 @@
 		pause.after(began, time.Since(began))
 		t.machines.Store(int64(t.core.Reporting()))
 		t.carryOut(ctx, effects)
+		t.noteTakeover(effects)
 	}
 }
 
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -67,6 +67,9 @@
 
 	// Others grant extensions during outages of the state service; nil: nobody does.
 	Others Others
+	// Ready tells whether this node could decide at once if it were elected; nil: all are
+	// alike. One that could not lets those that can stand first, for readyWait.
+	Ready func() bool
 	// turn is held by whoever publishes this node as the leader or makes a
 	// promise not to be it, and by whoever looks at promised or won.
 	turn     chan struct{}
@@ -83,6 +86,7 @@
 const (
 	standAside = 20 * time.Second
 	giveWay    = 2 * time.Second
+	readyWait  = 500 * time.Millisecond
 )
 
 // Resign has this node give up a term of its own, so that another node leads.
@@ -186,13 +190,13 @@
 // givesWay tells whether others are to stand first while nobody leads.
 func (e *Elector) givesWay() bool {
 	now := time.Now()
-	if now.After(e.aside) {
-		return false
-	}
 	if e.vacant.IsZero() {
 		e.vacant = now
 	}
-	return now.Sub(e.vacant) < giveWay
+	if e.Ready != nil && !e.Ready() && now.Sub(e.vacant) < readyWait {
+		return true
+	}
+	return !now.After(e.aside) && now.Sub(e.vacant) < giveWay
 }
 
 func (e *Elector) stand(ctx context.Context) error {
@@ -216,6 +220,7 @@
 		}
 		return err
 	}
+	e.vacant = time.Time{}
 	e.hold(true)
 	defer e.hold(false)
 	e.lead(ctx, answer.Revision, lease, sent)
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -23,13 +23,15 @@
 	keys     map[string]wire.Entry
 	leases   map[uint64]*lease
 	history  []wire.Event
-	waiters  []chan struct{}
-	out      bool            // for everybody
-	refused  map[string]bool // hosts that are refused alone
-	slow     time.Duration
-	limits   settings.StateLimits // none where 0
-	level    float64              // writes that are left of the rate
-	filled   time.Time
+	// forgotten is up to where changes are no longer kept.
+	forgotten uint64
+	waiters   []chan struct{}
+	out       bool            // for everybody
+	refused   map[string]bool // hosts that are refused alone
+	slow      time.Duration
+	limits    settings.StateLimits // none where 0
+	level     float64              // writes that are left of the rate
+	filled    time.Time
 }
 
 type lease struct {
@@ -180,6 +182,21 @@
 	return changes
 }
 
+// Revision is the service's.
+func (s *State) Revision() (revision uint64) {
+	s.do(func() { revision = s.revision })
+	return revision
+}
+
+// Forget has the service keep no changes so far: a watch from before gets 410.
+func (s *State) Forget() {
+	s.do(func() {
+		s.revision++
+		s.forgotten, s.history = s.revision, nil
+		s.wake()
+	})
+}
+
 // Version is a key's version; 0: there is none.
 func (s *State) Version(key string) (version uint64) {
 	s.do(func() { version = s.keys[key].Version })
@@ -350,6 +367,12 @@
 		answer(w, http.StatusBadRequest, wire.Problem{Error: "from and wait_ms must be numbers"})
 		return
 	}
+	gone := false
+	s.do(func() { gone = from < s.forgotten })
+	if gone {
+		answer(w, http.StatusGone, wire.Problem{Error: "no longer kept"})
+		return
+	}
 	over := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer over.Stop()
 	for {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -108,36 +108,40 @@
 	}
 }
 
+// Prefixes are the keys that make up the ledger.
+func Prefixes() []string {
+	return []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix, silentPrefix, cellPrefix, fenceKey}
+}
+
 // Load reads the whole ledger.
 func (l *Ledger) Load(ctx context.Context) (Snapshot, error) {
 	var entries []wire.Entry
 	var revision uint64
-	for _, prefix := range []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix, silentPrefix, cellPrefix} {
-		under, began, err := state.ListAll(ctx, l.store, state.Leader, prefix)
+	for _, prefix := range Prefixes() {
+		listing, err := state.ListAll(ctx, l.store, state.Leader, prefix)
 		if err != nil {
 			return Snapshot{}, fmt.Errorf("reading %s: %w", prefix, err)
 		}
 		if revision == 0 {
-			revision = began
-		}
-		for _, e := range under {
-			l.versions[e.Key] = e.Version
+			revision = listing.Began
 		}
-		entries = append(entries, under...)
+		entries = append(entries, listing.Entries...)
 	}
-	fence, found, err := l.store.Get(ctx, state.Leader, fenceKey)
-	switch {
-	case err != nil:
-		return Snapshot{}, fmt.Errorf("reading %s: %w", fenceKey, err)
-	case found:
-		l.versions[fenceKey] = fence.Version
+	return l.Adopt(entries, revision), nil
+}
+
+// Adopt begins with the keys of the ledger as they were read, all of them at a revision
+// or later.
+func (l *Ledger) Adopt(entries []wire.Entry, revision uint64) Snapshot {
+	for _, e := range entries {
+		l.versions[e.Key] = e.Version
 	}
 	s := collect(entries)
 	s.Revision = revision
 	for _, malformed := range s.Malformed {
 		l.log.Error("ledger key can't be read, going on without it", "key", malformed.Key, "error", malformed.Err)
 	}
-	return s, nil
+	return s
 }
 
 // Put hands writes to the ledger. It gives up only with ctx.
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -61,6 +61,8 @@
 	absent   int // nodes that are not up yet
 	// reportTo, unless nil, are the nodes that workers know; else all.
 	reportTo []int
+	// standby has the nodes follow the leader.
+	standby bool
 	// cell, unless nil, is the cell of several that this cluster is.
 	cell *cellPlan
 	old  int // nodes that begin with the version before announcements
@@ -89,13 +91,15 @@
 // that was accepted is served, with the troubles over.
 func inCluster(t *testing.T, p plan, scenario func(c *cluster)) {
 	t.Parallel()
-	for _, name := range []string{"jobs", "pipelines"} {
-		t.Run(name, func(t *testing.T) { playCluster(t, p, name == "pipelines", scenario) })
+	for _, name := range []string{"jobs", "pipelines", "standby"} {
+		q := p
+		q.standby = name == "standby"
+		t.Run(name, func(t *testing.T) { playCluster(t, q, name == "pipelines", scenario) })
 	}
 }
 
 // playCluster plays a scenario once; with pipelines, users also submit jobs that wait
-// for others all the time.
+// for others all the time. With a standby, nodes take over on what they have followed.
 func playCluster(t *testing.T, p plan, pipelines bool, scenario func(c *cluster)) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
@@ -140,6 +144,7 @@
 	} else {
 		c.net, c.check, c.operator, c.prefix, owns = p.cell.net, p.cell.check, p.cell.operator, p.cell.name+"-", p.cell.owns
 	}
+	c.operator.Standby.Follow = p.standby
 	c.state = fake.NewState(t, c.net.Host(c.prefix+"state"), c.prefix+"state:1", only("/txn", &c.writes))
 	for key, value := range p.ledger {
 		c.state.Put(key, value)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,9 +20,11 @@
 	"leadproxy/internal/election"
 	"leadproxy/internal/fleet"
 	"leadproxy/internal/intake"
+	"leadproxy/internal/ledger"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/peers"
 	"leadproxy/internal/settings"
+	"leadproxy/internal/standby"
 	"leadproxy/internal/state"
 	"leadproxy/internal/upgrade"
 	"leadproxy/internal/wire"
@@ -85,6 +87,7 @@
 	reports    *reportHandler
 	workers    *reachability
 	cells      *cells.Server
+	standby    *standby.Follower // nil: it does not follow
 }
 
 // assemble makes the slices of a controller and introduces them to each other. What
@@ -107,6 +110,11 @@
 	c.versions = upgrade.New(p.Node, level, others.Names(), store, log)
 	pipelines := func() bool { return c.versions.Knows(upgrade.Pipelines) }
 	c.dispatcher.Upgraded = pipelines
+	if op.Standby.Follow {
+		c.standby = standby.NewFollower(store, ledger.Prefixes(), int(op.Standby.MaxMB*(1<<20)), log)
+		c.dispatcher.Standby = c.standby
+		c.elector.Ready = c.standby.Ready
+	}
 	c.dispatcher.Transfers = func() bool { return c.versions.Knows(upgrade.Transfers) }
 	if c.dispatcher.Cells, err = cells.Dial(ctx, n, op.Cells, f.Workers.CancelS); err != nil {
 		return nil, err
@@ -131,6 +139,9 @@
 // start has the slices do by themselves what they do, until ctx ends.
 func (c *parts) start(ctx context.Context) {
 	go c.versions.Run(ctx)
+	if c.standby != nil {
+		go c.standby.Run(ctx)
+	}
 	go c.reports.keepConnected(ctx)
 	go c.elector.Run(ctx)
 	go c.health.run(ctx)
--- a/internal/property/property.go
+++ b/internal/property/property.go
@@ -4,6 +4,7 @@
 import (
 	"flag"
 	"fmt"
+	"strconv"
 
 	"pgregory.net/rapid"
 )
@@ -11,9 +12,19 @@
 // seed makes every run of a property try the same cases; -rapid.seed overrides it.
 const seed = "1"
 
-func init() {
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(fmt.Sprintf("rapid has no seed any more: %v", err))
+func init() { set("rapid.seed", seed) }
+
+// More has a package's properties tried more often than others, and in longer histories:
+// where the schedules that matter are rare. It is called as the package begins; flags of
+// the command line override it.
+func More(checks, steps int) {
+	set("rapid.checks", strconv.Itoa(checks))
+	set("rapid.steps", strconv.Itoa(steps))
+}
+
+func set(name, value string) {
+	if err := flag.Set(name, value); err != nil {
+		panic(fmt.Sprintf("rapid has no flag %s any more: %v", name, err))
 	}
 }
 
--- a/internal/settings/cells.go
+++ b/internal/settings/cells.go
@@ -86,20 +86,25 @@
 
 const wantName = "a name of up to 40 lower-case letters, digits and hyphens"
 
-// cellReader reads the sections about cells and gathers what is wrong with them.
-type cellReader struct {
+// sectionReader reads sections and gathers what is wrong with them.
+type sectionReader struct {
 	path, text string
-	cells      Cells
 	errs       []error
 }
 
-func (r *cellReader) fail(section, key, value, want string) {
+// cellReader reads the sections about cells.
+type cellReader struct {
+	sectionReader
+	cells Cells
+}
+
+func (r *sectionReader) fail(section, key, value, want string) {
 	r.errs = append(r.errs, &FieldError{File: r.path, Line: lineOf(r.text, section, key), Key: section + "." + key, Value: strconv.Quote(value), Want: want})
 }
 
 // readCells reads all sections about cells of a file.
 func readCells(path, text string, f *ini.File) (Cells, []error) {
-	r := &cellReader{path: path, text: text, cells: defaultCells()}
+	r := &cellReader{sectionReader{path: path, text: text}, defaultCells()}
 	r.duplicates()
 	for _, s := range f.Sections() {
 		name := s.Name()
@@ -135,7 +140,7 @@
 
 // each hands a section's keys to their readers; a reader tells what it wants unless the
 // value is right.
-func (r *cellReader) each(s *ini.Section, keys map[string]func(value string) (want string)) {
+func (r *sectionReader) each(s *ini.Section, keys map[string]func(value string) (want string)) {
 	for _, k := range s.Keys() {
 		read, ok := keys[k.Name()]
 		if !ok {
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -34,6 +34,8 @@
 	MaxMachines int
 	// Cells are this cell and its neighbours.
 	Cells Cells
+	// Standby is how nodes that do not lead follow the one that does.
+	Standby Standby
 }
 
 // Defaults returns the settings of an operator who has none of their own.
@@ -46,6 +48,7 @@
 		BootPatience:   3,
 		HeadroomSpread: 3,
 		Cells:          defaultCells(),
+		Standby:        Standby{MaxMB: 64},
 	}
 }
 
@@ -112,8 +115,11 @@
 	}
 	var errs []error
 	o.Cells, errs = readCells(path, text, f)
+	var wrong []error
+	o.Standby, wrong = readStandby(path, text, f)
+	errs = append(errs, wrong...)
 	for _, s := range f.Sections() {
-		if isCells(s.Name()) {
+		if isCells(s.Name()) || s.Name() == standbySection {
 			continue
 		}
 		for _, k := range s.Keys() {
--- a/internal/spill/model_test.go
+++ b/internal/spill/model_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"pgregory.net/rapid"
-
-	_ "leadproxy/internal/property" // fixes the seed
 )
 
 // The model: one home and two neighbours, whose leaders crash, over a network that loses,
@@ -580,7 +578,11 @@
 	if w.home.home.Away(ref) || w.guests["b"].ends[ref] != "aborted" {
 		t.Fatalf("not taken back: %s", w.describe(ref))
 	}
+	w.flush() // and releases it
 	w.spill(ref, "b")
+	if !w.home.home.Away(ref) {
+		t.Fatalf("not offered again: %s", w.describe(ref))
+	}
 	w.flush()
 	w.settle()
 	w.settled()
--- /dev/null
+++ b/internal/standby/follower_test.go
@@ -0,0 +1,139 @@
+package standby
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"reflect"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"leadproxy/internal/fake"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/state"
+	"leadproxy/internal/wire"
+)
+
+// stage is a follower of a fake state service.
+type stage struct {
+	t        *testing.T
+	service  *fake.State
+	store    *state.Client
+	follower *Follower
+}
+
+func newStage(t *testing.T, keys, maxBytes int) *stage {
+	n := fake.NewNet(t)
+	s := &stage{t: t, service: fake.NewState(t, n.Host("state"), "state:1", nil)}
+	for i := range keys {
+		s.service.Put(fmt.Sprintf("job/%06d", i), fmt.Sprintf(`"value %d"`, i))
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	s.store = state.New(t.Context(), n.Host("n1"), "state:1", settings.StateLimits{RPS: 200, WriteRPS: 100, ValueKB: 16, TxnOps: 32}, 0.5, log)
+	s.follower = NewFollower(s.store, modelPrefixes, maxBytes, log)
+	go s.follower.Run(t.Context())
+	return s
+}
+
+func (s *stage) await(state State) {
+	s.t.Helper()
+	for range 200 {
+		if s.follower.Status().State == state {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.t.Fatalf("it is %+v, want %s", s.follower.Status(), state)
+}
+
+// promote has the follower give its view away at the service's present revision.
+func (s *stage) promote() (View, error) {
+	return s.follower.Promote(s.t.Context(), s.service.Revision())
+}
+
+// fresh reads what the service holds.
+func (s *stage) fresh() (all []wire.Entry) {
+	s.t.Helper()
+	for _, prefix := range modelPrefixes {
+		listing, err := state.ListAll(s.t.Context(), s.store, state.Leader, prefix)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		all = append(all, listing.Entries...)
+	}
+	return all
+}
+
+// TestFollower follows a service with thousands of keys through changes, an outage and
+// terms of its own. What it gives away is what a fresh read brings.
+func TestFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStage(t, 2500, 1<<20)
+		s.await(Following)
+		check := func(what string) {
+			t.Helper()
+			view, err := s.promote()
+			if err != nil {
+				t.Errorf("%s: %v", what, err)
+			}
+			if fresh := s.fresh(); !reflect.DeepEqual(view.Entries, fresh) {
+				t.Errorf("%s: %d entries, a fresh read brings %d", what, len(view.Entries), len(fresh))
+			}
+			s.follower.Release()
+			s.await(CatchingUp)
+			s.await(Following)
+		}
+		check("as listed")
+		for i := range 50 {
+			s.service.Put(fmt.Sprintf("job/%06d", i*7), `"changed"`)
+			s.service.Remove(fmt.Sprintf("job/%06d", i*11))
+			s.service.Put(fmt.Sprintf("fin/%d/0", i), `[0,1]`)
+			time.Sleep(30 * time.Millisecond)
+		}
+		check("with changes that have just come")
+		s.service.Outage(true)
+		s.service.Put("host/1/0", `["vm-1"]`)
+		time.Sleep(30 * time.Second)
+		if s.follower.Ready() {
+			t.Error("it is ready in an outage")
+		}
+		s.service.Outage(false)
+		s.await(Following)
+		check("after an outage")
+	})
+}
+
+// TestFollowerRefuses: while its view can't be had in time, a term is told so, and why.
+func TestFollowerRefuses(t *testing.T) {
+	cases := []struct {
+		name     string
+		maxBytes int
+		trouble  func(s *stage)
+		want     error
+		says     string
+	}{
+		{"it is larger than it may be", 1000, func(s *stage) { s.await(Demoted) }, nil, "demoted"},
+		{"the service does not answer", 1 << 20, func(s *stage) { s.await(Following); s.service.Outage(true) }, errNoTime, "in time"},
+		{"its changes are no longer kept", 1 << 20, func(s *stage) {
+			s.await(Following)
+			s.service.Forget()
+		}, state.ErrTooOld, "no longer kept"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStage(t, 100, c.maxBytes)
+				c.trouble(s)
+				_, err := s.promote()
+				if err == nil || c.want != nil && !errors.Is(err, c.want) || !strings.Contains(err.Error(), c.says) {
+					t.Errorf("told %v", err)
+				}
+				s.service.Outage(false)
+				s.follower.Release()
+			})
+		})
+	}
+}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -218,20 +218,27 @@
 	List(ctx context.Context, p Priority, under, after string, limit int) (wire.Entries, error)
 }
 
-// ListAll reads all keys under a prefix, page by page, and the service's revision
-// when that began.
-func ListAll(ctx context.Context, l Lister, p Priority, under string) (entries []wire.Entry, revision uint64, err error) {
+// Listing is all keys under a prefix. They were read in pages, the first at one revision
+// of the service and the last at another.
+type Listing struct {
+	Entries      []wire.Entry
+	Began, Ended uint64
+}
+
+// ListAll reads all keys under a prefix, page by page.
+func ListAll(ctx context.Context, l Lister, p Priority, under string) (Listing, error) {
+	var all Listing
 	for after := ""; ; {
 		page, err := l.List(ctx, p, under, after, 1000)
 		if err != nil {
-			return nil, 0, err
+			return Listing{}, err
 		}
-		if revision == 0 {
-			revision = page.Revision
+		if all.Began == 0 {
+			all.Began = page.Revision
 		}
-		entries = append(entries, page.Items...)
+		all.Entries, all.Ended = append(all.Entries, page.Items...), page.Revision
 		if !page.More || len(page.Items) == 0 {
-			return entries, revision, nil
+			return all, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -97,13 +97,13 @@
 // look announces this node where that is missing. It names the nodes that have not
 // announced as much as this one, and tells the level that all have announced.
 func (w *Watch) look(ctx context.Context) (left []string, known int, err error) {
-	entries, _, err := state.ListAll(ctx, w.store, state.Read, Prefix)
+	listing, err := state.ListAll(ctx, w.store, state.Read, Prefix)
 	if err != nil {
 		return nil, 0, err
 	}
 	levels := map[string]int{}
 	var own uint64
-	for _, e := range entries {
+	for _, e := range listing.Entries {
 		name := strings.TrimPrefix(e.Key, Prefix)
 		var a announcement
 		if name == w.node {
