--- a/cmd/leadproxy/commands.go
+++ b/cmd/leadproxy/commands.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -88,12 +89,17 @@
 	if c.HTML == "" {
 		return cells.WriteText(os.Stdout, journeys)
 	}
-	f, err := os.Create(c.HTML)
+	return writeFile(c.HTML, func(out io.Writer) error { return cells.WritePage(out, journeys) })
+}
+
+// writeFile writes a file through a buffer.
+func writeFile(name string, write func(out io.Writer) error) error {
+	f, err := os.Create(name)
 	if err != nil {
 		return err
 	}
 	out := bufio.NewWriter(f)
-	if err := cells.WritePage(out, journeys); err != nil {
+	if err := write(out); err != nil {
 		return err
 	}
 	if err := out.Flush(); err != nil {
