--- a/internal/takeovers/page.go
+++ b/internal/takeovers/page.go
@@ -74,7 +74,6 @@
 // distribution draws which share of the takeovers was over after how long, as an SVG.
 func distribution(all []Takeover, phase Phase) ([]byte, error) {
 	p := plot.New()
-	p.Title.Text = phase.Name
 	p.X.Label.Text = "seconds since the term was won"
 	p.Y.Label.Text = "share of takeovers"
 	p.X.Min, p.Y.Min, p.Y.Max = 0, 0, 1
