A leader warns when no standby is complete; a standby cut off from the leader in a test

Need: an operator must know before a takeover that it would read everything anew.

Change: with standbys on, the leader asks the others every 10 s and logs changes.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -69,6 +69,40 @@
 	return reply, nil
 }
 
+// watchEvery is how often a leader looks whether some standby is complete.
+const watchEvery = 10 * time.Second
+
+// Run has the leader log when no standby is complete, and when one is again, until ctx
+// ends.
+func (s *Server) Run(ctx context.Context) {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	term, lacking := uint64(0), false
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		v := s.elector.View()
+		if !v.InTerm(time.Now()) {
+			continue
+		}
+		if v.Term != term {
+			term, lacking = v.Term, false
+		}
+		_, err := choose(s.askOthers(ctx), "")
+		if lack := err != nil; lack != lacking && ctx.Err() == nil {
+			lacking = lack
+			if lack {
+				s.log.Warn("no standby is complete: a takeover would read everything anew", "term", term, "why", err)
+			} else {
+				s.log.Info("a standby is complete again", "term", term)
+			}
+		}
+	}
+}
+
 // StandAside lets another controller be elected, or has this one stand first.
 func (s *Server) StandAside(_ context.Context, r *handoverpb.StandAsideRequest) (*handoverpb.StandAsideReply, error) {
 	wait := time.Duration(r.ForMs) * time.Millisecond
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -34,12 +34,34 @@
 			c.stream(100*to, 2, time.Second, nil)
 			time.Sleep(4 * time.Second)
 		}
-		var table bytes.Buffer
-		if err := handover.WriteStatus(c.t.Context(), &table, operator, c.nodes[1].platform); err != nil {
-			t.Error(err)
-		}
-		if text := table.String(); strings.Count(text, "following") != 2 || strings.Count(text, "leads term") != 1 || strings.Contains(text, "no standby") {
+		if text := c.standbys(); strings.Count(text, "following") != 2 || strings.Count(text, "leads term") != 1 || strings.Contains(text, "no standby") {
 			t.Errorf("the table:\n%s", text)
 		}
 	})
 }
+
+// TestStandbyApartFromLeader: standbys that can't reach the leader follow all the same, and
+// one of them takes over on its copy when the leader ends.
+func TestStandbyApartFromLeader(t *testing.T) {
+	playCluster(t, plan{standby: true}, false, func(c *cluster) {
+		was := c.leader()
+		c.alone(was, true, false)
+		c.stream(0, 6, time.Second, nil)
+		c.await("both standbys follow", 5*time.Second, func() bool { return strings.Count(c.standbys(), "following") == 2 })
+		c.kill(was)
+		c.await("another leader", 10*time.Second, func() bool { return c.leader() >= 0 && c.leader() != was })
+		c.stream(10, 4, time.Second, nil)
+		c.alone(was, false, false)
+		c.revive()
+		c.await("a standby is complete again", 10*time.Second, func() bool { return strings.Count(c.standbys(), "following") == 2 })
+	})
+}
+
+// standbys is how the controllers stand, as an operator sees it.
+func (c *cluster) standbys() string {
+	var table bytes.Buffer
+	if err := handover.WriteStatus(c.t.Context(), &table, c.net.Host("operator"), c.nodes[0].platform); err != nil {
+		c.t.Error(err)
+	}
+	return table.String()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,6 +145,7 @@
 	go c.versions.Run(ctx)
 	if c.standby != nil {
 		go c.standby.Run(ctx)
+		go c.handover.Run(ctx)
 	}
 	go c.reports.keepConnected(ctx)
 	go c.elector.Run(ctx)
