--- a/internal/spill/home.go
+++ b/internal/spill/home.go
@@ -315,7 +315,7 @@
 		h.emit(EndJob{Ref: t.ref, Aborted: a.Outcome == OutcomeAborted})
 	case OutcomeRefused, OutcomeRevoked:
 		if t.phase == running {
-			h.note(t, StepUnreadable, "the neighbour had accepted the job and says "+a.Outcome.String())
+			h.note(t, StepContradiction, "the neighbour had accepted the job and says "+a.Outcome.String())
 			return
 		}
 		if a.Outcome == OutcomeRefused {
