A standby lists the ledger with the rank of decisions

Change: the listing has the rank of the leader's reads, which nobody else uses on a node that does not lead.

--- a/internal/standby/follower.go
+++ b/internal/standby/follower.go
@@ -178,7 +178,9 @@
 			return f.serve(ctx, p)
 		default:
 		}
-		listing, err := state.ListAll(ctx, f.store, state.Read, prefix)
+		// Not with the rank of users' questions: under load those use up this node's share,
+		// and a standby that was just started stayed behind for seconds.
+		listing, err := state.ListAll(ctx, f.store, state.Leader, prefix)
 		if err != nil {
 			return err
 		}
--- a/internal/standby/proof_test.go
+++ b/internal/standby/proof_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"regexp"
 	"slices"
 	"testing"
 	"time"
@@ -70,11 +71,27 @@
 	at := func(values []float64, share float64) float64 { return values[int(share*float64(len(values)-1))] }
 	t.Logf("%d takeovers, %d on the standby's view, %d late; first decision after the leader's end p50 %.2f, p90 %.2f, most %.2f s; view p50 %.3f, most %.3f s",
 		len(firsts), warm, late, at(firsts, 0.5), at(firsts, 0.9), at(firsts, 1), at(views, 0.5), at(views, 1))
+	for why, n := range d.readAnew() {
+		t.Logf("%d took over by reading the ledger: %s", n, why)
+	}
 	if t.Failed() {
 		fake.KeepLogs(t, d.nodes)
 	}
 }
 
+var readAnewLine = regexp.MustCompile(`reading the ledger" term=\d+ why="([^"]*)`)
+
+// readAnew counts why takeovers did not decide on the standby's view.
+func (d *deployment) readAnew() map[string]int {
+	reasons := map[string]int{}
+	for _, n := range d.nodes {
+		for _, found := range readAnewLine.FindAllStringSubmatch(n.Log(), -1) {
+			reasons[found[1]]++
+		}
+	}
+	return reasons
+}
+
 // onceEach sees to it that each task of each job has completed once, by what the machines
 // did.
 func (d *deployment) onceEach() {
