Read-over: one count of machines, one walk of offers, one cancellation, one list of controllers

Need: the last changes wrote again what was there: the machines that there are (three times), the offers that are open (twice), a cancellation with its stops (three times), all controllers of a deployment (three times), waiting for a condition. A sum of guests' cores and a second pause of the same length were never needed; pages were written with the same steps in two programs.

Change: machineCount, openOffers, abort, Platform.Controllers, fake.Await; pages are written whole. Behaviour stays.

Measured: linters and the tests of the packages concerned pass, the scenarios of cells, cancellations and standbys among them.

--- a/cmd/leadproxy/commands.go
+++ b/cmd/leadproxy/commands.go
@@ -1,10 +1,9 @@
 package main
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"time"
 
@@ -89,23 +88,11 @@
 	if c.HTML == "" {
 		return cells.WriteText(os.Stdout, journeys)
 	}
-	return writeFile(c.HTML, func(out io.Writer) error { return cells.WritePage(out, journeys) })
-}
-
-// writeFile writes a file through a buffer.
-func writeFile(name string, write func(out io.Writer) error) error {
-	f, err := os.Create(name)
-	if err != nil {
-		return err
-	}
-	out := bufio.NewWriter(f)
-	if err := write(out); err != nil {
-		return err
-	}
-	if err := out.Flush(); err != nil {
+	var page bytes.Buffer
+	if err := cells.WritePage(&page, journeys); err != nil {
 		return err
 	}
-	return f.Close()
+	return os.WriteFile(c.HTML, page.Bytes(), 0o666)
 }
 
 // standbyCommand shows how a deployment's standbys stand.
--- a/cmd/takeoverreport/main.go
+++ b/cmd/takeoverreport/main.go
@@ -4,7 +4,7 @@
 package main
 
 import (
-	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -36,16 +36,9 @@
 	if len(all) == 0 {
 		return errors.New("the logs tell of no takeover")
 	}
-	f, err := os.Create(cl.HTML)
-	if err != nil {
-		return err
-	}
-	out := bufio.NewWriter(f)
-	if err := takeovers.WritePage(out, all); err != nil {
-		return err
-	}
-	if err := out.Flush(); err != nil {
+	var page bytes.Buffer
+	if err := takeovers.WritePage(&page, all); err != nil {
 		return err
 	}
-	return f.Close()
+	return os.WriteFile(cl.HTML, page.Bytes(), 0o666)
 }
--- a/internal/cells/list.go
+++ b/internal/cells/list.go
@@ -18,17 +18,13 @@
 // FetchList asks the controllers of a cell for its transfers until one answers that
 // leads.
 func FetchList(ctx context.Context, n outbound.Network, p *settings.Platform) (*cellpb.ListReply, error) {
-	addresses := []string{p.Back}
-	for _, peer := range p.Peers {
-		addresses = append(addresses, peer.Addr)
-	}
 	var errs []error
-	for _, addr := range addresses {
-		list, err := fetchFrom(ctx, n, addr)
+	for _, c := range p.Controllers() {
+		list, err := fetchFrom(ctx, n, c.Addr)
 		if err == nil {
 			return list, nil
 		}
-		errs = append(errs, fmt.Errorf("controller %s: %w", addr, err))
+		errs = append(errs, fmt.Errorf("controller %s: %w", c.Addr, err))
 	}
 	return nil, errors.Join(errs...)
 }
--- a/internal/dispatch/guests.go
+++ b/internal/dispatch/guests.go
@@ -44,8 +44,7 @@
 			c.putGuest(e)
 		case spill.CancelGuest:
 			if at, ok := c.jobIndex[e.Ref]; ok && !c.jobs[at].over() {
-				c.finish(c.jobs[at], wire.Aborted)
-				c.stopTasks(c.jobs[at])
+				c.abort(c.jobs[at])
 			}
 		case spill.NoteGuestEffect:
 			c.noteTransfer(e.Note)
@@ -185,15 +184,12 @@
 			room += m.free.CPUs
 		}
 	}
-	guests, fromHome, own := 0.0, 0.0, 0.0
+	fromHome, own := 0.0, 0.0
 	for _, j := range c.active {
 		if j.over() || j.blocked() {
 			continue
 		}
 		room -= j.size.CPUs * float64(len(j.waiting))
-		if j.home != "" {
-			guests += j.cores()
-		}
 		if j.home == n.Name {
 			fromHome += j.cores()
 		}
@@ -224,11 +220,5 @@
 	if most == 0 {
 		return largest * fleet.MaxHire
 	}
-	machines := 0
-	for _, m := range c.live {
-		if m.state != machineGone {
-			machines++
-		}
-	}
-	return largest * float64(max(0, most-machines))
+	return largest * float64(max(0, most-c.machineCount()))
 }
--- a/internal/dispatch/offers.go
+++ b/internal/dispatch/offers.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"leadproxy/internal/fleet"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/spill"
 )
@@ -117,17 +116,10 @@
 	if len(c.openHires()) > 0 {
 		return true
 	}
-	machines, booting := 0, false
-	for _, m := range c.live {
-		if m.state != machineGone {
-			machines++
-		}
-		booting = booting || m.state == machineBooting && m.typ >= 0
-	}
-	if booting {
+	if slices.ContainsFunc(c.live, func(m *machine) bool { return m.state == machineBooting && m.typ >= 0 }) {
 		return true
 	}
-	if most := c.cfg.Operator.MaxMachines; most > 0 && machines >= most {
+	if most := c.cfg.Operator.MaxMachines; most > 0 && c.machineCount() >= most {
 		return false
 	}
 	return c.offersOpen()
@@ -135,14 +127,8 @@
 
 // offersOpen tells whether some offer of the cloud was not refused a moment ago.
 func (c *Core) offersOpen() bool {
-	for i := range c.types {
-		for _, z := range c.types[i].zones {
-			for _, spot := range []bool{true, false} {
-				if c.now >= c.fleet.offer(fleet.Offer{Type: int32(i), Zone: z, Spot: spot}).blockedUntil {
-					return true
-				}
-			}
-		}
+	for range c.openOffers() {
+		return true
 	}
 	return false
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -117,7 +117,7 @@
 // guestsLast has this cell's own jobs go before those of other cells.
 func guestsLast(a, b *job) int {
 	switch {
-	case a.home == b.home || a.home != "" && b.home != "":
+	case (a.home == "") == (b.home == ""):
 		return 0
 	case a.home == "":
 		return -1
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"iter"
 	"math"
 
 	"leadproxy/internal/fleet"
@@ -54,27 +55,43 @@
 // planOffers lists the machine types and the offers that may be asked for.
 func (c *Core) planOffers(s *fleet.Situation) {
 	for i := range c.types {
-		t := &c.types[i]
-		s.Types = append(s.Types, fleet.Type{Total: t.total, Boot: t.boot})
-		for _, z := range t.zones {
-			for _, spot := range []bool{true, false} {
-				o := fleet.Offer{Type: int32(i), Zone: z, Spot: spot}
-				st := c.fleet.offer(o)
-				if c.now < st.blockedUntil {
-					continue
+		s.Types = append(s.Types, fleet.Type{Total: c.types[i].total, Boot: c.types[i].boot})
+	}
+	for o, st := range c.openOffers() {
+		s.Offers = append(s.Offers, fleet.Priced{Offer: o, Price: c.types[o.Type].price(o.Spot), Most: st.most()})
+	}
+}
+
+// openOffers are the offers of the cloud that were not refused a moment ago.
+func (c *Core) openOffers() iter.Seq2[fleet.Offer, *offerState] {
+	return func(yield func(fleet.Offer, *offerState) bool) {
+		for i := range c.types {
+			for _, z := range c.types[i].zones {
+				for _, spot := range []bool{true, false} {
+					o := fleet.Offer{Type: int32(i), Zone: z, Spot: spot}
+					if st := c.fleet.offer(o); c.now >= st.blockedUntil && !yield(o, st) {
+						return
+					}
 				}
-				s.Offers = append(s.Offers, fleet.Priced{Offer: o, Price: t.price(spot), Most: st.most()})
 			}
 		}
 	}
 }
 
-// planMachines counts the machines that are up or coming.
-func (c *Core) planMachines(s *fleet.Situation) {
+// machineCount is how many machines there are, up or coming.
+func (c *Core) machineCount() (n int) {
 	for _, m := range c.live {
 		if m.state != machineGone {
-			s.Machines++
+			n++
 		}
+	}
+	return n
+}
+
+// planMachines counts the machines that are up or coming.
+func (c *Core) planMachines(s *fleet.Situation) {
+	s.Machines += c.machineCount()
+	for _, m := range c.live {
 		if !c.counts(m) {
 			continue
 		}
--- a/internal/dispatch/queries.go
+++ b/internal/dispatch/queries.go
@@ -70,15 +70,18 @@
 	j.waiters = append(j.waiters, e.To)
 	if !j.over() {
 		c.log.Debug("job is being cancelled", "job", j.ref)
-		c.finish(j, wire.Aborted)
-		// Its tasks are stopped now, not when that is durable: the write may be
-		// carried out and its answer lost, other nodes read it and tell the user,
-		// and we learn of it only after an outage. What its tasks do from here on
-		// is of no use to anybody.
-		c.stopTasks(j)
+		c.abort(j)
 	}
 }
 
+// abort cancels a job. Its tasks are stopped now, not when that is durable: the write may
+// be carried out and its answer lost, other nodes read it and tell the user, and we learn
+// of it only after an outage. What its tasks do from here on is of no use to anybody.
+func (c *Core) abort(j *job) {
+	c.finish(j, wire.Aborted)
+	c.stopTasks(j)
+}
+
 // stopTasks has all tasks of a job stopped.
 func (c *Core) stopTasks(j *job) {
 	if j.booked == 0 {
--- a/internal/dispatch/transfers.go
+++ b/internal/dispatch/transfers.go
@@ -304,8 +304,7 @@
 	switch {
 	case j.over():
 	case e.Aborted:
-		c.finish(j, wire.Aborted)
-		c.stopTasks(j)
+		c.abort(j)
 	default:
 		j.done = j.total
 		c.finish(j, wire.Done)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -217,9 +217,9 @@
 	return st, err
 }
 
-// addresses are those of all controllers, by name and in order.
-func addresses(p *settings.Platform) []settings.Peer {
-	all := append([]settings.Peer{{Node: p.Node, Addr: p.Back}}, p.Peers...)
+// controllers are all of a deployment, in the order of their names.
+func controllers(p *settings.Platform) []settings.Peer {
+	all := p.Controllers()
 	slices.SortFunc(all, func(a, b settings.Peer) int { return strings.Compare(a.Node, b.Node) })
 	return all
 }
@@ -231,7 +231,7 @@
 	fmt.Fprintln(w, "CONTROLLER\tROLE\tSTANDBY\tREVISION\tLAG\tKEYS\tMB\tHEARD\tWHY")
 	var all []*handoverpb.StatusReply
 	newestRevision := uint64(0)
-	for _, c := range addresses(p) {
+	for _, c := range controllers(p) {
 		st, err := fetchStatus(ctx, n, c.Addr)
 		if err != nil {
 			st = &handoverpb.StatusReply{Node: c.Node, State: "no answer", Why: err.Error()}
@@ -262,7 +262,7 @@
 // Request has the leader hand over to a controller, or to the one whose copy is the newest.
 func Request(ctx context.Context, n outbound.Network, p *settings.Platform, to string) (*handoverpb.HandOverReply, error) {
 	var errs []error
-	for _, c := range addresses(p) {
+	for _, c := range controllers(p) {
 		var reply *handoverpb.HandOverReply
 		err := call(ctx, n, c.Addr, func(ctx context.Context, client handoverpb.HandoverClient) error {
 			var err error
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -320,12 +320,7 @@
 
 func (c *cluster) await(what string, limit time.Duration, ok func() bool) {
 	c.t.Helper()
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	c.t.Errorf("not within %s: %s", limit, what)
+	fake.Await(c.t, what, limit, ok)
 }
 
 // --- the end ---
--- a/internal/settings/cells.go
+++ b/internal/settings/cells.go
@@ -239,14 +239,10 @@
 
 // CheckCells looks at what the operators' file and the platform's say together.
 func CheckCells(p *Platform, o Operator) error {
-	own := []string{p.Back}
-	for _, peer := range p.Peers {
-		own = append(own, peer.Addr)
-	}
 	for _, n := range o.Cells.Neighbours {
-		for _, a := range n.Controllers {
-			if slices.Contains(own, a) {
-				return fmt.Errorf("neighbour %s: %s is the address of a controller of this cell", n.Name, a)
+		for _, own := range p.Controllers() {
+			if slices.Contains(n.Controllers, own.Addr) {
+				return fmt.Errorf("neighbour %s: %s is the address of a controller of this cell", n.Name, own.Addr)
 			}
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,11 @@
 	Addr string `toml:"endpoint"`
 }
 
+// Controllers are all controllers of the deployment, this one first.
+func (p *Platform) Controllers() []Peer {
+	return append([]Peer{{Node: p.Node, Zone: p.Zone, Addr: p.Back}}, p.Peers...)
+}
+
 // Services holds the addresses of the regional services.
 type Services struct {
 	Cloud string `toml:"cloud"`
--- a/internal/standby/follower.go
+++ b/internal/standby/follower.go
@@ -223,11 +223,7 @@
 				return err
 			}
 		}
-		if f.gate.State() == Following {
-			pause.Reset(followEvery)
-		} else {
-			pause.Reset(restEvery / 4)
-		}
+		pause.Reset(followEvery)
 	}
 }
 
