A job whose transfer can't be read is not confirmed as cancelled

Cause: found in a read-over. Such a job is away in a cell that nobody can name, and is not started here; but there was no transfer to ask, so its cancellation was confirmed at once while it might run there.

Change: it gets 503, as with a cell that does not answer.

Measured: TestUnknownTransfer fails without the change and passes with it.

--- a/internal/dispatch/queries.go
+++ b/internal/dispatch/queries.go
@@ -63,7 +63,9 @@
 		c.emit(AnswerUser{To: e.To, Known: true, Status: c.status(j)})
 		return
 	}
-	if !j.over() && !c.transfers.home.Cancel(j.ref, c.now) {
+	// A job whose transfer's record can't be read is away as well, in a cell that nobody can
+	// name.
+	if !j.over() && (!c.transfers.home.Cancel(j.ref, c.now) || j.away) {
 		c.cancelAway(j, e.To)
 		return
 	}
--- a/internal/dispatch/transfers_test.go
+++ b/internal/dispatch/transfers_test.go
@@ -170,6 +170,19 @@
 	}
 }
 
+// TestUnknownTransfer: a job whose transfer's record can't be read may run elsewhere. It
+// was not started here, but its cancellation was confirmed.
+func TestUnknownTransfer(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Version: 1, Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}}},
+		Away: []ledger.SavedAway{{Ref: "job-1", Unknown: true}}})
+	g.up("vm-1")
+	g.want("started", len(g.starts()), 0)
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
+	told, _ := last[AnswerUser](g)
+	g.want("told as unreachable", told.Unreachable, true)
+	g.want("its state", g.jobStatus("job-1"), wire.Queued)
+}
+
 // TestLending: what another cell is offered.
 func TestLending(t *testing.T) {
 	cases := []struct {
