A stop that overtakes its start is repeated

Followed to its end with the times at which workers were told: a placement and the cancellation came within a millisecond, the start and its stop went out in two direct commands, and the worker got the stop first. It ignores the stop of what it does not know, so the start acted, and the task ran until the worker's next report was answered, 0.7 s later.

A stop is now sent again when its command is back without the task while the start is still on its way, and when the start's command is back with the task alive.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -159,10 +159,6 @@
 	return orders, forgets
 }
 
-func stopOrder(task string, attempt uint64, grace float64) wire.Order {
-	return wire.Order{Verb: wire.Stop, Task: task, Attempt: attempt, GraceS: &grace}
-}
-
 // mayForget tells whether an ended attempt may be dropped by its worker: not
 // while a copy of its start may still arrive, since the worker would run it
 // again, and not before its end is in the ledger.
--- a/internal/dispatch/bookings.go
+++ b/internal/dispatch/bookings.go
@@ -33,6 +33,8 @@
 	ranSince time.Duration // when it was first seen running
 	stopping bool
 	grace    float64
+	// stopRepeated: its stop may have come before its start, and was sent again.
+	stopRepeated bool
 }
 
 func (c *Core) taskName(b *booking) string { return wire.TaskName(c.jobs[b.job].ref, int(b.task)) }
@@ -117,13 +119,3 @@
 	}
 	m.outbox = nil
 }
-
-// stopBooking has an attempt stopped. What was never sent is simply freed.
-func (c *Core) stopBooking(m *machine, b *booking, grace float64) {
-	if b.state <= bookQueued {
-		c.release(m, b)
-		return
-	}
-	b.stopping, b.grace = true, grace
-	c.order(m, stopOrder(c.taskName(b), b.attempt, grace))
-}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -120,7 +120,8 @@
 	machine  *machine
 	session  uint64
 	token    uint64
-	attempts []uint64
+	attempts []uint64 // that it starts
+	stops    []uint64 // attempts that it stops
 	probe    bool
 	sent     time.Duration // of a probe
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -511,6 +511,30 @@
 	g.want("orders to another machine", verbs(g.report(g.reportOf("vm-2", ours, taskIn(o, wire.TaskRunning, "")))), "stop ")
 }
 
+// TestStopThatOvertakesItsStartIsRepeated: a cancellation comes while the start is on its
+// way in another command, and the stop is carried out first, which the worker ignores. The
+// task began after the cancellation was confirmed, and ran until the next report.
+func TestStopThatOvertakesItsStartIsRepeated(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	start, o := g.start[0], g.starts()[0]
+	g.start = nil
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
+	stop := g.start[0]
+	g.start = nil
+	g.step(DirectBack{Call: stop.Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours)})
+	g.want("the stop again, as the start may have come since", len(g.start), 1)
+	again := g.start[0]
+	g.start = nil
+	g.step(DirectBack{Call: again.Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours)})
+	g.want("commands while the start is on its way for longer", len(g.start), 0)
+	g.step(DirectBack{Call: start.Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours, taskIn(o, wire.TaskFetching, ""))})
+	g.want("the stop once the start was carried out", len(g.start) == 1 && g.start[0].Commands.Orders[0].Verb == wire.Stop, true)
+	g.step(DirectBack{Call: g.start[0].Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours, taskIn(o, wire.TaskEnded, wire.WhyStopped))})
+	g.want("bookings left", g.c.jobs[0].booked, 0)
+}
+
 func TestCancelOfADoneJobSaysDone(t *testing.T) {
 	g := newStage(t, ledger.Snapshot{})
 	g.up("vm-1")
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -62,7 +62,10 @@
 	call := &directCall{machine: m, session: m.session, token: m.token}
 	kept := make([]wire.Order, 0, len(orders))
 	for _, o := range orders {
-		if o.Verb == wire.Start {
+		switch o.Verb {
+		case wire.Stop:
+			call.stops = append(call.stops, o.Attempt)
+		case wire.Start:
 			b := m.booking(o.Attempt)
 			if b == nil {
 				continue // released since
@@ -128,6 +131,9 @@
 	if e.Report != nil && e.Report.Machine == m.name && e.Report.Token>>tokenBits <= c.term {
 		c.observe(m, e.Report, false)
 	}
+	if e.Outcome == DirectDone {
+		c.repeatStops(call, e.Report)
+	}
 }
 
 // directUnknown keeps the starts of a command booked of which nobody knows whether it
--- /dev/null
+++ b/internal/dispatch/stops.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"slices"
+
+	"leadproxy/internal/wire"
+)
+
+// stopBooking has an attempt stopped. What was never sent is simply freed.
+func (c *Core) stopBooking(m *machine, b *booking, grace float64) {
+	if b.state <= bookQueued {
+		c.release(m, b)
+		return
+	}
+	b.stopping, b.grace = true, grace
+	c.orderStop(m, b)
+}
+
+func stopOrder(task string, attempt uint64, grace float64) wire.Order {
+	return wire.Order{Verb: wire.Stop, Task: task, Attempt: attempt, GraceS: &grace}
+}
+
+// repeatStops sends stops again that a worker may have ignored. A start and its stop that
+// are sent one after the other, in two commands or in an answer and a command, arrive in
+// any order, and a worker ignores the stop of what it does not know yet: the start acted
+// after its stop, and the task ran until the worker's next report was answered.
+func (c *Core) repeatStops(call *directCall, r *wire.Report) {
+	m := call.machine
+	if r == nil || r.Machine != m.name || r.Session != m.session {
+		return
+	}
+	for _, attempt := range call.attempts {
+		if b := m.booking(attempt); b != nil && b.stopping && isAlive(r, attempt) {
+			c.orderStop(m, b)
+		}
+	}
+	for _, attempt := range call.stops {
+		b := m.booking(attempt)
+		if b != nil && b.stopping && b.state == bookSent && !b.stopRepeated && !isAlive(r, attempt) {
+			b.stopRepeated = true
+			c.orderStop(m, b)
+		}
+	}
+}
+
+// orderStop has a machine told to stop a booked attempt.
+func (c *Core) orderStop(m *machine, b *booking) {
+	c.order(m, stopOrder(c.taskName(b), b.attempt, b.grace))
+}
+
+// isAlive tells whether a report lists an attempt that has not ended.
+func isAlive(r *wire.Report, attempt uint64) bool {
+	return slices.ContainsFunc(r.Tasks, func(t wire.TaskReport) bool {
+		return t.Attempt == attempt && t.Status != wire.TaskEnded
+	})
+}
