Standby: hints of what only the leader has in memory

Need: a new leader did not know where machines are reached, since when tasks run, which images machines have and what had been learned. internal/hints: the core numbers its changes, each follower's stream pulls what has changed, at most 256 machines at a time, one batch unacknowledged; batches have term and sequence. Used at a takeover for first guesses alone: no machine, job or booking comes from a hint.

A task that had run before the term taught run times that were too short; it teaches its whole run time with a hint, and nothing without.

--- a/internal/dispatch/bookings.go
+++ b/internal/dispatch/bookings.go
@@ -30,7 +30,9 @@
 	status   string // as last reported
 	share    float64
 	phase    uint32
-	ranSince time.Duration // when it was first seen running
+	ranSince time.Duration // when it began to run, or was first seen running
+	// late: it was running before it was first seen, for nobody knows how long.
+	late     bool
 	stopping bool
 	grace    float64
 	// stopRepeated: its stop may have come before its start, and was sent again.
@@ -72,6 +74,7 @@
 	m.load += b.share
 	m.bookings = append(m.bookings, b)
 	m.idleSince = c.now
+	c.changed(m)
 	c.touch(m)
 	return b
 }
@@ -98,6 +101,7 @@
 		}
 	}
 	m.idleSince = c.now
+	c.changed(m)
 	c.touch(m)
 	c.dirty = true
 	c.settleJob(j)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"leadproxy/internal/fleet"
+	"leadproxy/internal/hints"
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/slowfit"
@@ -24,6 +25,8 @@
 	Operator settings.Operator
 	// ValueBytes is how many bytes a value may have.
 	ValueBytes int
+	// Hints is what an earlier leader held in memory; nil: not known.
+	Hints *hints.View
 }
 
 // tokenBits is the room that a token and an attempt leave for the counter
@@ -95,6 +98,8 @@
 	dirty       bool
 	fleet       fleetState
 	transfers   transfers
+	hinted      hinted
+	changes     uint64 // counts the changes of machines that hints tell of
 
 	costs costs
 
@@ -124,6 +129,7 @@
 	stops    []uint64 // attempts that it stops
 	probe    bool
 	sent     time.Duration // of a probe
+	hinted   bool          // a probe to where a hint says that its machine is reached
 }
 
 // NewCore starts a term from what the ledger holds. now is the node's steady
@@ -148,6 +154,7 @@
 	c.teams = append(c.teams, team{})
 	c.fleet.begin()
 	c.newTransfers()
+	c.restoreHints(cfg.Hints)
 	c.fleet.limited = make([]fleet.Stream, len(c.teams))
 	for _, name := range s.Gone {
 		m := c.machineNamed(name)
@@ -162,6 +169,7 @@
 	}
 	c.restoreNotes(s.Silent)
 	c.restoreTransfers(&s)
+	c.probeHinted()
 	c.flush()
 	return c
 }
@@ -199,6 +207,8 @@
 		}
 	case Tick:
 		c.tick()
+	case HintsAsked:
+		c.hintsAsked(e)
 	default:
 		c.stepTransfers(event)
 	}
@@ -268,6 +278,7 @@
 	c.sweep()
 	c.noteSilence()
 	c.dropNotes()
+	c.dropHints()
 	c.fleetTick()
 	c.endExhausted()
 	c.spillTick()
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -69,11 +69,19 @@
 	if len(teams) == 0 {
 		teams = []settings.Team{{Name: "t"}}
 	}
+	return newStageAt(t, 0, testConfig(operator, teams...), s)
+}
+
+func testConfig(operator settings.Operator, teams ...settings.Team) Config {
 	p := &settings.Platform{Facts: settings.Facts{Nodes: 3, Teams: teams,
 		Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}}}
-	g := &stage{t: t, seq: map[string]uint64{}, writes: map[string]ledger.Write{}, specs: map[string]*wire.Job{}}
+	return Config{Term: testTerm, Platform: p, Operator: operator, ValueBytes: 16 << 10}
+}
+
+func newStageAt(t tester, now time.Duration, cfg Config, s ledger.Snapshot) *stage {
+	g := &stage{now: now, t: t, seq: map[string]uint64{}, writes: map[string]ledger.Write{}, specs: map[string]*wire.Job{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	g.c = NewCore(Config{Term: testTerm, Platform: p, Operator: operator, ValueBytes: 16 << 10}, s, 0, 0, log)
+	g.c = NewCore(cfg, s, now, now.Milliseconds(), log)
 	g.take(g.c.TakeStart())
 	g.step(CloudBack{fleet.Result{Call: fleet.Call{Types: true}, Types: []wire.MachineType{
 		{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, Price: 1, SpotPrice: 0.5, BootS: 40, Zones: []string{"a", "b"}}}}})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"leadproxy/internal/election"
+	"leadproxy/internal/hints"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/spill"
@@ -38,6 +39,8 @@
 	Upgraded func() bool
 	// Standby has a copy of the ledger for a term that begins here; nil: there is none.
 	Standby Standby
+	// HintView has what an earlier leader held in memory; nil: there is nothing.
+	HintView HintViewer
 	// Transfers tells whether all nodes know transfers between cells, Cells speaks to
 	// the neighbours, and Note is told the steps of transfers.
 	Transfers func() bool
@@ -63,6 +66,12 @@
 	Release()
 }
 
+// HintViewer keeps what a leader tells the nodes that may lead next.
+type HintViewer interface {
+	// View returns the hints for a term that begins here.
+	View(ctx context.Context, term uint64) hints.View
+}
+
 // ask is an event with who wants to be told of its outcome: an effect, or an
 // error.
 type ask struct {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"leadproxy/internal/fleet"
+	"leadproxy/internal/hints"
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/wire"
 )
@@ -28,6 +29,7 @@
 func (GuestWritten) isEvent()      {}
 func (TransfersAllowed) isEvent()  {}
 func (TransfersListed) isEvent()   {}
+func (HintsAsked) isEvent()        {}
 
 // Recipient is who gets the answer to a report, a question or a cancellation.
 type Recipient interface {
@@ -79,6 +81,12 @@
 	// Rejected tells tags of writes that were not carried out, since their values
 	// are larger than the state service takes any more.
 	Rejected struct{ Tags []ledger.Tag }
+	// HintsAsked is a standby asking for what has changed in memory since an earlier
+	// answer; 0: all.
+	HintsAsked struct {
+		Since uint64
+		To    Recipient
+	}
 	// Tick comes a few times a second.
 	Tick struct{}
 )
@@ -112,6 +120,7 @@
 func (PutGuest) isEffect()        {}
 func (TransferNote) isEffect()    {}
 func (TransferList) isEffect()    {}
+func (HintsGiven) isEffect()      {}
 
 // The effects.
 type (
@@ -148,6 +157,15 @@
 	}
 	// CallCloud makes a call to the cloud.
 	CallCloud struct{ Call fleet.Call }
+	// HintsGiven answers a standby. With More there is more than it holds.
+	HintsGiven struct {
+		To       Recipient
+		Term     uint64
+		Machines []hints.Machine
+		Learned  hints.Learned
+		Upto     uint64
+		More     bool
+	}
 	// EndTerm has this node give its term up, so that another one begins.
 	EndTerm struct{}
 )
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -120,7 +120,8 @@
 		if !ok {
 			i = int32(len(c.types))
 			c.typeAt[t.Name] = i
-			c.types = append(c.types, machineType{boot: settings.Seconds(t.BootS)})
+			c.types = append(c.types, machineType{MachineType: t, boot: settings.Seconds(t.BootS)})
+			c.hintType(i)
 		}
 		mt := &c.types[i]
 		mt.MachineType = t
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -81,6 +81,12 @@
 	blamedFor  map[int32]bool
 	hireName   string
 	asked      time.Duration // last delete call
+
+	// hinted: where it is reached is known from an earlier leader's hint, and hintedSession
+	// is its session by that. changed counts when it changed last for hints of our own.
+	hinted        bool
+	hintedSession uint64
+	changed       uint64
 }
 
 // stamp orders what one worker says.
@@ -142,13 +148,16 @@
 	c.machineAt[name] = m.index
 	c.machines = append(c.machines, m)
 	c.live = append(c.live, m)
+	c.hintMachine(m)
+	c.changed(m)
 	return m
 }
 
 // describe fills in what a report or the list tells of a machine.
 func (c *Core) describe(m *machine, typ, zone string, spot bool, address string) {
 	if address != "" && address != m.address {
-		m.address = strings.Clone(address)
+		m.address, m.hinted = strings.Clone(address), false
+		c.changed(m)
 	}
 	m.spot = spot
 	m.zone = c.zones.of(zone)
@@ -171,6 +180,7 @@
 	}
 	c.log.Info("machine is gone", "machine", m.name, "why", why, "bookings", len(m.bookings))
 	m.state = machineGone
+	c.changed(m)
 	c.dropBookings(m, why)
 	clear(m.pending)
 	c.clearMachine(m, why)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -110,6 +110,10 @@
 	if m.state == machineGone {
 		return
 	}
+	if call.hinted && (e.Outcome == DirectUnknown || e.Outcome == DirectNotSent) {
+		c.hintFailed(m) // the hint is wrong, or old: nothing against the machine
+		return
+	}
 	if e.Outcome == DirectUnknown || e.Outcome == DirectNotSent {
 		// Its reports may still come, but starts don't arrive: leave it alone
 		// for a while rather than book the same tasks there again and again.
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -52,9 +52,9 @@
 			continue
 		}
 		c.probes.underWay++
-		// Its session is not known before its first word; nearly all are in
-		// their first.
-		c.send(&directCall{machine: m, session: max(m.session, 1), token: m.token, probe: true, sent: c.now}, []wire.Order{})
+		// Its session is not known before its first word, unless by a hint; nearly all
+		// are in their first.
+		c.send(&directCall{machine: m, session: max(m.session, m.hintedSession, 1), token: m.token, probe: true, sent: c.now, hinted: m.hinted}, []wire.Order{})
 	}
 }
 
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -120,6 +120,7 @@
 	// A start sent to the earlier session can't be executed any more.
 	clear(m.pending)
 	m.session = session
+	c.changed(m)
 	// A session begins with a lease of its own, though nobody has answered
 	// it, and this one may have begun just now: what was known of the lease
 	// was the session's before.
@@ -163,7 +164,9 @@
 		if t.Status != b.status {
 			b.status = t.Status
 			if t.Status == wire.TaskRunning {
-				b.ranSince = c.now
+				since, known := c.runningSince(b.attempt)
+				b.ranSince, b.late = since, !known
+				c.changed(m)
 				j.begun = true
 				m.idleSince = c.now
 				if j.spec != nil && m.typ >= 0 {
@@ -233,7 +236,7 @@
 	}
 	switch t.Why {
 	case wire.WhyDone:
-		if b != nil && b.ranSince > 0 {
+		if b != nil && b.ranSince > 0 && !b.late {
 			c.learnRun(j, c.now-b.ranSince)
 		}
 		clear(m.blamedFor)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -64,9 +64,10 @@
 	go cloud.Run(ctx)
 	go d.watchJobs(ctx, snapshot.Revision)
 
+	hinted := d.viewHints(ctx, number)
 	now, wall := d.clocks()
 	size := d.valueBytes()
-	core := NewCore(Config{Term: number, Platform: d.platform, Operator: d.operator, ValueBytes: size}, snapshot, now, wall, d.log)
+	core := NewCore(Config{Term: number, Platform: d.platform, Operator: d.operator, ValueBytes: size, Hints: hinted}, snapshot, now, wall, d.log)
 	t := &term{Dispatcher: d, number: number, core: core, ledger: book, cloud: cloud, tick: time.NewTicker(tickEvery), valueBytes: size}
 	defer t.tick.Stop()
 	defer d.machines.Store(0)
@@ -284,6 +285,8 @@
 			go t.inspect(ctx, e)
 		case EndTerm:
 			t.elector.Resign(t.number)
+		case HintsGiven:
+			e.To.Deliver(e)
 		default:
 			t.carryOutTransfer(ctx, e)
 		}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -30,6 +30,7 @@
 	out       bool            // for everybody
 	refused   map[string]bool // hosts that are refused alone
 	slow      time.Duration
+	drift     float64              // how much faster than others' its clock runs
 	limits    settings.StateLimits // none where 0
 	level     float64              // writes that are left of the rate
 	filled    time.Time
@@ -89,6 +90,9 @@
 	s.do(func() { s.refused[host] = on; s.wake() })
 }
 
+// RunFast has its clock run faster than others' by a share, so that leases end early.
+func (s *State) RunFast(share float64) { s.do(func() { s.drift = share }) }
+
 // Slow has every answer take so long.
 func (s *State) Slow(d time.Duration) { s.do(func() { s.slow = d }) }
 
@@ -346,7 +350,7 @@
 	s.do(func() {
 		s.revision++
 		id = s.revision
-		ttl := time.Duration(terms.TTLMS) * time.Millisecond
+		ttl := time.Duration(float64(terms.TTLMS) * (1 - s.drift) * float64(time.Millisecond))
 		s.leases[id] = &lease{ttl, time.Now().Add(ttl)}
 	})
 	answer(w, http.StatusOK, wire.LeaseAnswer{Lease: id})
--- a/internal/fake/trouble.go
+++ b/internal/fake/trouble.go
@@ -35,7 +35,7 @@
 	For   time.Duration
 }
 
-// Troubles decides what happens to a message from a host.
+// Troubles decides what happens to a message from a host. It may read the body.
 type Troubles func(from string, r *http.Request) Trouble
 
 // troubled serves h, with trouble, unless nil, deciding what becomes of each
@@ -54,7 +54,7 @@
 			c.Body = io.NopCloser(bytes.NewReader(body))
 			return c
 		}
-		switch trouble := trouble(r.RemoteAddr, r); trouble.Fault {
+		switch trouble := trouble(r.RemoteAddr, again()); trouble.Fault {
 		case RequestLost:
 			<-r.Context().Done()
 		case AnswerLost:
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -21,6 +21,7 @@
 
 	"leadproxy/internal/election"
 	"leadproxy/internal/handover/handoverpb"
+	"leadproxy/internal/hints"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/standby"
@@ -42,12 +43,13 @@
 	net      outbound.Network
 	elector  *election.Elector
 	standby  *standby.Follower // nil: this node does not follow
+	hints    *hints.Follower   // nil: this node follows no hints
 	log      *slog.Logger
 }
 
 // NewServer makes a server for a controller.
-func NewServer(n outbound.Network, p *settings.Platform, e *election.Elector, s *standby.Follower, log *slog.Logger) *Server {
-	return &Server{platform: p, net: n, elector: e, standby: s, log: log}
+func NewServer(n outbound.Network, p *settings.Platform, e *election.Elector, s *standby.Follower, h *hints.Follower, log *slog.Logger) *Server {
+	return &Server{platform: p, net: n, elector: e, standby: s, hints: h, log: log}
 }
 
 // Status tells how this controller stands.
@@ -57,6 +59,13 @@
 	if v.InTerm(time.Now()) {
 		reply.Term = v.Term
 	}
+	if s.hints != nil {
+		h := s.hints.Status()
+		reply.HintsTerm, reply.HintsMachines = h.Term, int64(h.Machines)
+		if h.Term > 0 {
+			reply.HintsMs = time.Since(h.Heard).Milliseconds()
+		}
+	}
 	if s.standby == nil {
 		return reply, nil
 	}
@@ -228,7 +237,7 @@
 // could not take over with a complete copy is named.
 func WriteStatus(ctx context.Context, out io.Writer, n outbound.Network, p *settings.Platform) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "CONTROLLER\tROLE\tSTANDBY\tREVISION\tLAG\tKEYS\tMB\tHEARD\tWHY")
+	fmt.Fprintln(w, "CONTROLLER\tROLE\tSTANDBY\tREVISION\tLAG\tKEYS\tMB\tHEARD\tHINTS\tWHY")
 	var all []*handoverpb.StatusReply
 	newestRevision := uint64(0)
 	for _, c := range controllers(p) {
@@ -251,7 +260,7 @@
 		}
 		complete = complete || st.Term == 0 && unfit(st) == ""
 		heard := (time.Duration(st.HeardMs) * time.Millisecond).Round(100 * time.Millisecond)
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%.1f\t%s ago\t%s\n", st.Node, role, cmp.Or(st.State, "off"), st.Revision, lag, st.Keys, float64(st.Bytes)/(1<<20), heard, st.Why)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%.1f\t%s ago\t%s\t%s\n", st.Node, role, cmp.Or(st.State, "off"), st.Revision, lag, st.Keys, float64(st.Bytes)/(1<<20), heard, hintsText(st), st.Why)
 	}
 	if !complete {
 		fmt.Fprintln(w, "\nno standby is complete: a takeover reads everything anew")
@@ -259,6 +268,14 @@
 	return w.Flush()
 }
 
+// hintsText tells which hints a controller has.
+func hintsText(st *handoverpb.StatusReply) string {
+	if st.HintsTerm == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d machines of term %d", st.HintsMachines, st.HintsTerm)
+}
+
 // Request has the leader hand over to a controller, or to the one whose copy is the newest.
 func Request(ctx context.Context, n outbound.Network, p *settings.Platform, to string) (*handoverpb.HandOverReply, error) {
 	var errs []error
--- /dev/null
+++ b/internal/hints/hints.go
@@ -0,0 +1,254 @@
+// Package hints brings what a leader holds only in memory to the controllers that may lead
+// next: where machines are reached, what runs there and since when, which images they have,
+// what was learned about run times, boots and the cloud's offers.
+//
+// Hints make a new leader's first guesses better. Nothing that is decided may be wrong
+// because of one: they never add a machine, a job or a booking, and the ledger and a worker's
+// report are believed against them.
+package hints
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Machine is what a leader knows of a machine beyond the ledger.
+type Machine struct {
+	Name     string
+	Gone     bool // the machine is no more
+	Address  string
+	Session  uint64
+	Token    uint64
+	Heard    time.Duration // how long ago it was last heard
+	Idle     time.Duration // how long it has been without tasks
+	Images   []Image
+	Bookings []Booking
+}
+
+// Image is an image on a machine, and its size.
+type Image struct {
+	Name string
+	GB   float64
+}
+
+// Booking is an attempt on a machine.
+type Booking struct {
+	Task    string
+	Attempt uint64
+	Ran     time.Duration // how long it has run; 0: it does not run yet
+}
+
+// Learned is what a leader has learned from what it saw.
+type Learned struct {
+	RunRatios map[string]float64 // by class: run times against the owners' estimates
+	Boots     map[string]float64 // by machine type: seconds from hire to first report
+	Offers    []Offer
+}
+
+// Offer is how the cloud has answered hires of a machine type in a zone.
+type Offer struct {
+	Type, Zone string
+	Spot       bool
+	Blocked    time.Duration // it is not asked again for so long
+	Backoff    time.Duration
+	Filled     int // hires in a row that were filled
+}
+
+// Batch is a part of a term's hints. The batches of a stream are numbered from 1.
+type Batch struct {
+	Term, Sequence uint64
+	Machines       []Machine
+	Learned        *Learned // nil: nothing new
+}
+
+// Changes is what a leader answers: what has changed since an earlier answer.
+type Changes struct {
+	Term     uint64
+	Machines []Machine
+	Learned  Learned
+	Upto     uint64 // to be named in the next question
+	More     bool   // there is more than this
+}
+
+// What is kept at most. Twice the 4,000 machines that are aimed at, and room for machines
+// that come and go within a term.
+const (
+	MaxMachines = 16384
+	maxBookings = 1024 // of a machine
+	maxImages   = 1024 // of a machine
+	maxLearned  = 8192 // classes, types and offers
+)
+
+// The errors of a stream. After each of them it begins anew.
+var (
+	// ErrOldTerm means that a batch is of a term before one that was heard of.
+	ErrOldTerm = errors.New("hints of an older term")
+	// ErrGap means that batches are missing.
+	ErrGap = errors.New("hints are missing")
+	// ErrInvalid means that a batch holds what no leader would send.
+	ErrInvalid = errors.New("invalid hints")
+	// ErrTooMany means that there are more machines than are kept.
+	ErrTooMany = errors.New("more machines than hints are kept for")
+)
+
+// View is the hints of a term, for the one after it.
+type View struct {
+	Term     uint64
+	Machines map[string]Machine
+	Learned  Learned
+}
+
+// kept is a machine's hint and when it came.
+type kept struct {
+	machine Machine
+	at      time.Time
+}
+
+// Inbox keeps the hints of the newest term. It is a pure state: the caller tells the time.
+type Inbox struct {
+	term      uint64
+	sequence  uint64 // of the last batch of the stream
+	machines  map[string]kept
+	learned   Learned
+	learnedAt time.Time
+}
+
+// NewInbox makes an empty inbox.
+func NewInbox() *Inbox { return &Inbox{machines: map[string]kept{}} }
+
+// Begin notes that a stream begins: the next batch is its first.
+func (b *Inbox) Begin() { b.sequence = 0 }
+
+// Term is the term of the hints; 0: there are none.
+func (b *Inbox) Term() uint64 { return b.term }
+
+// Size is how many machines there are hints of.
+func (b *Inbox) Size() int { return len(b.machines) }
+
+// Apply takes a batch. One that was taken before is ignored; after an error nothing of it
+// was taken, and the stream must begin anew.
+func (b *Inbox) Apply(batch Batch, now time.Time) error {
+	if batch.Term < b.term {
+		return fmt.Errorf("%w: %d after %d", ErrOldTerm, batch.Term, b.term)
+	}
+	if batch.Term == b.term && batch.Sequence <= b.sequence {
+		return nil
+	}
+	if batch.Sequence != b.sequence+1 {
+		return fmt.Errorf("%w: %d after %d", ErrGap, batch.Sequence, b.sequence)
+	}
+	if err := batch.check(); err != nil {
+		return err
+	}
+	machines := b.machines
+	if batch.Sequence == 1 { // the first of a stream, which tells everything
+		machines = map[string]kept{}
+	}
+	if len(machines)+len(batch.Machines) > MaxMachines {
+		return ErrTooMany
+	}
+	if batch.Term > b.term {
+		b.learned, b.learnedAt = Learned{}, now
+	}
+	b.machines, b.term, b.sequence = machines, batch.Term, batch.Sequence
+	for _, m := range batch.Machines {
+		if m.Gone {
+			delete(b.machines, m.Name)
+			continue
+		}
+		b.machines[m.Name] = kept{m, now}
+	}
+	if batch.Learned != nil {
+		b.learned, b.learnedAt = *batch.Learned, now
+	}
+	return nil
+}
+
+// check tells whether a batch can be from a leader.
+func (b *Batch) check() error {
+	if b.Term == 0 {
+		return fmt.Errorf("%w: no term", ErrInvalid)
+	}
+	for i := range b.Machines {
+		m := &b.Machines[i]
+		if m.Name == "" || len(m.Bookings) > maxBookings || len(m.Images) > maxImages || m.Heard < 0 || m.Idle < 0 {
+			return fmt.Errorf("%w: machine %q", ErrInvalid, m.Name)
+		}
+		for _, k := range m.Bookings {
+			if k.Ran < 0 {
+				return fmt.Errorf("%w: booking of machine %q", ErrInvalid, m.Name)
+			}
+		}
+	}
+	if b.Learned == nil {
+		return nil
+	}
+	return b.Learned.check()
+}
+
+func (l *Learned) check() error {
+	if len(l.RunRatios)+len(l.Boots)+len(l.Offers) > maxLearned {
+		return fmt.Errorf("%w: too much was learned", ErrInvalid)
+	}
+	values := slices.Concat(slices.Collect(maps.Values(l.RunRatios)), slices.Collect(maps.Values(l.Boots)))
+	for _, v := range values {
+		if !(v > 0) || math.IsInf(v, 0) {
+			return fmt.Errorf("%w: learned %v", ErrInvalid, v)
+		}
+	}
+	for _, o := range l.Offers {
+		if o.Blocked < 0 || o.Backoff < 0 || o.Filled < 0 {
+			return fmt.Errorf("%w: offer of %s in %s", ErrInvalid, o.Type, o.Zone)
+		}
+	}
+	return nil
+}
+
+// oldest is how long after they came hints are used. What is older says little.
+const oldest = time.Minute
+
+// View returns the hints for a term that begins now, brought up to date by the time that has
+// passed. Hints of that term itself, or of a later one, are none for it.
+func (b *Inbox) View(term uint64, now time.Time) View {
+	v := View{Machines: map[string]Machine{}}
+	if b.term == 0 || b.term >= term {
+		return v
+	}
+	v.Term = b.term
+	for name, k := range b.machines {
+		v.Machines[name] = k.machine.after(now.Sub(k.at))
+	}
+	if now.Sub(b.learnedAt) <= oldest {
+		v.Learned = b.learned.after(now.Sub(b.learnedAt))
+	}
+	return v
+}
+
+// after is a hint some time later.
+func (m Machine) after(passed time.Duration) Machine {
+	m.Heard += passed
+	if len(m.Bookings) == 0 {
+		m.Idle += passed
+	}
+	m.Bookings = slices.Clone(m.Bookings)
+	for i := range m.Bookings {
+		if k := &m.Bookings[i]; k.Ran > 0 {
+			k.Ran += passed
+		}
+	}
+	return m
+}
+
+// after is what was learned, some time later.
+func (l Learned) after(passed time.Duration) Learned {
+	l.Offers = slices.Clone(l.Offers)
+	for i := range l.Offers {
+		o := &l.Offers[i]
+		o.Blocked = max(0, o.Blocked-passed)
+	}
+	return l
+}
--- a/internal/node/cells_test.go
+++ b/internal/node/cells_test.go
@@ -44,6 +44,7 @@
 	old        map[string]int // nodes of a cell that begin with an older version
 	run        func(task string) time.Duration
 	seed       uint64
+	standby    bool // their nodes follow their leaders
 }
 
 // refOf names a job of a cell: its number begins with the cell's place.
@@ -89,7 +90,7 @@
 	f := &federation{t: t, net: fake.NewNet(t), check: newChecker(t, p.limits), names: p.names, cells: map[string]*cluster{}}
 	for _, name := range p.names {
 		cell := &cellPlan{name: name, net: f.net, check: f.check, operator: p.operatorOf(name), owns: f.owns(name)}
-		f.cells[name] = newCluster(t, plan{machines: p.machinesOf(name), limits: p.limits, old: p.old[name], run: p.run, seed: p.seed, cell: cell})
+		f.cells[name] = newCluster(t, plan{machines: p.machinesOf(name), limits: p.limits, old: p.old[name], run: p.run, seed: p.seed, standby: p.standby, cell: cell})
 	}
 	return f
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -63,6 +63,9 @@
 	reportTo []int
 	// standby has the nodes follow the leader.
 	standby bool
+	// drift is how far apart clocks run: the state service's is fast and the workers' are
+	// slow by as much.
+	drift float64
 	// cell, unless nil, is the cell of several that this cluster is.
 	cell *cellPlan
 	old  int // nodes that begin with the version before announcements
@@ -144,8 +147,9 @@
 	} else {
 		c.net, c.check, c.operator, c.prefix, owns = p.cell.net, p.cell.check, p.cell.operator, p.cell.name+"-", p.cell.owns
 	}
-	c.operator.Standby.Follow = p.standby
+	c.operator.Standby.Follow, c.operator.Standby.Hints = p.standby, p.standby
 	c.state = fake.NewState(t, c.net.Host(c.prefix+"state"), c.prefix+"state:1", only("/txn", &c.writes))
+	c.state.RunFast(p.drift)
 	for key, value := range p.ledger {
 		c.state.Put(key, value)
 	}
@@ -187,7 +191,7 @@
 		Prefix: c.prefix + "vm-",
 		Types:  []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: zones}},
 		Boot:   p.boot, ListLag: 2 * time.Second, Most: p.machines,
-		Worker: fake.WorkerConfig{Nodes: workers, Report: reportEvery, Lease: workerLease, Fetch: 500 * time.Millisecond,
+		Worker: fake.WorkerConfig{Nodes: workers, Report: reportEvery, Lease: workerLease + time.Duration(p.drift*float64(workerLease)), Fetch: 500 * time.Millisecond,
 			Run: p.run, Check: c.check, Trouble: only("/commands", &c.orders)},
 		Trouble: only("/machines", &c.hires),
 		Host:    func(name string) (outbound.Network, string) { return c.net.Host(name), name + ":9000" },
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,8 @@
 	"leadproxy/internal/fleet"
 	"leadproxy/internal/handover"
 	"leadproxy/internal/handover/handoverpb"
+	"leadproxy/internal/hints"
+	"leadproxy/internal/hints/hintpb"
 	"leadproxy/internal/intake"
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/outbound"
@@ -91,6 +93,8 @@
 	cells      *cells.Server
 	standby    *standby.Follower // nil: it does not follow
 	handover   *handover.Server
+	hintServer *hints.Server
+	hints      *hints.Follower // nil: this node follows no hints
 }
 
 // assemble makes the slices of a controller and introduces them to each other. What
@@ -113,12 +117,7 @@
 	c.versions = upgrade.New(p.Node, level, others.Names(), store, log)
 	pipelines := func() bool { return c.versions.Knows(upgrade.Pipelines) }
 	c.dispatcher.Upgraded = pipelines
-	if op.Standby.Follow {
-		c.standby = standby.NewFollower(store, ledger.Prefixes(), int(op.Standby.MaxMB*(1<<20)), log)
-		c.dispatcher.Standby = c.standby
-		c.elector.Ready = c.standby.Ready
-	}
-	c.handover = handover.NewServer(n, p, c.elector, c.standby, log)
+	c.followLeader(n, op, store, others)
 	c.dispatcher.Transfers = func() bool { return c.versions.Knows(upgrade.Transfers) }
 	if c.dispatcher.Cells, err = cells.Dial(ctx, n, op.Cells, f.Workers.CancelS); err != nil {
 		return nil, err
@@ -140,6 +139,21 @@
 	return c, nil
 }
 
+// followLeader prepares this controller for taking over, as far as the settings ask for it.
+func (c *parts) followLeader(n outbound.Network, op settings.Operator, store *state.Client, others *peers.Peers) {
+	if op.Standby.Follow {
+		c.standby = standby.NewFollower(store, ledger.Prefixes(), int(op.Standby.MaxMB*(1<<20)), c.log)
+		c.dispatcher.Standby = c.standby
+		c.elector.Ready = c.standby.Ready
+	}
+	c.hintServer = hints.NewServer(c.dispatcher, others.Names(), c.log)
+	if op.Standby.Hints {
+		c.hints = hints.NewFollower(c.platform.Node, func() string { return c.elector.View().Leader }, others.Conn, c.log)
+		c.dispatcher.HintView = c.hints
+	}
+	c.handover = handover.NewServer(n, c.platform, c.elector, c.standby, c.hints, c.log)
+}
+
 // start has the slices do by themselves what they do, until ctx ends.
 func (c *parts) start(ctx context.Context) {
 	go c.versions.Run(ctx)
@@ -147,6 +161,9 @@
 		go c.standby.Run(ctx)
 		go c.handover.Run(ctx)
 	}
+	if c.hints != nil {
+		go c.hints.Run(ctx)
+	}
 	go c.reports.keepConnected(ctx)
 	go c.elector.Run(ctx)
 	go c.health.run(ctx)
@@ -162,6 +179,7 @@
 	grpcServer := peers.NewServer(c.intake, c.reports, c.elector.GrantExtension, c.reports.heard.last)
 	cellpb.RegisterCellServer(grpcServer, c.cells)
 	handoverpb.RegisterHandoverServer(grpcServer, c.handover)
+	hintpb.RegisterHintsServer(grpcServer, c.hintServer)
 	web := newServer(router, c.sockets, settings.Seconds(c.platform.Facts.Workers.LeaseS), c.log)
 	failed := make(chan error, 2)
 	go func() { failed <- grpcServer.Serve(back) }()
--- /dev/null
+++ b/internal/node/standby_test.go
@@ -0,0 +1,248 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"leadproxy/internal/fake"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
+)
+
+// The hard cases of takeovers that other scenarios bring about by chance at most. All are
+// played with and without standbys; what must hold is the checker's.
+
+// pausedFor is longer than a leader's lease: another one leads when the first goes on.
+const pausedFor = 10 * time.Second
+
+// pause holds up all that a node sends and is sent, until resume: to all others it stands
+// still, and what was on its way arrives when it goes on.
+func (c *cluster) pause(i int)  { c.eachLink(i, func(a, b string) { c.net.Cut(a, b, true) }) }
+func (c *cluster) resume(i int) { c.eachLink(i, c.net.Heal) }
+
+func (c *cluster) eachLink(i int, do func(a, b string)) {
+	for _, service := range []string{"state", "cloud", "users"} {
+		do(c.name(i), service)
+	}
+	for k := range c.nodes {
+		if k != i {
+			do(c.name(i), c.name(k))
+		}
+	}
+	for _, w := range c.cloud.Workers() {
+		do(c.name(i), w.Name())
+	}
+}
+
+// pauseAt has the leader paused as soon as a message of it with some text arrives, which
+// then has its fate. paused tells that it has.
+func (c *cluster) pauseAt(text string, fate fake.Trouble) (trouble *fake.Troubles, paused *atomic.Bool) {
+	paused = &atomic.Bool{}
+	f := fake.Troubles(func(from string, r *http.Request) fake.Trouble {
+		lead := c.leader()
+		if lead < 0 || from != c.name(lead) {
+			return fake.Trouble{}
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !bytes.Contains(body, []byte(text)) || paused.Swap(true) {
+			return fake.Trouble{}
+		}
+		c.pause(lead)
+		return fate
+	})
+	return &f, paused
+}
+
+// TestLeaderPausedInAStep: the leader stands still in the middle of a decision, at each of
+// its steps, while another one takes over, and then goes on with what it was about to do.
+func TestLeaderPausedInAStep(t *testing.T) {
+	late := fake.Trouble{Fault: fake.Delayed, For: pausedFor + time.Second}
+	steps := []struct {
+		name, text string
+		fate       fake.Trouble
+		messages   func(c *cluster) *atomic.Pointer[fake.Troubles]
+	}{
+		{"before a write", `"host/`, late, (*cluster).writesOf},
+		{"between a write and its command", `"host/`, fake.Trouble{}, (*cluster).writesOf},
+		{"between a command and its outcome", `"` + wire.Start + `"`, fake.Trouble{}, (*cluster).ordersOf},
+		{"in a command", `"` + wire.Start + `"`, late, (*cluster).ordersOf},
+		{"before a cancellation is written", `"` + wire.Aborted + `"`, late, (*cluster).writesOf},
+		{"in the answer to a cancellation", `"` + wire.Aborted + `"`, fake.Trouble{}, (*cluster).writesOf},
+		{"before a hire", ``, late, (*cluster).hiresOf},
+		{"in a hire's answer", ``, fake.Trouble{}, (*cluster).hiresOf},
+	}
+	for _, step := range steps {
+		t.Run(step.name, func(t *testing.T) {
+			inCluster(t, plan{run: long(40 * time.Second)}, func(c *cluster) {
+				c.held = true // its commands and answers arrive late
+				lead := c.leader()
+				trouble, paused := c.pauseAt(step.text, step.fate)
+				if step.messages(c) == &c.hires { // what is hired first is enough
+					c.hires.Store(trouble)
+					c.stream(0, 4, 300*time.Millisecond, nil)
+				} else {
+					jobs := c.stream(0, 4, 300*time.Millisecond, nil)
+					c.running(6)
+					lead = c.leader()
+					step.messages(c).Store(trouble)
+					c.users.Cancel(jobs[0])
+					c.stream(20, 12, 200*time.Millisecond, nil)
+				}
+				c.await("the pause", 20*time.Second, paused.Load)
+				step.messages(c).Store(nil)
+				c.await("another leader", 10*time.Second, func() bool { return c.leader() >= 0 && c.leader() != lead })
+				time.Sleep(pausedFor)
+				c.resume(lead)
+				c.stream(40, 2, 300*time.Millisecond, nil)
+			})
+		})
+	}
+}
+
+func (c *cluster) writesOf() *atomic.Pointer[fake.Troubles] { return &c.writes }
+func (c *cluster) ordersOf() *atomic.Pointer[fake.Troubles] { return &c.orders }
+func (c *cluster) hiresOf() *atomic.Pointer[fake.Troubles]  { return &c.hires }
+
+// TestTwoLeadersEnd: the leader ends, and its successor within a second of having won.
+func TestTwoLeadersEnd(t *testing.T) {
+	eachSeed(t, plan{run: long(40 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		jobs := c.stream(0, 10, 200*time.Millisecond, nil)
+		c.running(10)
+		for range 2 {
+			was := c.leader()
+			c.kill(was)
+			c.users.Cancel(jobs[r.IntN(len(jobs))])
+			c.awaitLeader(was)
+			time.Sleep(some(r, time.Millisecond, time.Second))
+		}
+		c.kill(c.leader())
+		time.Sleep(some(r, time.Second, 5*time.Second))
+		c.revive()
+	})
+}
+
+// awaitLeader waits, with a fine grain, until another node leads.
+func (c *cluster) awaitLeader(was int) {
+	c.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if l := c.leader(); l >= 0 && l != was {
+			return
+		}
+	}
+	c.t.Error("no other leader")
+}
+
+// TestLastMomentOfATerm: jobs are accepted, cancelled and finished within the last
+// milliseconds of a term, whose last writes are carried out and never answered.
+func TestLastMomentOfATerm(t *testing.T) {
+	eachSeed(t, plan{run: long(30 * time.Second)}, func(c *cluster, r *rand.Rand) {
+		jobs := c.stream(0, 8, 300*time.Millisecond, nil)
+		c.running(10)
+		for k := range 3 {
+			for c.leader() < 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			was := c.leader()
+			c.writes.Store(c.share(0.7, fake.AnswerLost, 0, 0))
+			c.users.Cancel(jobs[2*k])
+			c.users.Submit(fake.NewJob(fmt.Sprintf("job-%06d", 50+k), 2, nil))
+			time.Sleep(some(r, time.Millisecond, 30*time.Millisecond))
+			c.kill(was)
+			c.writes.Store(nil)
+			c.awaitLeader(was)
+			time.Sleep(some(r, 2*time.Second, 8*time.Second))
+			c.revive()
+		}
+	})
+}
+
+// TestStandbyCutFromStateService: a standby hears nothing of the state service for a while,
+// in which the leader ends; the other one takes over. Then the one that was cut off is the
+// only one left.
+func TestStandbyCutFromStateService(t *testing.T) {
+	for _, hold := range []bool{false, true} {
+		t.Run(fmt.Sprint(hold), func(t *testing.T) {
+			inCluster(t, plan{run: long(30 * time.Second)}, func(c *cluster) {
+				c.stream(0, 6, 300*time.Millisecond, nil)
+				first := c.leader()
+				cutOff := c.follower()
+				c.net.Cut(c.name(cutOff), "state", hold)
+				jobs := c.stream(10, 4, time.Second, nil)
+				c.kill(first)
+				c.awaitLeader(first)
+				second := c.leader()
+				if second == cutOff {
+					c.t.Error("the one that is cut off leads")
+				}
+				c.users.Cancel(jobs[0])
+				time.Sleep(8 * time.Second)
+				c.net.Heal(c.name(cutOff), "state")
+				c.kill(second)
+				c.awaitLeader(second)
+				time.Sleep(5 * time.Second)
+				c.revive()
+			})
+		})
+	}
+}
+
+// TestClocksFarApart: the state service's clock runs fast and the workers' slow by as much
+// as clocks may, while leaders end and pause and half of the machines are not heard for
+// longer than their lease.
+func TestClocksFarApart(t *testing.T) {
+	eachSeed(t, plan{run: long(60 * time.Second), drift: settings.Drift}, func(c *cluster, r *rand.Rand) {
+		c.held = true
+		jobs := c.stream(0, 10, 300*time.Millisecond, nil)
+		c.running(10)
+		for k := range 3 {
+			workers := half(c.cloud.Workers())
+			for _, w := range workers {
+				w.CutInbound(true)
+			}
+			lead := c.leader()
+			if lead < 0 {
+				continue
+			}
+			if k%2 == 0 {
+				c.kill(lead)
+			} else {
+				c.pause(lead)
+			}
+			c.users.Cancel(jobs[k])
+			time.Sleep(some(r, workerLease-time.Second, workerLease+4*time.Second))
+			c.resume(lead)
+			c.revive()
+			for _, w := range workers {
+				w.CutInbound(false)
+			}
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
+// TestTakeoversWithJobsAway: the leaders of both cells end, one after the other, while jobs
+// of one run in the other, with standbys in both.
+func TestTakeoversWithJobsAway(t *testing.T) {
+	p := twoCells()
+	p.standby = true
+	inFederation(t, p, func(f *federation) {
+		jobs := f.flood("a", 12, func(_ int, j *wire.Job) { j.Tasks = 3 })
+		f.wantSpilled("a")
+		f.awaitSoon("an accept", func() bool { return len(f.spilled("a")) > 0 })
+		for _, cell := range []string{"a", "b", "a"} {
+			c := f.cells[cell]
+			was := c.leader()
+			c.kill(was)
+			f.cells["a"].users.Cancel(jobs[len(f.spilled("a"))%len(jobs)])
+			c.awaitLeader(was)
+			time.Sleep(2 * time.Second)
+			c.revive()
+		}
+	})
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -27,6 +27,7 @@
 
 // peer is what speaks to one other controller.
 type peer struct {
+	conn      *grpc.ClientConn
 	client    peerpb.PeerClient
 	forwarder *forwarder // of workers' reports
 }
@@ -48,12 +49,21 @@
 		p.names = append(p.names, o.Node)
 		client := peerpb.NewPeerClient(conn)
 		f := newForwarder(node, func(ctx context.Context) (reportStream, error) { return client.Share(ctx) })
-		p.byName[o.Node] = peer{client, f}
+		p.byName[o.Node] = peer{conn, client, f}
 		go f.run(ctx)
 	}
 	return p, nil
 }
 
+// Conn returns the connection to a node, for the calls of other packages.
+func (p *Peers) Conn(node string) (grpc.ClientConnInterface, error) {
+	o, err := p.find(node)
+	if err != nil {
+		return nil, err
+	}
+	return o.conn, nil
+}
+
 // Names lists the other controllers.
 func (p *Peers) Names() []string { return p.names }
 
--- a/internal/settings/cells_test.go
+++ b/internal/settings/cells_test.go
@@ -65,7 +65,7 @@
 	if Defaults().Standby.Follow {
 		t.Error("on by default")
 	}
-	for _, wrong := range []string{"follow = maybe", "max_mb = 0", "max_mb = lots", "warm = yes"} {
+	for _, wrong := range []string{"follow = maybe", "max_mb = 0", "max_mb = lots", "warm = yes", "hints = yes", "follow = yes\nhints = perhaps"} {
 		if _, err := ParseOperator("standby.ini", "[standby]\n"+wrong); err == nil {
 			t.Errorf("%q is taken", wrong)
 		}
