--- /dev/null
+++ b/internal/drain/checks_test.go
@@ -0,0 +1,5 @@
+package drain
+
+import "leadproxy/internal/property"
+
+func init() { property.More(4000, 80) }
