Draining: plans that replace machines in steps, within budgets

Need and design: docs/design-drain.md. The leader tells the account and the plans what happens and carries out what they want: machines are cordoned, tasks moved after their move is written, machines returned when they are proved empty, replacements hired under names that the cloud takes once. Plans are keys of the ledger and part of a standby's view. `leadproxy drain`, docs/operations-drain.md, deploy/drain.ini and drain-plan.ini; off by default.

Shown with whole nodes: twenty machines replaced while leaders end, at times two within a second; two plans that share a budget; a job that can't save is not killed before an operator allows it; crashes, silence, an outage, a leader that pauses, late reports, a lost zone, cancellations in the middle of a move; replacements that never come. One fault found by them: the INI library finds keys of [budget] in [budget.team.X].

--- a/cmd/leadproxy/commands.go
+++ b/cmd/leadproxy/commands.go
@@ -38,6 +38,9 @@
 	if err := settings.CheckCells(platform, operator); err != nil {
 		return err
 	}
+	if err := settings.CheckDrain(platform, operator); err != nil {
+		return err
+	}
 	if c.Check {
 		fmt.Println("the settings are valid")
 		return nil
--- a/cmd/leadproxy/main.go
+++ b/cmd/leadproxy/main.go
@@ -21,6 +21,7 @@
 	Trace     traceCommand     `cmd:"" help:"Show the steps of jobs that left their cell, from trace files."`
 	Standby   standbyCommand   `cmd:"" help:"Show how the controllers' standbys stand."`
 	HandOver  handOverCommand  `cmd:"" name:"handover" help:"Have the leader hand over to a standby that is complete."`
+	Drain     drainCommand     `cmd:"" help:"Drain and replace machines in steps, within disruption budgets."`
 	Version   kong.VersionFlag `help:"Print the version and exit."`
 }
 
@@ -30,7 +31,7 @@
 		kong.Name("leadproxy"),
 		kong.Description("A controller of a cluster scheduler: it takes users' jobs, hires machines and runs the jobs' tasks on them."),
 		kong.Vars{"version": version + revision()})
-	if err := command.Run(); err != nil {
+	if err := command.Run(command.Selected().Name); err != nil {
 		fmt.Fprintln(os.Stderr, "leadproxy:", err)
 		os.Exit(1)
 	}
--- a/internal/dispatch/bookings.go
+++ b/internal/dispatch/bookings.go
@@ -35,6 +35,7 @@
 	late     bool
 	stopping bool
 	grace    float64
+	moving   bool // a plan has it stopped
 	// stopRepeated: its stop may have come before its start, and was sent again.
 	stopRepeated bool
 }
@@ -110,6 +111,7 @@
 // release gives a booking's room back and has its task wait again.
 func (c *Core) release(m *machine, b *booking) {
 	c.lostWork(m, b)
+	c.displaced(m, b, false, "its machine is lost")
 	c.free(m, b)
 	c.requeue(c.jobs[b.job], b.task)
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -99,6 +99,7 @@
 	fleet       fleetState
 	transfers   transfers
 	hinted      hinted
+	drains      drains
 	changes     uint64 // counts the changes of machines that hints tell of
 
 	costs costs
@@ -169,6 +170,7 @@
 	}
 	c.restoreNotes(s.Silent)
 	c.restoreTransfers(&s)
+	c.restoreDrains(s.Plans)
 	c.probeHinted()
 	c.flush()
 	return c
@@ -209,6 +211,10 @@
 		c.tick()
 	case HintsAsked:
 		c.hintsAsked(e)
+	case PlanAsked:
+		c.planAsked(e)
+	case PlansListed:
+		c.plansListed(e)
 	default:
 		c.stepTransfers(event)
 	}
@@ -282,6 +288,7 @@
 	c.fleetTick()
 	c.endExhausted()
 	c.spillTick()
+	c.drainTick()
 	c.lowerGoal()
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"leadproxy/internal/drain"
 	"leadproxy/internal/fleet"
 	"leadproxy/internal/hints"
 	"leadproxy/internal/ledger"
@@ -30,6 +31,8 @@
 func (TransfersAllowed) isEvent()  {}
 func (TransfersListed) isEvent()   {}
 func (HintsAsked) isEvent()        {}
+func (PlanAsked) isEvent()         {}
+func (PlansListed) isEvent()       {}
 
 // Recipient is who gets the answer to a report, a question or a cancellation.
 type Recipient interface {
@@ -87,6 +90,16 @@
 		Since uint64
 		To    Recipient
 	}
+	// PlanAsked has a plan begin, with Spec, or tells the plan of a name something.
+	PlanAsked struct {
+		Spec     *drain.Spec
+		Name     string
+		Command  drain.Command
+		Argument string
+		To       Recipient
+	}
+	// PlansListed is an operator asking for the plans.
+	PlansListed struct{ To Recipient }
 	// Tick comes a few times a second.
 	Tick struct{}
 )
@@ -121,6 +134,8 @@
 func (TransferNote) isEffect()    {}
 func (TransferList) isEffect()    {}
 func (HintsGiven) isEffect()      {}
+func (PlanAnswer) isEffect()      {}
+func (PlanList) isEffect()        {}
 
 // The effects.
 type (
@@ -166,6 +181,18 @@
 		Upto     uint64
 		More     bool
 	}
+	// PlanAnswer answers a command about a plan, once it is durable or refused.
+	PlanAnswer struct {
+		To  Recipient
+		Err error
+	}
+	// PlanList answers an operator with the plans and the jobs that count as disrupted.
+	PlanList struct {
+		To        Recipient
+		Term      uint64
+		Plans     []PlanStatus
+		Disrupted []drain.Entry
+	}
 	// EndTerm has this node give its term up, so that another one begins.
 	EndTerm struct{}
 )
--- a/internal/dispatch/hires.go
+++ b/internal/dispatch/hires.go
@@ -22,7 +22,12 @@
 func (c *Core) startHire(w fleet.PlannedHire) {
 	c.fleet.hireCount++
 	// The name embeds the term, so that no other leader ever uses it.
-	name := fmt.Sprintf("h%d-%d", c.term, c.fleet.hireCount)
+	c.startNamedHire(fmt.Sprintf("h%d-%d", c.term, c.fleet.hireCount), w)
+}
+
+// startNamedHire hires under a name. The cloud takes each name once, however often it is
+// sent.
+func (c *Core) startNamedHire(name string, w fleet.PlannedHire) {
 	t := c.types[w.Offer.Type]
 	h := &hire{offer: w.Offer, open: true, record: ledger.HireRecord{Hire: wire.Hire{
 		Request: name, Type: t.Name, Zone: c.zones.list[w.Offer.Zone], Spot: w.Offer.Spot, Count: min(w.Count, fleet.MaxHire)}}}
@@ -59,6 +64,7 @@
 // hired notes the machines of a hire.
 func (c *Core) hired(h *hire, machines []string) {
 	h.open = false
+	c.noteHired(h.record.Hire.Request, machines)
 	h.unseen = map[string]bool{}
 	for _, name := range machines {
 		m := c.machineNamed(name)
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -228,6 +228,9 @@
 // is durable.
 func (c *Core) finish(j *job, terminal string) {
 	j.terminal = terminal
+	if c.drains.account != nil {
+		c.drains.account.Over(j.ref, c.now)
+	}
 	if terminal == wire.Aborted {
 		c.aborting[j.index] = true
 	}
@@ -292,6 +295,9 @@
 	j.tasks[n].state = taskDone
 	j.done++
 	j.begun = true
+	if c.drains.account != nil {
+		c.drains.account.Ends(j.ref, int(n), c.now)
+	}
 	c.clearOfBlame(j)
 	if j.done == j.total {
 		c.finish(j, wire.Done)
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -87,6 +87,9 @@
 	hinted        bool
 	hintedSession uint64
 	changed       uint64
+
+	cordoned bool // a plan is emptying it: nothing starts there
+	kept     bool // a plan has hired it for its present step
 }
 
 // stamp orders what one worker says.
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -13,7 +13,7 @@
 	case machineBooting:
 		return m.typ >= 0
 	case machineUp:
-		return m.typ >= 0 && !m.quarantine && m.noticeAt == 0 && c.quiet(m) < c.silentAfter()
+		return m.typ >= 0 && !m.quarantine && !m.cordoned && m.noticeAt == 0 && c.quiet(m) < c.silentAfter()
 	}
 	return false
 }
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -86,6 +86,8 @@
 		c.writeTerminal(j, true)
 	case hireTag:
 		c.log.Error("a hire takes more than a value may hold", "hire", t.name)
+	case planTag:
+		c.planRejected(t)
 	case awayTag:
 		c.log.Error("the record of a transfer takes more than a value may hold", "job", t.ref)
 	}
@@ -118,6 +120,8 @@
 		c.hireDurable(t.name)
 	case noteTag:
 		c.noteGone(t.key)
+	case planTag:
+		c.planDurable(t)
 	case awayTag:
 		c.transfers.home.Saved(t.ref, t.record, c.now)
 		c.carryOutHome()
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -166,6 +166,7 @@
 			if t.Status == wire.TaskRunning {
 				since, known := c.runningSince(b.attempt)
 				b.ranSince, b.late = since, !known
+				c.taskRuns(b)
 				c.changed(m)
 				j.begun = true
 				m.idleSince = c.now
@@ -232,6 +233,9 @@
 		if t.Why != wire.WhyDone && !t.Saved {
 			c.lostWork(m, b)
 		}
+		if t.Why == wire.WhyStopped {
+			c.displaced(m, b, t.Saved, "it was stopped")
+		}
 		c.free(m, b)
 	}
 	switch t.Why {
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -130,7 +130,7 @@
 // them is not: on a large site there is always something waiting. Nor is one that only
 // tasks beyond their team's limit would use.
 func (c *Core) mayGoIdle(m *machine, waiting []*job) bool {
-	if m.state != machineUp || len(m.bookings) > 0 || c.now-m.hired < minRental || !m.known(c.term) {
+	if m.state != machineUp || m.kept || len(m.bookings) > 0 || c.now-m.hired < minRental || !m.known(c.term) {
 		return false
 	}
 	return !slices.ContainsFunc(waiting, func(j *job) bool {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -287,6 +287,10 @@
 			t.elector.Resign(t.number)
 		case HintsGiven:
 			e.To.Deliver(e)
+		case PlanAnswer:
+			e.To.Deliver(e)
+		case PlanList:
+			e.To.Deliver(e)
 		default:
 			t.carryOutTransfer(ctx, e)
 		}
--- a/internal/drain/model_test.go
+++ b/internal/drain/model_test.go
@@ -51,7 +51,6 @@
 	rollouts map[string]*Rollout
 	durable  map[string]Record
 	began    time.Duration // the leader's
-	order    int
 }
 
 // groupsOf are the groups whose budgets a job is held to.
--- a/internal/drain/rollout.go
+++ b/internal/drain/rollout.go
@@ -21,6 +21,9 @@
 	moveTakes = 30 * time.Second
 )
 
+// HirePrefix begins the names of the requests for replacements.
+const HirePrefix = "drain-"
+
 // Task is a task on a machine of a plan.
 type Task struct {
 	Job   Job
@@ -118,6 +121,9 @@
 	return &Rollout{record: r, account: account}
 }
 
+// Begin has the record of a plan that is new written.
+func (r *Rollout) Begin() { r.changed() }
+
 // Record is the plan's record, and its generation.
 func (r *Rollout) Record() (Record, uint64) { return r.record, r.generation }
 
@@ -236,7 +242,7 @@
 	r.record.Step++
 	r.record.Replacements, r.record.Hire = nil, ""
 	if r.record.Spec.Surge {
-		r.record.Hire = fmt.Sprintf("drain-%s-%d-%d", r.record.Spec.Name, r.record.CreatedMS, r.record.Step)
+		r.record.Hire = HirePrefix + fmt.Sprintf("%s-%d-%d", r.record.Spec.Name, r.record.CreatedMS, r.record.Step)
 		r.enter(Hiring, v.WallMS)
 		return
 	}
--- a/internal/fake/checker.go
+++ b/internal/fake/checker.go
@@ -33,13 +33,27 @@
 	// just have been on their way.
 	lateStarts int
 	runs       []Run
+	progress   map[string]time.Duration // of tasks that were stopped and had saved it
+}
+
+// Saves notes that a task that is stopped has saved its progress, and Progress is what it
+// goes on with.
+func (c *Checker) Saves(task string, ran time.Duration) {
+	c.do(func() { c.progress[task] = ran })
+}
+
+// Progress is what a task has saved.
+func (c *Checker) Progress(task string) (ran time.Duration) {
+	c.do(func() { ran = c.progress[task] })
+	return ran
 }
 
 // Run is one stay of a task on a machine.
 type Run struct {
 	Task, Machine string
 	Began         time.Time
-	Ended         time.Time // zero while it is there
+	Ended         time.Time     // zero while it is there
+	Saved         time.Duration // the progress that it began with
 	Completed     bool
 }
 
@@ -82,7 +96,7 @@
 
 // NewChecker starts a checker.
 func NewChecker(t testing.TB, l Limits) *Checker {
-	return &Checker{actor: newActor(t), limits: l, jobs: map[string]*checkedJob{}, on: map[string]place{}}
+	return &Checker{actor: newActor(t), limits: l, jobs: map[string]*checkedJob{}, on: map[string]place{}, progress: map[string]time.Duration{}}
 }
 
 // Broken lists the rules that were broken, in order.
@@ -261,7 +275,7 @@
 		}
 		c.place(task, j, place{machine, typ, zone, spot})
 		c.on[task] = place{machine, typ, zone, spot}
-		c.runs = append(c.runs, Run{Task: task, Machine: machine, Began: time.Now()})
+		c.runs = append(c.runs, Run{Task: task, Machine: machine, Began: time.Now(), Saved: c.progress[task]})
 		c.quota(j.job.Team)
 	})
 }
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -258,7 +258,7 @@
 }
 
 func (w *Worker) begin(t *workerTask) {
-	t.Status = wire.TaskRunning
+	t.Status, t.ran = wire.TaskRunning, w.config.Check.Progress(t.Task)
 	w.change()
 	w.config.Check.Begins(t.Task, w.name, w.hire.Type, w.hire.Zone, w.hire.Spot)
 }
@@ -300,6 +300,10 @@
 				}
 				if t.Status == wire.TaskRunning {
 					w.config.Check.Ends(t.Task, w.name, false)
+					if t.job.CheckpointS > 0 {
+						t.Saved = true
+						w.config.Check.Saves(t.Task, t.ran)
+					}
 				}
 				t.Status, t.Why = wire.TaskEnded, wire.WhyStopped
 				w.change()
--- a/internal/ledger/decode.go
+++ b/internal/ledger/decode.go
@@ -10,6 +10,7 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"leadproxy/internal/drain"
 	"leadproxy/internal/fleet"
 	"leadproxy/internal/spill"
 	"leadproxy/internal/wire"
@@ -105,6 +106,8 @@
 		d.snapshot.Gone = append(d.snapshot.Gone, strings.TrimPrefix(e.Key, gonePrefix))
 	case strings.HasPrefix(e.Key, silentPrefix):
 		return d.addSilent(e)
+	case strings.HasPrefix(e.Key, planPrefix):
+		return d.addPlan(e)
 	case strings.HasPrefix(e.Key, hirePrefix):
 		return d.addHire(e)
 	case strings.HasPrefix(e.Key, awayPrefix):
@@ -196,6 +199,19 @@
 	return err
 }
 
+// addPlan reads a plan that drains machines. One that can't be read is not carried out.
+func (d *decoder) addPlan(e *wire.Entry) error {
+	var r drain.Record
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		return err
+	}
+	if err := r.Check(strings.TrimPrefix(e.Key, planPrefix)); err != nil {
+		return err
+	}
+	d.snapshot.Plans = append(d.snapshot.Plans, r)
+	return nil
+}
+
 // addGuest reads a transfer of another cell's. One whose record can't be read is closed
 // for all epochs: it may have been accepted.
 func (d *decoder) addGuest(e *wire.Entry) error {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -110,7 +110,7 @@
 
 // Prefixes are the keys that make up the ledger.
 func Prefixes() []string {
-	return []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix, silentPrefix, cellPrefix, fenceKey}
+	return []string{JobPrefix, finPrefix, hostPrefix, hirePrefix, gonePrefix, silentPrefix, planPrefix, cellPrefix, fenceKey}
 }
 
 // Load reads the whole ledger.
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strconv"
 
+	"leadproxy/internal/drain"
 	"leadproxy/internal/spill"
 	"leadproxy/internal/wire"
 )
@@ -20,7 +21,8 @@
 	hirePrefix   = "hire/"
 	gonePrefix   = "gone/"
 	silentPrefix = "silent/"
-	cellPrefix   = "cell/" // transfers, both ways
+	planPrefix   = "drain/" // plans that drain machines
+	cellPrefix   = "cell/"  // transfers, both ways
 	awayPrefix   = cellPrefix + "away/"
 	guestPrefix  = cellPrefix + "guest/"
 	fenceKey     = "fence" // its version alone counts
@@ -73,6 +75,9 @@
 	Version uint64
 }
 
+// PlanKey is the key of a plan that drains machines.
+func PlanKey(name string) string { return planPrefix + name }
+
 // HireRecord is a hire that was, or may have been, sent to the cloud.
 type HireRecord struct {
 	Hire wire.Hire `json:"hire"`
@@ -214,6 +219,8 @@
 	// Away and Guests are the transfers.
 	Away   []SavedAway
 	Guests []SavedGuest
+	// Plans are the plans that drain machines.
+	Plans []drain.Record
 	// Silent is by the records' keys.
 	Silent map[string]SilentRecord
 	// Revision is where a watch for further job records starts.
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"leadproxy/internal/drain"
 	"leadproxy/internal/election"
 	"leadproxy/internal/fake"
 	"leadproxy/internal/outbound"
@@ -63,6 +64,8 @@
 	reportTo []int
 	// standby has the nodes follow the leader.
 	standby bool
+	// budgets, unless nil, have plans that drain machines carried out within them.
+	budgets *drain.Budgets
 	// drift is how far apart clocks run: the state service's is fast and the workers' are
 	// slow by as much.
 	drift float64
@@ -148,6 +151,9 @@
 		c.net, c.check, c.operator, c.prefix, owns = p.cell.net, p.cell.check, p.cell.operator, p.cell.name+"-", p.cell.owns
 	}
 	c.operator.Standby.Follow, c.operator.Standby.Hints = p.standby, p.standby
+	if p.budgets != nil {
+		c.operator.Drain = settings.Drain{Enabled: true, Budgets: *p.budgets}
+	}
 	c.state = fake.NewState(t, c.net.Host(c.prefix+"state"), c.prefix+"state:1", only("/txn", &c.writes))
 	c.state.RunFast(p.drift)
 	for key, value := range p.ledger {
--- /dev/null
+++ b/internal/node/drain_test.go
@@ -0,0 +1,383 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"leadproxy/internal/drain"
+	"leadproxy/internal/fake"
+	"leadproxy/internal/rollouts"
+	"leadproxy/internal/wire"
+)
+
+// Machines are drained in steps while users work and controllers fail. What is held to the
+// budgets is what the machines saw: the account is not asked.
+
+// drainWindow is the budgets' window in these tests.
+const drainWindow = 5 * time.Second
+
+// drainBudgets are two jobs of each team, and one of the class of jobs that are rare.
+func drainBudgets() *drain.Budgets {
+	return &drain.Budgets{General: drain.Budget{Jobs: 2, Window: drainWindow}, Of: map[drain.Group]drain.Budget{drain.ClassGroup("rare"): {Jobs: 1, Window: drainWindow}}}
+}
+
+// drainPlan is a cluster whose machines can all be replaced.
+func drainPlan(machines int) plan {
+	return plan{machines: 2 * machines, budgets: drainBudgets(), standby: true, run: func(string) time.Duration { return 300 * time.Second }}
+}
+
+// fill has jobs run on about so many machines: of two teams, in turn those that save their
+// progress, those that don't, and those of a class that has a budget of its own.
+func (c *cluster) fill(machines int) (jobs []*wire.Job) {
+	jobs = c.stream(0, machines, 300*time.Millisecond, func(k int, j *wire.Job) {
+		j.Team = []string{"open", "tight"}[k%2]
+		j.Tasks, j.CPUs, j.EstimateS = 2, 4, 300
+		if k%3 != 0 {
+			j.CheckpointS, j.SaveS = 10, 2
+		}
+		if k%5 == 0 {
+			j.Class = "rare"
+		}
+	})
+	c.running(2 * machines)
+	return jobs
+}
+
+// drains begins a plan.
+func (c *cluster) drains(name, text string) error {
+	_, err := rollouts.Create(c.t.Context(), c.net.Host("operator"), c.nodes[0].platform, "[plan]\nname = "+name+"\n"+text)
+	return err
+}
+
+func (c *cluster) steer(name string, command drain.Command, argument string) {
+	c.t.Helper()
+	if err := rollouts.Steer(c.t.Context(), c.net.Host("operator"), c.nodes[0].platform, name, command, argument); err != nil {
+		c.t.Errorf("%s %s: %v", command, name, err)
+	}
+}
+
+// plans is how the plans stand, as an operator sees it.
+func (c *cluster) plans() string {
+	list, err := rollouts.List(c.t.Context(), c.net.Host("operator"), c.nodes[0].platform)
+	if err != nil {
+		return err.Error()
+	}
+	var table bytes.Buffer
+	if err := rollouts.Write(&table, list, time.Now()); err != nil {
+		c.t.Error(err)
+	}
+	return table.String()
+}
+
+// awaitPlan waits until the plans' table says something.
+func (c *cluster) awaitPlan(text string, limit time.Duration) {
+	c.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(time.Second) {
+		if strings.Contains(c.plans(), text) {
+			return
+		}
+	}
+	c.t.Errorf("not %q within %s:\n%s", text, limit, c.plans())
+}
+
+// wantReplaced sees to it that none of some machines is there any more.
+func (c *cluster) wantReplaced(names []string) {
+	c.t.Helper()
+	for _, w := range c.cloud.Workers() {
+		if slices.Contains(names, w.Name()) {
+			c.t.Errorf("%s is there", w.Name())
+		}
+	}
+}
+
+func (c *cluster) machineNames() (names []string) {
+	for _, w := range c.cloud.Workers() {
+		names = append(names, w.Name())
+	}
+	return names
+}
+
+// stop is from when to when a job missed a task, or its progress.
+type stop struct {
+	ref         string
+	began, over time.Time
+}
+
+// stops lists what tasks of a group's jobs missed, from the machines' runs alone: from the
+// end of a run that did not complete until the task runs again and has made up for what it
+// had and did not save.
+func (c *cluster) stops(in func(j *wire.Job) bool) (stops []stop) {
+	last := map[string]fake.Run{}
+	for _, r := range c.check.Runs() {
+		ref, _, _ := wire.SplitTask(r.Task)
+		before, again := last[r.Task]
+		last[r.Task] = r
+		if !again || !in(c.check.Job(ref)) {
+			continue
+		}
+		lost := before.Ended.Sub(before.Began) + before.Saved - r.Saved
+		over := r.Began.Add(max(0, lost))
+		if !r.Ended.IsZero() && r.Ended.Before(over) {
+			over = r.Ended
+		}
+		stops = append(stops, stop{ref, before.Ended, over})
+	}
+	return stops
+}
+
+// mostStopped is how many of a group's jobs were stopped at the same time at most.
+func (c *cluster) mostStopped(in func(j *wire.Job) bool) (most int) {
+	stops := c.stops(in)
+	for _, at := range stops {
+		refs := map[string]bool{}
+		for _, s := range stops {
+			if !s.began.After(at.began) && s.over.After(at.began) {
+				refs[s.ref] = true
+			}
+		}
+		most = max(most, len(refs))
+	}
+	return most
+}
+
+// wantWithinBudgets holds what the machines saw to the budgets; hit jobs may be more, of
+// each team.
+func (c *cluster) wantWithinBudgets(hit int) {
+	c.t.Helper()
+	for _, team := range []string{"open", "tight"} {
+		if n := c.mostStopped(func(j *wire.Job) bool { return j.Team == team }); n > 2+hit {
+			c.t.Errorf("%d jobs of team %s were stopped at once", n, team)
+		}
+	}
+	if n := c.mostStopped(func(j *wire.Job) bool { return j.Class == "rare" }); n > 1+hit {
+		c.t.Errorf("%d rare jobs were stopped at once", n)
+	}
+}
+
+// wantMoved sees to it that a scenario has moved anything at all.
+func (c *cluster) wantMoved() {
+	c.t.Helper()
+	if len(c.stops(func(*wire.Job) bool { return true })) == 0 {
+		c.t.Error("no task was moved")
+	}
+}
+
+// TestReplaceTwentyMachines: all of twenty machines are replaced while they work, with
+// leaders that end in every step, twice within a second at times.
+func TestReplaceTwentyMachines(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			p := drainPlan(20)
+			p.seed = seed
+			r := rand.New(rand.NewPCG(seed, 7))
+			playCluster(t, p, false, func(c *cluster) {
+				c.fill(20)
+				old := c.machineNames()
+				if err := c.drains("winter", "zones = a, b, c\nbatch = 25%\nwait_s = 400\nhealth_s = 400"); err != nil {
+					c.t.Error(err)
+					return
+				}
+				for k := 0; k < 200 && !strings.Contains(c.plans(), "finished"); k++ {
+					time.Sleep(some(r, 2*time.Second, 30*time.Second))
+					if k%3 != 0 {
+						continue
+					}
+					was := c.leader()
+					c.kill(was)
+					c.awaitLeader(was)
+					if k%2 == 0 {
+						time.Sleep(some(r, time.Millisecond, time.Second))
+						c.kill(c.leader())
+					}
+					time.Sleep(some(r, time.Second, 5*time.Second))
+					c.revive()
+				}
+				c.awaitPlan("finished", 10*time.Minute)
+				c.wantReplaced(old)
+				c.wantMoved()
+				c.wantWithinBudgets(0)
+			})
+		})
+	}
+}
+
+// TestDrainsShareABudget: two plans at once, and one that has a machine of theirs.
+func TestDrainsShareABudget(t *testing.T) {
+	playCluster(t, drainPlan(9), false, func(c *cluster) {
+		c.fill(9)
+		old := c.machineNames()
+		for name, machines := range map[string][]string{"first": old[:4], "second": old[4:]} {
+			if err := c.drains(name, "machines = "+strings.Join(machines, ", ")+"\nbatch = 3\nwait_s = 20\nhealth_s = 400"); err != nil {
+				c.t.Error(err)
+				return
+			}
+		}
+		for text, want := range map[string]string{"types = m8": "already", "zones = z": "no machine is selected", "types = m8\nbatch = 200%": "at most 100%"} {
+			if err := c.drains("third", text); err == nil || !strings.Contains(err.Error(), want) {
+				c.t.Errorf("%q: %v", text, err)
+			}
+		}
+		c.awaitPlan("the budget of", 3*time.Minute)
+		for k := 0; k < 60 && strings.Count(c.plans(), "finished") < 2; k++ {
+			time.Sleep(20 * time.Second)
+			for _, j := range c.check.Open() { // what can't save is let go on at once
+				for _, name := range []string{"first", "second"} {
+					if strings.Contains(c.plans(), j+"/") && strings.Contains(c.plans(), "allow the job") {
+						rollouts.Steer(c.t.Context(), c.net.Host("operator"), c.nodes[0].platform, name, drain.Allow, j)
+					}
+				}
+			}
+		}
+		c.wantReplaced(old)
+		c.wantMoved()
+		c.wantWithinBudgets(0)
+	})
+}
+
+// TestDrainAsksBeforeItKills: a long job that can't save its progress is left to end, and
+// then the operator is asked; what is skipped is used again.
+func TestDrainAsksBeforeItKills(t *testing.T) {
+	p := drainPlan(3)
+	p.run = func(string) time.Duration { return 300 * time.Second }
+	playCluster(t, p, false, func(c *cluster) {
+		jobs := c.stream(0, 3, time.Second, func(_ int, j *wire.Job) { j.Tasks, j.CPUs, j.EstimateS = 1, 8, 300 })
+		c.running(3)
+		old := c.machineNames()
+		if err := c.drains("winter", "types = m8\ncanary = 3\nwait_s = 30"); err != nil {
+			c.t.Error(err)
+			return
+		}
+		c.awaitPlan("left to end", 3*time.Minute)
+		c.awaitPlan("allow the job", 2*time.Minute)
+		time.Sleep(20 * time.Second)
+		if n := len(c.stops(func(*wire.Job) bool { return true })); n > 0 {
+			c.t.Errorf("%d tasks were stopped before anybody was asked", n)
+		}
+		c.steer("winter", drain.Allow, jobs[0].Ref)
+		c.steer("winter", drain.Skip, old[1])
+		c.awaitPlan("finished", 20*time.Minute)
+		c.wantWithinBudgets(0)
+		if !slices.Contains(c.machineNames(), old[1]) && len(c.check.Open()) > 0 {
+			c.t.Errorf("%s was skipped, and is gone", old[1])
+		}
+	})
+}
+
+// drainTroubles befall a plan that is under way.
+var drainTroubles = map[string]func(c *cluster, old []string){
+	"a machine crashes": func(c *cluster, old []string) { c.cloud.Take(old[0], old[1]) },
+	"machines fall silent": func(c *cluster, _ []string) {
+		for _, w := range half(c.cloud.Workers()) {
+			w.Hang(true)
+		}
+		time.Sleep(workerLease + 5*time.Second)
+		for _, w := range c.cloud.Workers() {
+			w.Hang(false)
+		}
+	},
+	"the state service is down": func(c *cluster, _ []string) {
+		c.state.Outage(true)
+		time.Sleep(40 * time.Second)
+		c.state.Outage(false)
+	},
+	"the leader pauses and goes on": func(c *cluster, _ []string) {
+		lead := c.leader()
+		c.pause(lead)
+		time.Sleep(pausedFor)
+		c.resume(lead)
+	},
+	"reports come late and doubled": func(c *cluster, _ []string) {
+		for _, w := range c.cloud.Workers() {
+			w.DuplicateReports(func() time.Duration { return time.Duration(c.users.Random() * float64(10*time.Second)) })
+		}
+		time.Sleep(time.Minute)
+		for _, w := range c.cloud.Workers() {
+			w.DuplicateReports(nil)
+		}
+	},
+	"a zone is lost": func(c *cluster, _ []string) {
+		for _, w := range c.cloud.Workers() {
+			if w.Zone() == "a" {
+				c.cloud.Take(w.Name())
+			}
+		}
+	},
+	"jobs are cancelled in the middle of a move": func(c *cluster, _ []string) {
+		for _, ref := range c.check.Open()[:4] {
+			c.users.Cancel(c.check.Job(ref))
+		}
+	},
+}
+
+// TestDrainTroubles: what happens to machines and controllers while a plan is under way
+// keeps it neither from ending nor within its budgets.
+func TestDrainTroubles(t *testing.T) {
+	for name, trouble := range drainTroubles {
+		t.Run(name, func(t *testing.T) {
+			playCluster(t, drainPlan(8), false, func(c *cluster) {
+				c.held = true // in some, answers and commands come late
+				c.fill(8)
+				old := c.machineNames()
+				if err := c.drains("winter", "types = m8\nbatch = 3\nwait_s = 400\nhealth_s = 400"); err != nil {
+					c.t.Error(err)
+					return
+				}
+				c.awaitPlan("draining", 3*time.Minute)
+				time.Sleep(3 * time.Second)
+				trouble(c, old)
+				c.awaitPlan("finished", 20*time.Minute)
+				c.wantReplaced(old)
+				switch name {
+				case "a machine crashes", "machines fall silent", "a zone is lost":
+					// Those that were hit count, and hold back what is moved.
+					c.wantWithinBudgets(8)
+				case "jobs are cancelled in the middle of a move":
+				default:
+					c.wantWithinBudgets(0)
+				}
+			})
+		})
+	}
+}
+
+// TestReplacementsThatNeverComeUp: with surge and no room in the cloud, the plan fails, and
+// the machines are used again.
+func TestReplacementsThatNeverComeUp(t *testing.T) {
+	p := drainPlan(4)
+	p.machines = 4
+	playCluster(t, p, false, func(c *cluster) {
+		c.fill(4)
+		old := c.machineNames()
+		if err := c.drains("winter", "types = m8\ncanary = 2\nsurge = yes\nhealth_s = 60"); err != nil {
+			c.t.Error(err)
+			return
+		}
+		c.awaitPlan("replacements: 0 of 2", 3*time.Minute)
+		c.awaitPlan("failed", 3*time.Minute)
+		if n := len(c.stops(func(*wire.Job) bool { return true })); n > 0 || len(c.machineNames()) != len(old) {
+			c.t.Errorf("%d tasks were stopped, %d machines are left", n, len(c.machineNames()))
+		}
+	})
+}
+
+// TestSurge: replacements come first, and a new leader does not hire them again.
+func TestSurge(t *testing.T) {
+	playCluster(t, drainPlan(6), false, func(c *cluster) {
+		c.fill(6)
+		old := c.machineNames()
+		if err := c.drains("winter", "types = m8\ncanary = 2\nbatch = 2\nsurge = yes\nwait_s = 400"); err != nil {
+			c.t.Error(err)
+			return
+		}
+		c.awaitPlan("hiring", 3*time.Minute)
+		c.restart(c.leader(), time.Second)
+		c.awaitPlan("finished", 20*time.Minute)
+		c.wantReplaced(old)
+		c.wantWithinBudgets(0)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,8 @@
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/peers"
+	"leadproxy/internal/rollouts"
+	"leadproxy/internal/rollouts/rolloutpb"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/standby"
 	"leadproxy/internal/state"
@@ -180,6 +182,7 @@
 	cellpb.RegisterCellServer(grpcServer, c.cells)
 	handoverpb.RegisterHandoverServer(grpcServer, c.handover)
 	hintpb.RegisterHintsServer(grpcServer, c.hintServer)
+	rolloutpb.RegisterRolloutsServer(grpcServer, rollouts.NewServer(c.dispatcher))
 	web := newServer(router, c.sockets, settings.Seconds(c.platform.Facts.Workers.LeaseS), c.log)
 	failed := make(chan error, 2)
 	go func() { failed <- grpcServer.Serve(back) }()
--- /dev/null
+++ b/internal/settings/drain_test.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"leadproxy/internal/drain"
+)
+
+// TestDrainFiles: the files that operators start from are valid, and nothing is on by
+// default.
+func TestDrainFiles(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/drain.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ParseOperator("drain.ini", string(text))
+	if err != nil || !o.Drain.Enabled || o.Drain.Budgets.General != (drain.Budget{Jobs: 2, Window: time.Minute}) {
+		t.Errorf("%+v, %v", o.Drain, err)
+	}
+	if Defaults().Drain.Enabled {
+		t.Error("on by default")
+	}
+	if text, err = os.ReadFile("../../deploy/drain-plan.ini"); err != nil {
+		t.Fatal(err)
+	}
+	if s, err := drain.ParseSpec(string(text)); err != nil || s.Name != "winter-image" || !s.Surge {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
+
+// TestBudgets: what a budget does not say is the general one's, and what makes no sense is
+// refused.
+func TestBudgets(t *testing.T) {
+	o, err := ParseOperator("b.ini", "[budget]\njobs = 3\nwindow_s = 10\n[budget.team.a]\nshare = 25%\n[budget.class.c]\njobs = none\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[drain.Group]drain.Budget{drain.TeamGroup("a"): {Share: 0.25, Window: 10 * time.Second}, drain.ClassGroup("c"): {Window: 10 * time.Second}}
+	for g, b := range want {
+		if o.Drain.Budgets.Of[g] != b {
+			t.Errorf("%s: %+v", g, o.Drain.Budgets.Of[g])
+		}
+	}
+	for _, wrong := range []string{"[budget]\njobs = 0", "[budget]\njobs = -1", "[budget]\njobs = 1.5", "[budget]\nshare = 0%", "[budget]\nshare = 101%", "[budget]\nshare = 10",
+		"[budget]\njobs = 1\nshare = 10%", "[budget.teams.a]\njobs = 1", "[budget.team.]\njobs = 1", "[budget]\njob = 1", "[drain]\nenabled = maybe", "[drain]\nsurge = yes"} {
+		if _, err := ParseOperator("b.ini", wrong); err == nil {
+			t.Errorf("%q is taken", wrong)
+		}
+	}
+	p := &Platform{Facts: Facts{Teams: []Team{{Name: "b"}}}}
+	if err := CheckDrain(p, o); err == nil {
+		t.Error("a budget of a team that nobody knows is taken")
+	}
+	p.Facts.Teams[0].Name = "a"
+	if err := CheckDrain(p, o); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -36,6 +36,8 @@
 	Cells Cells
 	// Standby is how nodes that do not lead follow the one that does.
 	Standby Standby
+	// Drain is what plans that drain machines may do.
+	Drain Drain
 }
 
 // Defaults returns the settings of an operator who has none of their own.
@@ -49,6 +51,7 @@
 		HeadroomSpread: 3,
 		Cells:          defaultCells(),
 		Standby:        Standby{MaxMB: 64},
+		Drain:          defaultDrain(),
 	}
 }
 
@@ -118,8 +121,10 @@
 	var wrong []error
 	o.Standby, wrong = readStandby(path, text, f)
 	errs = append(errs, wrong...)
+	o.Drain, wrong = readDrain(path, text, f)
+	errs = append(errs, wrong...)
 	for _, s := range f.Sections() {
-		if isCells(s.Name()) || s.Name() == standbySection {
+		if isCells(s.Name()) || isDrain(s.Name()) || s.Name() == standbySection {
 			continue
 		}
 		for _, k := range s.Keys() {
