Draining: report, measurement and proof; no two terms act at a time; one way to connect

Whole nodes with standbys are held to that once something of a term has left its controller, nothing of an earlier term does; with the lease's end ignored the tests fail by that. Leaders log what leaves them, and what is dropped since the term is over, at the debug level.

--- a/internal/cells/client.go
+++ b/internal/cells/client.go
@@ -9,15 +9,13 @@
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"leadproxy/internal/cells/cellpb"
 	"leadproxy/internal/dispatch"
 	"leadproxy/internal/outbound"
+	"leadproxy/internal/rpc"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/spill"
 )
@@ -29,8 +27,6 @@
 const (
 	callLimit = 2 * time.Second
 	tryLimit  = 700 * time.Millisecond
-	// maxReconnect bounds how long a broken connection rests.
-	maxReconnect = time.Second
 )
 
 // ErrNoCell means that the settings name no such neighbour.
@@ -57,7 +53,7 @@
 	for _, other := range c.Neighbours {
 		to := &neighbour{}
 		for _, addr := range other.Controllers {
-			conn, err := connect(n, addr)
+			conn, err := rpc.Connect(n, addr)
 			if err != nil {
 				return nil, fmt.Errorf("cell %s, controller %s: %w", other.Name, addr, err)
 			}
@@ -69,14 +65,6 @@
 	return client, nil
 }
 
-func connect(n outbound.Network, addr string) (*grpc.ClientConn, error) {
-	pause := backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnect}
-	return grpc.NewClient("passthrough:///"+addr,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: pause, MinConnectTimeout: maxReconnect}),
-		grpc.WithContextDialer(n.Dial))
-}
-
 func (c *Client) envelope(to string) *cellpb.Envelope {
 	return &cellpb.Envelope{Version: version, From: c.cell, To: to}
 }
--- a/internal/cells/list.go
+++ b/internal/cells/list.go
@@ -10,8 +10,11 @@
 	"text/tabwriter"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"leadproxy/internal/cells/cellpb"
 	"leadproxy/internal/outbound"
+	"leadproxy/internal/rpc"
 	"leadproxy/internal/settings"
 )
 
@@ -29,15 +32,12 @@
 	return nil, errors.Join(errs...)
 }
 
-func fetchFrom(ctx context.Context, n outbound.Network, addr string) (*cellpb.ListReply, error) {
-	conn, err := connect(n, addr)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	return cellpb.NewCellClient(conn).List(ctx, &cellpb.ListRequest{})
+func fetchFrom(ctx context.Context, n outbound.Network, addr string) (list *cellpb.ListReply, err error) {
+	err = rpc.Call(ctx, n, addr, callLimit, func(ctx context.Context, conn *grpc.ClientConn) error {
+		list, err = cellpb.NewCellClient(conn).List(ctx, &cellpb.ListRequest{})
+		return err
+	})
+	return list, err
 }
 
 // WriteList writes a cell's transfers as tables.
--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -25,6 +26,21 @@
 	d.decide(ctx, back)
 }
 
+// MessageActs is what a leader logs as something leaves it that only a leader may do.
+const MessageActs = "leader acts"
+
+// mayAct tells whether this node leads a term as something is about to leave it.
+func (d *Dispatcher) mayAct(term uint64, what string) bool {
+	if !d.elector.InTerm(term) {
+		d.log.Debug("dropped: the term is over", "term", term, "what", what)
+		return false
+	}
+	if d.log.Enabled(context.Background(), slog.LevelDebug) {
+		d.log.Debug(MessageActs, "term", term, "what", what)
+	}
+	return true
+}
+
 // inspect asks a worker what it is now.
 func (d *Dispatcher) inspect(ctx context.Context, e Inspect) {
 	back := InspectBack{Machine: e.Machine}
@@ -47,7 +63,7 @@
 		return DirectNotSent, nil
 	}
 	// Past the lease another leader may act: no order leaves here.
-	may := func() bool { return d.elector.InTerm(term) }
+	may := func() bool { return d.mayAct(term, "command") }
 	if !may() {
 		return DirectNotSent, nil
 	}
--- a/internal/dispatch/drains.go
+++ b/internal/dispatch/drains.go
@@ -31,6 +31,8 @@
 	turn    int // which plan goes on first
 	// hired is what requests for replacements have brought.
 	hired map[string][]string
+	// noted are the disrupted jobs that the log tells of.
+	noted map[string]drain.Entry
 }
 
 // plan is one plan under way.
@@ -125,6 +127,7 @@
 	}
 	d.next = c.now + drainEvery
 	d.account.Tick(c.now)
+	c.logDisruptions()
 	names := c.planNames()
 	for i := range names {
 		c.goOn(names[(i+d.turn)%len(names)])
@@ -134,6 +137,26 @@
 	c.dropOldPlans()
 }
 
+// logDisruptions logs the beginning and the end of each job's disruption.
+func (c *Core) logDisruptions() {
+	noted := map[string]drain.Entry{}
+	for _, e := range c.drains.account.Entries(c.now) {
+		if !e.Open {
+			continue
+		}
+		noted[e.Job.Ref] = e
+		if _, known := c.drains.noted[e.Job.Ref]; !known {
+			c.log.Info("job is disrupted", "job", e.Job.Ref, "team", e.Job.Team, "class", e.Job.Class, "cause", e.Cause, "seconds", e.For.Seconds())
+		}
+	}
+	for ref, e := range c.drains.noted {
+		if _, open := noted[ref]; !open {
+			c.log.Info("job is whole again", "job", ref, "team", e.Job.Team, "class", e.Job.Class, "cause", e.Cause)
+		}
+	}
+	c.drains.noted = noted
+}
+
 // planNames lists the plans in the order of their creation.
 func (c *Core) planNames() []string {
 	names := slices.Collect(maps.Keys(c.drains.plans))
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -323,7 +323,7 @@
 // callCloud makes a call to the cloud if the term holds. A suspended leader that deletes
 // machines takes them from the next one; the core tries again later.
 func (t *term) callCloud(ctx context.Context, call fleet.Call) {
-	if !t.elector.InTerm(t.number) {
+	if !t.mayAct(t.number, "cloud call") {
 		go t.decide(ctx, CloudBack{fleet.Result{Call: call, Err: fleet.ErrRefused}})
 		return
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -16,13 +16,13 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"leadproxy/internal/election"
 	"leadproxy/internal/handover/handoverpb"
 	"leadproxy/internal/hints"
 	"leadproxy/internal/outbound"
+	"leadproxy/internal/rpc"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/standby"
 )
@@ -208,14 +208,9 @@
 
 // call makes one call to a controller.
 func call(ctx context.Context, n outbound.Network, addr string, do func(ctx context.Context, c handoverpb.HandoverClient) error) error {
-	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(n.Dial))
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	return do(ctx, handoverpb.NewHandoverClient(conn))
+	return rpc.Call(ctx, n, addr, callLimit, func(ctx context.Context, conn *grpc.ClientConn) error {
+		return do(ctx, handoverpb.NewHandoverClient(conn))
+	})
 }
 
 func fetchStatus(ctx context.Context, n outbound.Network, addr string) (st *handoverpb.StatusReply, err error) {
--- a/internal/hints/stream_test.go
+++ b/internal/hints/stream_test.go
@@ -12,11 +12,11 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"leadproxy/internal/fake"
 	"leadproxy/internal/hints/hintpb"
+	"leadproxy/internal/rpc"
 )
 
 // memory is a leader's memory.
@@ -87,7 +87,7 @@
 }
 
 func (p *pair) dial(from string) *grpc.ClientConn {
-	conn, err := grpc.NewClient("passthrough:///n1:81", grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(p.net.Host(from).Dial))
+	conn, err := rpc.Connect(p.net.Host(from), "n1:81")
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -40,6 +40,7 @@
 	calm                  chan time.Time // holds since when there are no troubles; zero: there are
 	operator              settings.Operator
 	prefix                string // of its hosts' names
+	deciders              *deciders
 }
 
 // cellPlan is what one cell of several is made of.
@@ -141,7 +142,7 @@
 	if p.writes == 0 {
 		p.writes = 100
 	}
-	c := &cluster{t: t, calm: make(chan time.Time, 1), operator: settings.Defaults()}
+	c := &cluster{t: t, deciders: newDeciders(t), calm: make(chan time.Time, 1), operator: settings.Defaults()}
 	c.calm <- time.Time{}
 	owns := func(string) bool { return true }
 	if p.cell == nil {
@@ -246,6 +247,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.host, n.cancel, n.done = c.net.Host(n.platform.Node), cancel, make(chan struct{})
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	if c.operator.Standby.Follow {
+		log = slog.New(c.deciders)
+	}
 	if os.Getenv("CLUSTER_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", n.platform.Node, "test", c.t.Name())
 	}
--- /dev/null
+++ b/internal/node/drain_measure_test.go
@@ -0,0 +1,156 @@
+//go:build measure
+
+package node
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"leadproxy/internal/drain"
+	"leadproxy/internal/fake"
+	"leadproxy/internal/wire"
+)
+
+// The measured load keeps the machines full: jobs of two tasks of half a machine, two thirds
+// of which save their progress, due within twice their run.
+const (
+	drainedRun = 200 * time.Second
+	drainedDue = 2 * drainedRun
+)
+
+// drainWay is a way to replace machines.
+type drainWay struct {
+	name string
+	// text is the rest of the plan; "": they are all returned at once, by hand.
+	text string
+}
+
+// drainResult is what a replacement took and cost.
+type drainResult struct {
+	took, lost time.Duration
+	stopped    int // tasks
+	most       int // jobs of a team at once
+	late, jobs int
+}
+
+// measureDrain replaces machines in one way.
+func measureDrain(t *testing.T, machines int, seed uint64, way drainWay) (result drainResult) {
+	synctest.Test(t, func(t *testing.T) {
+		p := drainPlan(machines)
+		p.seed, p.writes = seed, 400
+		p.run = func(string) time.Duration { return drainedRun }
+		p.budgets = &drain.Budgets{General: drain.Budget{Share: 0.1, Window: drainWindow}}
+		c := newCluster(t, p)
+		for i := range c.nodes {
+			c.start(i)
+		}
+		c.await("a leader", 20*time.Second, func() bool { return c.leader() >= 0 })
+		next := 0
+		accepted := map[string]time.Time{}
+		submit := func() {
+			j := fake.NewJob(fmt.Sprintf("job-%06d", next), 2, func(j *wire.Job) {
+				j.Team = []string{"open", "tight"}[next%2]
+				j.CPUs, j.EstimateS = 4, drainedRun.Seconds()
+				due := drainedDue.Seconds()
+				j.DeadlineS = &due
+				if next%3 != 0 {
+					j.CheckpointS, j.SaveS = 10, 2
+				}
+			})
+			next++
+			accepted[j.Ref] = time.Now()
+			c.users.Submit(j)
+		}
+		for range machines {
+			submit()
+			time.Sleep(drainedRun / time.Duration(machines))
+		}
+		time.Sleep(30 * time.Second)
+		old := c.machineNames()
+		began := time.Now()
+		if way.text == "" {
+			c.cloud.Take(old...)
+		} else if err := c.drains("winter", "types = m8\n"+way.text); err != nil {
+			t.Error(err)
+		}
+		for time.Since(began) < 6*time.Hour && c.anyOf(old) {
+			submit()
+			time.Sleep(drainedRun / time.Duration(machines))
+		}
+		result.took = time.Since(began)
+		c.settled()
+		c.allServed()
+		c.users.Wait()
+		result.count(c, accepted)
+		c.rulesKept()
+		for i := range c.nodes {
+			c.kill(i)
+		}
+		time.Sleep(time.Minute)
+	})
+	return result
+}
+
+// anyOf tells whether any of some machines is there.
+func (c *cluster) anyOf(names []string) bool {
+	there := map[string]bool{}
+	for _, name := range c.machineNames() {
+		there[name] = true
+	}
+	for _, name := range names {
+		if there[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// count takes what was lost and late from what the machines saw.
+func (r *drainResult) count(c *cluster, accepted map[string]time.Time) {
+	ends := map[string]time.Time{}
+	for _, run := range c.check.Runs() {
+		ref, _, _ := wire.SplitTask(run.Task)
+		if run.Completed && run.Ended.After(ends[ref]) {
+			ends[ref] = run.Ended
+		}
+		if !run.Completed {
+			r.stopped++
+		}
+	}
+	for ref, at := range accepted {
+		r.jobs++
+		if ends[ref].Sub(at) > drainedDue {
+			r.late++
+		}
+	}
+	for _, s := range c.stops() {
+		r.lost += s.Over.Sub(s.Began)
+	}
+	for _, team := range []string{"open", "tight"} {
+		r.most = max(r.most, c.mostStopped(func(j *wire.Job) bool { return j.Team == team }))
+	}
+}
+
+// TestMeasureDrains replaces all machines in steps, one by one, and all at once.
+// docs/design-drain.md has the results and the command.
+func TestMeasureDrains(t *testing.T) {
+	ways := []drainWay{
+		{"in steps", "canary = 1\nbatch = 10%\nwait_s = 600\nhealth_s = 3600"},
+		{"one by one", "canary = 1\nbatch = 1\nwait_s = 600\nhealth_s = 3600"},
+		{"all at once", ""},
+	}
+	for _, machines := range []int{40, 200} {
+		for seed := range uint64(3) {
+			for _, way := range ways {
+				if machines > 40 && (seed > 0 || way.name == "one by one") {
+					continue
+				}
+				r := measureDrain(t, machines, seed, way)
+				t.Logf("%3d machines, seed %d, %-11s: %8s, %4d tasks stopped, %8s of waiting and repeated work, at most %3d jobs of a team at once, %3d of %4d jobs late",
+					machines, seed, way.name, r.took.Round(time.Second), r.stopped, r.lost.Round(time.Second), r.most, r.late, r.jobs)
+			}
+		}
+	}
+}
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -102,47 +102,12 @@
 	return names
 }
 
-// stop is from when to when a job missed a task, or its progress.
-type stop struct {
-	ref         string
-	began, over time.Time
-}
+// stops lists what tasks missed, by what the machines saw.
+func (c *cluster) stops() []fake.Stop { return fake.Stops(c.check.Runs()) }
 
-// stops lists what tasks of a group's jobs missed, from the machines' runs alone: from the
-// end of a run that did not complete until the task runs again and has made up for what it
-// had and did not save.
-func (c *cluster) stops(in func(j *wire.Job) bool) (stops []stop) {
-	last := map[string]fake.Run{}
-	for _, r := range c.check.Runs() {
-		ref, _, _ := wire.SplitTask(r.Task)
-		before, again := last[r.Task]
-		last[r.Task] = r
-		if !again || !in(c.check.Job(ref)) {
-			continue
-		}
-		lost := before.Ended.Sub(before.Began) + before.Saved - r.Saved
-		over := r.Began.Add(max(0, lost))
-		if !r.Ended.IsZero() && r.Ended.Before(over) {
-			over = r.Ended
-		}
-		stops = append(stops, stop{ref, before.Ended, over})
-	}
-	return stops
-}
-
-// mostStopped is how many of a group's jobs were stopped at the same time at most.
-func (c *cluster) mostStopped(in func(j *wire.Job) bool) (most int) {
-	stops := c.stops(in)
-	for _, at := range stops {
-		refs := map[string]bool{}
-		for _, s := range stops {
-			if !s.began.After(at.began) && s.over.After(at.began) {
-				refs[s.ref] = true
-			}
-		}
-		most = max(most, len(refs))
-	}
-	return most
+// mostStopped is how many jobs of some were stopped at once at most.
+func (c *cluster) mostStopped(in func(j *wire.Job) bool) int {
+	return fake.MostStopped(c.stops(), func(ref string) bool { return in(c.check.Job(ref)) })
 }
 
 // wantWithinBudgets holds what the machines saw to the budgets; hit jobs may be more, of
@@ -162,7 +127,7 @@
 // wantMoved sees to it that a scenario has moved anything at all.
 func (c *cluster) wantMoved() {
 	c.t.Helper()
-	if len(c.stops(func(*wire.Job) bool { return true })) == 0 {
+	if len(c.stops()) == 0 {
 		c.t.Error("no task was moved")
 	}
 }
@@ -255,7 +220,7 @@
 		c.awaitPlan("left to end", 3*time.Minute)
 		c.awaitPlan("allow the job", 2*time.Minute)
 		time.Sleep(20 * time.Second)
-		if n := len(c.stops(func(*wire.Job) bool { return true })); n > 0 {
+		if n := len(c.stops()); n > 0 {
 			c.t.Errorf("%d tasks were stopped before anybody was asked", n)
 		}
 		c.steer("winter", drain.Allow, jobs[0].Ref)
@@ -359,7 +324,7 @@
 		}
 		c.awaitPlan("replacements: 0 of 2", 3*time.Minute)
 		c.awaitPlan("failed", 3*time.Minute)
-		if n := len(c.stops(func(*wire.Job) bool { return true })); n > 0 || len(c.machineNames()) != len(old) {
+		if n := len(c.stops()); n > 0 || len(c.machineNames()) != len(old) {
 			c.t.Errorf("%d tasks were stopped, %d machines are left", n, len(c.machineNames()))
 		}
 	})
--- a/internal/node/report_handler.go
+++ b/internal/node/report_handler.go
@@ -143,6 +143,9 @@
 func (h *reportHandler) answerTo(term uint64, answer *wire.ReportAnswer, err error) intake.Answer {
 	switch {
 	case err == nil && h.elector.InTerm(term):
+		if len(answer.Orders) > 0 && h.log.Enabled(context.Background(), slog.LevelDebug) {
+			h.log.Debug(dispatch.MessageActs, "term", term, "what", "answer")
+		}
 		return intake.JSON(http.StatusOK, answer)
 	case err != nil && !errors.Is(err, dispatch.ErrNotLeading):
 		return problem(http.StatusServiceUnavailable, "the leader is not ready")
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"leadproxy/internal/intake"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/peers/peerpb"
+	"leadproxy/internal/rpc"
 	"leadproxy/internal/settings"
 )
 
@@ -37,11 +37,7 @@
 func Dial(ctx context.Context, n outbound.Network, node string, others []settings.Peer) (*Peers, error) {
 	p := &Peers{byName: map[string]peer{}}
 	for _, o := range others {
-		conn, err := grpc.NewClient("passthrough:///"+o.Addr,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
-			grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: reconnect.MaxDelay}),
-			grpc.WithContextDialer(n.Dial))
+		conn, err := rpc.Connect(n, o.Addr, grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window))
 		if err != nil {
 			return nil, fmt.Errorf("peer %s: %w", o.Node, err)
 		}
--- a/internal/rollouts/rollouts.go
+++ b/internal/rollouts/rollouts.go
@@ -13,13 +13,13 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"leadproxy/internal/dispatch"
 	"leadproxy/internal/drain"
 	"leadproxy/internal/outbound"
 	"leadproxy/internal/rollouts/rolloutpb"
+	"leadproxy/internal/rpc"
 	"leadproxy/internal/settings"
 )
 
@@ -107,14 +107,9 @@
 }
 
 func askOne(ctx context.Context, n outbound.Network, addr string, ask func(ctx context.Context, c rolloutpb.RolloutsClient) error) error {
-	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(n.Dial))
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	return ask(ctx, rolloutpb.NewRolloutsClient(conn))
+	return rpc.Call(ctx, n, addr, callLimit, func(ctx context.Context, conn *grpc.ClientConn) error {
+		return ask(ctx, rolloutpb.NewRolloutsClient(conn))
+	})
 }
 
 // Create begins a plan from its text and returns its name.
--- a/internal/standby/deployment_test.go
+++ b/internal/standby/deployment_test.go
@@ -4,8 +4,6 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -14,9 +12,6 @@
 	"time"
 
 	"leadproxy/internal/fake"
-	"leadproxy/internal/outbound"
-	"leadproxy/internal/settings"
-	"leadproxy/internal/wire"
 )
 
 const (
@@ -37,7 +32,6 @@
 type deployment struct {
 	t     *testing.T
 	state *fake.State
-	cloud *fake.Cloud
 	check *fake.Checker
 	users *fake.Users
 	nodes []*fake.Process
@@ -45,8 +39,11 @@
 
 func newDeployment(t *testing.T, jobs, machines int, warm bool) *deployment {
 	t.Helper()
-	network := outbound.TCP{}
-	d := &deployment{t: t, state: fake.NewState(t, network, "127.0.0.1:0", nil)}
+	plan := fake.DeploymentPlan{Controllers: controllers, Machines: machines, Teams: []string{"open"}, Run: func(string) time.Duration { return 2 * time.Second }}
+	if warm {
+		plan.Operator = "[standby]\nfollow = yes\nmax_mb = 256\nhints = yes\n"
+	}
+	d := fake.NewDeployment(t, plan)
 	for i := range jobs {
 		ref := fmt.Sprintf("job-%08d", i)
 		record := `{"accepted_ms":1796190522949,"fate":"done","tasks":16,"done":16,"ended_ms":1796190622949,"class":"c","team":"open","cores":16,"run_s":20}`
@@ -54,34 +51,9 @@
 			// It waits for one that is never submitted, so that the size stays.
 			record = fmt.Sprintf(`{"job":{"ref":"%s","lane":"c","owner":"open","shape":"batch","urgency":"high","pieces":16,"vcpus":1,"gpus":0,"mem_gb":2,"bundle":"image","size_gb":1,"flavors":null,"room":null,"together":false,"spread":false,"loaners":true,"guess_s":20,"snapshot_s":0,"flush_s":0,"due_s":600,"waits_on":["job-999999999"]},"accepted_ms":1796190522949}`, ref)
 		}
-		d.state.Put("job/"+ref, record)
-	}
-	d.check = fake.NewChecker(t, fake.Limits{Cancel: 20 * time.Second, Waiting: 90 * time.Second, Silent: 75 * time.Second})
-	public, back := fake.Reserve(t, controllers), fake.Reserve(t, controllers)
-	d.users = fake.NewUsers(t, network, public, d.check, 1)
-	config := fake.CloudConfig{}
-	if machines > 0 {
-		config = d.cloudOf(machines, public)
-	}
-	d.cloud = fake.NewCloud(t, network, "127.0.0.1:0", config)
-	dir := t.TempDir()
-	ini := filepath.Join(dir, "standby.ini")
-	if err := os.WriteFile(ini, []byte(map[bool]string{true: "[standby]\nfollow = yes\nmax_mb = 256\n", false: ""}[warm]), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	facts := settings.Facts{Nodes: controllers, Zones: []string{"a"}, ClockErrorMS: 5, Teams: []settings.Team{{Name: "open"}},
-		Workers: settings.Workers{ReportS: 1, LeaseS: 20, CancelS: 40}, State: settings.StateLimits{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 32},
-		Cloud: settings.CloudLimits{RPS: 5, ListLagS: 2}, Resources: settings.Resources{CPUShare: 1, RAMMB: 1000, Sockets: 2000}}
-	for i := range controllers {
-		p := settings.Platform{Node: fmt.Sprintf("n%d", i), Zone: "a", Listen: public[i], Back: back[i], Facts: facts, Services: settings.Services{State: d.state.Addr(), Cloud: d.cloud.Addr()}}
-		for k := range controllers {
-			if k != i {
-				p.Peers = append(p.Peers, settings.Peer{Node: fmt.Sprintf("n%d", k), Zone: "a", Addr: back[k]})
-			}
-		}
-		d.nodes = append(d.nodes, fake.NewProcess(t, dir, p, "--settings", ini))
+		d.State.Put("job/"+ref, record)
 	}
-	return d
+	return &deployment{t: t, state: d.State, check: d.Check, users: d.Users, nodes: d.Nodes}
 }
 
 // lines are the takeovers that the controllers have logged so far.
@@ -148,18 +120,3 @@
 	d.nodes[leader].Freeze(false)
 	return p
 }
-
-// cloudOf is a cloud of machines that run tasks of two seconds.
-func (d *deployment) cloudOf(machines int, public []string) fake.CloudConfig {
-	var workers []fake.Node
-	for i, addr := range public {
-		workers = append(workers, fake.Node{Name: fmt.Sprintf("n%d", i), Addr: addr})
-	}
-	return fake.CloudConfig{
-		Types: []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"}}},
-		Boot:  time.Second, ListLag: 2 * time.Second, Most: machines,
-		Worker: fake.WorkerConfig{Nodes: workers, Report: time.Second, Lease: 20 * time.Second, Fetch: 200 * time.Millisecond,
-			Run: func(string) time.Duration { return 2 * time.Second }, Check: d.check},
-		Host: func(string) (outbound.Network, string) { return outbound.TCP{}, "127.0.0.1:0" },
-	}
-}
