Draining: machines that a new leader has not heard of; unreadable transfers use a team's limit

A plan's batch, replacements and requests made machines of names that a new leader did not know yet, which then took minutes to be found missing, and a request for replacements could be made for fewer than the step needs. Such machines count as gone once jobs may be moved.

A test shows it.

--- a/internal/dispatch/drains.go
+++ b/internal/dispatch/drains.go
@@ -228,17 +228,35 @@
 		}
 	}
 	for _, name := range r.Batch {
-		v.Batch = append(v.Batch, c.planMachine(c.machineNamed(name), room))
+		if m := c.machineIfKnown(name); m != nil {
+			v.Batch = append(v.Batch, c.planMachine(m, room))
+		} else {
+			v.Batch = append(v.Batch, drain.Machine{Name: name, Gone: v.MayMove})
+		}
 	}
 	if r.Hire != "" {
 		v.Hired = c.hiredFor(&r)
 	}
 	for _, name := range r.Replacements {
-		v.Replacements = append(v.Replacements, c.replacement(c.machineNamed(name)))
+		if m := c.machineIfKnown(name); m != nil {
+			v.Replacements = append(v.Replacements, c.replacement(m))
+		} else {
+			v.Replacements = append(v.Replacements, drain.Replacement{Name: name, Failed: v.MayMove})
+		}
 	}
 	return v
 }
 
+// machineIfKnown returns a machine that this term has heard of, or nil. One of an earlier
+// leader's that nobody has heard of once jobs may be moved is gone: the cloud's list has been
+// read since, and a lease has passed.
+func (c *Core) machineIfKnown(name string) *machine {
+	if i, ok := c.machineAt[name]; ok {
+		return c.machines[i]
+	}
+	return nil
+}
+
 // mayMove tells whether jobs may be disrupted on purpose: what an earlier leader has started
 // is known, and what it has disrupted counts no more.
 func (c *Core) mayMove() bool {
@@ -347,9 +365,11 @@
 func (c *Core) carryOutPlan(act drain.Act) {
 	switch a := act.(type) {
 	case drain.MoveTask:
-		c.moveTask(c.machineNamed(a.Machine), a.Ref, int32(a.Task))
+		if m := c.machineIfKnown(a.Machine); m != nil {
+			c.moveTask(m, a.Ref, int32(a.Task))
+		}
 	case drain.ReturnMachine:
-		if m := c.machineNamed(a.Machine); m.state == machineDeleting || c.isEmpty(m) {
+		if m := c.machineIfKnown(a.Machine); m != nil && (m.state == machineDeleting || c.isEmpty(m)) {
 			c.askDelete(m, "drained")
 		}
 	case drain.HireAhead:
@@ -375,12 +395,17 @@
 }
 
 // requestsFor are the hires for a plan's replacements: one for each kind of machine, in
-// parts that the cloud takes.
+// parts that the cloud takes. They are none until all of the machines are known: a request
+// that is made once for fewer brings no more later.
 func (c *Core) requestsFor(request string, like []string) map[string]fleet.PlannedHire {
 	counts := map[fleet.Offer]int{}
 	for _, name := range like {
-		if m := c.machineNamed(name); m.typ >= 0 && m.zone >= 0 {
+		m := c.machineIfKnown(name)
+		switch {
+		case m != nil && m.typ >= 0 && m.zone >= 0:
 			counts[fleet.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot}]++
+		case !c.mayMove():
+			return nil
 		}
 	}
 	requests := map[string]fleet.PlannedHire{}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -135,8 +135,10 @@
 			n := j.total - j.done - j.booked
 			use[j.team] = use[j.team].plus(unitsOf(j.size).times(max(n, 0)))
 		}
-		if transfers && c.transfers.home.Elsewhere(j.ref) {
-			// All of its tasks may run there at once.
+		unreadable := j.away && !c.transfers.home.Away(j.ref)
+		if unreadable || transfers && c.transfers.home.Elsewhere(j.ref) {
+			// All of its tasks may run there at once, also if its transfer's record can't
+			// be read.
 			use[j.team] = use[j.team].plus(unitsOf(j.size).times(j.total))
 		}
 	}
--- a/internal/dispatch/transfers_test.go
+++ b/internal/dispatch/transfers_test.go
@@ -174,9 +174,13 @@
 // was not started here, but its cancellation was confirmed.
 func TestUnknownTransfer(t *testing.T) {
 	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Version: 1, Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}}},
-		Away: []ledger.SavedAway{{Ref: "job-1", Unknown: true}}})
+		Away: []ledger.SavedAway{{Ref: "job-1", Unknown: true}}}, settings.Team{Name: "t", CPUsMax: 1.5})
 	g.up("vm-1")
 	g.want("started", len(g.starts()), 0)
+	g.submit(newTestJob("job-2", 1, 1))
+	g.want("started of the rest of the team's limit", len(g.starts()), 0)
+	g.submit(newTestJob("job-3", 1, 0.5))
+	g.want("started beside it", len(g.starts()), 1)
 	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
 	told, _ := last[AnswerUser](g)
 	g.want("told as unreachable", told.Unreachable, true)
