--- /dev/null
+++ b/internal/dispatch/drain_view.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"slices"
+
+	"leadproxy/internal/drain"
+)
+
+// What plans that drain machines are told of the world.
+
+// roomKey is a job whose tasks are to leave a zone: whether there is room for one is looked
+// for once a step.
+type roomKey struct{ job, zone int32 }
+
+// planView tells a plan how the world is.
+func (c *Core) planView(p *plan) *drain.View {
+	r, _ := p.rollout.Record()
+	room := map[roomKey]bool{}
+	v := &drain.View{Now: c.now, WallMS: c.wall, MayMove: c.mayMove(), Running: c.runningJobs()}
+	if r.Phase == drain.Choosing {
+		for _, m := range c.live {
+			if c.selects(&r, m) {
+				v.Candidates = append(v.Candidates, c.planMachine(m, room))
+			}
+		}
+	}
+	for _, name := range r.Batch {
+		if m := c.machineIfKnown(name); m != nil {
+			v.Batch = append(v.Batch, c.planMachine(m, room))
+		} else {
+			v.Batch = append(v.Batch, drain.Machine{Name: name, Gone: v.MayMove})
+		}
+	}
+	if r.Hire != "" {
+		v.Hired = c.hiredFor(&r)
+	}
+	for _, name := range r.Replacements {
+		if m := c.machineIfKnown(name); m != nil {
+			v.Replacements = append(v.Replacements, c.replacement(m))
+		} else {
+			v.Replacements = append(v.Replacements, drain.Replacement{Name: name, Failed: v.MayMove})
+		}
+	}
+	return v
+}
+
+// machineIfKnown returns a machine that this term has heard of, or nil. One of an earlier
+// leader's that nobody has heard of once jobs may be moved is gone: the cloud's list has been
+// read since, and a lease has passed.
+func (c *Core) machineIfKnown(name string) *machine {
+	if i, ok := c.machineAt[name]; ok {
+		return c.machines[i]
+	}
+	return nil
+}
+
+// mayMove tells whether jobs may be disrupted on purpose: what an earlier leader has started
+// is known, and what it has disrupted counts no more.
+func (c *Core) mayMove() bool {
+	return c.Unsettled() == 0 && c.now-c.began >= max(c.cfg.Operator.Drain.Budgets.Longest(), c.leaseTime)
+}
+
+// runningJobs counts the running jobs of a group, once for all who ask in a step.
+func (c *Core) runningJobs() func(drain.Group) int {
+	var counts map[drain.Group]int
+	return func(g drain.Group) int {
+		if counts == nil {
+			counts = map[drain.Group]int{}
+			for _, j := range c.active {
+				if j.spec != nil && j.booked > 0 && !j.over() {
+					counts[drain.TeamGroup(j.spec.Team)]++
+					counts[drain.ClassGroup(j.spec.Class)]++
+				}
+			}
+		}
+		return counts[g]
+	}
+}
+
+// selects tells whether a machine is one of a plan's: it matches, and was hired before the
+// plan was made.
+func (c *Core) selects(r *drain.Record, m *machine) bool {
+	if m.state == machineGone || m.state == machineDeleting || m.zone < 0 {
+		return false
+	}
+	hiredMS := c.wall - (c.now - m.hired).Milliseconds()
+	return hiredMS <= r.CreatedMS && r.Spec.Selects(m.name, m.typeName, c.zones.list[m.zone])
+}
+
+// isEmpty tells whether a machine is proved to run nothing, and nothing that was sent there
+// may still start.
+func (c *Core) isEmpty(m *machine) bool {
+	return m.known(c.term) && len(m.bookings) == 0 && len(m.pending) == 0 && len(m.unclear) == 0 && len(m.outbox) == 0 && m.awaiting == nil
+}
+
+// planMachine is a machine as a plan sees it.
+func (c *Core) planMachine(m *machine, room map[roomKey]bool) drain.Machine {
+	out := drain.Machine{Name: m.name, Empty: c.isEmpty(m), Gone: m.state == machineGone}
+	if m.state == machineDeleting && len(m.bookings) == 0 {
+		out.Empty = true
+	}
+	for _, b := range m.bookings {
+		if j := c.jobs[b.job]; j.spec != nil && !j.over() {
+			out.Tasks = append(out.Tasks, c.planTask(m, j, b, room))
+		}
+	}
+	return out
+}
+
+func (c *Core) planTask(m *machine, j *job, b *booking, room map[roomKey]bool) drain.Task {
+	key := roomKey{j.index, m.zone}
+	if _, known := room[key]; !known {
+		room[key] = c.roomElsewhere(m, j)
+	}
+	t := drain.Task{Job: accountOf(j), Index: int(b.task), Left: c.expectedRun(j), Slack: j.slack(c.now), Stopping: b.stopping, HasRoom: room[key]}
+	if b.ranSince > 0 {
+		ran := c.now - b.ranSince
+		t.Left = max(t.Left-ran, t.Left/4)
+		if j.spec.CheckpointS <= 0 {
+			t.Lost = ran
+		}
+	}
+	return t
+}
+
+// roomElsewhere tells whether a job's task would find room on another machine now; the tasks
+// of a job that stays together, in its zone.
+func (c *Core) roomElsewhere(from *machine, j *job) bool {
+	return slices.ContainsFunc(c.live, func(m *machine) bool {
+		return m != from && c.open(m) && j.allows(m.typ, m.zone, m.spot) && j.size.Within(m.free) && (!j.spec.OneZone || m.zone == from.zone)
+	})
+}
+
+// replacement is a machine that was hired ahead, as a plan sees it.
+func (c *Core) replacement(m *machine) drain.Replacement {
+	r := drain.Replacement{Name: m.name, Failed: m.state == machineGone || m.state == machineDeleting || m.quarantine}
+	if c.open(m) && m.begun > 0 {
+		r.Healthy = max(1, c.now-m.begun)
+	}
+	return r
+}
--- a/internal/fake/deployment.go
+++ b/internal/fake/deployment.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -18,6 +19,8 @@
 	Teams                 []string
 	// Operator is the text of the operators' settings.
 	Operator string
+	// Report is how often machines report; 0: each second.
+	Report time.Duration
 	// Run is how long a task runs.
 	Run func(task string) time.Duration
 }
@@ -43,6 +46,7 @@
 // NewDeployment makes a deployment. Its controllers are not started yet.
 func NewDeployment(t *testing.T, p DeploymentPlan) *Deployment {
 	t.Helper()
+	p.Report = cmp.Or(p.Report, deploymentReport)
 	network := outbound.TCP{}
 	d := &Deployment{State: NewState(t, network, "127.0.0.1:0", nil)}
 	d.Check = NewChecker(t, Limits{Cancel: deploymentCancel, Waiting: 90 * time.Second, Silent: 75 * time.Second})
@@ -55,7 +59,7 @@
 		t.Fatal(err)
 	}
 	facts := settings.Facts{Nodes: p.Controllers, Zones: []string{"a"}, ClockErrorMS: 5,
-		Workers: settings.Workers{ReportS: deploymentReport.Seconds(), LeaseS: deploymentLease.Seconds(), CancelS: deploymentCancel.Seconds()},
+		Workers: settings.Workers{ReportS: p.Report.Seconds(), LeaseS: deploymentLease.Seconds(), CancelS: deploymentCancel.Seconds()},
 		State:   settings.StateLimits{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 32},
 		Cloud:   settings.CloudLimits{RPS: 5, ListLagS: 2}, Resources: settings.Resources{CPUShare: 1, RAMMB: 1000, Sockets: 2000}}
 	for _, team := range p.Teams {
@@ -88,7 +92,7 @@
 	return CloudConfig{
 		Types: []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"}}},
 		Boot:  time.Second, ListLag: 2 * time.Second, Most: p.Machines,
-		Worker: WorkerConfig{Nodes: workers, Report: deploymentReport, Lease: deploymentLease, Fetch: 200 * time.Millisecond, Run: p.Run, Check: check},
+		Worker: WorkerConfig{Nodes: workers, Report: p.Report, Lease: deploymentLease, Fetch: 200 * time.Millisecond, Run: p.Run, Check: check},
 		Host:   func(string) (outbound.Network, string) { return outbound.TCP{}, "127.0.0.1:0" },
 	}
 }
--- a/internal/fake/process.go
+++ b/internal/fake/process.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -25,9 +27,11 @@
 	Platform settings.Platform
 	// Arguments are given to the program besides the settings file.
 	Arguments []string
-	t         testing.TB
-	config    string
-	command   *exec.Cmd // nil while it is down
+	// LogLevel is that of its log; "": debug.
+	LogLevel string
+	t        testing.TB
+	config   string
+	command  *exec.Cmd // nil while it is down
 }
 
 // NewProcess writes a controller's settings file into a directory. The process that is
@@ -55,7 +59,7 @@
 	}
 	defer log.Close()
 	c.command = exec.Command(program, append([]string{"--config", c.config}, c.Arguments...)...)
-	c.command.Env = append(os.Environ(), "LOG_LEVEL=debug")
+	c.command.Env = append(os.Environ(), "LOG_LEVEL="+cmp.Or(c.LogLevel, "debug"))
 	c.command.Stderr = log
 	if err := c.command.Start(); err != nil {
 		c.t.Fatal(err)
@@ -84,6 +88,22 @@
 	}
 }
 
+// Memory is how many bytes of memory it uses; 0: it is down.
+func (c *Process) Memory() (bytes int) {
+	if c.command == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", c.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(text), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize()
+}
+
 // Log is what it has logged so far.
 func (c *Process) Log() string {
 	text, err := os.ReadFile(c.logFile())
--- a/internal/standby/deployment_test.go
+++ b/internal/standby/deployment_test.go
@@ -23,6 +23,7 @@
 type phases struct {
 	warm          bool
 	view, decided float64 // since the term was won
+	settled       float64 // since the term was won
 	first, ending float64 // first decision and settled, since the old leader's end
 }
 
@@ -39,11 +40,7 @@
 
 func newDeployment(t *testing.T, jobs, machines int, warm bool) *deployment {
 	t.Helper()
-	plan := fake.DeploymentPlan{Controllers: controllers, Machines: machines, Teams: []string{"open"}, Run: func(string) time.Duration { return 2 * time.Second }}
-	if warm {
-		plan.Operator = "[standby]\nfollow = yes\nmax_mb = 256\nhints = yes\n"
-	}
-	d := fake.NewDeployment(t, plan)
+	d := deploy(t, fake.DeploymentPlan{Machines: machines, Run: func(string) time.Duration { return 2 * time.Second }}, warm)
 	for i := range jobs {
 		ref := fmt.Sprintf("job-%08d", i)
 		record := `{"accepted_ms":1796190522949,"fate":"done","tasks":16,"done":16,"ended_ms":1796190622949,"class":"c","team":"open","cores":16,"run_s":20}`
@@ -51,8 +48,19 @@
 			// It waits for one that is never submitted, so that the size stays.
 			record = fmt.Sprintf(`{"job":{"ref":"%s","lane":"c","owner":"open","shape":"batch","urgency":"high","pieces":16,"vcpus":1,"gpus":0,"mem_gb":2,"bundle":"image","size_gb":1,"flavors":null,"room":null,"together":false,"spread":false,"loaners":true,"guess_s":20,"snapshot_s":0,"flush_s":0,"due_s":600,"waits_on":["job-999999999"]},"accepted_ms":1796190522949}`, ref)
 		}
-		d.State.Put("job/"+ref, record)
+		d.state.Put("job/"+ref, record)
 	}
+	return d
+}
+
+// deploy makes a deployment of three controllers, with standbys or without.
+func deploy(t *testing.T, plan fake.DeploymentPlan, warm bool) *deployment {
+	t.Helper()
+	plan.Controllers, plan.Teams = controllers, []string{"open"}
+	if warm {
+		plan.Operator = "[standby]\nfollow = yes\nmax_mb = 256\nhints = yes\n"
+	}
+	d := fake.NewDeployment(t, plan)
 	return &deployment{t: t, state: d.State, check: d.Check, users: d.Users, nodes: d.Nodes}
 }
 
@@ -88,13 +96,12 @@
 		d.t.Fatal(err)
 	}
 	p := phases{warm: last[2] == "true", ending: at.Sub(ended).Seconds()}
-	settled := 0.0
-	for i, into := range []*float64{&p.view, &p.decided, &settled} {
+	for i, into := range []*float64{&p.view, &p.decided, &p.settled} {
 		if *into, err = strconv.ParseFloat(last[3+i], 64); err != nil {
 			d.t.Fatal(err)
 		}
 	}
-	p.first = p.ending - settled + p.decided
+	p.first = p.ending - p.settled + p.decided
 	return p
 }
 
--- a/internal/standby/takeover_measure_test.go
+++ b/internal/standby/takeover_measure_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"leadproxy/internal/fake"
+	"leadproxy/internal/wire"
 )
 
 // How long a takeover takes with real controllers on the loopback interface, by the number
@@ -46,3 +47,44 @@
 		}
 	}
 }
+
+// TestMeasureWorkers ends leaders of machines that all work, with and without a standby in
+// turns.
+func TestMeasureWorkers(t *testing.T) {
+	program := fake.Build(t, "../..")
+	t.Log("| machines | standby | view s, each | settled s since the term was won, each | from the end of the leader to all settled s, each | most memory of a controller |")
+	for _, machines := range []int{200, 1000, 2000} {
+		for _, warm := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d machines, standby %v", machines, warm), func(t *testing.T) {
+				d := deploy(t, fake.DeploymentPlan{Machines: machines, Report: 5 * time.Second, Run: func(string) time.Duration { return time.Hour }}, warm)
+				for _, n := range d.nodes {
+					n.LogLevel = "info"
+					n.Start(program)
+				}
+				for k := range 10 {
+					d.users.Submit(fake.NewJob(fmt.Sprintf("job-%06d", k), machines/10, func(j *wire.Job) { j.CPUs = 8 }))
+				}
+				fake.Await(t, "all machines at work", 3*time.Minute, func() bool { on, _ := d.check.On(""); return on >= machines })
+				var views, settled, ending []string
+				for range takeovers {
+					time.Sleep(8 * time.Second)
+					p := d.takeOver(program)
+					views, settled, ending = append(views, fmt.Sprintf("%.3f", p.view)), append(settled, fmt.Sprintf("%.2f", p.settled)), append(ending, fmt.Sprintf("%.2f", p.ending))
+				}
+				t.Logf("| %d | %v | %s | %s | %s | %d MB |", machines, warm, strings.Join(views, ", "), strings.Join(settled, ", "), strings.Join(ending, ", "), d.memory()>>20)
+				for k := range 10 {
+					d.users.Cancel(&wire.Job{Ref: fmt.Sprintf("job-%06d", k)})
+				}
+				d.users.Wait()
+			})
+		}
+	}
+}
+
+// memory is the most that one of the controllers uses.
+func (d *deployment) memory() (most int) {
+	for _, n := range d.nodes {
+		most = max(most, n.Memory())
+	}
+	return most
+}
