--- /dev/null
+++ b/internal/hints/size_test.go
@@ -0,0 +1,58 @@
+package hints
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// The largest fleet that hints are reckoned for, and its machines' tasks.
+const (
+	largestFleet  = 4000
+	tasksEach     = 8
+	hintsAtOnce   = 256
+	maxFleetBytes = 4 << 20 // to bring everything once
+	maxBatchBytes = 1 << 20 // a quarter of what gRPC takes
+	maxKeptBytes  = 16 << 20
+)
+
+func busyMachine(i int) Machine {
+	m := Machine{Name: fmt.Sprintf("vm-%06d", i), Address: fmt.Sprintf("10.20.%d.%d:9000", i/256, i%256), Session: 3, Token: 1 << 40, Heard: time.Second}
+	for k := range tasksEach {
+		m.Bookings = append(m.Bookings, Booking{Task: fmt.Sprintf("job-%06d/%d", i, k), Attempt: 1<<40 + uint64(i*tasksEach+k), Ran: time.Hour})
+		m.Images = append(m.Images, Image{Name: fmt.Sprintf("image-%d", k), GB: 1.5})
+	}
+	return m
+}
+
+// TestLargestFleetsHints: what 4,000 busy machines cost, sent and kept.
+func TestLargestFleetsHints(t *testing.T) {
+	inbox, now := NewInbox(), time.Now()
+	inbox.Begin()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	total, most := 0, 0
+	for i := 0; i < largestFleet; i += hintsAtOnce {
+		batch := Batch{Term: 1, Sequence: uint64(i/hintsAtOnce + 1)}
+		for k := i; k < min(i+hintsAtOnce, largestFleet); k++ {
+			batch.Machines = append(batch.Machines, busyMachine(k))
+		}
+		message := encode(batch)
+		size := proto.Size(message)
+		total, most = total+size, max(most, size)
+		if err := inbox.Apply(decode(message), now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	kept := int(after.HeapAlloc) - int(before.HeapAlloc)
+	t.Logf("%d machines: %d KB sent, the largest batch %d KB, %d KB kept", inbox.Size(), total>>10, most>>10, kept>>10)
+	if inbox.Size() != largestFleet || total > maxFleetBytes || most > maxBatchBytes || kept > maxKeptBytes {
+		t.Errorf("%d machines: %d bytes sent, the largest batch %d, %d kept", inbox.Size(), total, most, kept)
+	}
+}
