--- /dev/null
+++ b/internal/dispatch/drains_test.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"leadproxy/internal/drain"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
+)
+
+// newDrainStage begins a term that carries plans out, with one in the ledger unless it is
+// nil.
+func newDrainStage(t tester, r *drain.Record) *stage {
+	operator := settings.Defaults()
+	operator.Drain = settings.Drain{Enabled: true, Budgets: drain.Budgets{General: drain.Budget{Jobs: 1, Window: time.Second}}}
+	var s ledger.Snapshot
+	if r != nil {
+		s.Plans = []drain.Record{*r}
+	}
+	return newStageAt(t, time.Hour, testConfig(operator, settings.Team{Name: "t"}), s)
+}
+
+func somePlan(phase drain.Phase, batch ...string) *drain.Record {
+	return &drain.Record{Version: drain.RecordVersion, CreatedMS: time.Hour.Milliseconds(), PhaseMS: time.Hour.Milliseconds(), Phase: phase, Step: 1, Batch: batch,
+		Spec: drain.Spec{Name: "winter", Types: []string{"m4"}, Canary: 1, Batch: 1, WaitS: 100, HealthS: 100}}
+}
+
+// written is the plan's record as it was last written.
+func (g *stage) written() drain.Record {
+	r, _ := g.writes[ledger.PlanKey("winter")].Value.(drain.Record)
+	return r
+}
+
+// answerTo is what a command about a plan is answered.
+func (g *stage) answer(e PlanAsked) error {
+	e.To = recipient("operator")
+	g.step(e)
+	a, ok := last[PlanAnswer](g)
+	if !ok {
+		return errors.New("not answered")
+	}
+	return a.Err
+}
+
+// TestMachineOfABatchThatNobodyKnows: it was returned as the leader before ended. The plan
+// took it for one that boots, and waited until that was given up, longer than leaders
+// lasted.
+func TestMachineOfABatchThatNobodyKnows(t *testing.T) {
+	g := newDrainStage(t, somePlan(drain.Draining, "vm-9"))
+	g.wait(10 * time.Second)
+	g.want("machines", len(g.c.machines), 0)
+	g.want("written before all can have been heard of", g.puts, 0)
+	g.wait(30 * time.Second)
+	r := g.written()
+	g.want("the plan", []any{r.Phase, r.Drained, len(g.c.machines)}, []any{drain.Finished, 1, 0})
+}
+
+// TestCommandsAreAnsweredWhenDurable: a plan that is begun counts once it is written, and
+// what makes no sense is refused at once.
+func TestCommandsAreAnsweredWhenDurable(t *testing.T) {
+	g := newDrainStage(t, nil)
+	spec := somePlan(drain.Choosing).Spec
+	if err := g.answer(PlanAsked{Spec: &spec}); err == nil || !strings.Contains(err.Error(), "no machine") {
+		t.Errorf("no machine is there: %v", err)
+	}
+	g.up("vm-1")
+	g.held = true
+	g.step(PlanAsked{Spec: &spec, To: recipient("operator")})
+	g.want("durable", g.c.drains.plans["winter"].rollout.Durable(), false)
+	g.release()
+	answer, _ := last[PlanAnswer](g)
+	g.want("answer once durable", answer.Err, nil)
+	if err := g.answer(PlanAsked{Spec: &spec}); !errors.Is(err, errPlanExists) {
+		t.Error(err)
+	}
+	if err := g.answer(PlanAsked{Name: "summer", Command: drain.Pause}); !errors.Is(err, errNoPlan) {
+		t.Error(err)
+	}
+	g.want("paused", g.answer(PlanAsked{Name: "winter", Command: drain.Pause}), nil)
+	g.want("written", g.written().Paused, true)
+	off := newStage(t, ledger.Snapshot{Plans: []drain.Record{*somePlan(drain.Choosing)}})
+	if err := off.answer(PlanAsked{Name: "winter", Command: drain.Pause}); !errors.Is(err, errNoDrains) {
+		t.Error(err)
+	}
+}
+
+// TestMoveIsWrittenBeforeTheStop: the task that saves its progress is told to stop only when
+// its move is durable, with the time that it needs, and nothing starts on its machine.
+func TestMoveIsWrittenBeforeTheStop(t *testing.T) {
+	g := newDrainStage(t, nil)
+	g.up("vm-1")
+	job := newTestJob("job-1", 1, 1)
+	job.CheckpointS, job.SaveS, job.EstimateS = 10, 7, 1000
+	g.submit(job)
+	o := g.starts()[0]
+	g.settle(DirectDone)
+	g.now += time.Minute
+	running := taskIn(o, wire.TaskRunning, "")
+	g.report(g.reportOf("vm-1", ours, running))
+	spec := somePlan(drain.Choosing).Spec
+	g.want("begun", g.answer(PlanAsked{Spec: &spec}), nil)
+	for range 4 {
+		g.wait(2 * time.Second)
+		g.echo("vm-1", running)
+	}
+	g.held = true
+	for range 20 {
+		g.wait(2 * time.Second)
+		g.echo("vm-1", running)
+	}
+	g.want("moves written, not durable", len(g.written().Moves), 1)
+	g.want("stops before that is durable", len(g.start), 0)
+	g.submit(newTestJob("job-2", 1, 1))
+	g.want("starts on a machine that is emptied", len(g.starts()), 0)
+	g.release()
+	g.wait(time.Second)
+	g.want("stops", len(g.start), 1)
+	stop := g.start[0].Commands.Orders[0]
+	g.want("the stop", []any{stop.Verb, stop.Attempt, *stop.GraceS}, []any{wire.Stop, o.Attempt, 7.0})
+}
