--- a/cmd/leadproxy/drain.go
+++ b/cmd/leadproxy/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"leadproxy/internal/drain"
@@ -110,5 +111,9 @@
 	if err != nil {
 		return err
 	}
-	return rollouts.Steer(context.Background(), outbound.TCP{}, platform, c.Plan, drain.Command(command), argument)
+	if err := rollouts.Steer(context.Background(), outbound.TCP{}, platform, c.Plan, drain.Command(command), argument); err != nil {
+		return err
+	}
+	fmt.Println(strings.TrimSpace(fmt.Sprintf("plan %s: %s %s", c.Plan, command, argument)) + " is recorded")
+	return nil
 }
--- a/internal/drain/steer.go
+++ b/internal/drain/steer.go
@@ -26,6 +26,7 @@
 	if r.record.Phase.Over() {
 		return fmt.Errorf("%w: it is %s", ErrCommand, r.record.Phase)
 	}
+	r.waits = nil // they are told anew by the next step
 	switch c {
 	case Pause:
 		r.record.Paused, r.record.Why = true, "paused by an operator"
