Takeovers: plots by number of jobs and machines; the log tells the machines that are known

The report had distributions alone, and `machines=` of the takeover line was counted by a later tick, 0 where all was settled before it. The report's test wants two plots more.

--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -109,6 +109,9 @@
 	return n
 }
 
+// Machines is how many machines this term knows, up or coming.
+func (c *Core) Machines() int { return c.machineCount() }
+
 // Jobs is how many jobs this term knows.
 func (c *Core) Jobs() int { return len(c.jobs) }
 
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -53,5 +53,5 @@
 	}
 	times.settled = true
 	t.log.Info("takeover", "term", t.number, "warm", times.warm, "view_s", times.viewed.Sub(times.began).Seconds(),
-		"decided_s", times.decided.Sub(times.began).Seconds(), "settled_s", now.Sub(times.began).Seconds(), "jobs", t.core.Jobs(), "machines", t.core.Reporting())
+		"decided_s", times.decided.Sub(times.began).Seconds(), "settled_s", now.Sub(times.began).Seconds(), "jobs", t.core.Jobs(), "machines", t.core.Machines())
 }
--- a/internal/takeovers/page.go
+++ b/internal/takeovers/page.go
@@ -44,6 +44,7 @@
 	var data struct {
 		Rows      []row
 		Sections  []section
+		BySize    []section
 		Takeovers []Takeover
 	}
 	data.Takeovers = all
@@ -61,6 +62,13 @@
 		}
 		data.Sections = append(data.Sections, section{p.Name, template.HTML(text)})
 	}
+	for _, s := range sizes {
+		text, err := bySize(all, s)
+		if err != nil {
+			return fmt.Errorf("plot by %s: %w", s.name, err)
+		}
+		data.BySize = append(data.BySize, section{s.name, template.HTML(text)})
+	}
 	return page.Execute(out, data)
 }
 
@@ -98,6 +106,52 @@
 		p.Add(drawn)
 		p.Legend.Add(how(warm), drawn)
 	}
+	return svgOf(p)
+}
+
+// size is what takeovers are shown by, and the time that grows with it.
+type size struct {
+	name, time string
+	of         func(t Takeover) plotter.XY
+}
+
+var sizes = []size{
+	{"number of jobs", "seconds to the view", func(t Takeover) plotter.XY { return plotter.XY{X: float64(t.Jobs), Y: t.View} }},
+	{"number of machines", "seconds until settled", func(t Takeover) plotter.XY { return plotter.XY{X: float64(t.Machines), Y: t.Settled} }},
+}
+
+// bySize draws each takeover's time by a size, as an SVG.
+func bySize(all []Takeover, s size) ([]byte, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = s.name, s.time
+	p.X.Min, p.Y.Min = 0, 0
+	p.Add(plotter.NewGrid())
+	for _, warm := range []bool{true, false} {
+		var points plotter.XYs
+		for _, t := range all {
+			if t.Warm == warm {
+				points = append(points, s.of(t))
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		drawn, err := plotter.NewScatter(points)
+		if err != nil {
+			return nil, err
+		}
+		drawn.Color = coldColor
+		if warm {
+			drawn.Color = warmColor
+		}
+		p.Add(drawn)
+		p.Legend.Add(how(warm), drawn)
+	}
+	return svgOf(p)
+}
+
+// svgOf draws a plot as an SVG.
+func svgOf(p *plot.Plot) ([]byte, error) {
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var text bytes.Buffer
@@ -125,6 +179,9 @@
 {{range .Sections}}<h2>{{.Name}}</h2>
 {{.Plot}}
 {{end}}
+{{range .BySize}}<h2>By {{.Name}}</h2>
+{{.Plot}}
+{{end}}
 <h2>All</h2>
 <table><tr><th>at</th><th>how</th><th>term</th><th>view</th><th>first decision</th><th>settled</th><th>jobs</th><th>machines</th></tr>
 {{range .Takeovers}}<tr><td>{{.At.Format "2006-01-02 15:04:05.000"}}</td><td>{{if .Warm}}standby's view{{else}}ledger read{{end}}</td><td>{{.Term}}</td><td>{{printf "%.3f" .View}}</td><td>{{printf "%.3f" .Decided}}</td><td>{{printf "%.3f" .Settled}}</td><td>{{.Jobs}}</td><td>{{.Machines}}</td></tr>
--- a/internal/takeovers/takeovers_test.go
+++ b/internal/takeovers/takeovers_test.go
@@ -35,8 +35,8 @@
 			t.Errorf("the page lacks %q", want)
 		}
 	}
-	if n := strings.Count(page.String(), "<svg"); n != len(Phases) {
-		t.Errorf("%d plots, want %d", n, len(Phases))
+	if n := strings.Count(page.String(), "<svg"); n != len(Phases)+len(sizes) {
+		t.Errorf("%d plots, want %d", n, len(Phases)+len(sizes))
 	}
 }
 
