--- a/internal/dispatch/drains_test.go
+++ b/internal/dispatch/drains_test.go
@@ -122,3 +122,56 @@
 	stop := g.start[0].Commands.Orders[0]
 	g.want("the stop", []any{stop.Verb, stop.Attempt, *stop.GraceS}, []any{wire.Stop, o.Attempt, 7.0})
 }
+
+// TestNoticeWhileDraining: the cloud takes a machine back that a plan is emptying. What that
+// stops is charged, not refused, and holds back what the plan would move elsewhere.
+func TestNoticeWhileDraining(t *testing.T) {
+	g := newDrainStage(t, nil)
+	g.up("vm-1")
+	g.up("vm-2")
+	var running []wire.TaskReport
+	for _, ref := range []string{"job-1", "job-2"} {
+		job := newTestJob(ref, 1, 3)
+		job.CheckpointS, job.SaveS, job.EstimateS = 10, 1, 10000
+		g.submit(job)
+		running = append(running, taskIn(g.starts()[0], wire.TaskRunning, ""))
+		g.settle(DirectDone)
+	}
+	machines := []string{"vm-1", "vm-2"}
+	if g.c.jobs[0].hosts[0].machine != g.c.machineNamed("vm-1").index {
+		machines = []string{"vm-2", "vm-1"}
+	}
+	report := func() {
+		for i, name := range machines {
+			g.echo(name, running[i])
+		}
+	}
+	report()
+	for range 20 {
+		g.wait(2 * time.Second)
+		report()
+	}
+	g.start = nil
+	notice := g.reportOf(machines[0], g.c.machineNamed(machines[0]).token, running[0])
+	seconds := 60.0
+	notice.NoticeS = &seconds
+	g.report(notice)
+	stopped := running[0]
+	stopped.Status, stopped.Why, stopped.Saved = wire.TaskEnded, wire.WhyStopped, true
+	g.echo(machines[0], stopped)
+	entries := g.c.drains.account.Entries(g.now)
+	if len(entries) != 1 || entries[0].Job.Ref != "job-1" || entries[0].Cause == drain.Move {
+		t.Fatalf("%+v", entries)
+	}
+	g.start = nil
+	spec := drain.Spec{Name: "winter", Machines: []string{machines[1]}, Canary: 1, Batch: 1, WaitS: 100, HealthS: 100}
+	g.want("begun", g.answer(PlanAsked{Spec: &spec}), nil)
+	g.wait(3 * time.Second)
+	g.want("moves while the budget is used up", len(g.written().Moves), 0)
+	g.want("what it waits for", strings.Contains(strings.Join(g.c.drains.plans["winter"].rollout.Waits(), " "), "room for it elsewhere"), true)
+	g.echo(machines[1], running[1])
+	g.wait(28 * time.Second)
+	g.echo(machines[1], running[1])
+	g.wait(4 * time.Second)
+	g.want("what it waits for in the end", strings.Join(g.c.drains.plans["winter"].rollout.Waits(), " "), "job-2/0 on "+machines[1]+": the budget of team t: 1 of 1 jobs")
+}
--- /dev/null
+++ b/internal/ledger/plans_test.go
@@ -0,0 +1,37 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/segmentio/encoding/json"
+
+	"leadproxy/internal/drain"
+	"leadproxy/internal/wire"
+)
+
+// TestPlansOfOtherVersions: a plan that another version has written, or that can't be read,
+// is not carried out, and keeps nobody from leading.
+func TestPlansOfOtherVersions(t *testing.T) {
+	record := drain.Record{Version: drain.RecordVersion, Phase: drain.Choosing, Spec: drain.Spec{Name: "winter"}}
+	entry := func(name string, change func(r *drain.Record)) wire.Entry {
+		r := record
+		if change != nil {
+			change(&r)
+		}
+		value, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return wire.Entry{Key: PlanKey(name), Value: value}
+	}
+	s := collect([]wire.Entry{
+		entry("winter", nil),
+		entry("winter-2", func(r *drain.Record) { r.Version, r.Spec.Name = drain.RecordVersion+1, "winter-2" }),
+		entry("winter-3", nil), // the record of another plan
+		entry("winter-4", func(r *drain.Record) { r.Phase, r.Spec.Name = "thinking", "winter-4" }),
+		{Key: PlanKey("winter-5"), Value: json.RawMessage(`[`)},
+	})
+	if len(s.Plans) != 1 || s.Plans[0].Spec.Name != "winter" || len(s.Malformed) != 4 {
+		t.Errorf("%+v, %v", s.Plans, s.Malformed)
+	}
+}
