Read-over: one drawing of plots, one way to ask the leader, the account told the time once

The takeovers' and the draining's reports turned a plot into an element each by itself (internal/svg now); handover and rollouts asked controllers in turn alike (rpc.AskLeader); the proofs counted completions alike (fake.Completions); how many machines an answer of hints holds stood in two places. Each plan told the account the time that its caller had told it just before.

--- a/internal/dispatch/hints.go
+++ b/internal/dispatch/hints.go
@@ -11,9 +11,6 @@
 	"leadproxy/internal/settings"
 )
 
-// hintsAtOnce is how many machines one answer about hints holds at most.
-const hintsAtOnce = 256
-
 // hinted is what an earlier leader's hints say. It is looked at where this term knows
 // nothing better, and dropped when its beginning is over.
 type hinted struct {
@@ -125,9 +122,9 @@
 	}
 	slices.SortFunc(changed, func(a, b *machine) int { return cmp.Compare(a.changed, b.changed) })
 	given := HintsGiven{To: e.To, Term: c.term, Upto: c.changes, Learned: c.learnedHints()}
-	if len(changed) > hintsAtOnce {
-		changed = changed[:hintsAtOnce]
-		given.Upto = changed[hintsAtOnce-1].changed
+	if len(changed) > hints.MaxChanges {
+		changed = changed[:hints.MaxChanges]
+		given.Upto = changed[hints.MaxChanges-1].changed
 		given.More = true
 	}
 	for _, m := range changed {
--- a/internal/dispatch/hints_test.go
+++ b/internal/dispatch/hints_test.go
@@ -99,7 +99,7 @@
 // since is told alone, in parts if it is much.
 func TestHintsAreTakenOver(t *testing.T) {
 	g := newHintedStage(t, nil)
-	for i := range hintsAtOnce {
+	for i := range hints.MaxChanges {
 		g.up("vm-" + string(rune('a'+i%26)) + string(rune('a'+i/26)))
 	}
 	g.report(hintedReport(g, 0, wire.TaskRunning, ""))
@@ -112,7 +112,7 @@
 	}
 	first := ask(0)
 	second := ask(first.Upto)
-	g.want("parts", []any{len(first.Machines), first.More, len(second.Machines), second.More}, []any{hintsAtOnce, true, 1, false})
+	g.want("parts", []any{len(first.Machines), first.More, len(second.Machines), second.More}, []any{hints.MaxChanges, true, 1, false})
 	g.want("what has changed since", len(ask(second.Upto).Machines), 0)
 	g.c.changed(g.c.machineNamed("vm-1"))
 	g.want("after a change", ask(second.Upto).Machines[0].Name, "vm-1")
--- a/internal/drain/rollout.go
+++ b/internal/drain/rollout.go
@@ -172,19 +172,19 @@
 	return max(0, time.Duration(v.WallMS-r.record.PhaseMS)*time.Millisecond)
 }
 
-// Step goes on with the plan as far as it can. What it returns is to be done; if the record
+// Step goes on with the plan as far as it can; the account has been told the time before. What it returns is to be done; if the record
 // has changed, nothing is, and the step comes again when that is durable.
 func (r *Rollout) Step(v *View) []Act {
 	r.waits = nil
 	if r.record.Phase.Over() {
-		r.prune(v)
+		r.prune()
 		return nil
 	}
 	if !r.Durable() {
 		r.wait("the plan's record to be written")
 		return nil
 	}
-	r.prune(v)
+	r.prune()
 	if over := time.Duration(v.WallMS-r.record.CreatedMS) * time.Millisecond; r.record.Spec.DeadlineS > 0 && !r.record.Paused && over > seconds(r.record.Spec.DeadlineS) {
 		r.record.Paused, r.record.Why = true, "the plan's deadline is over"
 		r.record.Spec.DeadlineS = 0 // once resumed, it has none
@@ -212,8 +212,7 @@
 }
 
 // prune drops moves of jobs that count no longer.
-func (r *Rollout) prune(v *View) {
-	r.account.Tick(v.Now)
+func (r *Rollout) prune() {
 	n := len(r.record.Moves)
 	r.record.Moves = slices.DeleteFunc(slices.Clone(r.record.Moves), func(m MoveRecord) bool { return r.account.jobs[m.Ref] == nil })
 	if len(r.record.Moves) != n {
--- a/internal/fake/stops.go
+++ b/internal/fake/stops.go
@@ -47,3 +47,14 @@
 	}
 	return most
 }
+
+// Completions counts by task how often it completed.
+func Completions(runs []Run) map[string]int {
+	completed := map[string]int{}
+	for _, r := range runs {
+		if r.Completed {
+			completed[r.Task]++
+		}
+	}
+	return completed
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -273,21 +273,11 @@
 
 // Request has the leader hand over to a controller, or to the one whose copy is the newest.
 func Request(ctx context.Context, n outbound.Network, p *settings.Platform, to string) (*handoverpb.HandOverReply, error) {
-	var errs []error
-	for _, c := range controllers(p) {
-		var reply *handoverpb.HandOverReply
-		err := call(ctx, n, c.Addr, func(ctx context.Context, client handoverpb.HandoverClient) error {
-			var err error
-			reply, err = client.HandOver(ctx, &handoverpb.HandOverRequest{To: to})
-			return err
-		})
-		if err == nil {
-			return reply, nil
-		}
-		if status.Code(err) == codes.FailedPrecondition {
-			return nil, errors.New(status.Convert(err).Message())
-		}
-		errs = append(errs, fmt.Errorf("controller %s: %w", c.Node, err))
-	}
-	return nil, errors.Join(errs...)
+	var reply *handoverpb.HandOverReply
+	err := rpc.AskLeader(ctx, n, controllers(p), callLimit, func(ctx context.Context, conn *grpc.ClientConn) error {
+		var err error
+		reply, err = handoverpb.NewHandoverClient(conn).HandOver(ctx, &handoverpb.HandOverRequest{To: to})
+		return err
+	})
+	return reply, err
 }
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -74,6 +74,9 @@
 	More     bool   // there is more than this
 }
 
+// MaxChanges is how many machines one answer holds at most.
+const MaxChanges = 256
+
 // What is kept at most. Twice the 4,000 machines that are aimed at, and room for machines
 // that come and go within a term.
 const (
--- a/internal/hints/size_test.go
+++ b/internal/hints/size_test.go
@@ -13,7 +13,6 @@
 const (
 	largestFleet  = 4000
 	tasksEach     = 8
-	hintsAtOnce   = 256
 	maxFleetBytes = 4 << 20 // to bring everything once
 	maxBatchBytes = 1 << 20 // a quarter of what gRPC takes
 	maxKeptBytes  = 16 << 20
@@ -36,9 +35,9 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	total, most := 0, 0
-	for i := 0; i < largestFleet; i += hintsAtOnce {
-		batch := Batch{Term: 1, Sequence: uint64(i/hintsAtOnce + 1)}
-		for k := i; k < min(i+hintsAtOnce, largestFleet); k++ {
+	for i := 0; i < largestFleet; i += MaxChanges {
+		batch := Batch{Term: 1, Sequence: uint64(i/MaxChanges + 1)}
+		for k := i; k < min(i+MaxChanges, largestFleet); k++ {
 			batch.Machines = append(batch.Machines, busyMachine(k))
 		}
 		message := encode(batch)
--- a/internal/rolloutreport/page.go
+++ b/internal/rolloutreport/page.go
@@ -1,7 +1,6 @@
 package rolloutreport
 
 import (
-	"bytes"
 	"fmt"
 	"html/template"
 	"io"
@@ -11,8 +10,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+
+	"leadproxy/internal/svg"
 )
 
 // The size of a plot.
@@ -119,15 +118,7 @@
 		p.Add(drawn)
 		p.Legend.Add(name, drawn)
 	}
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	var text bytes.Buffer
-	if _, err := canvas.WriteTo(&text); err != nil {
-		return "", err
-	}
-	// What stands before the element belongs to a file of its own.
-	svg := text.Bytes()
-	return template.HTML(svg[max(0, bytes.Index(svg, []byte("<svg"))):]), nil
+	return svg.Draw(p, plotWidth, plotHeight)
 }
 
 var page = template.Must(template.New("drains").Parse(`<!DOCTYPE html>
--- a/internal/rollouts/proof_test.go
+++ b/internal/rollouts/proof_test.go
@@ -103,32 +103,18 @@
 	for _, broken := range d.Check.Broken() {
 		t.Error(broken)
 	}
-	completed, doubled := completions(d.Check.Runs())
-	if doubled > 0 {
-		t.Errorf("%d tasks were completed more than once", doubled)
+	completed := fake.Completions(d.Check.Runs())
+	for task, n := range completed {
+		if n > 1 {
+			t.Errorf("%s was completed %d times", task, n)
+		}
 	}
-	t.Logf("%d machines replaced in %s, %d controllers killed, %d tasks stopped, %d completed", len(old), took.Round(time.Second), kills, len(stops), completed)
+	t.Logf("%d machines replaced in %s, %d controllers killed, %d tasks stopped, %d completed", len(old), took.Round(time.Second), kills, len(stops), len(completed))
 	if *page != "" {
 		writePage(t, d)
 	}
 }
 
-// completions counts the tasks that completed, and those that did so more than once.
-func completions(runs []fake.Run) (tasks, doubled int) {
-	completed := map[string]int{}
-	for _, r := range runs {
-		if r.Completed {
-			completed[r.Task]++
-		}
-	}
-	for _, n := range completed {
-		if n > 1 {
-			doubled++
-		}
-	}
-	return len(completed), doubled
-}
-
 // writePage writes the report from what the controllers have logged.
 func writePage(t *testing.T, d *fake.Deployment) {
 	t.Helper()
--- a/internal/rollouts/rollouts.go
+++ b/internal/rollouts/rollouts.go
@@ -89,32 +89,16 @@
 	return reply, nil
 }
 
-// askAny has the controllers of a deployment asked one after the other until one answers
-// that leads.
-func askAny(ctx context.Context, n outbound.Network, p *settings.Platform, ask func(ctx context.Context, c rolloutpb.RolloutsClient) error) error {
-	var errs []error
-	for _, c := range p.Controllers() {
-		err := askOne(ctx, n, c.Addr, ask)
-		switch status.Code(err) {
-		case codes.OK:
-			return nil
-		case codes.FailedPrecondition, codes.InvalidArgument:
-			return errors.New(status.Convert(err).Message())
-		}
-		errs = append(errs, fmt.Errorf("controller %s: %w", c.Node, err))
-	}
-	return errors.Join(errs...)
-}
-
-func askOne(ctx context.Context, n outbound.Network, addr string, ask func(ctx context.Context, c rolloutpb.RolloutsClient) error) error {
-	return rpc.Call(ctx, n, addr, callLimit, func(ctx context.Context, conn *grpc.ClientConn) error {
-		return ask(ctx, rolloutpb.NewRolloutsClient(conn))
+// ask asks the leader of a deployment.
+func ask(ctx context.Context, n outbound.Network, p *settings.Platform, do func(ctx context.Context, c rolloutpb.RolloutsClient) error) error {
+	return rpc.AskLeader(ctx, n, p.Controllers(), callLimit, func(ctx context.Context, conn *grpc.ClientConn) error {
+		return do(ctx, rolloutpb.NewRolloutsClient(conn))
 	})
 }
 
 // Create begins a plan from its text and returns its name.
 func Create(ctx context.Context, n outbound.Network, p *settings.Platform, text string) (name string, err error) {
-	err = askAny(ctx, n, p, func(ctx context.Context, c rolloutpb.RolloutsClient) error {
+	err = ask(ctx, n, p, func(ctx context.Context, c rolloutpb.RolloutsClient) error {
 		reply, err := c.Create(ctx, &rolloutpb.CreateRequest{Text: text})
 		name = reply.GetName()
 		return err
@@ -124,7 +108,7 @@
 
 // Steer tells a plan something.
 func Steer(ctx context.Context, n outbound.Network, p *settings.Platform, name string, command drain.Command, argument string) error {
-	return askAny(ctx, n, p, func(ctx context.Context, c rolloutpb.RolloutsClient) error {
+	return ask(ctx, n, p, func(ctx context.Context, c rolloutpb.RolloutsClient) error {
 		_, err := c.Steer(ctx, &rolloutpb.SteerRequest{Name: name, Command: string(command), Argument: argument})
 		return err
 	})
@@ -132,7 +116,7 @@
 
 // List asks how all plans stand.
 func List(ctx context.Context, n outbound.Network, p *settings.Platform) (reply *rolloutpb.ListReply, err error) {
-	err = askAny(ctx, n, p, func(ctx context.Context, c rolloutpb.RolloutsClient) error {
+	err = ask(ctx, n, p, func(ctx context.Context, c rolloutpb.RolloutsClient) error {
 		var err error
 		reply, err = c.List(ctx, &rolloutpb.ListRequest{})
 		return err
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -3,13 +3,18 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"leadproxy/internal/outbound"
+	"leadproxy/internal/settings"
 )
 
 // maxReconnect bounds how long a broken connection rests: a controller that was restarted
@@ -40,3 +45,20 @@
 	defer cancel()
 	return do(ctx, conn)
 }
+
+// AskLeader has controllers asked one after the other until one answers, which is the one
+// that leads. What that one refuses, none of the others would do.
+func AskLeader(ctx context.Context, n outbound.Network, controllers []settings.Peer, limit time.Duration, ask func(ctx context.Context, conn *grpc.ClientConn) error) error {
+	var errs []error
+	for _, c := range controllers {
+		err := Call(ctx, n, c.Addr, limit, ask)
+		switch status.Code(err) {
+		case codes.OK:
+			return nil
+		case codes.FailedPrecondition, codes.InvalidArgument:
+			return errors.New(status.Convert(err).Message())
+		}
+		errs = append(errs, fmt.Errorf("controller %s: %w", c.Node, err))
+	}
+	return errors.Join(errs...)
+}
--- a/internal/standby/proof_test.go
+++ b/internal/standby/proof_test.go
@@ -96,12 +96,7 @@
 // did.
 func (d *deployment) onceEach() {
 	d.t.Helper()
-	completed := map[string]int{}
-	for _, run := range d.check.Runs() {
-		if run.Completed {
-			completed[run.Task]++
-		}
-	}
+	completed := fake.Completions(d.check.Runs())
 	doubled := 0
 	for task, n := range completed {
 		if n != 1 {
--- a/internal/takeovers/page.go
+++ b/internal/takeovers/page.go
@@ -1,7 +1,6 @@
 package takeovers
 
 import (
-	"bytes"
 	"fmt"
 	"html/template"
 	"image/color"
@@ -10,8 +9,8 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+
+	"leadproxy/internal/svg"
 )
 
 // The size of a plot.
@@ -60,14 +59,14 @@
 		if err != nil {
 			return fmt.Errorf("plot %s: %w", p.Name, err)
 		}
-		data.Sections = append(data.Sections, section{p.Name, template.HTML(text)})
+		data.Sections = append(data.Sections, section{p.Name, text})
 	}
 	for _, s := range sizes {
 		text, err := bySize(all, s)
 		if err != nil {
 			return fmt.Errorf("plot by %s: %w", s.name, err)
 		}
-		data.BySize = append(data.BySize, section{s.name, template.HTML(text)})
+		data.BySize = append(data.BySize, section{s.name, text})
 	}
 	return page.Execute(out, data)
 }
@@ -80,7 +79,7 @@
 }
 
 // distribution draws which share of the takeovers was over after how long, as an SVG.
-func distribution(all []Takeover, phase Phase) ([]byte, error) {
+func distribution(all []Takeover, phase Phase) (template.HTML, error) {
 	p := plot.New()
 	p.X.Label.Text = "seconds since the term was won"
 	p.Y.Label.Text = "share of takeovers"
@@ -97,7 +96,7 @@
 		}
 		drawn, err := plotter.NewLine(steps)
 		if err != nil {
-			return nil, err
+			return "", err
 		}
 		drawn.Color, drawn.Width = coldColor, vg.Points(2)
 		if warm {
@@ -106,7 +105,7 @@
 		p.Add(drawn)
 		p.Legend.Add(how(warm), drawn)
 	}
-	return svgOf(p)
+	return svg.Draw(p, plotWidth, plotHeight)
 }
 
 // size is what takeovers are shown by, and the time that grows with it.
@@ -121,7 +120,7 @@
 }
 
 // bySize draws each takeover's time by a size, as an SVG.
-func bySize(all []Takeover, s size) ([]byte, error) {
+func bySize(all []Takeover, s size) (template.HTML, error) {
 	p := plot.New()
 	p.X.Label.Text, p.Y.Label.Text = s.name, s.time
 	p.X.Min, p.Y.Min = 0, 0
@@ -138,7 +137,7 @@
 		}
 		drawn, err := plotter.NewScatter(points)
 		if err != nil {
-			return nil, err
+			return "", err
 		}
 		drawn.Color = coldColor
 		if warm {
@@ -147,20 +146,7 @@
 		p.Add(drawn)
 		p.Legend.Add(how(warm), drawn)
 	}
-	return svgOf(p)
-}
-
-// svgOf draws a plot as an SVG.
-func svgOf(p *plot.Plot) ([]byte, error) {
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	var text bytes.Buffer
-	if _, err := canvas.WriteTo(&text); err != nil {
-		return nil, err
-	}
-	// What stands before the element belongs to a file of its own.
-	svg := text.Bytes()
-	return svg[max(0, bytes.Index(svg, []byte("<svg"))):], nil
+	return svg.Draw(p, plotWidth, plotHeight)
 }
 
 var page = template.Must(template.New("takeovers").Parse(`<!DOCTYPE html>
