--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -141,8 +141,8 @@
 // machineNamed returns the machine of a name, making a place for one that we
 // hear of for the first time.
 func (c *Core) machineNamed(name string) *machine {
-	if i, ok := c.machineAt[name]; ok {
-		return c.machines[i]
+	if m := c.machineIfKnown(name); m != nil {
+		return m
 	}
 	name = strings.Clone(name) // mostly a part of a report's body
 	m := &machine{index: int32(len(c.machines)), name: name, typ: -1, zone: -1, hired: c.now,
--- a/internal/dispatch/plan_commands.go
+++ b/internal/dispatch/plan_commands.go
@@ -48,13 +48,13 @@
 		return fmt.Errorf("%w: %q", errPlanExists, spec.Name)
 	}
 	record := drain.Record{Version: drain.RecordVersion, Spec: spec, CreatedMS: c.wall, Phase: drain.Choosing, PhaseMS: c.wall}
-	selected := 0
+	selected, names := 0, c.planNames()
 	for _, m := range c.live {
 		if !c.selects(&record, m) {
 			continue
 		}
 		selected++
-		for _, name := range c.planNames() {
+		for _, name := range names {
 			if r, _ := c.drains.plans[name].rollout.Record(); !r.Phase.Over() && c.selects(&r, m) {
 				return fmt.Errorf("%w: machine %s is in plan %q already", drain.ErrPlan, m.name, name)
 			}
