Failing tests: answers that renew a lease without the stops of cancelled tasks

Workers of tests now count a higher token as a change at most once per half a lease, as the protocol says. The proportions of report, lease and cancel_s can be set for a cluster, and the cloud can refuse deletions.

--- /dev/null
+++ b/internal/dispatch/owed_stops_test.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/wire"
+)
+
+// TestEveryAnswerStopsCancelledTasks: users were told that a job is cancelled, and a minute
+// later a task of it was still running. An answer renews a worker's lease whatever its
+// orders are, and only some answers had the stops: those to the newest report of a machine
+// that is up and has echoed the term's token. What follows are the others. In each the stop
+// that went straight to the machine is lost.
+//
+// Evidence: whole nodes and simulated days in which machines hang while their jobs are
+// cancelled and the cloud deletes nothing (TestCancelledOnMachineBeingReturned), or leaders
+// end in series (TestCancelledDuringSeriesOfLeaders); their logs have no stop after the
+// cancellation. The rest was found by going through all that answers a report.
+func TestEveryAnswerStopsCancelledTasks(t *testing.T) {
+	start := wire.Order{Task: "job-1/0", Attempt: 6<<tokenBits | 1}
+	cancelled := ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Version: 4,
+		Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1), Terminal: wire.Aborted, Tasks: 1}, Hosts: savedHosts("vm-1")}}}
+	// running has a leader of our term start a task, and a user cancel its job.
+	running := func(t *testing.T) (*stage, wire.TaskReport) {
+		g := newStage(t, ledger.Snapshot{})
+		g.up("vm-1")
+		g.submit(newTestJob("job-1", 1, 1))
+		task := taskIn(g.starts()[0], wire.TaskRunning, "")
+		g.settle(DirectDone)
+		g.report(g.reportOf("vm-1", ours, task))
+		g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
+		g.settle(DirectUnknown)
+		return g, task
+	}
+	for _, q := range []struct {
+		name   string
+		answer func(t *testing.T) *wire.ReportAnswer
+	}{
+		{"the newest report", func(t *testing.T) *wire.ReportAnswer {
+			g, task := running(t)
+			return g.report(g.reportOf("vm-1", ours, task))
+		}},
+		{"a machine that is being returned", func(t *testing.T) *wire.ReportAnswer {
+			g, task := running(t)
+			g.wait(14 * time.Second) // four rounds without an echo; the cloud does not answer
+			g.want("asked to delete", g.deleted, []string{"vm-1"})
+			return g.report(g.reportOf("vm-1", ours, task))
+		}},
+		{"the first report to a new leader", func(t *testing.T) *wire.ReportAnswer {
+			g := newStage(t, cancelled)
+			return g.report(g.reportOf("vm-1", 6<<tokenBits, taskIn(start, wire.TaskRunning, "")))
+		}},
+		{"a report that looks older than one that was seen", func(t *testing.T) *wire.ReportAnswer {
+			g, task := running(t)
+			old := g.reportOf("vm-1", ours, task)
+			g.report(g.reportOf("vm-1", ours, task))
+			return g.report(old)
+		}},
+		{"a report of a lower token than its machine has shown", func(t *testing.T) *wire.ReportAnswer {
+			g, task := running(t)
+			g.echo("vm-1", task)
+			return g.report(g.reportOf("vm-1", ours, task))
+		}},
+		{"a job that is over and forgotten here", func(t *testing.T) *wire.ReportAnswer {
+			g, task := running(t)
+			g.echo("vm-1")
+			g.want("settled", g.c.jobs[0].settled, true)
+			return g.echo("vm-1", task)
+		}},
+		{"a job that nobody knows, as its record can't be read", func(t *testing.T) *wire.ReportAnswer {
+			g := newStage(t, ledger.Snapshot{})
+			g.up("vm-1")
+			return g.report(g.reportOf("vm-1", ours, taskIn(start, wire.TaskRunning, "")))
+		}},
+		{"a task beyond its job's total", func(t *testing.T) *wire.ReportAnswer {
+			g := newStage(t, cancelled)
+			g.up("vm-1")
+			return g.report(g.reportOf("vm-1", ours, wire.TaskReport{Task: "job-1/1", Attempt: 6<<tokenBits | 2, Status: wire.TaskFetching}))
+		}},
+		{"a task whose name can't be read", func(t *testing.T) *wire.ReportAnswer {
+			g := newStage(t, cancelled)
+			g.up("vm-1")
+			return g.report(g.reportOf("vm-1", ours, wire.TaskReport{Task: "job-1", Attempt: 6<<tokenBits | 2, Status: wire.TaskRunning}))
+		}},
+	} {
+		t.Run(q.name, func(t *testing.T) {
+			a := q.answer(t)
+			if a == nil {
+				return // not answered: the lease is not renewed
+			}
+			if got := verbs(a); got != "stop " {
+				t.Errorf("renewed with the orders %q, want a stop", got)
+			}
+		})
+	}
+}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -48,6 +48,7 @@
 	news                chan struct{} // tells of a change; holds one
 	session, seq, token uint64
 	renewed             time.Time // when the last answered report was sent
+	tokenTold           time.Time // when a higher token last counted as a change
 	ticked              time.Time
 	tasks               []*workerTask
 	known               map[uint64]bool
@@ -127,7 +128,7 @@
 func (w *Worker) Reboot() {
 	w.do(func() {
 		w.clear()
-		w.session, w.seq, w.token, w.renewed = 1, 0, 0, time.Now()
+		w.session, w.seq, w.token, w.renewed, w.tokenTold = 1, 0, 0, time.Now(), time.Time{}
 		w.change()
 		w.images = map[string]time.Time{}
 	})
@@ -382,10 +383,14 @@
 	answer(rw, status, report)
 }
 
-// hearToken notes the highest token. It counts as a change.
+// hearToken notes the highest token. It counts as a change at most once per half a lease.
 func (w *Worker) hearToken(token uint64) {
-	if token > w.token {
-		w.token = token
+	if token <= w.token {
+		return
+	}
+	w.token = token
+	if time.Since(w.tokenTold) >= w.config.Lease/2 {
+		w.tokenTold = time.Now()
 		w.change()
 	}
 }
--- a/internal/node/cells_test.go
+++ b/internal/node/cells_test.go
@@ -87,7 +87,7 @@
 }
 
 func newFederation(t *testing.T, p federationPlan) *federation {
-	f := &federation{t: t, net: fake.NewNet(t), check: newChecker(t, p.limits), names: p.names, cells: map[string]*cluster{}}
+	f := &federation{t: t, net: fake.NewNet(t), check: newChecker(t, cancelLimit, p.limits), names: p.names, cells: map[string]*cluster{}}
 	for _, name := range p.names {
 		cell := &cellPlan{name: name, net: f.net, check: f.check, operator: p.operatorOf(name), owns: f.owns(name)}
 		f.cells[name] = newCluster(t, plan{machines: p.machinesOf(name), limits: p.limits, old: p.old[name], run: p.run, seed: p.seed, standby: p.standby, cell: cell})
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -34,13 +35,13 @@
 	check *fake.Checker
 	nodes []*controller
 	users *fake.Users
-	// What befalls writes to the state service, direct commands, and hires.
-	writes, orders, hires atomic.Pointer[fake.Troubles]
-	held                  bool           // commands were held up: starts may come late
-	calm                  chan time.Time // holds since when there are no troubles; zero: there are
-	operator              settings.Operator
-	prefix                string // of its hosts' names
-	deciders              *deciders
+	// What befalls writes to the state service, direct commands, hires, and deletions.
+	writes, orders, hires, deletes atomic.Pointer[fake.Troubles]
+	held                           bool           // commands were held up: starts may come late
+	calm                           chan time.Time // holds since when there are no troubles; zero: there are
+	operator                       settings.Operator
+	prefix                         string // of its hosts' names
+	deciders                       *deciders
 }
 
 // cellPlan is what one cell of several is made of.
@@ -76,6 +77,7 @@
 	// ledger is what the state service holds at first.
 	ledger map[string]string
 	seed   uint64
+	pace   pace
 }
 
 // The times of a cluster.
@@ -85,6 +87,16 @@
 	cancelLimit = 40 * time.Second
 )
 
+// pace is the times that workers keep.
+type pace struct{ report, lease, cancel time.Duration }
+
+// usualPace is short, so that a test has many rounds of reports.
+var usualPace = pace{reportEvery, workerLease, cancelLimit}
+
+// seldomReports are the proportions of a large deployment: few reports in a lease, and not
+// much time between the lease's end and when a cancelled job's tasks have to be gone.
+var seldomReports = pace{report: 8 * time.Second, lease: 36 * time.Second, cancel: 56 * time.Second}
+
 // controller is one node: its settings stay, its processes come and go.
 type controller struct {
 	platform *settings.Platform
@@ -142,12 +154,13 @@
 	if p.writes == 0 {
 		p.writes = 100
 	}
+	p.pace = cmp.Or(p.pace, usualPace)
 	c := &cluster{t: t, deciders: newDeciders(t), calm: make(chan time.Time, 1), operator: settings.Defaults()}
 	c.calm <- time.Time{}
 	owns := func(string) bool { return true }
 	if p.cell == nil {
 		c.net = fake.NewNet(t)
-		c.check = newChecker(t, p.limits)
+		c.check = newChecker(t, p.pace.cancel, p.limits)
 	} else {
 		c.net, c.check, c.operator, c.prefix, owns = p.cell.net, p.cell.check, p.cell.operator, p.cell.name+"-", p.cell.owns
 	}
@@ -164,7 +177,7 @@
 	zones := []string{"a", "b", "c"}
 	for i, zone := range zones { // a node in each
 		f := settings.Facts{Nodes: len(zones), Zones: zones, ClockErrorMS: 5,
-			Workers:   settings.Workers{ReportS: reportEvery.Seconds(), LeaseS: workerLease.Seconds(), CancelS: cancelLimit.Seconds()},
+			Workers:   settings.Workers{ReportS: p.pace.report.Seconds(), LeaseS: p.pace.lease.Seconds(), CancelS: p.pace.cancel.Seconds()},
 			State:     settings.StateLimits{RPS: 2 * p.writes, WriteRPS: p.writes, ValueKB: 16, TxnOps: 32, Next: p.next},
 			Cloud:     settings.CloudLimits{RPS: 5, ListLagS: 2},
 			Resources: settings.Resources{CPUShare: 1, RAMMB: 500, Sockets: 2000}}
@@ -198,9 +211,9 @@
 		Prefix: c.prefix + "vm-",
 		Types:  []wire.MachineType{{Name: "m8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: zones}},
 		Boot:   p.boot, ListLag: 2 * time.Second, Most: p.machines,
-		Worker: fake.WorkerConfig{Nodes: workers, Report: reportEvery, Lease: workerLease + time.Duration(p.drift*float64(workerLease)), Fetch: 500 * time.Millisecond,
+		Worker: fake.WorkerConfig{Nodes: workers, Report: p.pace.report, Lease: p.pace.lease + time.Duration(p.drift*float64(p.pace.lease)), Fetch: 500 * time.Millisecond,
 			Run: p.run, Check: c.check, Trouble: only("/commands", &c.orders)},
-		Trouble: only("/machines", &c.hires),
+		Trouble: either(only("/machines", &c.hires), only("/machines/delete", &c.deletes)),
 		Host:    func(name string) (outbound.Network, string) { return c.net.Host(name), name + ":9000" },
 	})
 	// The rules are looked at as long as the test goes on.
@@ -215,8 +228,8 @@
 	return c
 }
 
-func newChecker(t *testing.T, limits map[string]float64) *fake.Checker {
-	return fake.NewChecker(t, fake.Limits{Cancel: cancelLimit, CPUs: limits, Waiting: 90 * time.Second, Silent: 75 * time.Second,
+func newChecker(t *testing.T, cancel time.Duration, limits map[string]float64) *fake.Checker {
+	return fake.NewChecker(t, fake.Limits{Cancel: cancel, CPUs: limits, Waiting: 90 * time.Second, Silent: 75 * time.Second,
 		MayRepeat: func(class string) bool { return class == repeatableClass }})
 }
 
@@ -230,6 +243,16 @@
 	}
 }
 
+// either is the first of two troubles that befalls a request.
+func either(first, second fake.Troubles) fake.Troubles {
+	return func(from string, r *http.Request) fake.Trouble {
+		if trouble := first(from, r); trouble.Fault != fake.NoFault {
+			return trouble
+		}
+		return second(from, r)
+	}
+}
+
 // share has a share of the requests befallen by a trouble that lasts up to most.
 func (c *cluster) share(share float64, fault fake.Fault, least, most time.Duration) *fake.Troubles {
 	f := fake.Troubles(func(string, *http.Request) fake.Trouble {
