No answer renews a worker's lease without the stops of cancelled tasks

Cause: stops went only into answers to the newest report of a machine that is up and has echoed the term's token. A machine whose deletion was asked for, a new leader's first report, a report that looked older and tasks of unknown jobs got a 200 with no orders, which renews the lease; where the direct stop was lost as well, the task ran on.

Change: mustStop decides for every answer, believed or not. A machine that is being returned is heard like any other, and gets no starts. The newest answer adds forgets and what waits as before.

All tests of dispatch, node, drain, standby and cells pass.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -12,7 +12,9 @@
 type openAnswer struct {
 	to      Recipient
 	machine *machine
-	report  *wire.Report // nil for a stale one
+	report  *wire.Report
+	// outdated: the report is older than what is known of its worker.
+	outdated bool
 	// until is when an answer that waits for starts to become durable is given
 	// without them; 0: it has not waited.
 	until time.Duration
@@ -57,7 +59,7 @@
 				c.outboxes = append(c.outboxes, m) // for what does not go into the answer
 			}
 		} else {
-			a.report = nil
+			a.outdated = true
 		}
 		c.answers = append(c.answers, a)
 	}
@@ -77,17 +79,14 @@
 		if c.holdAnswer(a) || m.asking == i+1 && c.awaits(a) {
 			continue
 		}
-		answer := &wire.ReportAnswer{Token: m.token, Orders: []wire.Order{}}
-		if a.report != nil && m.asking == i+1 && m.known(c.term) {
-			// What a machine lists before its first echo is not booked yet, and
-			// must not be stopped for that.
-			orders, forgets := c.ordersFor(m, a.report)
-			orders = c.withOutbox(m, a.report, orders)
-			if len(orders) > 0 || len(forgets) >= forgetAtOnce {
-				orders = append(orders, forgets...)
-			}
-			answer.Orders = orders
+		// An answer renews the worker's lease, whatever it orders and however little its
+		// report is believed. So none goes without the stops of what must not run.
+		believed := !a.outdated && m.asking == i+1 && m.known(c.term)
+		orders := c.stopsFor(m, a.report, believed)
+		if believed {
+			orders = c.ordersFor(m, a.report, orders)
 		}
+		answer := &wire.ReportAnswer{Token: m.token, Orders: orders}
 		if m.asking == i+1 {
 			m.asking = 0
 		}
@@ -125,49 +124,42 @@
 // the tasks anyway, or for others like it.
 const forgetAtOnce = 8
 
-// ordersFor lists what the answer to a fresh report must order, and which done
-// tasks the worker may drop.
-func (c *Core) ordersFor(m *machine, r *wire.Report) (orders, forgets []wire.Order) {
-	orders = []wire.Order{}
+// ordersFor adds to the stops of a report that is believed what else its answer orders:
+// which ended tasks the worker may drop, and what waits for its machine.
+func (c *Core) ordersFor(m *machine, r *wire.Report, orders []wire.Order) []wire.Order {
+	var done []wire.Order
 	for i := range r.Tasks {
-		if len(orders)+len(forgets) >= maxOrders {
+		if len(orders)+len(done) >= maxOrders {
 			break
 		}
 		t := &r.Tasks[i]
-		j, n, b := c.taskOf(m, t)
-		if j == nil {
+		if t.Status != wire.TaskEnded || !c.mayForget(m, t) {
 			continue
 		}
-		if t.Status == wire.TaskEnded {
-			if !c.mayForget(m, j, int(n), t) {
-				continue
-			}
-			forget := wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt}
-			if t.Why == wire.WhyDone {
-				forgets = append(forgets, forget)
-			} else {
-				orders = append(orders, forget)
-			}
-			continue
-		}
-		if b == nil {
-			orders = append(orders, stopOrder(t.Task, t.Attempt, 0))
-		} else if b.stopping {
-			orders = append(orders, stopOrder(t.Task, t.Attempt, b.grace))
+		forget := wire.Order{Verb: wire.Forget, Task: t.Task, Attempt: t.Attempt}
+		if t.Why == wire.WhyDone {
+			done = append(done, forget)
+		} else {
+			orders = append(orders, forget)
 		}
 	}
-	return orders, forgets
+	orders = c.withOutbox(m, r, orders)
+	if len(orders) > 0 || len(done) >= forgetAtOnce {
+		orders = append(orders, done...)
+	}
+	return orders
 }
 
 // mayForget tells whether an ended attempt may be dropped by its worker: not
 // while a copy of its start may still arrive, since the worker would run it
 // again, and not before its end is in the ledger.
-func (c *Core) mayForget(m *machine, j *job, n int, t *wire.TaskReport) bool {
-	if _, unsettled := m.pending[t.Attempt]; unsettled || !m.known(c.term) {
+func (c *Core) mayForget(m *machine, t *wire.TaskReport) bool {
+	if _, unsettled := m.pending[t.Attempt]; unsettled {
 		return false
 	}
-	if t.Why != wire.WhyDone || j.terminalDurable {
+	j, n, _ := c.taskOf(m, t)
+	if j == nil || t.Why != wire.WhyDone || j.terminalDurable {
 		return true
 	}
-	return n < len(j.tasks) && j.tasks[n].state == taskDurable
+	return int(n) < len(j.tasks) && j.tasks[n].state == taskDurable
 }
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -104,8 +104,11 @@
 	gb    float64
 }
 
+// known tells whether what a machine reports is believed: it has echoed the term's token.
+// One whose deletion is asked for counts as well. The cloud may be out of order for longer
+// than cancel_s, and a machine that goes on meanwhile must be told what to stop.
 func (m *machine) known(term uint64) bool {
-	return m.state == machineUp && m.echo>>tokenBits == term
+	return (m.state == machineUp || m.state == machineDeleting) && m.echo>>tokenBits == term
 }
 
 func (m *machine) has(image int32) bool {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -67,7 +67,7 @@
 
 // open tells whether a machine takes new tasks at all.
 func (c *Core) open(m *machine) bool {
-	return m.known(c.term) && m.session > m.over && m.typ >= 0 && m.note == nil && !m.cordoned && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && !m.doubted && c.now-m.echoed < c.silentAfter()
+	return m.state == machineUp && m.known(c.term) && m.session > m.over && m.typ >= 0 && m.note == nil && !m.cordoned && !m.quarantine && c.now >= m.shunned && m.noticeAt == 0 && !m.doubted && c.now-m.echoed < c.silentAfter()
 }
 
 // queue returns the jobs with tasks to place, in order: teams within their
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -22,9 +22,8 @@
 		return
 	}
 	c.lives(m)
-	a := openAnswer{to: e.To, machine: m}
+	a := openAnswer{to: e.To, machine: m, report: r}
 	if c.observe(m, r, true) {
-		a.report = r
 		if m.awaiting != nil {
 			// Its worker has given up the answer to an earlier one.
 			m.awaiting = nil
@@ -35,6 +34,7 @@
 		m.asking = len(c.answers) + 1
 		c.raiseToken(m)
 	} else {
+		a.outdated = true
 		c.staleReport(m, r)
 	}
 	if r.Session <= m.over {
@@ -149,7 +149,7 @@
 		t := &r.Tasks[i]
 		j, n, b := c.taskOf(m, t)
 		if j == nil {
-			continue // ordersFor stops what it can't place
+			continue // its answer stops it, see mustStop
 		}
 		if t.Status == wire.TaskEnded {
 			c.attemptEnded(m, j, n, b, t)
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -150,7 +150,7 @@
 	held := c.held
 	c.held = nil
 	for _, a := range held {
-		if a.report != nil {
+		if !a.outdated {
 			a.machine.asking = len(c.answers) + 1
 		}
 		c.answers = append(c.answers, a)
--- a/internal/dispatch/stops.go
+++ b/internal/dispatch/stops.go
@@ -16,6 +16,42 @@
 	c.orderStop(m, b)
 }
 
+// stopsFor lists the stops that the answer to a report owes: those of the tasks in it that
+// must not run. It decides that for every answer, since each renews the worker's lease. That
+// a report may be an old copy is no reason to leave one out: stopping an attempt that is no
+// longer there does nothing.
+func (c *Core) stopsFor(m *machine, r *wire.Report, believed bool) []wire.Order {
+	stops := []wire.Order{}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		if t.Status == wire.TaskEnded || len(stops) >= maxOrders {
+			continue // what is left is stopped in the answers to the next reports
+		}
+		if grace, must := c.mustStop(m, t, believed); must {
+			stops = append(stops, stopOrder(t.Task, t.Attempt, grace))
+		}
+	}
+	return stops
+}
+
+// mustStop tells whether a task that a machine reports as alive must not run, and how long
+// it may take to save its progress.
+func (c *Core) mustStop(m *machine, t *wire.TaskReport, believed bool) (grace float64, must bool) {
+	j, _, b := c.taskOf(m, t)
+	switch {
+	case j == nil:
+		// Whatever an earlier leader started has its job's record in the ledger. So this one
+		// can't be read, and may say that the job is cancelled.
+		return 0, true
+	case j.over():
+		return 0, true // nobody wants its progress
+	case b == nil:
+		// What is not booked from a report that may be an old copy is not looked at yet.
+		return 0, believed
+	}
+	return b.grace, b.stopping
+}
+
 func stopOrder(task string, attempt uint64, grace float64) wire.Order {
 	return wire.Order{Verb: wire.Stop, Task: task, Attempt: attempt, GraceS: &grace}
 }
