Checker: a lease renewed without the stop of a cancelled task breaks a rule at once

The rule on cancelled tasks shows only when cancel_s is over. What keeps a task alive is an answer that renews the lease and does not stop it, and the workers of tests see that at the moment.

--- a/internal/fake/checker.go
+++ b/internal/fake/checker.go
@@ -365,6 +365,25 @@
 	CPUs, MemGB float64
 }
 
+// Renewed notes that an answer has renewed a worker's lease. Tasks in its report whose job
+// was told as cancelled before that was sent must be stopped by it: else they would live on
+// by such answers, which the time alone tells only much later.
+func (c *Checker) Renewed(machine string, sent time.Time, tasks []wire.TaskReport, orders []wire.Order) {
+	c.do(func() {
+		for i := range tasks {
+			t := &tasks[i]
+			ref, _, _ := wire.SplitTask(t.Task)
+			j := c.jobs[ref]
+			if t.Status == wire.TaskEnded || j == nil || j.told != wire.Aborted || j.toldAt.After(sent) {
+				continue
+			}
+			if !slices.ContainsFunc(orders, func(o wire.Order) bool { return o.Verb == wire.Stop && o.Attempt == t.Attempt }) {
+				c.breaks("renewed_without_stop", "%s of %s, %s after the confirmation", t.Task, machine, sent.Sub(j.toldAt))
+			}
+		}
+	})
+}
+
 // Look is called now and then. It looks at tasks that go on, and, when troubles
 // have been over since calm, at jobs that are left waiting although there is room,
 // and at those about which no question is answered. calm is zero in troubles.
--- a/internal/fake/checker_test.go
+++ b/internal/fake/checker_test.go
@@ -105,6 +105,19 @@
 			time.Sleep(41 * time.Second)
 			h.Look(time.Time{}, nil)
 		}},
+		{"a lease renewed without the stop of a cancelled task", "renewed_without_stop", func(h history) {
+			h.submit("job-1", 1, nil)
+			h.answer(AskedCancel, "job-1", 200, wire.Aborted)
+			h.Renewed("m1", time.Now(), []wire.TaskReport{{Task: "job-1/0", Attempt: 1, Status: wire.TaskRunning}}, nil)
+		}},
+		{"a lease renewed with the stops of cancelled tasks, and of reports from before", "", func(h history) {
+			h.submit("job-1", 1, nil)
+			before := time.Now()
+			h.answer(AskedCancel, "job-1", 200, wire.Aborted)
+			tasks := []wire.TaskReport{{Task: "job-1/0", Attempt: 1, Status: wire.TaskRunning}, {Task: "job-1/0", Attempt: 2, Status: wire.TaskEnded}}
+			h.Renewed("m1", before, tasks, nil)
+			h.Renewed("m1", time.Now(), tasks, []wire.Order{{Verb: wire.Stop, Task: "job-1/0", Attempt: 1}})
+		}},
 		{"ends late after the cancellation", "ran_cancelled", func(h history) {
 			h.submit("job-1", 1, nil)
 			h.Begins("job-1/0", "m1", "m", "a", true)
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -529,6 +529,7 @@
 		}
 		w.hearToken(a.Token)
 		w.renewed = sent
+		w.config.Check.Renewed(w.name, sent, report.Tasks, a.Orders)
 		w.execute(a.Orders)
 	})
 	return "", true
