Failing test: a cancelled task is let save its progress

A task that is being stopped with time to save is passed over when its job is cancelled. How long it saves is the user's word and may be more than cancel_s.

--- a/internal/dispatch/owed_stops_test.go
+++ b/internal/dispatch/owed_stops_test.go
@@ -96,3 +96,32 @@
 		})
 	}
 }
+
+// TestCancelEndsSaving: a task is told to stop and may save its progress, since its machine
+// will be taken back; then its job is cancelled, and the task was let save to the end. How
+// long that takes is the user's word (flush_s), and may be more than cancel_s.
+//
+// Evidence: without the repair below no command left at the cancellation, and before answers
+// were mended (TestEveryAnswerStopsCancelledTasks) the next one gave the time to save again.
+func TestCancelEndsSaving(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	j := newTestJob("job-1", 1, 1)
+	j.CheckpointS, j.SaveS = 10, 100
+	g.submit(j)
+	o := g.starts()[0]
+	g.settle(DirectDone)
+	notice := 300.0
+	r := g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, ""))
+	r.NoticeS = &notice
+	saving := g.report(r).Orders
+	g.want("time to save before the cancellation", len(saving) > 0 && *saving[0].GraceS >= 100, true)
+	g.start = nil
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
+	if g.want("commands at the cancellation", len(g.start), 1); len(g.start) == 1 {
+		g.want("time to save in the command", *g.start[0].Commands.Orders[0].GraceS, 0.0)
+	}
+	g.settle(DirectUnknown)
+	orders := g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskSaving, ""))).Orders
+	g.want("time to save in the next answer", len(orders) == 1 && *orders[0].GraceS == 0, true)
+}
