Cancelling a job ends its tasks that are saving their progress

Cause: a booking that was being stopped with time to save was passed over. Change: it is stopped again, with none, as the protocol has it.

--- a/internal/dispatch/queries.go
+++ b/internal/dispatch/queries.go
@@ -84,14 +84,15 @@
 	c.stopTasks(j)
 }
 
-// stopTasks has all tasks of a job stopped.
+// stopTasks has all tasks of a job stopped, also those that are being stopped already and have
+// time to save: that may be more than a cancelled job's tasks have.
 func (c *Core) stopTasks(j *job) {
 	if j.booked == 0 {
 		return
 	}
 	for _, m := range c.live {
 		for k := len(m.bookings) - 1; k >= 0; k-- {
-			if b := m.bookings[k]; b.job == j.index && !b.stopping {
+			if b := m.bookings[k]; b.job == j.index && (!b.stopping || b.grace > 0) {
 				c.stopBooking(m, b, 0)
 			}
 		}
