Cancelled tasks are watched: overdue ones are logged as errors and fail tests

What was lacking: no log told why a lease was renewed or that a cancelled task was still there. The leader now knows when each cancelled job's end became durable, logs an error with what it knows of the machine once a booking is past cancel_s, and each minute counts stops due, repeated, of unknown tasks, and overdue. Reading the ledger logs its revision. A cancelled task that a new leader's probe finds is stopped at once.

--- /dev/null
+++ b/internal/dispatch/cancelled.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"time"
+
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
+)
+
+// What a cancelled job's tasks do after the cancellation is watched here: nothing of them
+// may be alive cancel_s after a user was told. It decides nothing. What it logs as an error
+// must never happen, and fails tests.
+
+// MessageOverdue is what a leader logs as an error when a task of a cancelled job may still
+// run past its bound.
+const MessageOverdue = "a cancelled task may run past its bound"
+
+// cancelledEvery is how often what was done about cancelled tasks is logged.
+const cancelledEvery = time.Minute
+
+// cancelledCounts counts what was done about cancelled tasks since it was last logged.
+type cancelledCounts struct {
+	Due      int // stops decided as jobs were cancelled
+	Repeated int // stops in answers to reports that still list the task
+	Unknown  int // stops of tasks whose job nobody knows
+	Overdue  int // tasks that may have run past their bound
+}
+
+// cancelled is what the watch keeps.
+type cancelled struct {
+	counts cancelledCounts
+	logged time.Duration
+}
+
+// cancelBound is how long after the end of a cancelled job its tasks may be there, by two
+// controllers' clocks.
+func (c *Core) cancelBound() time.Duration {
+	facts := &c.cfg.Platform.Facts
+	return settings.Seconds(facts.Workers.CancelS) + time.Duration(2*facts.ClockErrorMS*float64(time.Millisecond))
+}
+
+// overdue tells whether a job's tasks must all be gone. Time in which this controller stood
+// still or was suspended does not count: what it has booked is as old as that.
+func (c *Core) overdue(j *job) bool {
+	return j.terminal == wire.Aborted && j.terminalDurable && c.now-max(j.endedAt, c.awake) > c.cancelBound()
+}
+
+// noteStop notes that an answer stops a task that must not run.
+func (c *Core) noteStop(m *machine, t *wire.TaskReport) {
+	j, _, _ := c.taskOf(m, t)
+	switch {
+	case j == nil:
+		c.cancelled.counts.Unknown++
+		c.log.Info("stopping a task whose job is not known", "machine", m.name, "task", t.Task, "attempt", t.Attempt)
+	case j.terminal == wire.Aborted:
+		c.cancelled.counts.Repeated++
+		if c.debug {
+			c.log.Debug("stopping a cancelled task", "machine", m.name, "task", t.Task, "attempt", t.Attempt,
+				"status", t.Status, "since", (c.now - j.endedAt).Seconds(), "echoed", m.known(c.term))
+		}
+	}
+}
+
+// watchCancelled looks for bookings of cancelled jobs past their bound, each job once.
+func (c *Core) watchCancelled() {
+	for _, j := range c.active {
+		if j.booked > 0 && !j.overdueNoted && c.overdue(j) {
+			j.overdueNoted = true
+			c.noteOverdue(j)
+		}
+	}
+	if c.now-c.cancelled.logged >= cancelledEvery {
+		c.logCancelled()
+	}
+}
+
+// noteOverdue logs where a cancelled job's tasks may still be.
+func (c *Core) noteOverdue(j *job) {
+	for _, m := range c.live {
+		for _, b := range m.bookings {
+			if b.job != j.index {
+				continue
+			}
+			c.cancelled.counts.Overdue++
+			c.log.Error(MessageOverdue, "term", c.term, "machine", m.name, "task", c.taskName(b), "attempt", b.attempt, "status", b.status,
+				"since", (c.now - j.endedAt).Seconds(), "heard", (c.now - m.heard).Seconds(), "echoed", (c.now - m.echoed).Seconds(),
+				"deleting", m.state == machineDeleting, "stop_ordered", b.stopping)
+		}
+	}
+}
+
+// logCancelled logs what was done about cancelled tasks, if there was anything.
+func (c *Core) logCancelled() {
+	if n := c.cancelled.counts; n != (cancelledCounts{}) {
+		c.log.Info("cancelled tasks", "stops_due", n.Due, "stops_repeated", n.Repeated, "unknown_tasks", n.Unknown, "overdue", n.Overdue)
+	}
+	c.cancelled = cancelled{logged: c.now}
+}
--- /dev/null
+++ b/internal/dispatch/cancelled_test.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"leadproxy/internal/fleet"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/wire"
+)
+
+// TestOverdueCancelledTasksAreNoted: a task of a cancelled job ran on and nothing said so: it
+// was found from outside, a minute later, and no log told why. The leader notes it as an error.
+func TestOverdueCancelledTasksAreNoted(t *testing.T) {
+	for _, q := range []struct {
+		name string
+		act  func(g *stage, task wire.TaskReport)
+		want bool
+	}{
+		{"a worker that goes on after each stop", func(g *stage, task wire.TaskReport) {
+			for range 22 {
+				g.wait(3 * time.Second)
+				g.echo("vm-1", task)
+			}
+		}, true},
+		{"a worker that stops it", func(g *stage, task wire.TaskReport) {
+			task.Status, task.Why = wire.TaskEnded, wire.WhyStopped
+			for range 22 {
+				g.wait(3 * time.Second)
+				g.echo("vm-1", task)
+			}
+		}, false},
+		{"a worker that is not heard: its lease is over before", func(g *stage, _ wire.TaskReport) {
+			g.wait(66 * time.Second)
+		}, false},
+		{"a controller that stood still", func(g *stage, task wire.TaskReport) {
+			g.now += 66 * time.Second
+			g.step(Tick{})
+			g.echo("vm-1", task)
+			g.wait(3 * time.Second)
+		}, false},
+		{"a new leader that finds it", func(g *stage, task wire.TaskReport) {
+			next := newStageAt(g.t, g.now, testConfig(g.c.cfg.Operator, g.c.cfg.Platform.Facts.Teams...), ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Version: 4,
+				Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1), Terminal: wire.Aborted, Tasks: 1, EndedMS: 1}, Hosts: savedHosts("vm-1")}}})
+			for range 22 {
+				next.wait(3 * time.Second)
+				next.echo("vm-1", task)
+			}
+			g.c = next.c
+		}, true},
+	} {
+		t.Run(q.name, func(t *testing.T) {
+			g := newStage(t, ledger.Snapshot{})
+			g.up("vm-1")
+			g.submit(newTestJob("job-1", 1, 1))
+			task := taskIn(g.starts()[0], wire.TaskRunning, "")
+			g.settle(DirectDone)
+			g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
+			g.settle(DirectUnknown)
+			q.act(g, task)
+			g.want("noted", g.c.jobs[0].overdueNoted, q.want)
+		})
+	}
+}
+
+// TestProbeThatFindsACancelledTask: a new leader's probe is back before the worker's next
+// report, which may be many seconds later. The stop goes at once, not with its answer.
+func TestProbeThatFindsACancelledTask(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Version: 4,
+		Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1), Terminal: wire.Aborted, Tasks: 1}, Hosts: savedHosts("vm-1")}}})
+	g.now += time.Second
+	g.step(CloudBack{fleet.Result{Call: fleet.Call{List: true}, List: []wire.ListedMachine{
+		{Name: "vm-1", Address: "10.1.0.1:9000", Type: "m4", Zone: "a", Spot: true, Status: wire.MachineUp, AgeS: 90}}}})
+	g.want("probes", len(g.start), 1)
+	probe := g.start[0]
+	g.start = nil
+	task := wire.TaskReport{Task: "job-1/0", Attempt: 6<<tokenBits | 1, Status: wire.TaskRunning}
+	g.step(DirectBack{Call: probe.Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours, task)})
+	g.want("a stop", len(g.start) == 1 && g.start[0].Commands.Orders[0].Verb == wire.Stop, true)
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -102,7 +102,8 @@
 	drains      drains
 	changes     uint64 // counts the changes of machines that hints tell of
 
-	costs costs
+	costs     costs
+	cancelled cancelled
 
 	out []Effect
 }
@@ -138,7 +139,7 @@
 func NewCore(cfg Config, s ledger.Snapshot, now time.Duration, wall int64, log *slog.Logger) *Core {
 	w := cfg.Platform.Facts.Workers
 	c := &Core{
-		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now, costs: costs{until: now, logged: now},
+		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), term: cfg.Term, now: now, wall: wall, began: now, ticked: now, awake: now, costs: costs{until: now, logged: now}, cancelled: cancelled{logged: now},
 		leaseTime: settings.Stretch(settings.Seconds(w.LeaseS)) + 250*time.Millisecond,
 		report:    settings.Seconds(w.ReportS),
 		unseen:    map[string][]int32{}, aborting: map[int32]bool{},
@@ -282,6 +283,7 @@
 		}
 	}
 	c.sweep()
+	c.watchCancelled()
 	c.noteSilence()
 	c.dropNotes()
 	c.dropHints()
--- a/internal/dispatch/graph.go
+++ b/internal/dispatch/graph.go
@@ -198,7 +198,7 @@
 func (c *Core) readySince(j *job) time.Duration {
 	last := j.arrived
 	for _, at := range j.deps.needs {
-		last = max(last, c.jobs[at].doneAt)
+		last = max(last, c.jobs[at].endedAt)
 	}
 	return min(last, c.now)
 }
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -38,16 +38,17 @@
 	arrived time.Duration
 	// due and rank are its own, or those of a job that needs it where that is more
 	// urgent.
-	due    time.Duration // never without a deadline
-	rank   int
-	doneAt time.Duration // for one that was done when this term began
-	deps   dependencies
-	size   slowfit.Size
-	team   int32
-	class  int32
-	image  int32
-	zone   int32 // -1: any
-	types  []int32
+	due  time.Duration // never without a deadline
+	rank int
+	// endedAt is when its end became durable, or was decided if that was before this term.
+	endedAt time.Duration
+	deps    dependencies
+	size    slowfit.Size
+	team    int32
+	class   int32
+	image   int32
+	zone    int32 // -1: any
+	types   []int32
 
 	tasks   []task
 	waiting []int32 // indices of waiting tasks, the last one goes first
@@ -83,6 +84,7 @@
 	terminal        string // decided, being written or durable
 	terminalDurable bool
 	settled         bool // all that a terminal state requires is done
+	overdueNoted    bool // its tasks may have run past the bound of a cancellation
 	waiters         []Recipient
 
 	begun  bool          // some task of it has been seen running, or is done
@@ -118,7 +120,7 @@
 	j := &job{index: int32(len(c.jobs)), ref: ref, spec: rec.Job, version: version, accept: rec.AcceptedMS,
 		home: rec.Home, epoch: rec.Epoch, terminal: rec.Terminal, terminalDurable: rec.Terminal != "", total: rec.Tasks, done: rec.Done, due: never, zone: -1}
 	if rec.EndedMS > 0 {
-		j.doneAt = c.ago(rec.EndedMS)
+		j.endedAt = c.ago(rec.EndedMS)
 	}
 	c.jobIndex[ref] = j.index
 	c.jobs = append(c.jobs, j)
@@ -254,7 +256,7 @@
 	if j.terminalDurable {
 		return // it followed from another job's end before its own record was written
 	}
-	j.terminalDurable = true
+	j.terminalDurable, j.endedAt = true, c.now
 	delete(c.aborting, j.index)
 	j.waiting = nil
 	c.log.Debug("job is over", "job", j.ref, "state", j.terminal, "seconds", (c.now - j.arrived).Seconds(), "late", c.now > j.due)
--- a/internal/dispatch/queries.go
+++ b/internal/dispatch/queries.go
@@ -93,6 +93,7 @@
 	for _, m := range c.live {
 		for k := len(m.bookings) - 1; k >= 0; k-- {
 			if b := m.bookings[k]; b.job == j.index && (!b.stopping || b.grace > 0) {
+				c.cancelled.counts.Due++
 				c.stopBooking(m, b, 0)
 			}
 		}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -159,6 +159,9 @@
 			if b = c.adopt(m, j, n, t); b == nil {
 				continue
 			}
+			if b.stopping && !reported {
+				c.orderStop(m, b) // no answer goes there that could have it
+			}
 		}
 		b.state, b.seen = bookConfirmed, c.looks
 		if t.Status != b.status {
--- a/internal/dispatch/stops.go
+++ b/internal/dispatch/stops.go
@@ -28,6 +28,7 @@
 			continue // what is left is stopped in the answers to the next reports
 		}
 		if grace, must := c.mustStop(m, t, believed); must {
+			c.noteStop(m, t)
 			stops = append(stops, stopOrder(t.Task, t.Attempt, grace))
 		}
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -88,7 +88,7 @@
 	for ctx.Err() == nil {
 		snapshot, err := book.Load(ctx)
 		if err == nil {
-			d.log.Info("ledger read", "term", number, "jobs", len(snapshot.Jobs), "hires", len(snapshot.Hires))
+			d.log.Info("ledger read", "term", number, "jobs", len(snapshot.Jobs), "hires", len(snapshot.Hires), "revision", snapshot.Revision)
 			return snapshot, true
 		}
 		d.log.Info("ledger not read yet", "term", number, "error", err)
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -62,8 +62,9 @@
 
 type workerTask struct {
 	wire.TaskReport
-	job *wire.Job
-	ran time.Duration
+	job   *wire.Job
+	ran   time.Duration
+	saved time.Time // when its progress will be saved
 }
 
 // workerTicks is the worker's own pace.
@@ -199,7 +200,7 @@
 // clear ends all tasks at once, as the end of the lease does.
 func (w *Worker) clear() {
 	for _, t := range w.tasks {
-		if t.Status == wire.TaskRunning {
+		if t.there() {
 			w.config.Check.Ends(t.Task, w.name, false)
 		}
 	}
@@ -254,6 +255,10 @@
 			if t.ran += past; t.ran >= w.config.Run(t.Task) {
 				w.complete(t)
 			}
+		case wire.TaskSaving:
+			if !now.Before(t.saved) {
+				w.stopped(t, true)
+			}
 		}
 	}
 }
@@ -296,18 +301,9 @@
 			w.start(o)
 		case wire.Stop:
 			for _, t := range w.tasks {
-				if t.Task != o.Task || t.Attempt != o.Attempt || t.Status == wire.TaskEnded {
-					continue
-				}
-				if t.Status == wire.TaskRunning {
-					w.config.Check.Ends(t.Task, w.name, false)
-					if t.job.CheckpointS > 0 {
-						t.Saved = true
-						w.config.Check.Saves(t.Task, t.ran)
-					}
+				if t.Task == o.Task && t.Attempt == o.Attempt {
+					w.stop(t, o)
 				}
-				t.Status, t.Why = wire.TaskEnded, wire.WhyStopped
-				w.change()
 			}
 		case wire.Forget:
 			w.tasks = slices.DeleteFunc(w.tasks, func(t *workerTask) bool {
@@ -322,6 +318,38 @@
 	}
 }
 
+// stop has a task end, once it has saved its progress if the order leaves it the time.
+func (w *Worker) stop(t *workerTask, o wire.Order) {
+	grace := 0.0
+	if o.GraceS != nil {
+		grace = *o.GraceS
+	}
+	switch {
+	case t.Status == wire.TaskEnded, t.Status == wire.TaskSaving && grace > 0:
+	case t.Status == wire.TaskRunning && t.job.CheckpointS > 0 && grace >= t.job.SaveS:
+		t.Status, t.saved = wire.TaskSaving, time.Now().Add(time.Duration(t.job.SaveS*float64(time.Second)))
+		w.change()
+		w.advance()
+	default:
+		w.stopped(t, false)
+	}
+}
+
+// stopped ends a task that was told to stop.
+func (w *Worker) stopped(t *workerTask, saved bool) {
+	if t.there() {
+		w.config.Check.Ends(t.Task, w.name, false)
+	}
+	if saved {
+		w.config.Check.Saves(t.Task, t.ran)
+	}
+	t.Status, t.Why, t.Saved = wire.TaskEnded, wire.WhyStopped, saved
+	w.change()
+}
+
+// there tells whether a task counts as on its machine.
+func (t *workerTask) there() bool { return t.Status == wire.TaskRunning || t.Status == wire.TaskSaving }
+
 func (w *Worker) start(o wire.Order) {
 	if w.known[o.Attempt] {
 		return
--- /dev/null
+++ b/internal/node/alarms_test.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	"leadproxy/internal/dispatch"
+)
+
+// alarms fails a test when a controller logs what must never happen.
+type alarms struct {
+	t    *testing.T
+	next slog.Handler // takes the other lines
+}
+
+// Enabled takes what next takes, and all errors.
+func (a alarms) Enabled(ctx context.Context, level slog.Level) bool {
+	return level >= slog.LevelError || a.next.Enabled(ctx, level)
+}
+
+// Handle looks at a line and passes it on.
+func (a alarms) Handle(ctx context.Context, r slog.Record) error {
+	if r.Message == dispatch.MessageOverdue {
+		text := ""
+		r.Attrs(func(attribute slog.Attr) bool {
+			text += " " + attribute.String()
+			return true
+		})
+		a.t.Errorf("%s:%s", r.Message, text)
+	}
+	if !a.next.Enabled(ctx, r.Level) {
+		return nil
+	}
+	return a.next.Handle(ctx, r)
+}
+
+// WithAttrs passes them on.
+func (a alarms) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return alarms{a.t, a.next.WithAttrs(attrs)}
+}
+
+// WithGroup passes it on.
+func (a alarms) WithGroup(name string) slog.Handler { return alarms{a.t, a.next.WithGroup(name)} }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"os"
@@ -269,12 +268,16 @@
 	n := c.nodes[i]
 	ctx, cancel := context.WithCancel(context.Background())
 	n.host, n.cancel, n.done = c.net.Host(n.platform.Node), cancel, make(chan struct{})
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	handler := slog.Handler(slog.DiscardHandler)
 	if c.operator.Standby.Follow {
-		log = slog.New(c.deciders)
+		handler = c.deciders
 	}
 	if os.Getenv("CLUSTER_LOG") != "" {
-		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", n.platform.Node, "test", c.t.Name())
+		handler = slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})
+	}
+	log := slog.New(alarms{c.t, handler})
+	if os.Getenv("CLUSTER_LOG") != "" {
+		log = log.With("node", n.platform.Node, "test", c.t.Name())
 	}
 	go func(host *fake.Host, level int, done chan struct{}) {
 		defer close(done)
