Soak: randomized faults with real processes, fakes of all else, a seed a schedule

internal/soak: three controllers on loopback; kills, leaders in series, stopped processes, one-way cuts, lost, late and doubled messages, a cloud out of order, machines that hang, hear nothing, reach nobody, come back, are taken; users submit, cancel, ask and repeat at all controllers. The checker, the ledger's tidiness and the controllers' errors decide.

--- a/internal/fake/process.go
+++ b/internal/fake/process.go
@@ -76,9 +76,15 @@
 	c.command = nil
 }
 
-// Freeze stops it in its tracks, or has it go on.
+// Up tells whether it was started and not killed since.
+func (c *Process) Up() bool { return c.command != nil }
+
+// Freeze stops it in its tracks, or has it go on. One that is down stays so.
 func (c *Process) Freeze(on bool) {
 	c.t.Helper()
+	if c.command == nil {
+		return
+	}
 	what := syscall.SIGCONT
 	if on {
 		what = syscall.SIGSTOP
@@ -126,13 +132,13 @@
 	return slices.IndexFunc(controllers, func(c *Process) bool { return c.Platform.Node == holder.Node })
 }
 
-// KeepLogs copies controllers' logs to where they outlive the test.
-func KeepLogs(t testing.TB, controllers []*Process) {
+// KeepLogs copies controllers' logs to where they outlive the test, and tells where.
+func KeepLogs(t testing.TB, controllers []*Process) (dir string) {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "leadproxy-logs-")
 	if err != nil {
 		t.Error(err)
-		return
+		return ""
 	}
 	for _, c := range controllers {
 		text, err := os.ReadFile(c.logFile())
@@ -144,6 +150,7 @@
 		}
 	}
 	t.Logf("the controllers' logs are in %s", dir)
+	return dir
 }
 
 // Build compiles the program of a source tree and returns its path.
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -159,6 +159,16 @@
 	return n
 }
 
+// Entries lists all keys with their values, in order.
+func (s *State) Entries() (entries []wire.Entry) {
+	s.do(func() {
+		for _, key := range s.inOrder() {
+			entries = append(entries, s.keys[key])
+		}
+	})
+	return entries
+}
+
 // Largest is the size of the largest value under a prefix.
 func (s *State) Largest(prefix string) (bytes int) {
 	s.do(func() {
--- /dev/null
+++ b/internal/soak/run_test.go
@@ -0,0 +1,279 @@
+package soak
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"leadproxy/internal/dispatch"
+	"leadproxy/internal/fake"
+	"leadproxy/internal/outbound"
+	"leadproxy/internal/wire"
+)
+
+const controllers = 3
+
+// plan is what a run is made of.
+type plan struct {
+	seed     uint64
+	machines int
+	pace     pace
+	length   time.Duration // of the troubles
+	standby  bool
+}
+
+// pace is the times that workers keep.
+type pace struct{ report, lease, cancel time.Duration }
+
+// The rates of users.
+const (
+	jobsPerMachine = 0.1 // a second
+	mostJobs       = 8   // a second
+	lookEvery      = 2 * time.Second
+)
+
+// run is one run: a deployment, its users and its troubles. The schedule is carried out by
+// one goroutine; users have others.
+type run struct {
+	t                       *testing.T
+	plan                    plan
+	program                 string
+	schedule                schedule
+	d                       *fake.Deployment
+	random                  *rand.Rand
+	writes, commands, calls *messages
+	open                    chan []*wire.Job // holds the jobs that run until they are cancelled
+	calm                    chan time.Time   // holds since when there are no troubles; zero: there are
+	stop                    chan struct{}    // closed when users submit no more
+}
+
+// play plays a run and reports what was broken.
+func play(t *testing.T, program string, p plan) {
+	r := &run{t: t, plan: p, program: program, random: rand.New(rand.NewPCG(p.seed, 3)),
+		schedule: newSchedule(p.seed, controllers, p.pace.lease, p.length),
+		writes:   newMessages("/txn", p.seed), commands: newMessages("/commands", p.seed), calls: newMessages("", p.seed),
+		open: make(chan []*wire.Job, 1), calm: make(chan time.Time, 1), stop: make(chan struct{})}
+	r.open <- nil
+	r.calm <- time.Time{}
+	operator := ""
+	if p.standby {
+		operator = "[standby]\nfollow = yes\nhints = yes\n"
+	}
+	r.d = fake.NewDeployment(t, fake.DeploymentPlan{Controllers: controllers, Machines: p.machines, Teams: []string{"open", "tight"},
+		CPUs: map[string]float64{"tight": 12}, Operator: operator, Report: p.pace.report, Lease: p.pace.lease, Cancel: p.pace.cancel,
+		Run: runTime, Seed: p.seed, Relayed: true, Writes: r.writes.befall, Commands: r.commands.befall, Calls: r.calls.befall})
+	t.Logf("seed %d, %d machines, %v, standby %v:\n%s", p.seed, p.machines, p.pace, p.standby, r.schedule)
+	for _, n := range r.d.Nodes {
+		n.LogLevel = "info"
+		n.Start(program)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			r.keep()
+		}
+	})
+	go r.look()
+	r.users()
+	r.carryOut()
+	r.finish()
+}
+
+// callOffLast is the last digit of jobs that run until they are cancelled.
+const callOffLast = "0369"
+
+// toCallOff tells whether a job runs until it is cancelled. Pipelines do not.
+func toCallOff(ref string) bool {
+	return strings.HasPrefix(ref, "job-0") && strings.Contains(callOffLast, ref[len(ref)-1:])
+}
+
+// runTime is how long a task runs: some seconds by its job's name, or for ever.
+func runTime(task string) time.Duration {
+	ref, _, _ := wire.SplitTask(task)
+	if toCallOff(ref) {
+		return time.Hour
+	}
+	hash := fnv.New64a()
+	hash.Write([]byte(ref))
+	return time.Second + time.Duration(hash.Sum64()%12)*time.Second
+}
+
+// users submit, cancel, ask and repeat until they are stopped.
+func (r *run) users() {
+	stopPipelines := r.d.Users.Pipelines()
+	random := rand.New(rand.NewPCG(r.plan.seed, 4))
+	rate := min(jobsPerMachine*float64(r.plan.machines), mostJobs)
+	r.d.Users.Go(func() {
+		defer stopPipelines()
+		for k := 0; ; k++ {
+			select {
+			case <-r.stop:
+				return
+			case <-time.After(time.Duration(random.ExpFloat64() / rate * float64(time.Second))):
+				r.submit(k, random)
+			}
+		}
+	})
+}
+
+// submit has a user submit a job, of which some are called off later.
+func (r *run) submit(k int, random *rand.Rand) {
+	j := fake.NewJob(fmt.Sprintf("job-%06d", k), 1+random.IntN(6), func(j *wire.Job) {
+		j.CPUs = float64(1 + random.IntN(3))
+		if random.IntN(4) == 0 {
+			j.Team = "tight"
+		}
+		if random.IntN(3) == 0 {
+			j.CheckpointS, j.SaveS = 2, float64(1+random.IntN(5))
+		}
+	})
+	r.d.Users.Submit(j)
+	if !toCallOff(j.Ref) {
+		return
+	}
+	r.open <- append(<-r.open, j)
+	after := time.Duration(random.Int64N(int64(15 * time.Second)))
+	r.d.Users.Go(func() {
+		outbound.Pause(r.t.Context(), after)
+		r.cancel(j)
+	})
+}
+
+// cancel has a user cancel a job until that is answered.
+func (r *run) cancel(j *wire.Job) {
+	for r.t.Context().Err() == nil {
+		if code, _ := r.d.Users.Until(fake.AskedCancel, j.Ref, nil); code == 200 {
+			r.d.Users.Look(j.Ref, j)
+			return
+		}
+	}
+}
+
+// cancelSome has users call off a share of the jobs that wait for that, all at once.
+func (r *run) cancelSome(share float64) {
+	jobs := <-r.open
+	r.open <- nil
+	for _, j := range jobs {
+		if r.random.Float64() < share {
+			r.d.Users.Go(func() { r.cancel(j) })
+		}
+	}
+}
+
+// look holds the deployment to the rules all the time.
+func (r *run) look() {
+	for r.t.Context().Err() == nil {
+		outbound.Pause(r.t.Context(), lookEvery)
+		calm := <-r.calm
+		r.calm <- calm
+		r.d.Check.Look(calm, r.d.Cloud.Rooms())
+	}
+}
+
+// action is something at a moment of a run.
+type action struct {
+	at time.Duration
+	do func()
+}
+
+// carryOut has the troubles begin and end.
+func (r *run) carryOut() {
+	began := time.Now()
+	var actions []action
+	later := func(at time.Duration, do func()) {
+		i, _ := slices.BinarySearchFunc(actions, at, func(a action, at time.Duration) int { return cmp.Compare(a.at, at) })
+		actions = slices.Insert(actions, i, action{at, do})
+	}
+	for _, trouble := range r.schedule {
+		later(trouble.at, func() {
+			end := r.begin(trouble)
+			later(trouble.at+trouble.lasts, end)
+		})
+		if trouble.kind == killLeaders {
+			r.killInTurns(trouble, later)
+		}
+	}
+	for len(actions) > 0 {
+		next := actions[0]
+		actions = actions[1:]
+		time.Sleep(time.Until(began.Add(next.at)))
+		next.do()
+	}
+	time.Sleep(time.Until(began.Add(r.plan.length)))
+}
+
+// killInTurns has leaders killed one after the other, each back soon.
+func (r *run) killInTurns(t trouble, later func(at time.Duration, do func())) {
+	const turns = 4
+	gap := 4*time.Second + time.Duration(t.share*float64(r.plan.pace.report))
+	for k := 1; k < turns; k++ {
+		at := t.at + time.Duration(k)*gap
+		if at >= r.plan.length {
+			return
+		}
+		later(at, func() {
+			end := r.beginWithProcesses(trouble{kind: killOne, target: leader})
+			later(at+time.Second, end)
+		})
+	}
+}
+
+// finish ends all troubles and sees to it that all that was accepted is served, nothing is
+// left on machines, and the ledger is tidy.
+func (r *run) finish() {
+	close(r.stop)
+	for _, n := range r.d.Nodes {
+		r.resume(n)
+	}
+	<-r.calm
+	r.calm <- time.Now()
+	fake.Await(r.t, "all jobs over", 5*time.Minute, func() bool { return len(r.d.Check.Open()) == 0 })
+	if open := r.d.Check.Open(); len(open) > 0 {
+		r.t.Errorf("still open: %v", open)
+	} else {
+		r.d.Users.Wait()
+		fake.Await(r.t, "all tasks gone", time.Minute, func() bool { on, _ := r.d.Check.On(""); return on == 0 })
+		fake.Await(r.t, "the ledger tidied up", time.Minute, func() bool { return r.d.State.Count("fin/")+r.d.State.Count("host/") == 0 })
+	}
+	for _, broken := range r.d.Check.Broken() {
+		r.t.Error(broken)
+	}
+	r.alarms()
+	runs := r.d.Check.Runs()
+	r.t.Logf("seed %d: %d stays on machines, %d tasks completed, %d jobs, %d starts after a confirmed cancellation",
+		r.plan.seed, len(runs), len(fake.Completions(runs)), r.d.State.Count("job/"), r.d.Check.LateStarts())
+}
+
+// alarms looks for what controllers must never log.
+func (r *run) alarms() {
+	for _, n := range r.d.Nodes {
+		for _, line := range strings.Split(n.Log(), "\n") {
+			if strings.Contains(line, dispatch.MessageOverdue) || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+				r.t.Errorf("%s: %s", n.Platform.Node, line)
+			}
+		}
+	}
+}
+
+// keep keeps all that tells of a failed run: logs, schedule and ledger.
+func (r *run) keep() {
+	dir := fake.KeepLogs(r.t, r.d.Nodes)
+	ledger, err := json.MarshalIndent(r.d.State.Entries(), "", " ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, "ledger.json"), ledger, 0o600)
+	}
+	if err == nil {
+		text := fmt.Sprintf("%+v\n%s\n%s\n", r.plan, r.schedule, strings.Join(r.d.Check.Broken(), "\n"))
+		err = os.WriteFile(filepath.Join(dir, "schedule.txt"), []byte(text), 0o600)
+	}
+	if err != nil {
+		r.t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,58 @@
+//go:build soak
+
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"leadproxy/internal/fake"
+)
+
+var (
+	firstSeed = flag.Uint64("first", 1, "the first seed")
+	seeds     = flag.Int("seeds", 50, "how many seeds")
+	machines  = flag.Int("machines", 0, "how many machines; 0: 24, and now and then 300")
+	length    = flag.Duration("length", 80*time.Second, "how long the troubles of a seed last")
+	program   = flag.String("program", "", "the controller's program; none: built from this tree")
+)
+
+// paces are the proportions of report, lease and cancel_s that operators have, and shorter
+// ones with more rounds.
+var paces = []pace{
+	{time.Second, 10 * time.Second, 20 * time.Second},
+	{3 * time.Second, 26 * time.Second, 51 * time.Second},
+	{6 * time.Second, 31 * time.Second, 56 * time.Second},
+	{8 * time.Second, 36 * time.Second, 56 * time.Second},
+}
+
+// The sizes of runs: one in so many is large.
+const (
+	fewMachines  = 24
+	manyMachines = 300
+	oneInLarge   = 10
+)
+
+// TestSoak plays many seeds, -parallel of them at a time. docs/operations.md has the command.
+func TestSoak(t *testing.T) {
+	built := *program
+	if built == "" {
+		built = fake.Build(t, "../..")
+	}
+	for k := range *seeds {
+		seed := *firstSeed + uint64(k)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			p := plan{seed: seed, machines: *machines, length: *length, pace: paces[seed%uint64(len(paces))], standby: seed%5 == 0}
+			if p.machines == 0 {
+				p.machines = fewMachines
+				if seed%oneInLarge == 0 {
+					p.machines = manyMachines
+				}
+			}
+			play(t, built, p)
+		})
+	}
+}
