--- /dev/null
+++ b/internal/dispatch/cancel_test.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"testing"
+
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/wire"
+)
+
+func TestCancelIsToldOnlyWhenDurableAndLateStartsAreStopped(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	o := g.starts()[0]
+	g.settle(DirectUnknown)
+	g.held, g.out = true, nil
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
+	g.want("answers before it is durable", len(g.out), 0)
+	g.want("state before it is durable", g.jobStatus("job-1") == wire.Aborted, false)
+	g.out = nil
+	g.release()
+	g.want("the answer", g.out[0].(AnswerUser).Status.Status, wire.Aborted)
+	// The start command arrives late, after the cancellation.
+	g.want("orders", verbs(g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskRunning, "")))), "stop ")
+	g.report(g.reportOf("vm-1", ours+1, taskIn(o, wire.TaskEnded, wire.WhyStopped)))
+	g.want("state", g.jobStatus("job-1"), wire.Aborted)
+	g.want("bookings left", g.c.jobs[0].booked, 0)
+}
+
+// TestCancelStopsTasksAtOnce: the write of a cancellation may be carried out and its
+// answer lost. Other nodes then tell the user, while the leader, in an outage that
+// begins at that moment, goes on answering workers and learns of it only minutes
+// later. So the tasks are stopped when the cancellation is asked for.
+func TestCancelStopsTasksAtOnce(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 2, 1))
+	orders := g.starts()
+	g.settle(DirectDone)
+	g.held, g.out = true, nil
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
+	stops := ""
+	for _, d := range g.start {
+		for _, o := range d.Commands.Orders {
+			stops += o.Verb + " "
+		}
+	}
+	g.want("commands before it is durable", stops, "stop stop ")
+	for _, e := range g.out {
+		if a, ok := e.(AnswerUser); ok {
+			t.Errorf("told %+v before it is durable", a)
+		}
+	}
+	// A task that is found only now is not taken up either.
+	g.up("vm-2")
+	o := orders[0]
+	o.Attempt++
+	g.want("orders to another machine", verbs(g.report(g.reportOf("vm-2", ours, taskIn(o, wire.TaskRunning, "")))), "stop ")
+}
+
+// TestStopThatOvertakesItsStartIsRepeated: a cancellation comes while the start is on its
+// way in another command, and the stop is carried out first, which the worker ignores. The
+// task began after the cancellation was confirmed, and ran until the next report.
+func TestStopThatOvertakesItsStartIsRepeated(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	start, o := g.start[0], g.starts()[0]
+	g.start = nil
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
+	stop := g.start[0]
+	g.start = nil
+	g.step(DirectBack{Call: stop.Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours)})
+	g.want("the stop again, as the start may have come since", len(g.start), 1)
+	again := g.start[0]
+	g.start = nil
+	g.step(DirectBack{Call: again.Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours)})
+	g.want("commands while the start is on its way for longer", len(g.start), 0)
+	g.step(DirectBack{Call: start.Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours, taskIn(o, wire.TaskFetching, ""))})
+	g.want("the stop once the start was carried out", len(g.start) == 1 && g.start[0].Commands.Orders[0].Verb == wire.Stop, true)
+	g.step(DirectBack{Call: g.start[0].Call, Outcome: DirectDone, Report: g.reportOf("vm-1", ours, taskIn(o, wire.TaskEnded, wire.WhyStopped))})
+	g.want("bookings left", g.c.jobs[0].booked, 0)
+}
+
+func TestCancelOfADoneJobSaysDone(t *testing.T) {
+	g := newStage(t, ledger.Snapshot{})
+	g.up("vm-1")
+	g.submit(newTestJob("job-1", 1, 1))
+	o := g.starts()[0]
+	g.settle(DirectDone)
+	g.held = true
+	g.report(g.reportOf("vm-1", ours, taskIn(o, wire.TaskEnded, wire.WhyDone)))
+	g.want("told before it is durable", g.jobStatus("job-1") == wire.Done, false)
+	// The state service may have the write while its answer is on its way, and
+	// another node may have told a user: "queued" would go back on that.
+	g.want("sent to the record while it is being written", g.out[0].(AnswerUser).Deciding, true)
+	g.out = nil
+	g.step(CancelAsked{Ref: "job-1", To: recipient("u")})
+	g.release()
+	g.want("the answer", g.out[0].(AnswerUser).Status.Status, wire.Done)
+	g.want("told once it is durable", g.jobStatus("job-1"), wire.Done)
+	g.want("without a look at the record", g.out[0].(AnswerUser).Deciding, false)
+}
+
+// TestCancelledJobWhoseRangesAreStillThere: the leader ended between writing a
+// job's cancellation and deleting its ranges. The next one counted the finished
+// tasks twice and ended on that, as did every one after it.
+func TestCancelledJobWhoseRangesAreStillThere(t *testing.T) {
+	rec := ledger.JobRecord{Job: newTestJob("job-1", 3, 1), Terminal: wire.Aborted, Tasks: 3, Done: 2}
+	g := newStage(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{Ref: "job-1", Record: rec, Hosts: savedHosts("vm-1"), Finished: savedRanges(0, 1)}}})
+	g.want("state", g.jobStatus("job-1"), wire.Aborted)
+	g.up("vm-1")
+	g.want("starts", len(g.starts()), 0)
+	g.want("settled", g.c.jobs[0].settled, true)
+}
--- /dev/null
+++ b/internal/dispatch/stage_test.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"leadproxy/internal/fleet"
+	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
+	"leadproxy/internal/wire"
+)
+
+// stage drives a core by hand: a fake clock, and effects kept until looked at.
+type stage struct {
+	t        tester
+	c        *Core
+	now      time.Duration
+	seq      map[string]uint64
+	start    []Direct     // commands not yet settled
+	answered []wire.Order // in answers to reports, since the last settle
+	out      []Effect
+	others   []Effect // those that have no place above, from the beginning
+	// held, while set, keeps ledger writes from becoming durable.
+	held    bool
+	pending []ledger.Tag
+	hires   []wire.Hire
+	deleted []string
+	writes  map[string]ledger.Write // the last by key
+	puts    int                     // writes so far
+	specs   map[string]*wire.Job    // what was submitted
+}
+
+const testTerm = 7
+
+// recipient stands for whoever waits for an answer.
+type recipient string
+
+// Deliver is not called: the stage looks at the effects.
+func (recipient) Deliver(Effect) {}
+
+// savedHosts and savedRanges are what the ledger holds of one job in one key.
+func savedHosts(machines ...string) []ledger.SavedHosts {
+	if len(machines) == 0 {
+		return nil
+	}
+	return []ledger.SavedHosts{{Chunk: 0, Machines: machines}}
+}
+
+func savedRanges(firstAndLast ...int) []ledger.SavedRanges {
+	return []ledger.SavedRanges{{Key: "fin/job-1/0", Ranges: firstAndLast}}
+}
+
+// tester is a test or a property that fails.
+type tester interface {
+	Helper()
+	Errorf(format string, args ...any)
+	Fatal(args ...any)
+}
+
+func newStage(t tester, s ledger.Snapshot, teams ...settings.Team) *stage {
+	return newStageWith(t, settings.Defaults(), s, teams...)
+}
+
+func newStageWith(t tester, operator settings.Operator, s ledger.Snapshot, teams ...settings.Team) *stage {
+	if len(teams) == 0 {
+		teams = []settings.Team{{Name: "t"}}
+	}
+	return newStageAt(t, 0, testConfig(operator, teams...), s)
+}
+
+func testConfig(operator settings.Operator, teams ...settings.Team) Config {
+	p := &settings.Platform{Facts: settings.Facts{Nodes: 3, Teams: teams,
+		Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}}}
+	return Config{Term: testTerm, Platform: p, Operator: operator, ValueBytes: 16 << 10}
+}
+
+func newStageAt(t tester, now time.Duration, cfg Config, s ledger.Snapshot) *stage {
+	g := &stage{now: now, t: t, seq: map[string]uint64{}, writes: map[string]ledger.Write{}, specs: map[string]*wire.Job{}}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	g.c = NewCore(cfg, s, now, now.Milliseconds(), log)
+	g.take(g.c.TakeStart())
+	g.step(CloudBack{fleet.Result{Call: fleet.Call{Types: true}, Types: []wire.MachineType{
+		{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, Price: 1, SpotPrice: 0.5, BootS: 40, Zones: []string{"a", "b"}}}}})
+	return g
+}
+
+func (g *stage) step(e Event) {
+	g.c.Step(e, g.now, g.now.Milliseconds())
+	g.take(g.c.Settle())
+}
+
+func (g *stage) take(effects []Effect) {
+	var tags []ledger.Tag
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Put:
+			for _, w := range e.Writes {
+				g.writes[w.Key] = w
+				g.puts++
+				if w.Tag != nil {
+					tags = append(tags, w.Tag)
+				}
+			}
+		case Direct:
+			g.start = append(g.start, e)
+		case CallCloud:
+			if e.Call.Hire != nil {
+				g.hires = append(g.hires, *e.Call.Hire)
+			}
+			g.deleted = append(g.deleted, e.Call.Delete...)
+		case AnswerReport:
+			g.out = append(g.out, e)
+			if e.Answer != nil {
+				g.answered = append(g.answered, e.Answer.Orders...)
+			}
+		default:
+			g.out = append(g.out, e)
+			g.others = append(g.others, e)
+		}
+	}
+	if g.held {
+		g.pending = append(g.pending, tags...)
+	} else if len(tags) > 0 {
+		g.step(NowDurable{tags})
+	}
+}
+
+// release makes the held writes durable.
+func (g *stage) release() {
+	g.held = false
+	tags := g.pending
+	g.pending = nil
+	g.step(NowDurable{tags})
+}
+
+// wait lets time pass, a tick at a time.
+func (g *stage) wait(d time.Duration) {
+	for end := g.now + d; g.now < end; {
+		g.now += 250 * time.Millisecond
+		g.step(Tick{})
+	}
+}
+
+func (g *stage) reportOf(name string, token uint64, tasks ...wire.TaskReport) *wire.Report {
+	g.seq[name]++
+	return &wire.Report{Machine: name, Address: "10.1.0.1:9000", Type: "m4", Zone: "a", Spot: true, Session: 1, Seq: g.seq[name], Token: token, Tasks: tasks}
+}
+
+// report sends a report and returns the answer.
+func (g *stage) report(r *wire.Report) *wire.ReportAnswer {
+	g.out = nil
+	g.step(ReportIn{Report: r, To: recipient("w")})
+	for _, e := range g.out {
+		if a, ok := e.(AnswerReport); ok {
+			return a.Answer
+		}
+	}
+	g.t.Fatal("the report was not answered")
+	return nil
+}
+
+const ours = testTerm << tokenBits
+
+// up brings a machine up to where it may be used.
+func (g *stage) up(name string) { g.report(g.reportOf(name, 0)); g.report(g.reportOf(name, ours)) }
+
+// echo has a worker show that it has heard our latest token.
+func (g *stage) echo(name string, tasks ...wire.TaskReport) *wire.ReportAnswer {
+	m := g.c.machineNamed(name)
+	r := g.reportOf(name, m.token, tasks...)
+	r.Session = max(m.session, 1)
+	return g.report(r)
+}
+
+func newTestJob(ref string, tasks int, cpus float64) *wire.Job {
+	return &wire.Job{Ref: ref, Class: "c", Team: "t", Kind: "batch", Priority: "standard", Tasks: tasks, CPUs: cpus, MemGB: 1, Image: "i", Spot: true, EstimateS: 10}
+}
+
+func (g *stage) submit(j *wire.Job) {
+	g.specs[j.Ref] = j
+	g.step(JobSeen{Ref: j.Ref, Record: ledger.JobRecord{Job: j, AcceptedMS: g.now.Milliseconds()}, Version: 3})
+}
+
+// starts lists the starts in unsettled commands and in answers.
+func (g *stage) starts() (orders []wire.Order) {
+	for _, o := range g.answered {
+		if o.Verb == wire.Start {
+			orders = append(orders, o)
+		}
+	}
+	for _, d := range g.start {
+		for _, o := range d.Commands.Orders {
+			if o.Verb == wire.Start {
+				orders = append(orders, o)
+			}
+		}
+	}
+	return orders
+}
+
+// settle ends all commands that are on their way.
+func (g *stage) settle(outcome DirectOutcome) {
+	calls := g.start
+	g.start, g.answered = nil, nil
+	for _, d := range calls {
+		g.step(DirectBack{Call: d.Call, Outcome: outcome})
+	}
+}
+
+func taskIn(o wire.Order, status, why string) wire.TaskReport {
+	return wire.TaskReport{Task: o.Task, Attempt: o.Attempt, Status: status, Why: why}
+}
+
+func verbs(a *wire.ReportAnswer) string {
+	s := ""
+	for _, o := range a.Orders {
+		s += o.Verb + " "
+	}
+	return s
+}
+
+func (g *stage) want(what string, got, want any) {
+	g.t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		g.t.Errorf("%s: %v, want %v", what, got, want)
+	}
+}
+
+// jobStatus asks for a job's state.
+func (g *stage) jobStatus(ref string) string {
+	g.out = nil
+	g.step(StatusAsked{Ref: ref, To: recipient("u")})
+	return g.out[0].(AnswerUser).Status.Status
+}
--- /dev/null
+++ b/internal/fake/worker_tasks.go
@@ -0,0 +1,155 @@
+package fake
+
+import (
+	"slices"
+	"time"
+
+	"leadproxy/internal/wire"
+)
+
+// workerTask is one attempt on a machine, as its worker knows it.
+type workerTask struct {
+	wire.TaskReport
+	job   *wire.Job
+	ran   time.Duration
+	saved time.Time // when its progress will be saved
+}
+
+// clear ends all tasks at once, as the end of the lease does.
+func (w *Worker) clear() {
+	for _, t := range w.tasks {
+		if t.there() {
+			w.config.Check.Ends(t.Task, w.name, false)
+		}
+	}
+	w.tasks, w.known = nil, map[uint64]bool{}
+}
+
+// advance has tasks run on.
+func (w *Worker) advance() {
+	now := time.Now()
+	past := now.Sub(w.ticked)
+	w.ticked = now
+	for _, t := range w.tasks {
+		switch t.Status {
+		case wire.TaskFetching:
+			if !now.Before(w.images[t.job.Image]) {
+				w.begin(t)
+			}
+		case wire.TaskRunning:
+			if t.ran += past; t.ran >= w.config.Run(t.Task) {
+				w.complete(t)
+			}
+		case wire.TaskSaving:
+			if !now.Before(t.saved) {
+				w.stopped(t, true)
+			}
+		}
+	}
+}
+
+func (w *Worker) begin(t *workerTask) {
+	t.Status, t.ran = wire.TaskRunning, w.config.Check.Progress(t.Task)
+	w.change()
+	w.config.Check.Begins(t.Task, w.name, w.hire.Type, w.hire.Zone, w.hire.Spot)
+}
+
+func (w *Worker) complete(t *workerTask) {
+	t.Status, t.Why = wire.TaskEnded, wire.WhyDone
+	w.change()
+	w.config.Check.Ends(t.Task, w.name, true)
+}
+
+// execute carries out orders, on the actor.
+func (w *Worker) execute(orders []wire.Order) {
+	for _, o := range orders {
+		switch o.Verb {
+		case wire.Start:
+			w.start(o)
+		case wire.Stop:
+			for _, t := range w.tasks {
+				if t.Task == o.Task && t.Attempt == o.Attempt {
+					w.stop(t, o)
+				}
+			}
+		case wire.Forget:
+			w.tasks = slices.DeleteFunc(w.tasks, func(t *workerTask) bool {
+				forget := t.Task == o.Task && t.Attempt == o.Attempt && t.Status == wire.TaskEnded
+				if forget {
+					delete(w.known, o.Attempt)
+					w.change()
+				}
+				return forget
+			})
+		}
+	}
+}
+
+// stop has a task end, once it has saved its progress if the order leaves it the time.
+func (w *Worker) stop(t *workerTask, o wire.Order) {
+	grace := 0.0
+	if o.GraceS != nil {
+		grace = *o.GraceS
+	}
+	switch {
+	case t.Status == wire.TaskEnded, t.Status == wire.TaskSaving && grace > 0:
+	case t.Status == wire.TaskRunning && t.job.CheckpointS > 0 && grace >= t.job.SaveS:
+		t.Status, t.saved = wire.TaskSaving, time.Now().Add(time.Duration(t.job.SaveS*float64(time.Second)))
+		w.change()
+		w.advance()
+	default:
+		w.stopped(t, false)
+	}
+}
+
+// stopped ends a task that was told to stop.
+func (w *Worker) stopped(t *workerTask, saved bool) {
+	if t.there() {
+		w.config.Check.Ends(t.Task, w.name, false)
+	}
+	if saved {
+		w.config.Check.Saves(t.Task, t.ran)
+	}
+	t.Status, t.Why, t.Saved = wire.TaskEnded, wire.WhyStopped, saved
+	w.change()
+}
+
+// there tells whether a task counts as on its machine.
+func (t *workerTask) there() bool { return t.Status == wire.TaskRunning || t.Status == wire.TaskSaving }
+
+func (w *Worker) start(o wire.Order) {
+	if w.known[o.Attempt] {
+		return
+	}
+	w.known[o.Attempt] = true
+	w.change()
+	t := &workerTask{TaskReport: wire.TaskReport{Task: o.Task, Attempt: o.Attempt, Status: wire.TaskEnded}}
+	w.tasks = append(w.tasks, t)
+	ref, _, _ := wire.SplitTask(o.Task)
+	if t.job = w.config.Check.Job(ref); t.job == nil {
+		t.Why = wire.WhyNoSuch
+		return
+	}
+	cpus, mem := t.job.CPUs, t.job.MemGB
+	for _, other := range w.tasks {
+		if other == t || other.Status == wire.TaskEnded {
+			continue
+		}
+		if other.Task == o.Task {
+			t.Why = wire.WhyInUse
+			return
+		}
+		cpus += other.job.CPUs
+		mem += other.job.MemGB
+	}
+	if cpus > w.size.CPUs || mem > w.size.MemGB {
+		t.Why = wire.WhyNoRoom
+		return
+	}
+	t.Status = wire.TaskFetching
+	if at, ok := w.images[t.job.Image]; !ok {
+		w.images[t.job.Image] = time.Now().Add(w.config.Fetch)
+	} else if !time.Now().Before(at) {
+		w.begin(t)
+	}
+}
