--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -165,20 +165,31 @@
 		}
 		b.state, b.seen = bookConfirmed, c.looks
 		if t.Status != b.status {
-			b.status = t.Status
-			if t.Status == wire.TaskRunning {
-				since, known := c.runningSince(b.attempt)
-				b.ranSince, b.late = since, !known
-				c.taskRuns(b)
-				c.changed(m)
-				j.begun = true
-				m.idleSince = c.now
-				if j.spec != nil && m.typ >= 0 {
-					m.fetched(j.image, j.spec.ImageGB, c.types[m.typ].CacheGB)
-				}
-			}
+			c.statusChanged(m, j, b, t.Status)
 		}
 	}
+	c.releaseMissing(m, r, reported)
+}
+
+// statusChanged notes another state of a task than was last reported.
+func (c *Core) statusChanged(m *machine, j *job, b *booking, status string) {
+	b.status = status
+	if status != wire.TaskRunning {
+		return
+	}
+	since, known := c.runningSince(b.attempt)
+	b.ranSince, b.late = since, !known
+	c.taskRuns(b)
+	c.changed(m)
+	j.begun = true
+	m.idleSince = c.now
+	if j.spec != nil && m.typ >= 0 {
+		m.fetched(j.image, j.spec.ImageGB, c.types[m.typ].CacheGB)
+	}
+}
+
+// releaseMissing frees the bookings that a machine no longer has, or never will.
+func (c *Core) releaseMissing(m *machine, r *wire.Report, reported bool) {
 	for k := len(m.bookings) - 1; k >= 0; k-- {
 		b := m.bookings[k]
 		if b.seen == c.looks {
