--- a/cmd/drainreport/main.go
+++ b/cmd/drainreport/main.go
@@ -4,41 +4,28 @@
 package main
 
 import (
-	"bytes"
 	"errors"
-	"fmt"
-	"os"
-
-	"github.com/alecthomas/kong"
+	"io"
 
+	"leadproxy/internal/reportcli"
 	"leadproxy/internal/rolloutreport"
 )
 
-type commandLine struct {
-	Logs []string `arg:"" name:"log" help:"Logs of all controllers."`
-	HTML string   `required:"" name:"html" placeholder:"FILE" help:"The page to write."`
-}
-
 func main() {
-	var cl commandLine
-	kong.Parse(&cl, kong.Name("drainreport"), kong.Description("Makes a report of how machines were drained and which jobs that disrupted."))
-	if err := run(cl); err != nil {
-		fmt.Fprintln(os.Stderr, "drainreport:", err)
-		os.Exit(1)
-	}
+	reportcli.Main(reportcli.Report{
+		Name:        "drainreport",
+		Description: "Makes a report of how machines were drained and which jobs that disrupted.",
+		Write:       write,
+	})
 }
 
-func run(cl commandLine) error {
-	timeline, err := rolloutreport.ReadLogs(cl.Logs...)
+func write(page io.Writer, logs []string) error {
+	timeline, err := rolloutreport.ReadLogs(logs...)
 	if err != nil {
 		return err
 	}
 	if len(timeline.Phases) == 0 {
 		return errors.New("the logs tell of no plan")
 	}
-	var page bytes.Buffer
-	if err := rolloutreport.WritePage(&page, timeline); err != nil {
-		return err
-	}
-	return os.WriteFile(cl.HTML, page.Bytes(), 0o666)
+	return rolloutreport.WritePage(page, timeline)
 }
--- a/cmd/takeoverreport/main.go
+++ b/cmd/takeoverreport/main.go
@@ -4,41 +4,28 @@
 package main
 
 import (
-	"bytes"
 	"errors"
-	"fmt"
-	"os"
-
-	"github.com/alecthomas/kong"
+	"io"
 
+	"leadproxy/internal/reportcli"
 	"leadproxy/internal/takeovers"
 )
 
-type commandLine struct {
-	Logs []string `arg:"" name:"log" help:"Logs of any controllers."`
-	HTML string   `required:"" name:"html" placeholder:"FILE" help:"The page to write."`
-}
-
 func main() {
-	var cl commandLine
-	kong.Parse(&cl, kong.Name("takeoverreport"), kong.Description("Makes a report of how leadership was taken over, with and without a standby's view."))
-	if err := run(cl); err != nil {
-		fmt.Fprintln(os.Stderr, "takeoverreport:", err)
-		os.Exit(1)
-	}
+	reportcli.Main(reportcli.Report{
+		Name:        "takeoverreport",
+		Description: "Makes a report of how leadership was taken over, with and without a standby's view.",
+		Write:       write,
+	})
 }
 
-func run(cl commandLine) error {
-	all, err := takeovers.ReadLogs(cl.Logs...)
+func write(page io.Writer, logs []string) error {
+	all, err := takeovers.ReadLogs(logs...)
 	if err != nil {
 		return err
 	}
 	if len(all) == 0 {
 		return errors.New("the logs tell of no takeover")
 	}
-	var page bytes.Buffer
-	if err := takeovers.WritePage(&page, all); err != nil {
-		return err
-	}
-	return os.WriteFile(cl.HTML, page.Bytes(), 0o666)
+	return takeovers.WritePage(page, all)
 }
--- /dev/null
+++ b/internal/reportcli/reportcli.go
@@ -0,0 +1,44 @@
+// Package reportcli is the command line that the programs share which make an HTML report
+// from controllers' logs.
+package reportcli
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// Report is one kind of report.
+type Report struct {
+	Name        string // of the program
+	Description string
+	// Write writes the page that logs tell of, or returns why there is none.
+	Write func(page io.Writer, logs []string) error
+}
+
+type commandLine struct {
+	Logs []string `arg:"" name:"log" help:"Logs of the controllers, all of them."`
+	HTML string   `required:"" name:"html" placeholder:"FILE" help:"The page to write."`
+}
+
+// Main makes a report as the command line says, and ends the program if it can't.
+func Main(report Report) {
+	var cl commandLine
+	kong.Parse(&cl, kong.Name(report.Name), kong.Description(report.Description))
+	if err := cl.run(report); err != nil {
+		fmt.Fprintln(os.Stderr, report.Name+":", err)
+		os.Exit(1)
+	}
+}
+
+// run writes the file only once the whole page is there.
+func (cl commandLine) run(report Report) error {
+	var page bytes.Buffer
+	if err := report.Write(&page, cl.Logs); err != nil {
+		return err
+	}
+	return os.WriteFile(cl.HTML, page.Bytes(), 0o666)
+}
