--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -67,6 +67,7 @@
 const (
 	firstTrouble = 8 * time.Second
 	mostBetween  = 7 * time.Second
+	meetingEvery = 30 * time.Second
 	leastLasts   = 200 * time.Millisecond
 )
 
@@ -82,15 +83,29 @@
 		}
 		t.ways = [][]fake.Direction{{fake.Forth}, {fake.Back}, {fake.Forth, fake.Back}}[random.IntN(3)]
 		s = append(s, t)
-		if t.kind == hang {
-			// Jobs are called off while their machines hang.
-			s = append(s, trouble{kind: cancelMany, at: at + 100*time.Millisecond, share: 0.5})
-		}
+	}
+	for at := firstTrouble; at < length; at += meetingEvery {
+		s = append(s, meeting(random, at+time.Duration(random.Int64N(int64(meetingEvery/2))), lease)...)
 	}
 	slices.SortStableFunc(s, func(a, b trouble) int { return int(a.at - b.at) })
 	return s
 }
 
+// meeting is one of the meetings of troubles that have kept tasks of cancelled jobs running.
+func meeting(random *rand.Rand, at, lease time.Duration) []trouble {
+	cancelled := trouble{kind: cancelMany, at: at + 200*time.Millisecond, share: 0.8}
+	if random.IntN(2) == 0 {
+		// Jobs are called off while their machines hang, and the cloud deletes nothing.
+		hangs := lease * 17 / 20
+		return []trouble{
+			{kind: hang, at: at, lasts: hangs, share: 0.3}, cancelled,
+			{kind: lostCommands, at: at, lasts: hangs, share: 0.5}, {kind: cloudOut, at: at, lasts: 2 * lease},
+		}
+	}
+	// Jobs are called off as leaders end in series, and commands are lost.
+	return []trouble{{kind: lostCommands, at: at, lasts: lease, share: 0.5}, cancelled, {kind: killLeaders, at: at + 300*time.Millisecond, lasts: time.Second, target: leader}}
+}
+
 func (s schedule) String() string {
 	var text strings.Builder
 	for _, t := range s {
--- a/internal/soak/troubles_test.go
+++ b/internal/soak/troubles_test.go
@@ -76,11 +76,11 @@
 	case lostAnswers:
 		return r.writes.set(faulty{fault: fake.AnswerLost, share: t.share})
 	case lostCommands:
-		return r.commands.set(faulty{fault: fake.RequestLost, share: 2 * t.share})
+		return r.commands.set(faulty{fault: fake.RequestLost, share: min(1, 2*t.share)})
 	case lateCommands:
-		return r.commands.set(faulty{fake.Delayed, 2 * t.share, leastLate, mostLate})
+		return r.commands.set(faulty{fake.Delayed, min(1, 2*t.share), leastLate, mostLate})
 	case twoCommands:
-		return r.commands.set(faulty{fault: fake.Duplicated, share: 2 * t.share})
+		return r.commands.set(faulty{fault: fake.Duplicated, share: min(1, 2*t.share)})
 	case cloudOut:
 		return r.calls.set(faulty{fault: fake.Refused, share: 1})
 	case cancelMany:
