--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,7 +35,7 @@
 	oneInLarge   = 10
 )
 
-// TestSoak plays many seeds, -parallel of them at a time. docs/operations.md has the command.
+// TestSoak plays many seeds, -parallel of them at a time. docs/failures.md has the command.
 func TestSoak(t *testing.T) {
 	built := *program
 	if built == "" {
