--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -67,6 +67,7 @@
 const (
 	firstTrouble = 8 * time.Second
 	mostBetween  = 7 * time.Second
+	firstMeeting = 20 * time.Second // there are machines at work by then
 	meetingEvery = 30 * time.Second
 	leastLasts   = 200 * time.Millisecond
 )
@@ -84,27 +85,40 @@
 		t.ways = [][]fake.Direction{{fake.Forth}, {fake.Back}, {fake.Forth, fake.Back}}[random.IntN(3)]
 		s = append(s, t)
 	}
-	for at := firstTrouble; at < length; at += meetingEvery {
-		s = append(s, meeting(random, at+time.Duration(random.Int64N(int64(meetingEvery/2))), lease)...)
+	which := random.IntN(len(meetings))
+	for at := firstMeeting; at < length; at += meetingEvery {
+		s = append(s, meetings[which%len(meetings)](at+time.Duration(random.Int64N(int64(meetingEvery/3))), lease)...)
+		which++
 	}
 	slices.SortStableFunc(s, func(a, b trouble) int { return int(a.at - b.at) })
 	return s
 }
 
-// meeting is one of the meetings of troubles that have kept tasks of cancelled jobs running.
-func meeting(random *rand.Rand, at, lease time.Duration) []trouble {
-	cancelled := trouble{kind: cancelMany, at: at + 200*time.Millisecond, share: 0.8}
-	if random.IntN(2) == 0 {
-		// Jobs are called off while their machines hang, for longer than a leader has patience
-		// and less than their lease, some stops are lost, and the cloud deletes nothing.
-		hangs := lease * 9 / 10
-		return []trouble{
-			{kind: hang, at: at, lasts: hangs, share: 0.3}, cancelled,
-			{kind: lostCommands, at: at, lasts: hangs, share: 0.3}, {kind: cloudOut, at: at, lasts: 2 * lease},
-		}
+// meetings are those of troubles that have kept tasks of cancelled jobs running.
+var meetings = []func(at, lease time.Duration) []trouble{cancelledOnHungMachines, cancelledAsLeadersEnd}
+
+// callOff is most of the jobs that can be called off, called off at once.
+func callOff(at time.Duration) trouble {
+	return trouble{kind: cancelMany, at: at + 200*time.Millisecond, share: 0.9}
+}
+
+// cancelledOnHungMachines: jobs are called off while their machines hang, for longer than a
+// leader has patience and less than their lease; some stops are lost, and the cloud deletes
+// nothing.
+func cancelledOnHungMachines(at, lease time.Duration) []trouble {
+	hangs := lease * 9 / 10
+	return []trouble{
+		{kind: hang, at: at, lasts: hangs, share: 0.3}, callOff(at),
+		{kind: lostCommands, at: at, lasts: hangs, share: 0.3}, {kind: cloudOut, at: at, lasts: 2 * lease},
+	}
+}
+
+// cancelledAsLeadersEnd: jobs are called off as leaders end in series, and commands are lost.
+func cancelledAsLeadersEnd(at, lease time.Duration) []trouble {
+	return []trouble{
+		{kind: lostCommands, at: at, lasts: lease, share: 0.5}, callOff(at),
+		{kind: killLeaders, at: at + 300*time.Millisecond, lasts: time.Second, target: leader},
 	}
-	// Jobs are called off as leaders end in series, and commands are lost.
-	return []trouble{{kind: lostCommands, at: at, lasts: lease, share: 0.5}, cancelled, {kind: killLeaders, at: at + 300*time.Millisecond, lasts: time.Second, target: leader}}
 }
 
 func (s schedule) String() string {
