--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -33,6 +33,9 @@
 // pace is the times that workers keep.
 type pace struct{ report, lease, cancel time.Duration }
 
+// operatorPace is that of an operator: what a busy machine adds is little beside it.
+var operatorPace = pace{report: 3 * time.Second, lease: 20 * time.Second, cancel: 40 * time.Second}
+
 // What users ask for: as much work as some two dozen machines do. For more machines jobs have
 // more tasks, and beyond that tasks run for longer, so that all machines are wanted.
 const (
@@ -72,7 +75,7 @@
 // play plays a run and reports what was broken.
 func play(t *testing.T, program string, p plan) {
 	r := &run{t: t, plan: p, program: program, random: rand.New(rand.NewPCG(p.seed, 3)),
-		schedule: newSchedule(p.seed, controllers, p.pace.lease, p.length),
+		schedule: newSchedule(p.seed, controllers, p.pace, p.length),
 		writes:   newMessages("/txn", p.seed), commands: newMessages("/commands", p.seed), calls: newMessages("", p.seed),
 		open: make(chan []*wire.Job, 1), calm: make(chan time.Time, 1), stop: make(chan struct{})}
 	r.open <- nil
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -73,11 +73,11 @@
 )
 
 // newSchedule draws a schedule for so long.
-func newSchedule(seed uint64, controllers int, lease, length time.Duration) (s schedule) {
+func newSchedule(seed uint64, controllers int, pace pace, length time.Duration) (s schedule) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	for at := firstTrouble; at < length; at += time.Duration(random.Int64N(int64(mostBetween))) {
 		t := trouble{kind: kinds[random.IntN(len(kinds))], at: at, target: random.IntN(controllers), share: 0.1 + 0.4*random.Float64()}
-		t.lasts = leastLasts + time.Duration(random.Int64N(int64(lease+lease/4)))
+		t.lasts = leastLasts + time.Duration(random.Int64N(int64(pace.lease+pace.lease/4)))
 		t.lasts = min(t.lasts, length-at)
 		if random.IntN(2) == 0 {
 			t.target = leader
@@ -87,7 +87,7 @@
 	}
 	which := random.IntN(len(meetings))
 	for at := firstMeeting; at < length; at += meetingEvery {
-		s = append(s, meetings[which%len(meetings)](at+time.Duration(random.Int64N(int64(meetingEvery/3))), lease)...)
+		s = append(s, meetings[which%len(meetings)](at+time.Duration(random.Int64N(int64(meetingEvery/3))), pace)...)
 		which++
 	}
 	slices.SortStableFunc(s, func(a, b trouble) int { return int(a.at - b.at) })
@@ -95,7 +95,7 @@
 }
 
 // meetings are those of troubles that have kept tasks of cancelled jobs running.
-var meetings = []func(at, lease time.Duration) []trouble{cancelledOnHungMachines, cancelledAsLeadersEnd}
+var meetings = []func(at time.Duration, pace pace) []trouble{cancelledOnHungMachines, cancelledAsLeadersEnd}
 
 // callOff is most of the jobs that can be called off, called off at once.
 func callOff(at time.Duration) trouble {
@@ -105,18 +105,18 @@
 // cancelledOnHungMachines: jobs are called off while their machines hang, for longer than a
 // leader has patience and less than their lease; some stops are lost, and the cloud deletes
 // nothing.
-func cancelledOnHungMachines(at, lease time.Duration) []trouble {
-	hangs := lease * 9 / 10
+func cancelledOnHungMachines(at time.Duration, pace pace) []trouble {
+	hangs := min(4*pace.report+2*time.Second, pace.lease*9/10)
 	return []trouble{
 		{kind: hang, at: at, lasts: hangs, share: 0.3}, callOff(at),
-		{kind: lostCommands, at: at, lasts: hangs, share: 0.3}, {kind: cloudOut, at: at, lasts: 2 * lease},
+		{kind: lostCommands, at: at, lasts: hangs, share: 0.3}, {kind: cloudOut, at: at, lasts: 2 * pace.lease},
 	}
 }
 
 // cancelledAsLeadersEnd: jobs are called off as leaders end in series, and commands are lost.
-func cancelledAsLeadersEnd(at, lease time.Duration) []trouble {
+func cancelledAsLeadersEnd(at time.Duration, pace pace) []trouble {
 	return []trouble{
-		{kind: lostCommands, at: at, lasts: lease, share: 0.5}, callOff(at),
+		{kind: lostCommands, at: at, lasts: pace.lease, share: 0.5}, callOff(at),
 		{kind: killLeaders, at: at + 300*time.Millisecond, lasts: time.Second, target: leader},
 	}
 }
@@ -133,8 +133,8 @@
 func TestSchedulesAreRepeatable(t *testing.T) {
 	met := map[kind]bool{}
 	for seed := range uint64(50) {
-		s := newSchedule(seed, 3, 20*time.Second, time.Minute)
-		if s.String() != newSchedule(seed, 3, 20*time.Second, time.Minute).String() {
+		s := newSchedule(seed, controllers, operatorPace, time.Minute)
+		if s.String() != newSchedule(seed, controllers, operatorPace, time.Minute).String() {
 			t.Errorf("seed %d draws two schedules", seed)
 		}
 		for _, trouble := range s {
