Workers of tests save at once unless a test wants flush_s to pass

Cause: two plans must contend for a team's budget for the test to see it; with two seconds of saving the moves of one plan are over in some orders before the other begins its batch.

--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -21,6 +21,8 @@
 	Fetch  time.Duration                   // how long an image takes
 	Run    func(task string) time.Duration // how long a task runs
 	Check  *Checker
+	// Saving has tasks take flush_s to save their progress; else they have saved it at once.
+	Saving bool
 	// Trouble befalls direct commands.
 	Trouble Troubles
 }
--- a/internal/fake/worker_tasks.go
+++ b/internal/fake/worker_tasks.go
@@ -94,7 +94,10 @@
 	switch {
 	case t.Status == wire.TaskEnded, t.Status == wire.TaskSaving && grace > 0:
 	case t.Status == wire.TaskRunning && t.job.CheckpointS > 0 && grace >= t.job.SaveS:
-		t.Status, t.saved = wire.TaskSaving, time.Now().Add(time.Duration(t.job.SaveS*float64(time.Second)))
+		t.Status, t.saved = wire.TaskSaving, time.Now()
+		if w.config.Saving {
+			t.saved = t.saved.Add(time.Duration(t.job.SaveS * float64(time.Second)))
+		}
 		w.change()
 		w.advance()
 	default:
