--- a/internal/dispatch/renewal_model_test.go
+++ b/internal/dispatch/renewal_model_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -250,7 +251,7 @@
 			entries = append(entries, wire.Entry{Key: key, Value: text, Version: 1})
 		}
 	}
-	slices.SortFunc(entries, func(a, b wire.Entry) int { return compareKeys(a.Key, b.Key) })
+	slices.SortFunc(entries, func(a, b wire.Entry) int { return strings.Compare(a.Key, b.Key) })
 	for i := range entries {
 		for _, ref := range h.refs {
 			if _, cancelled := h.told[ref]; cancelled && entries[i].Key == ledger.JobKey(ref) && h.r.IntN(10) == 0 {
@@ -278,13 +279,6 @@
 	}
 }
 
-func compareKeys(a, b string) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 // look takes what the core has answered and holds it, and the workers, to the rules.
 func (h *renewals) look() {
 	out := h.g.out
--- a/internal/fake/deployment.go
+++ b/internal/fake/deployment.go
@@ -73,9 +73,6 @@
 	Peers   []*Relay // from it to the others
 }
 
-// All lists the relays.
-func (l *Links) All() []*Relay { return append([]*Relay{l.State, l.Workers}, l.Peers...) }
-
 // NewDeployment makes a deployment. Its controllers are not started yet.
 func NewDeployment(t *testing.T, p DeploymentPlan) *Deployment {
 	t.Helper()
