Starts can be withdrawn until they leave the controller

Cause: a start that was decided waited in the leader's batch of responses to forwarded heartbeats. As the batch was written only the term was looked at again, not whether the start still stood; the core counted it as sent since its decision, so the stop overtook it.

Fix: each start has one atomic state, deferred, sent or withdrawn. dispatch.SendGuard takes it right before a response or a direct command leaves, along with the check of the term; a stop of a start that still waits withdraws it instead. Exactly one of the two succeeds, and the write of the cancellation begins after it. A start of a confirmed cancellation that reaches the guard all the same is held back and logged as an error, on which all tests of whole controllers fail.

Two tests change in the type of a fake or callback alone, since the dispatcher's reply now carries the starts.

--- a/internal/controller/alarm_handler_test.go
+++ b/internal/controller/alarm_handler_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
-	"leadproxy/internal/scheduler"
 	"log/slog"
 	"testing"
+
+	"leadproxy/internal/dispatch"
+	"leadproxy/internal/scheduler"
 )
 
 // alarmHandler fails a test when a controller logs what must never happen.
@@ -20,7 +22,7 @@
 
 // Handle checks a line and passes it on.
 func (a alarmHandler) Handle(ctx context.Context, r slog.Record) error {
-	if r.Message == scheduler.MessageCancelledTaskOverdue {
+	if r.Message == scheduler.MessageCancelledTaskOverdue || r.Message == dispatch.MessageForbiddenStart {
 		text := ""
 		r.Attrs(func(attribute slog.Attr) bool {
 			text += " " + attribute.String()
--- a/internal/controller/heartbeat_handler.go
+++ b/internal/controller/heartbeat_handler.go
@@ -13,6 +13,7 @@
 	"leadproxy/internal/election"
 	"leadproxy/internal/jobapi"
 	"leadproxy/internal/peers"
+	"leadproxy/internal/scheduler"
 	"leadproxy/internal/wire"
 )
 
@@ -22,8 +23,8 @@
 
 // heartbeatDispatcher is the part of the dispatcher that heartbeats need.
 type heartbeatDispatcher interface {
-	Heartbeat(ctx context.Context, heartbeat *wire.Heartbeat) (*wire.HeartbeatResponse, error)
-	HeartbeatAsync(ctx context.Context, heartbeat *wire.Heartbeat, respond func(*wire.HeartbeatResponse, error))
+	Heartbeat(ctx context.Context, heartbeat *wire.Heartbeat) (scheduler.HeartbeatReply, error)
+	HeartbeatAsync(ctx context.Context, heartbeat *wire.Heartbeat, respond func(scheduler.HeartbeatReply, error))
 	ExpectedMachines() int
 }
 
@@ -39,6 +40,7 @@
 type heartbeatHandler struct {
 	node        string
 	elector     *election.Elector
+	guard       *dispatch.SendGuard
 	dispatcher  heartbeatDispatcher
 	peers       heartbeatForwarder
 	log         *slog.Logger
@@ -51,7 +53,7 @@
 func newHeartbeatHandler(ctx context.Context, node string, e *election.Elector, dispatcher heartbeatDispatcher, peers heartbeatForwarder, connections *connectionTracker, log *slog.Logger) *heartbeatHandler {
 	h := &heartbeatHandler{
 		node: node, elector: e, dispatcher: dispatcher, peers: peers, log: log, connections: connections,
-		redirector: newRedirector(), direct: newRecentCounter(), forwarded: newRecentCounter(),
+		guard: dispatch.NewSendGuard(e, log), redirector: newRedirector(), direct: newRecentCounter(), forwarded: newRecentCounter(),
 	}
 	go h.redirector.run(ctx)
 	return h
@@ -140,8 +142,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	answer, err := h.dispatcher.Heartbeat(ctx, heartbeat)
-	return h.response(view.Term, answer, err)
+	reply, err := h.dispatcher.Heartbeat(ctx, heartbeat)
+	return h.response(view.Term, reply, err)
 }
 
 // ReceiveForwarded responds to a heartbeat that another controller has forwarded here.
@@ -157,8 +159,8 @@
 		respond(func() jobapi.Response { return redirectTo(h.otherLeader()) })
 		return
 	}
-	h.dispatcher.HeartbeatAsync(ctx, heartbeat, func(answer *wire.HeartbeatResponse, err error) {
-		respond(func() jobapi.Response { return h.response(view.Term, answer, err) })
+	h.dispatcher.HeartbeatAsync(ctx, heartbeat, func(reply scheduler.HeartbeatReply, err error) {
+		respond(func() jobapi.Response { return h.response(view.Term, reply, err) })
 	})
 }
 
@@ -167,22 +169,23 @@
 	h.redirector.addForwarder(ctx, node)
 }
 
-// response makes the response to a worker of the dispatcher's answer. The term is checked
-// again at this moment: past its end another leader may have begun, and a 200 would keep
-// the worker here. A response that another controller forwards is written a little later
-// than that. It still renews the agent's lease only from when the heartbeat was sent, within
-// our term.
-func (h *heartbeatHandler) response(term uint64, answer *wire.HeartbeatResponse, err error) jobapi.Response {
+// response makes the response to a worker of the dispatcher's reply, which may have waited. It is
+// called right before the response is sent: past the term's end another leader may have begun, and
+// a 200 would keep the worker here; a start may have been withdrawn. A response that another
+// controller forwards reaches the worker a little later than that. It still renews the agent's
+// lease only from when the heartbeat was sent, within our term.
+func (h *heartbeatHandler) response(term uint64, reply scheduler.HeartbeatReply, err error) jobapi.Response {
+	var response wire.HeartbeatResponse
+	if err == nil {
+		response, err = h.guard.Response(term, reply)
+	}
 	switch {
-	case err == nil && h.elector.IsLeader(term):
-		if len(answer.Commands) > 0 && h.log.Enabled(context.Background(), slog.LevelDebug) {
-			h.log.Debug(dispatch.MessageLeaderAction, "leader_term", term, "action", "heartbeat response")
-		}
-		return jobapi.JSON(http.StatusOK, answer)
-	case err != nil && !errors.Is(err, dispatch.ErrNotLeader):
-		return problem(http.StatusServiceUnavailable, "the leader is not ready")
+	case err == nil:
+		return jobapi.JSON(http.StatusOK, response)
+	case errors.Is(err, dispatch.ErrNotLeader):
+		return redirectTo(h.otherLeader())
 	}
-	return redirectTo(h.otherLeader())
+	return problem(http.StatusServiceUnavailable, "the leader is not ready")
 }
 
 // malformed responds to a body that is no heartbeat.
--- a/internal/controller/heartbeat_handler_test.go
+++ b/internal/controller/heartbeat_handler_test.go
@@ -13,6 +13,7 @@
 	"leadproxy/internal/election"
 	"leadproxy/internal/jobapi"
 	"leadproxy/internal/peers"
+	"leadproxy/internal/scheduler"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
 )
@@ -73,12 +74,12 @@
 
 func (termUnawareDispatcher) ExpectedMachines() int { return 0 }
 
-func (d termUnawareDispatcher) HeartbeatAsync(ctx context.Context, r *wire.Heartbeat, respond func(*wire.HeartbeatResponse, error)) {
+func (d termUnawareDispatcher) HeartbeatAsync(ctx context.Context, r *wire.Heartbeat, respond func(scheduler.HeartbeatReply, error)) {
 	respond(d.Heartbeat(ctx, r))
 }
 
-func (termUnawareDispatcher) Heartbeat(context.Context, *wire.Heartbeat) (*wire.HeartbeatResponse, error) {
-	return &wire.HeartbeatResponse{FencingToken: 1, Commands: []wire.Command{{Verb: wire.VerbStart, Task: "job-1/0", Attempt: 1}}}, nil
+func (termUnawareDispatcher) Heartbeat(context.Context, *wire.Heartbeat) (scheduler.HeartbeatReply, error) {
+	return scheduler.HeartbeatReply{Response: &wire.HeartbeatResponse{FencingToken: 1, Commands: []wire.Command{{Verb: wire.VerbStart, Task: "job-1/0", Attempt: 1}}}}, nil
 }
 
 // TestNoResponsePastTheTerm: a controller that is not in its term redirects workers, with no
--- a/internal/dispatch/command_pool.go
+++ b/internal/dispatch/command_pool.go
@@ -145,6 +145,9 @@
 	method  string
 	path    string
 	body    []byte
+	// encode, unless nil, makes the body right before the request is sent. After an error nothing is
+	// sent.
+	encode func() ([]byte, error)
 }
 
 // workerResponse is what came of a workerRequest. With sent false, no part of the request
@@ -177,6 +180,11 @@
 	if !maySend() {
 		return workerResponse{}, ErrNotLeader
 	}
+	if request.encode != nil {
+		if request.body, err = request.encode(); err != nil {
+			return workerResponse{}, err
+		}
+	}
 	response, err := connection.Do(deadline, transport.Request{Method: request.method, Path: request.path, Body: request.body})
 	return workerResponse{sent: true, status: response.Status, body: response.Body}, err
 }
--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net/http"
 	"time"
 
@@ -20,23 +19,6 @@
 	dialTimeout    = time.Second
 )
 
-// MessageLeaderAction is the log message of a leader as it does something that only a
-// leader may do.
-const MessageLeaderAction = "leader action"
-
-// confirmLeadership reports whether this controller still leads a term. It is called right
-// before an action that only the leader may take, such as a command to a worker.
-func (d *Dispatcher) confirmLeadership(term uint64, action string) bool {
-	if !d.elector.IsLeader(term) {
-		d.log.Debug("action dropped: not the leader any more", "leader_term", term, "action", action)
-		return false
-	}
-	if d.log.Enabled(context.Background(), slog.LevelDebug) {
-		d.log.Debug(MessageLeaderAction, "leader_term", term, "action", action)
-	}
-	return true
-}
-
 // sendCommands sends commands to a worker and passes their outcome to the core.
 func (d *Dispatcher) sendCommands(ctx context.Context, term uint64, effect scheduler.SendCommands) {
 	result := scheduler.CommandResult{CommandID: effect.CommandID}
@@ -47,20 +29,17 @@
 // postCommands sends commands to a worker. The heartbeat is the worker's response, nil if
 // there is none that can be read.
 func (d *Dispatcher) postCommands(ctx context.Context, term uint64, effect scheduler.SendCommands) (scheduler.CommandOutcome, *wire.Heartbeat) {
-	body, err := json.Marshal(effect.Request)
-	if err != nil {
-		d.log.Error("command encoding failed", "machine", effect.Machine, "error", err)
-		return scheduler.CommandNotSent, nil
-	}
 	// Past the lease another leader may act: no command leaves here.
-	maySend := func() bool { return d.confirmLeadership(term, "command") }
-	if !maySend() {
+	if !d.guard.MayAct(term, "command") {
 		return scheduler.CommandNotSent, nil
 	}
-	request := workerRequest{address: effect.Address, method: http.MethodPost, path: "/commands", body: body}
-	response, err := d.commandPool.call(ctx, request, maySend)
+	request := workerRequest{address: effect.Address, method: http.MethodPost, path: "/commands"}
+	request.encode = func() ([]byte, error) { return d.encodeCommands(term, effect) }
+	response, err := d.commandPool.call(ctx, request, always)
 	d.countUnanswered(response, err)
 	switch {
+	case errors.Is(err, errWithdrawn):
+		return scheduler.CommandWithdrawn, nil
 	case !response.sent:
 		return scheduler.CommandNotSent, nil
 	case err != nil:
@@ -77,11 +56,23 @@
 	return outcome, heartbeat
 }
 
+// encodeCommands makes the body of a direct command of what may leave at this moment.
+func (d *Dispatcher) encodeCommands(term uint64, effect scheduler.SendCommands) ([]byte, error) {
+	request, err := d.guard.DirectCommands(term, effect)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(request)
+}
+
+// always is for requests that may be sent at any time.
+func always() bool { return true }
+
 // countUnanswered counts the commands in a row that no worker has answered. A command that
-// was held back because the term is over is none of them.
+// was held back because the term is over, or withdrawn, is none of them.
 func (d *Dispatcher) countUnanswered(response workerResponse, err error) {
 	switch {
-	case !response.sent && errors.Is(err, ErrNotLeader):
+	case !response.sent && (errors.Is(err, ErrNotLeader) || errors.Is(err, errWithdrawn)):
 	case err != nil:
 		d.unansweredCommands.Add(1)
 	default:
@@ -105,7 +96,7 @@
 func (d *Dispatcher) inspectWorker(ctx context.Context, effect scheduler.InspectAgent) {
 	result := scheduler.InspectResult{Machine: effect.Machine}
 	request := workerRequest{address: effect.Address, method: http.MethodGet, path: "/inspect"}
-	response, err := d.commandPool.call(ctx, request, func() bool { return true })
+	response, err := d.commandPool.call(ctx, request, always)
 	switch {
 	case err != nil:
 		d.log.Debug("worker inspection failed", "machine", effect.Machine, "error", err)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -70,6 +70,7 @@
 	elector     *election.Elector
 	store       *kvstore.Client
 	started     time.Time
+	guard       *SendGuard
 	commandPool *commandPool
 	mailboxes   mailboxes
 	// expectedMachines is how many machines should be sending heartbeats to this leader.
@@ -86,6 +87,7 @@
 		elector:     config.Elector,
 		store:       config.Store,
 		started:     time.Now(),
+		guard:       NewSendGuard(config.Elector, config.Log),
 		commandPool: newCommandPool(config.Network, config.Connections),
 		mailboxes:   newMailboxes(),
 	}
--- a/internal/dispatch/effects.go
+++ b/internal/dispatch/effects.go
@@ -19,6 +19,7 @@
 		case scheduler.CallCloud:
 			t.callCloud(ctx, effect.Call)
 		case scheduler.SendCommands:
+			effect.Starts.Defer()
 			go t.sendCommands(ctx, t.number, effect)
 		case scheduler.InspectAgent:
 			go t.inspectWorker(ctx, effect)
@@ -32,6 +33,9 @@
 			go t.writeForeignRecord(ctx, effect)
 		case scheduler.TraceTransfer:
 			t.config.TraceTransfer(effect.Step)
+		case scheduler.HeartbeatReply:
+			effect.Starts.Defer()
+			effect.ReplyTo.Deliver(effect)
 		default:
 			deliverReply(effect)
 		}
@@ -44,8 +48,6 @@
 // deliverReply passes a reply to the caller who waits for it.
 func deliverReply(effect scheduler.Effect) {
 	switch reply := effect.(type) {
-	case scheduler.HeartbeatReply:
-		reply.ReplyTo.Deliver(effect)
 	case scheduler.UserReply:
 		reply.ReplyTo.Deliver(effect)
 	case scheduler.SoftStateReply:
@@ -66,7 +68,7 @@
 // callCloud makes a call to the cloud if the term still holds. A suspended leader that
 // deletes machines would take them from its successor; the core tries again later.
 func (t *term) callCloud(ctx context.Context, call autoscaler.Call) {
-	if !t.confirmLeadership(t.number, "cloud call") {
+	if !t.guard.MayAct(t.number, "cloud call") {
 		go t.postEvent(ctx, scheduler.CloudResult{Result: autoscaler.Result{Call: call, Err: autoscaler.ErrNotExecuted}})
 		return
 	}
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -7,20 +7,21 @@
 	"leadproxy/internal/wire"
 )
 
-// Heartbeat has the core answer a worker's heartbeat.
-func (d *Dispatcher) Heartbeat(ctx context.Context, heartbeat *wire.Heartbeat) (*wire.HeartbeatResponse, error) {
+// Heartbeat has the core answer a worker's heartbeat. What the reply holds may be sent only after
+// the SendGuard has passed it.
+func (d *Dispatcher) Heartbeat(ctx context.Context, heartbeat *wire.Heartbeat) (scheduler.HeartbeatReply, error) {
 	reply, err := ask[scheduler.HeartbeatReply](ctx, d.mailboxes.heartbeats, func(replyTo scheduler.Recipient) scheduler.Event {
 		return scheduler.HeartbeatEvent{Heartbeat: heartbeat, ReplyTo: replyTo}
 	})
 	if err != nil {
-		return nil, err
+		return scheduler.HeartbeatReply{}, err
 	}
-	return heartbeatResponse(reply)
+	return heartbeatReply(reply)
 }
 
 // HeartbeatAsync has the core answer a worker's heartbeat through respond, once, or never if
 // the term ends meanwhile. respond must not wait.
-func (d *Dispatcher) HeartbeatAsync(ctx context.Context, heartbeat *wire.Heartbeat, respond func(*wire.HeartbeatResponse, error)) {
+func (d *Dispatcher) HeartbeatAsync(ctx context.Context, heartbeat *wire.Heartbeat, respond func(scheduler.HeartbeatReply, error)) {
 	callback := heartbeatCallback(respond)
 	select {
 	case d.mailboxes.heartbeats <- request{event: scheduler.HeartbeatEvent{Heartbeat: heartbeat, ReplyTo: callback}, caller: callback}:
@@ -29,19 +30,19 @@
 }
 
 // heartbeatCallback is a caller that is called with the outcome of a heartbeat.
-type heartbeatCallback func(*wire.HeartbeatResponse, error)
+type heartbeatCallback func(scheduler.HeartbeatReply, error)
 
 // Deliver takes the reply of the core.
-func (respond heartbeatCallback) Deliver(effect scheduler.Effect) { respond(heartbeatResponse(effect)) }
+func (respond heartbeatCallback) Deliver(effect scheduler.Effect) { respond(heartbeatReply(effect)) }
 
 // Reject takes an error in place of a reply.
-func (respond heartbeatCallback) Reject(err error) { respond(nil, err) }
+func (respond heartbeatCallback) Reject(err error) { respond(scheduler.HeartbeatReply{}, err) }
 
-// heartbeatResponse is the response that a reply of the core holds. Without one, the core
-// can't answer as the leader.
-func heartbeatResponse(effect scheduler.Effect) (*wire.HeartbeatResponse, error) {
+// heartbeatReply is the core's reply to a heartbeat. Without a response, the core can't answer as the
+// leader.
+func heartbeatReply(effect scheduler.Effect) (scheduler.HeartbeatReply, error) {
 	if reply, ok := effect.(scheduler.HeartbeatReply); ok && reply.Response != nil {
-		return reply.Response, nil
+		return reply, nil
 	}
-	return nil, ErrNotLeader
+	return scheduler.HeartbeatReply{}, ErrNotLeader
 }
--- a/internal/dispatch/requests_test.go
+++ b/internal/dispatch/requests_test.go
@@ -73,7 +73,7 @@
 		t.Errorf("waiting: %v", err)
 	}
 	outcome := make(chan error, 1)
-	d.HeartbeatAsync(t.Context(), &wire.Heartbeat{}, func(_ *wire.HeartbeatResponse, err error) { outcome <- err })
+	d.HeartbeatAsync(t.Context(), &wire.Heartbeat{}, func(_ scheduler.HeartbeatReply, err error) { outcome <- err })
 	answer()
 	if err := <-outcome; !errors.Is(err, ErrNotLeader) {
 		t.Errorf("called back: %v", err)
--- a/internal/scheduler/allocations.go
+++ b/internal/scheduler/allocations.go
@@ -39,8 +39,14 @@
 	moving          bool // a plan has it stopped
 	// stopRepeated: its stop may have come before its start, and was sent again.
 	stopRepeated bool
+	// start is the delivery of its start, which can be withdrawn until it is sent.
+	start StartDelivery
 }
 
+// startWithdrawn withdraws the start and tells whether it can be executed no more: it has not left
+// this controller, and never will.
+func (b *allocation) startWithdrawn() bool { return b.state == allocationSent && b.start.withdraw() }
+
 // capacity is the room of one machine, what takes it, and the images it holds.
 type capacity struct {
 	total       slowfit.Size
@@ -170,8 +176,10 @@
 	p.needed = true
 }
 
-// release frees an allocation's room and has its task wait again.
+// release frees an allocation's room and has its task wait again. A start that has not been sent yet
+// is never sent then.
 func (c *Core) release(m *machine, b *allocation) {
+	c.commands.withdrawStart(m, b)
 	c.spending.addLostWork(m, b)
 	c.disruptions.displaced(m, b, false, "its machine is lost")
 	c.deallocate(m, b)
--- a/internal/scheduler/command_results.go
+++ b/internal/scheduler/command_results.go
@@ -21,6 +21,9 @@
 	if command == nil {
 		return
 	}
+	if e.Outcome == CommandWithdrawn {
+		return // its allocations were released as it was withdrawn
+	}
 	m := command.machine
 	if command.probe {
 		defer c.agents.probeResult(command, e.Outcome)
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -81,6 +81,7 @@
 	agentEpoch           uint64
 	fencingToken         uint64
 	startedAttempts      []uint64
+	starts               StartDeliveries // of startedAttempts
 	stoppedAttempts      []uint64
 	probe                bool
 	sent                 time.Duration // of a probe
@@ -89,9 +90,21 @@
 
 func (q *commands) sendStart(j *job, m *machine, b *allocation) {
 	b.state = allocationQueued
+	b.start.forbidOnce(&j.end.cancellationConfirmed)
 	q.queueCommand(m, wire.Command{Verb: wire.VerbStart, Task: q.jobs.taskName(b), Attempt: b.attempt})
 }
 
+// withdrawStart tells whether an allocation's start was withdrawn before it left this controller. An
+// agent never gets it then.
+func (q *commands) withdrawStart(m *machine, b *allocation) bool {
+	if !b.startWithdrawn() {
+		return false
+	}
+	delete(m.commands.unresolvedStarts, b.attempt)
+	q.log.Debug("start withdrawn before it was sent", "machine", m.name, "task", q.jobs.taskName(b), "attempt", b.attempt)
+	return true
+}
+
 // queueCommand has a command sent to a machine at the end of the step.
 func (q *commands) queueCommand(m *machine, o wire.Command) {
 	if len(m.commands.pending) == 0 {
@@ -147,6 +160,7 @@
 			// may be executed at any time.
 			m.commands.unresolvedStarts[o.Attempt] = math.MaxUint64
 			command.startedAttempts = append(command.startedAttempts, o.Attempt)
+			command.starts = append(command.starts, &b.start)
 		}
 		kept = append(kept, o)
 	}
@@ -161,6 +175,6 @@
 	q.lastID++
 	m.commands.inFlight++
 	q.inFlight[q.lastID] = command
-	q.effects.emit(SendCommands{CommandID: q.lastID, Machine: m.name, Address: m.agent.Address(),
+	q.effects.emit(SendCommands{CommandID: q.lastID, Machine: m.name, Address: m.agent.Address(), Starts: command.starts,
 		Request: wire.CommandRequest{FencingToken: command.fencingToken, AgentEpoch: command.agentEpoch, Commands: batch}})
 }
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -137,6 +137,7 @@
 	CommandExecuted                             // executed
 	CommandRejected                             // nothing executed
 	CommandNotSent                              // never left this process
+	CommandWithdrawn                            // all of it was withdrawn before it left this process
 )
 
 // Effect is what the caller has to carry out after steps.
@@ -167,6 +168,7 @@
 	HeartbeatReply struct {
 		ReplyTo  Recipient
 		Response *wire.HeartbeatResponse // nil: this controller can't respond as the leader
+		Starts   StartDeliveries         // of the starts in the response
 	}
 	// SendCommands is a command to be sent directly to an agent.
 	SendCommands struct {
@@ -174,6 +176,7 @@
 		Machine   string
 		Address   string
 		Request   wire.CommandRequest
+		Starts    StartDeliveries // of the starts in the request
 	}
 	// InspectAgent requests an agent's present status.
 	InspectAgent struct {
--- a/internal/scheduler/heartbeat_responses.go
+++ b/internal/scheduler/heartbeat_responses.go
@@ -114,14 +114,15 @@
 			trust = trusted
 		}
 		list := q.requiredStops(m, a.heartbeat, trust)
+		var starts StartDeliveries
 		if trust == trusted {
-			list = q.commandsFor(m, a.heartbeat, list)
+			list, starts = q.commandsFor(m, a.heartbeat, list)
 		}
 		answer := &wire.HeartbeatResponse{FencingToken: m.agent.FencingToken(), Commands: list}
 		if m.commands.openResponse == i+1 {
 			m.commands.openResponse = 0
 		}
-		q.effects.emit(HeartbeatReply{ReplyTo: a.replyTo, Response: answer})
+		q.effects.emit(HeartbeatReply{ReplyTo: a.replyTo, Response: answer, Starts: starts})
 	}
 	clear(q.openResponses)
 	q.openResponses = q.openResponses[:0]
@@ -130,9 +131,10 @@
 // appendPending adds a machine's pending commands to the response to its heartbeat, as far as
 // they fit. Unlike a direct command, a response is never executed late: the agent's next
 // heartbeat shows what became of it.
-func (q *commands) appendPending(m *machine, r *wire.Heartbeat, list []wire.Command) []wire.Command {
+func (q *commands) appendPending(m *machine, r *wire.Heartbeat, list []wire.Command) ([]wire.Command, StartDeliveries) {
+	var starts StartDeliveries
 	if r.AgentEpoch != m.agent.Epoch() {
-		return list
+		return list, starts
 	}
 	for len(m.commands.pending) > 0 && len(list) < maxCommandsPerResponse {
 		o := m.commands.pending[0]
@@ -143,10 +145,11 @@
 				continue // released since
 			}
 			b.state, b.responseSequence = allocationSent, r.Sequence
+			starts = append(starts, &b.start)
 		}
 		list = append(list, o)
 	}
-	return list
+	return list, starts
 }
 
 // minForgets is how many finished tasks are forgotten together. An agent sends a heartbeat at
@@ -156,7 +159,7 @@
 
 // commandsFor adds to the stops of a believed heartbeat the other commands of its response:
 // which ended tasks the agent may drop, and the machine's pending commands.
-func (q *commands) commandsFor(m *machine, r *wire.Heartbeat, list []wire.Command) []wire.Command {
+func (q *commands) commandsFor(m *machine, r *wire.Heartbeat, list []wire.Command) ([]wire.Command, StartDeliveries) {
 	var done []wire.Command
 	for i := range r.Tasks {
 		if len(list)+len(done) >= maxCommandsPerResponse {
@@ -173,11 +176,11 @@
 			list = append(list, forget)
 		}
 	}
-	list = q.appendPending(m, r, list)
+	list, starts := q.appendPending(m, r, list)
 	if len(list) > 0 || len(done) >= minForgets {
 		list = append(list, done...)
 	}
-	return list
+	return list, starts
 }
 
 // mayForget tells whether an agent may drop an ended attempt: not while a copy of its start may
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 
 	"leadproxy/internal/scheduler/depgraph"
@@ -77,11 +78,14 @@
 type jobEnd struct {
 	state string // decided, being written or durable
 	// at is when it became durable, or was decided if that was before this term.
-	at            time.Duration
-	replyTo       []Recipient // who waits for it to be durable
-	durable       bool
-	cleanedUp     bool // all that a terminal state requires is done
-	overdueLogged bool // its tasks may have run past the bound of a cancellation
+	at        time.Duration
+	replyTo   []Recipient // who waits for it to be durable
+	durable   bool
+	cleanedUp bool // all that a terminal state requires is done
+	// cancellationConfirmed: users may have been told that the job is cancelled. Other goroutines
+	// read it before they send a start.
+	cancellationConfirmed atomic.Bool
+	overdueLogged         bool // its tasks may have run past the bound of a cancellation
 }
 
 // jobPlacement is what placement keeps of a job.
@@ -257,6 +261,10 @@
 // becameDurable notes when the terminal state became durable.
 func (e *jobEnd) becameDurable(at time.Duration) { e.durable, e.at = true, at }
 
+// confirm publishes that users may be told of the terminal state. The starts that have not been sent
+// are withdrawn by then.
+func (e *jobEnd) confirm() { e.cancellationConfirmed.Store(e.state == wire.JobCancelled) }
+
 // await has someone told when the terminal state is durable.
 func (e *jobEnd) await(to Recipient) { e.replyTo = append(e.replyTo, to) }
 
--- a/internal/scheduler/job_events.go
+++ b/internal/scheduler/job_events.go
@@ -23,6 +23,7 @@
 	}
 	if rec.EndedMS > 0 {
 		j.end.becameDurable(c.clock.ago(rec.EndedMS))
+		j.end.confirm()
 	}
 	c.jobs.add(j)
 	if rec.Job == nil {
@@ -106,6 +107,7 @@
 		c.effects.emit(UserReply{ReplyTo: to, Known: true, Status: c.status(j)})
 	}
 	c.stopTasks(j)
+	j.end.confirm()
 	c.placement.markNeeded()
 	c.releaseDependents(j)
 	c.jobs.cleanUp(j)
--- a/internal/scheduler/task_stops.go
+++ b/internal/scheduler/task_stops.go
@@ -7,9 +7,10 @@
 	"leadproxy/internal/wire"
 )
 
-// stopAllocation stops an attempt. One whose start was never sent is simply released.
+// stopAllocation stops an attempt. One whose start was never sent, or is withdrawn before it is, is
+// simply released.
 func (c *Core) stopAllocation(m *machine, b *allocation, grace float64) {
-	if b.state <= allocationQueued {
+	if b.state <= allocationQueued || c.commands.withdrawStart(m, b) {
 		c.release(m, b)
 		return
 	}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"leadproxy/internal/dispatch"
 	"leadproxy/internal/fake"
 	"leadproxy/internal/scheduler"
 	"leadproxy/internal/transport"
@@ -54,7 +55,7 @@
 func (r *run) checkLogs() {
 	for _, controller := range r.deployment.Controllers {
 		for _, line := range strings.Split(controller.Log(), "\n") {
-			if strings.Contains(line, scheduler.MessageCancelledTaskOverdue) || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+			if strings.Contains(line, scheduler.MessageCancelledTaskOverdue) || strings.Contains(line, dispatch.MessageForbiddenStart) || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
 				r.t.Errorf("%s: %s", controller.Platform.Name, line)
 			}
 		}
