A restarted agent's allocations stay until it has shown what it has

Cause: an inspection that shows that an agent has restarted was taken for a complete list of its tasks. The agent can execute a start right after it has answered the inspection. If the result of that command reached the core before the inspection's, the start was released and placed anew.

Fix: the inspection proves the restart alone. All starts count as unresolved until the agent has acknowledged a token that is raised then, after which it refuses any earlier start and its list decides. Starts that have not left the controller are withdrawn.

--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -56,6 +56,11 @@
 // resolveAllStarts resolves all starts: none can be executed any more.
 func (m *machineCommands) resolveAllStarts() { clear(m.unresolvedStarts) }
 
+// startUnresolved notes that a start may yet be executed.
+func (m *machineCommands) startUnresolved(attempt uint64) {
+	m.unresolvedStarts[attempt] = math.MaxUint64
+}
+
 // resolveOnToken has all starts resolved once a token is acknowledged: from then on the agent
 // refuses commands with an earlier one.
 func (m *machineCommands) resolveOnToken(token uint64) {
@@ -158,7 +163,7 @@
 			b.state = allocationSent
 			// Until the command's outcome is known, or a raised token rules it out, this start
 			// may be executed at any time.
-			m.commands.unresolvedStarts[o.Attempt] = math.MaxUint64
+			m.commands.startUnresolved(o.Attempt)
 			command.startedAttempts = append(command.startedAttempts, o.Attempt)
 			command.starts = append(command.starts, &b.start)
 		}
--- a/internal/scheduler/inspections.go
+++ b/internal/scheduler/inspections.go
@@ -58,23 +58,33 @@
 	c.applyHeartbeat(m, r, fromCommandResult)
 }
 
-// agentRestarted takes in that an agent has restarted: what it does not list is gone.
+// agentRestarted takes in that an agent has restarted. What it ran before is gone, and what it has
+// now is not known yet: a start may have been executed since the inspection was answered, or still
+// be on its way to it. All allocations stay until the agent has acknowledged a token that is raised
+// now. It then refuses every earlier start, and its list of tasks is complete.
 func (c *Core) agentRestarted(m *machine, r *wire.Heartbeat) {
 	c.log.Info("agent restarted: its epochs count from the beginning", "machine", m.name, "agent_epoch", r.AgentEpoch, "allocations", len(m.capacity.allocations))
-	listed := map[uint64]bool{}
-	for _, t := range r.Tasks {
-		listed[t.Attempt] = true
-	}
-	for k := len(m.capacity.allocations) - 1; k >= 0; k-- {
-		// A command on its way to the earlier incarnation may yet be executed by the present
-		// one.
-		if b := m.capacity.allocations[k]; m.commands.unresolvedStarts[b.attempt] == 0 && !listed[b.attempt] {
-			c.release(m, b)
-		}
-	}
 	c.agents.restartFound(m)
 	m.agent.Restart(r.AgentEpoch, c.clock.now)
 	c.markUnacknowledged(m)
 	m.agent.RequireLatestToken()
+	c.putStartsInDoubt(m)
 	m.commands.resolveOnToken(m.agent.FencingToken())
 }
+
+// putStartsInDoubt has all starts that were sent to a machine count as ones that may yet be
+// executed. Those that have not left are withdrawn.
+func (c *Core) putStartsInDoubt(m *machine) {
+	for k := len(m.capacity.allocations) - 1; k >= 0; k-- {
+		b := m.capacity.allocations[k]
+		switch {
+		case b.state <= allocationQueued:
+			// It leaves with the present token, if at all.
+		case c.commands.withdrawStart(m, b):
+			c.release(m, b)
+		default:
+			b.responseSequence = 0 // of a heartbeat of the earlier incarnation
+			m.commands.startUnresolved(b.attempt)
+		}
+	}
+}
--- a/internal/scheduler/inspections_test.go
+++ b/internal/scheduler/inspections_test.go
@@ -113,3 +113,87 @@
 		t.Errorf("asked %d times in a minute of late copies", count)
 	}
 }
+
+// TestStartDuringInspection guards against a task that runs twice: an agent was reset, and while it
+// is inspected it executes a start that the result of the inspection does not list yet. Only a
+// heartbeat that acknowledges a token raised since then shows what it has.
+func TestStartDuringInspection(t *testing.T) {
+	executed := func(g *harness, id uint64, tasks ...wire.TaskStatus) {
+		result := *g.heartbeatOf("vm-1", termToken, tasks...)
+		result.Sequence = 2
+		g.step(CommandResult{CommandID: id, Outcome: CommandExecuted, Heartbeat: &result})
+	}
+	inspected := func(g *harness) {
+		result := *g.heartbeatOf("vm-1", 0)
+		result.Sequence = 1
+		g.step(InspectResult{Machine: "vm-1", Heartbeat: &result})
+	}
+	cases := []struct {
+		name  string
+		start func(g *harness) wire.Command // sends a start to vm-1 after the inspection began
+		then  func(g *harness, o wire.Command, commandID uint64)
+	}{
+		{"a direct command, executed before the result", startDirectly, func(g *harness, o wire.Command, commandID uint64) {
+			executed(g, commandID, taskIn(o, wire.TaskRunning, ""))
+			inspected(g)
+		}},
+		{"a direct command, executed after the result", startDirectly, func(g *harness, o wire.Command, commandID uint64) {
+			inspected(g)
+			executed(g, commandID, taskIn(o, wire.TaskRunning, ""))
+		}},
+		{"a direct command without an answer", startDirectly, func(g *harness, _ wire.Command, commandID uint64) {
+			g.step(CommandResult{CommandID: commandID, Outcome: CommandOutcomeUnknown})
+			inspected(g)
+		}},
+		{"a response to a heartbeat", startInNextResponse, func(g *harness, _ wire.Command, _ uint64) { inspected(g) }},
+	}
+	for _, c := range cases {
+		for _, has := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, the agent has it: %v", c.name, has), func(t *testing.T) {
+				g := newHarness(t, ledger.Snapshot{})
+				g.bringUp("vm-1")
+				g.seq["vm-1"] = 40
+				g.sendHeartbeat(g.heartbeatOf("vm-1", termToken))
+				reset := *g.heartbeatOf("vm-1", 0)
+				reset.Sequence = 1
+				g.sendHeartbeat(&reset)
+				o := c.start(g)
+				g.bringUp("vm-2")
+				commandID := uint64(0)
+				for _, command := range g.sentCommands {
+					commandID = command.CommandID
+				}
+				g.sentCommands, g.answered = nil, nil
+				c.then(g, o, commandID)
+				g.wait(time.Second)
+				g.want("starts while the agent may have it", len(g.starts()), 0)
+				g.seq["vm-1"] = 2
+				var tasks []wire.TaskStatus
+				if has {
+					tasks = append(tasks, taskIn(o, wire.TaskRunning, ""))
+				}
+				g.acknowledge("vm-1", tasks...)
+				g.want("starts once the agent has shown what it has", len(g.starts()), map[bool]int{true: 0, false: 1}[has])
+				g.want("allocations", g.c.jobs.list[0].progress.allocated, 1)
+			})
+		}
+	}
+}
+
+// startDirectly has a task started on vm-1 by a direct command.
+func startDirectly(g *harness) wire.Command {
+	g.submit(newTestJob("job-1", 1, 1))
+	return g.starts()[0]
+}
+
+// startInNextResponse has a task started on vm-1 in the response to a heartbeat of the incarnation
+// that the inspection has not shown to be over yet.
+func startInNextResponse(g *harness) wire.Command {
+	g.holdWrites = true
+	g.submit(newTestJob("job-1", 1, 1))
+	g.seq["vm-1"] = 41
+	g.step(HeartbeatEvent{Heartbeat: g.heartbeatOf("vm-1", termToken), ReplyTo: recipient("w")})
+	g.releaseWrites()
+	g.want("direct commands", len(g.sentCommands), 0)
+	return g.starts()[0]
+}
