A restarted agent's lease counts from its restart and the responses since

What callers would see: a task that runs twice, if a machine is reset, executes a start and then can't be reached.

Cause: a response to a heartbeat that looks old was counted from the last trusted heartbeat. For a late copy that is right; a restarted agent's heartbeats look the same and are new, so its lease ran up to a lease longer than the leader thought.

Fix: the lease counts from when the restart was shown, and from each response until the agent has acknowledged the token that is raised then.

The new TestLeaseOfARestartedAgent failed before, with and without heartbeats after the inspection: "starts within its lease: 1, want 0".

--- a/internal/scheduler/agents.go
+++ b/internal/scheduler/agents.go
@@ -56,6 +56,15 @@
 // countHeartbeat numbers the heartbeat whose list of tasks is being reconciled.
 func (a *agents) countHeartbeat() { a.heartbeatsProcessed++ }
 
+// responded notes that a heartbeat of a machine's agent gets a response.
+func (a *agents) responded(m *machine) {
+	if m.agent.RestartUnacknowledged() {
+		m.agent.RespondedAfterRestart(a.clock.now, a.lease)
+		return
+	}
+	m.agent.Responded(a.lease)
+}
+
 // schedulable tells whether new tasks may start on a machine.
 func (a *agents) schedulable(m *machine) bool {
 	switch {
--- a/internal/scheduler/agentstate/state.go
+++ b/internal/scheduler/agentstate/state.go
@@ -138,6 +138,17 @@
 	a.leaseExpiry = max(a.leaseExpiry, a.lastHeartbeat+lease)
 }
 
+// RestartUnacknowledged tells whether the agent has restarted and not yet acknowledged the token that
+// was raised since: which of its heartbeats are new is not known.
+func (a *State) RestartUnacknowledged() bool { return a.acknowledgedToken < a.minAcceptedToken }
+
+// RespondedAfterRestart notes a response to an agent whose restart is unacknowledged. The heartbeat
+// may have been sent just now.
+func (a *State) RespondedAfterRestart(now, lease time.Duration) {
+	a.lastResponse = now
+	a.leaseExpiry = max(a.leaseExpiry, now+lease)
+}
+
 // LeaseExpired tells whether the lease of every epoch so far must have expired.
 func (a *State) LeaseExpired(now, lease time.Duration) bool {
 	return now >= a.leaseExpiry && (a.lastResponse == 0 || now >= a.lastResponse+lease)
@@ -146,7 +157,8 @@
 // EndEpoch notes that the present epoch has certainly ended.
 func (a *State) EndEpoch() { a.expiredEpoch = a.epoch }
 
-// Restart notes that the agent has restarted and counts its epochs from the beginning.
+// Restart notes that the agent has restarted and counts its epochs from the beginning. BeginEpoch
+// has its new lease taken in.
 func (a *State) Restart(epoch uint64, now time.Duration) {
 	a.epoch, a.sequence, a.expiredEpoch, a.acknowledgedToken, a.epochSeenAt = epoch, 0, 0, 0, now
 }
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -36,7 +36,7 @@
 		c.effects.emit(HeartbeatReply{ReplyTo: e.ReplyTo})
 		return
 	}
-	m.agent.Responded(c.agents.lease)
+	c.agents.responded(m)
 	c.commands.open(a)
 }
 
--- a/internal/scheduler/inspections.go
+++ b/internal/scheduler/inspections.go
@@ -66,6 +66,7 @@
 	c.log.Info("agent restarted: its epochs count from the beginning", "machine", m.name, "agent_epoch", r.AgentEpoch, "allocations", len(m.capacity.allocations))
 	c.agents.restartFound(m)
 	m.agent.Restart(r.AgentEpoch, c.clock.now)
+	m.agent.BeginEpoch(r.AgentEpoch, c.clock.now+c.agents.lease)
 	c.markUnacknowledged(m)
 	m.agent.RequireLatestToken()
 	c.putStartsInDoubt(m)
--- a/internal/scheduler/inspections_test.go
+++ b/internal/scheduler/inspections_test.go
@@ -197,3 +197,52 @@
 	g.want("direct commands", len(g.sentCommands), 0)
 	return g.starts()[0]
 }
+
+// TestLeaseOfARestartedAgent guards against a task that runs twice: an agent was reset, executed a
+// start and can't be reached any more. Its lease began with the reset, or with the last response
+// to it since then, and not with the last heartbeat from before.
+func TestLeaseOfARestartedAgent(t *testing.T) {
+	const resetAt, silence = 20 * time.Second, 10 * time.Second
+	for _, heartbeatsAfter := range []int{0, 2} {
+		t.Run(fmt.Sprintf("%d heartbeats after the inspection", heartbeatsAfter), func(t *testing.T) {
+			g := newHarness(t, ledger.Snapshot{})
+			g.bringUp("vm-1")
+			g.seq["vm-1"] = 40
+			g.wait(resetAt - silence)
+			g.sendHeartbeat(g.heartbeatOf("vm-1", termToken))
+			o := startDirectly(g)
+			g.wait(silence)
+			reset := *g.heartbeatOf("vm-1", 0)
+			reset.Sequence = 1
+			g.sendHeartbeat(&reset)
+			result := reset
+			result.Sequence, result.Tasks = 2, []wire.TaskStatus{taskIn(o, wire.TaskRunning, "")}
+			g.step(InspectResult{Machine: "vm-1", Heartbeat: &result})
+			for range heartbeatsAfter {
+				g.now += time.Second
+				result.Sequence++
+				late := result
+				g.sendHeartbeat(&late)
+			}
+			g.sentCommands, g.answered = nil, nil
+			for end := g.now + 30*time.Second; g.now < end; {
+				g.wait(time.Second)
+				g.acknowledgeOther("vm-2")
+			}
+			g.want("starts within its lease", len(g.starts()), 0)
+			for range 3 {
+				g.wait(time.Second)
+				g.acknowledgeOther("vm-2")
+			}
+			g.want("starts after its lease", len(g.starts()), 1)
+		})
+	}
+}
+
+// acknowledgeOther has another machine be up, and its agent send a heartbeat.
+func (g *harness) acknowledgeOther(name string) {
+	if g.seq[name] == 0 {
+		g.bringUp(name)
+	}
+	g.acknowledge(name)
+}
