Calls to the cloud are checked against the term as they leave

What callers would see: a leader whose lease has expired deletes a machine that its successor uses. Not seen on a deployment; read in the code and shown by a test.

Cause: the term was checked as a call was queued, and the call may then wait for the cloud's rate.

Fix: the call carries the check, and the client asks it as the call leaves; withheld calls are reported as not executed.

The new TestCloudCallWaitsPastTheTerm failed before: "a call that waited past the term: <nil>, want the cloud did not carry out the call", "the cloud received 2 calls, want 1".

--- a/internal/autoscaler/calls.go
+++ b/internal/autoscaler/calls.go
@@ -7,14 +7,20 @@
 	"leadproxy/internal/wire"
 )
 
-// Call is one request to the cloud; one of its fields is set.
+// Call is one request to the cloud; one of its first fields is set.
 type Call struct {
 	ScaleOut *wire.ScaleOutRequest
 	Delete   []string
 	List     bool
 	Types    bool
+	// MaySend is asked right before the call leaves: it may have waited for the cloud's rate. Nil: it
+	// may always be sent.
+	MaySend func() bool
 }
 
+// withheld tells whether the call must not leave any more.
+func (c *Call) withheld() bool { return c.MaySend != nil && !c.MaySend() }
+
 // callPriority orders calls by urgency.
 type callPriority int
 
--- a/internal/autoscaler/client.go
+++ b/internal/autoscaler/client.go
@@ -108,6 +108,8 @@
 func (c *Client) execute(ctx context.Context, call Call) {
 	result := Result{Call: call}
 	switch {
+	case call.withheld():
+		result.Err = ErrNotExecuted
 	case call.ScaleOut != nil:
 		result.Machines, result.Err = c.scaleOut(ctx, call.ScaleOut)
 	case call.Delete != nil:
--- /dev/null
+++ b/internal/dispatch/cloud_calls_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"leadproxy/internal/autoscaler"
+	"leadproxy/internal/transport"
+)
+
+// leadershipUntilLost leads until it is set to false.
+type leadershipUntilLost struct{ leads atomic.Bool }
+
+func (l *leadershipUntilLost) IsLeader(uint64) bool { return l.leads.Load() }
+
+// TestCloudCallWaitsPastTheTerm guards against a deletion that was decided in the term, waited for
+// the cloud's rate, and left after the term: the machine may be the next leader's by then.
+func TestCloudCallWaitsPastTheTerm(t *testing.T) {
+	const interval = 300 * time.Millisecond // between two calls
+	var received atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer server.Close()
+	leadership := &leadershipUntilLost{}
+	leadership.leads.Store(true)
+	term := newTestTerm(t)
+	term.guard = NewSendGuard(leadership, term.log)
+	term.cloud = autoscaler.NewClient(transport.TCP{}, server.Listener.Addr().String(), float64(time.Second/interval))
+	go term.cloud.Run(t.Context())
+
+	for _, machine := range []string{"vm-1", "vm-2"} {
+		term.callCloud(t.Context(), autoscaler.Call{Delete: []string{machine}})
+	}
+	if first := <-term.cloud.Results; first.Err != nil {
+		t.Errorf("a call in the term: %v", first.Err)
+	}
+	leadership.leads.Store(false)
+	if second := <-term.cloud.Results; !errors.Is(second.Err, autoscaler.ErrNotExecuted) {
+		t.Errorf("a call that waited past the term: %v, want %v", second.Err, autoscaler.ErrNotExecuted)
+	}
+	if n := received.Load(); n != 1 {
+		t.Errorf("the cloud received %d calls, want 1", n)
+	}
+}
--- a/internal/dispatch/effects.go
+++ b/internal/dispatch/effects.go
@@ -65,10 +65,11 @@
 	}
 }
 
-// callCloud makes a call to the cloud if the term still holds. A suspended leader that
-// deletes machines would take them from its successor; the core tries again later.
+// callCloud makes a call to the cloud if the term still holds, also as the call leaves. A suspended
+// leader that deletes machines would take them from its successor; the core tries again later.
 func (t *term) callCloud(ctx context.Context, call autoscaler.Call) {
-	if !t.guard.MayAct(t.number, "cloud call") {
+	call.MaySend = func() bool { return t.guard.MayAct(t.number, "cloud call") }
+	if !call.MaySend() {
 		go t.postEvent(ctx, scheduler.CloudResult{Result: autoscaler.Result{Call: call, Err: autoscaler.ErrNotExecuted}})
 		return
 	}
