Disruptions: no times that are not used; one log line for a direct command

TaskFinished and JobFinished of the disruption tracker took the time and did not use it; two tests drop the argument. The leadership is logged once per direct command, as it was.

--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -30,12 +30,13 @@
 // there is none that can be read.
 func (d *Dispatcher) postCommands(ctx context.Context, term uint64, effect scheduler.SendCommands) (scheduler.CommandOutcome, *wire.Heartbeat) {
 	// Past the lease another leader may act: no command leaves here.
-	if !d.guard.MayAct(term, "command") {
+	maySend := func() bool { return d.guard.MayAct(term, "command") }
+	if !maySend() {
 		return scheduler.CommandNotSent, nil
 	}
 	request := workerRequest{address: effect.Address, method: http.MethodPost, path: "/commands"}
 	request.encode = func() ([]byte, error) { return d.encodeCommands(term, effect) }
-	response, err := d.commandPool.call(ctx, request, always)
+	response, err := d.commandPool.call(ctx, request, maySend)
 	d.countUnanswered(response, err)
 	switch {
 	case errors.Is(err, errWithdrawn):
--- a/internal/dispatch/send_guard.go
+++ b/internal/dispatch/send_guard.go
@@ -68,7 +68,7 @@
 // DirectCommands returns what may leave now of the direct commands to a worker: ErrNotLeader past
 // the end of the term, errWithdrawn if no command is left.
 func (g *SendGuard) DirectCommands(term uint64, effect scheduler.SendCommands) (wire.CommandRequest, error) {
-	if !g.MayAct(term, "command") {
+	if !g.elector.IsLeader(term) {
 		return wire.CommandRequest{}, ErrNotLeader
 	}
 	request := effect.Request
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -25,7 +25,7 @@
 		ago := max(0, time.Duration(wallMS-e.StartedMS)*time.Millisecond)
 		disruptions.TaskDisrupted(Job{e.JobID, e.Team, e.Class}, e.Task, time.Duration(e.LostProgressMS)*time.Millisecond, CauseEviction, now-ago)
 		if isDone(e.JobID, e.Task) {
-			disruptions.TaskFinished(e.JobID, e.Task, now)
+			disruptions.TaskFinished(e.JobID, e.Task)
 		}
 	}
 	return &Controller{record: r, disruptions: disruptions}
--- a/internal/rollout/disruptions.go
+++ b/internal/rollout/disruptions.go
@@ -72,7 +72,7 @@
 }
 
 // TaskFinished records that a task has finished and has no progress to regain any more.
-func (t *DisruptionTracker) TaskFinished(jobID string, index int, now time.Duration) {
+func (t *DisruptionTracker) TaskFinished(jobID string, index int) {
 	if d := t.jobs[jobID]; d != nil {
 		delete(d.tasks, index)
 		d.endIfRegained()
@@ -80,7 +80,7 @@
 }
 
 // JobFinished records that a job has ended.
-func (t *DisruptionTracker) JobFinished(jobID string, now time.Duration) {
+func (t *DisruptionTracker) JobFinished(jobID string) {
 	if d := t.jobs[jobID]; d != nil {
 		clear(d.tasks)
 		d.endIfRegained()
--- a/internal/rollout/disruptions_test.go
+++ b/internal/rollout/disruptions_test.go
@@ -23,7 +23,7 @@
 		}
 	}
 	disruptions.TaskRunning("job-1", 0, 20*time.Second)
-	disruptions.JobFinished("job-2", 30*time.Second)
+	disruptions.JobFinished("job-2")
 	disruptions.Tick(40 * time.Second)
 	if disruptions.isDisrupted("job-1") || disruptions.isDisrupted("job-2") || disruptions.disruptedJobs(TeamGroup("t"), 40*time.Second) != 2 {
 		t.Errorf("%+v", disruptions.Disruptions(40*time.Second))
--- a/internal/rollout/model_test.go
+++ b/internal/rollout/model_test.go
@@ -229,7 +229,7 @@
 			unfinished = append(unfinished, t)
 			continue
 		}
-		m.disruptions.TaskFinished(t.job.ID, t.index, m.now)
+		m.disruptions.TaskFinished(t.job.ID, t.index)
 	}
 	m.tasks = unfinished
 }
--- a/internal/scheduler/disruptions.go
+++ b/internal/scheduler/disruptions.go
@@ -71,14 +71,14 @@
 // taskFinished notes that a task has completed.
 func (d *disruptionAccount) taskFinished(j *job, n int32) {
 	if d.tracker != nil {
-		d.tracker.TaskFinished(j.id, int(n), d.clock.now)
+		d.tracker.TaskFinished(j.id, int(n))
 	}
 }
 
 // jobFinished notes that a job has ended.
 func (d *disruptionAccount) jobFinished(j *job) {
 	if d.tracker != nil {
-		d.tracker.JobFinished(j.id, d.clock.now)
+		d.tracker.JobFinished(j.id)
 	}
 }
 
