--- a/internal/dispatch/send_guard.go
+++ b/internal/dispatch/send_guard.go
@@ -85,9 +85,21 @@
 	for _, start := range forbidden {
 		g.log.Error(MessageForbiddenStart, "leader_term", term, "task", start.Task, "attempt", start.Attempt, "count", g.forbidden.Add(1))
 	}
+	if len(starts) > 0 && g.log.Enabled(context.Background(), slog.LevelDebug) {
+		g.logStarts(term, sendable)
+	}
 	return sendable
 }
 
+// logStarts logs the starts that leave: their decision may be a while ago.
+func (g *SendGuard) logStarts(term uint64, sent []wire.Command) {
+	for _, command := range sent {
+		if command.Verb == wire.VerbStart {
+			g.log.Debug("start sent", "leader_term", term, "task", command.Task, "attempt", command.Attempt)
+		}
+	}
+}
+
 func (g *SendGuard) logAction(term uint64, action string) {
 	if g.log.Enabled(context.Background(), slog.LevelDebug) {
 		g.log.Debug(MessageLeaderAction, "leader_term", term, "action", action)
