The result of a command shows that its agent has restarted

What callers would see: a task that runs twice, if a machine is reset, executes a start from a direct command before it sends a heartbeat, and then can't be reached.

Cause: the status in a command's result that looks old was dropped like a late copy, and the lease was counted from the last heartbeat before the reset.

Fix: an agent makes the result after the command was sent, so one that stands before what was known then comes from a restarted agent, and is treated like an inspection that shows that.

The new TestResultOfACommandShowsARestart failed before: "starts within its lease: 1, want 0". TestStartIsEitherSentOrWithdrawn is new beside it, for the withdrawal of starts.

--- a/internal/scheduler/command_results.go
+++ b/internal/scheduler/command_results.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"leadproxy/internal/scheduler/agentstate"
+)
 
 // avoidFor is how long a machine that commands don't reach gets no new tasks.
 const avoidFor = 4 * time.Second
@@ -15,6 +19,16 @@
 	return command
 }
 
+// restartFound notes that the agent of a machine has restarted. The commands that are still on their
+// way show nothing new by that.
+func (q *commands) restartFound(m *machine) {
+	for _, command := range q.inFlight {
+		if command.machine == m {
+			command.sentAfter = agentstate.HeartbeatPosition{}
+		}
+	}
+}
+
 // commandResult takes the result of a direct command.
 func (c *Core) commandResult(e CommandResult) {
 	command := c.commands.takeInFlight(e.CommandID)
@@ -54,6 +68,11 @@
 		c.commands.eachSent(command, func(b *allocation) { b.state = allocationConfirmed })
 	}
 	if e.Heartbeat != nil && e.Heartbeat.Machine == m.name && e.Heartbeat.FencingToken>>tokenBits <= c.term {
+		// The agent made it after the command was sent. So if it is older than what was known then,
+		// its sender has restarted.
+		if agentstate.PositionOf(e.Heartbeat).Before(command.sentAfter) {
+			c.agentRestarted(m, e.Heartbeat)
+		}
 		c.applyHeartbeat(m, e.Heartbeat, fromCommandResult)
 	}
 	if e.Outcome == CommandExecuted {
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"leadproxy/internal/scheduler/agentstate"
 	"leadproxy/internal/wire"
 )
 
@@ -85,6 +86,7 @@
 	machine              *machine
 	agentEpoch           uint64
 	fencingToken         uint64
+	sentAfter            agentstate.HeartbeatPosition // the newest heartbeat as it was sent
 	startedAttempts      []uint64
 	starts               StartDeliveries // of startedAttempts
 	stoppedAttempts      []uint64
@@ -178,6 +180,7 @@
 func (q *commands) sendCommand(command *commandInFlight, batch []wire.Command) {
 	m := command.machine
 	q.lastID++
+	command.sentAfter = m.agent.Position()
 	m.commands.inFlight++
 	q.inFlight[q.lastID] = command
 	q.effects.emit(SendCommands{CommandID: q.lastID, Machine: m.name, Address: m.agent.Address(), Starts: command.starts,
--- a/internal/scheduler/inspections.go
+++ b/internal/scheduler/inspections.go
@@ -38,8 +38,12 @@
 // lateCopyFound notes that an inspection has shown a stale heartbeat to be a late copy.
 func (a *agents) lateCopyFound(m *machine) { m.contact.staleHeartbeats++ }
 
-// restartFound notes that an inspection has shown the agent to have restarted.
-func (a *agents) restartFound(m *machine) { m.contact.staleHeartbeats = 0 }
+// restartFound notes that the agent has restarted. An inspection that is still on its way then
+// shows nothing new.
+func (a *agents) restartFound(m *machine) {
+	m.contact.staleHeartbeats = 0
+	m.contact.inspectedAt = agentstate.HeartbeatPosition{}
+}
 
 // inspectResult takes the status of an agent that was inspected. If that is older than the
 // newest heartbeat before the inspection, the agent has restarted.
@@ -58,13 +62,14 @@
 	c.applyHeartbeat(m, r, fromCommandResult)
 }
 
-// agentRestarted takes in that an agent has restarted. What it ran before is gone, and what it has
-// now is not known yet: a start may have been executed since the inspection was answered, or still
-// be on its way to it. All allocations stay until the agent has acknowledged a token that is raised
+// agentRestarted takes in that an agent has restarted, as an inspection or the result of a command
+// has shown. What it ran before is gone, and what it has now is not known yet: a start may have been
+// executed since that was sent, or still be on its way to it. All allocations stay until the agent has acknowledged a token that is raised
 // now. It then refuses every earlier start, and its list of tasks is complete.
 func (c *Core) agentRestarted(m *machine, r *wire.Heartbeat) {
 	c.log.Info("agent restarted: its epochs count from the beginning", "machine", m.name, "agent_epoch", r.AgentEpoch, "allocations", len(m.capacity.allocations))
 	c.agents.restartFound(m)
+	c.commands.restartFound(m)
 	m.agent.Restart(r.AgentEpoch, c.clock.now)
 	m.agent.BeginEpoch(r.AgentEpoch, c.clock.now+c.agents.lease)
 	c.markUnacknowledged(m)
--- a/internal/scheduler/inspections_test.go
+++ b/internal/scheduler/inspections_test.go
@@ -239,6 +239,34 @@
 	}
 }
 
+// TestResultOfACommandShowsARestart guards against a task that runs twice: an agent was reset and
+// executed a start, which nothing but the result of the command betrays, and can't be reached any
+// more. Its lease began with the reset.
+func TestResultOfACommandShowsARestart(t *testing.T) {
+	const sinceHeartbeat = 10 * time.Second
+	g := newHarness(t, ledger.Snapshot{})
+	g.bringUp("vm-1")
+	g.seq["vm-1"] = 40
+	g.sendHeartbeat(g.heartbeatOf("vm-1", termToken))
+	o := startDirectly(g)
+	commandID := g.sentCommands[0].CommandID
+	g.now += sinceHeartbeat
+	result := *g.heartbeatOf("vm-1", termToken, taskIn(o, wire.TaskRunning, ""))
+	result.Sequence = 1
+	g.step(CommandResult{CommandID: commandID, Outcome: CommandExecuted, Heartbeat: &result})
+	g.sentCommands, g.answered = nil, nil
+	for end := g.now + 30*time.Second; g.now < end; {
+		g.wait(time.Second)
+		g.acknowledgeOther("vm-2")
+	}
+	g.want("starts within its lease", len(g.starts()), 0)
+	for range 3 {
+		g.wait(time.Second)
+		g.acknowledgeOther("vm-2")
+	}
+	g.want("starts after its lease", len(g.starts()), 1)
+}
+
 // acknowledgeOther has another machine be up, and its agent send a heartbeat.
 func (g *harness) acknowledgeOther(name string) {
 	if g.seq[name] == 0 {
--- a/internal/scheduler/start_delivery_test.go
+++ b/internal/scheduler/start_delivery_test.go
@@ -119,3 +119,18 @@
 		})
 	}
 }
+
+// TestStartIsEitherSentOrWithdrawn guards against a start that is sent although the core counts it
+// as withdrawn: of the two, called at the same moment, exactly one succeeds.
+func TestStartIsEitherSentOrWithdrawn(t *testing.T) {
+	for range 2000 {
+		var delivery StartDelivery
+		StartDeliveries{&delivery}.Defer()
+		sent := make(chan bool)
+		go func() { sent <- delivery.send() == sendAllowed }()
+		withdrawn := delivery.withdraw()
+		if <-sent == withdrawn {
+			t.Fatalf("sent and withdrawn are both %v", withdrawn)
+		}
+	}
+}
