--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -97,7 +97,7 @@
 
 func (q *commands) sendStart(j *job, m *machine, b *allocation) {
 	b.state = allocationQueued
-	b.start.forbidOnce(&j.end.cancellationConfirmed)
+	b.start.forbidWhen(&j.end.cancellationConfirmed)
 	q.queueCommand(m, wire.Command{Verb: wire.VerbStart, Task: q.jobs.taskName(b), Attempt: b.attempt})
 }
 
--- a/internal/scheduler/start_delivery.go
+++ b/internal/scheduler/start_delivery.go
@@ -33,9 +33,9 @@
 	sendForbidden              // the core should have withdrawn it
 )
 
-// forbidOnce has the start forbidden once a flag is set. The core calls it before it hands the start
+// forbidWhen has the start forbidden from when a flag is set. The core calls it before it hands the start
 // on, and sets the flag only after it has withdrawn the start.
-func (d *StartDelivery) forbidOnce(flag *atomic.Bool) { d.forbidden = flag }
+func (d *StartDelivery) forbidWhen(flag *atomic.Bool) { d.forbidden = flag }
 
 // withdraw keeps the start from being sent, and reports whether it came in time: after true the
 // start never leaves the controller.
--- a/internal/scheduler/start_delivery_test.go
+++ b/internal/scheduler/start_delivery_test.go
@@ -107,7 +107,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var delivery StartDelivery
 			job := jobEnd{state: wire.JobCancelled}
-			delivery.forbidOnce(&job.cancellationConfirmed)
+			delivery.forbidWhen(&job.cancellationConfirmed)
 			c.prepare(&delivery, &job)
 			sendable, forbidden := StartDeliveries{&delivery}.Send([]wire.Command{stop, start})
 			if len(sendable) != c.sendable || len(forbidden) != c.forbidden {
