A term whose ledger has stopped resigns

What callers would see: a controller that answers no cancellation and no heartbeat, and passes none on, until its process ends. Not seen on a deployment; read in the code and shown by a test.

Cause: the term ends when the ledger's writer stops, but the elector was not told and renewed the lease on. It finds out by itself only if the lease has expired.

Fix: the term resigns, so that the lease is revoked and the controller follows whoever leads.

--- /dev/null
+++ b/internal/controller/lost_term_test.go
@@ -0,0 +1,32 @@
+package controller
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"leadproxy/internal/election"
+	"leadproxy/internal/fake"
+)
+
+// TestTermLostWithLivingLease guards against a controller that goes on as the leader after its
+// ledger has stopped: the leader key was removed by hand, its lease lives on, and another controller
+// leads. Users reach the former leader as before.
+func TestTermLostWithLivingLease(t *testing.T) {
+	runScenarioOnce(t, clusterPlan{}, false, func(c *cluster) {
+		former := c.leader()
+		c.state.Remove(election.LeaderKey)
+		c.await("another leader", 30*time.Second, func() bool { return c.leader() >= 0 && c.leader() != former })
+		job := fake.NewJob("job-000001", 2, nil)
+		c.users.Submit(job)
+		time.Sleep(20 * time.Second)
+		served := func() bool {
+			code, _ := c.users.Call(former, fake.RequestCancel, job.ID, nil)
+			return code == http.StatusOK
+		}
+		c.await("the former leader serving a cancellation", 20*time.Second, served)
+		if !served() {
+			t.Error("the former leader does not serve a cancellation")
+		}
+	})
+}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -59,7 +59,9 @@
 	timings.ledgerKnown = time.Now()
 	go func() {
 		if err := ledgerWriter.Run(ctx); err != nil && ctx.Err() == nil {
+			// Without its ledger the term can decide nothing, whatever becomes of its lease.
 			d.log.Info("ledger writer stopped", "leader_term", number, "error", err)
+			d.elector.Resign(number)
 			cancel()
 		}
 	}()
