Fake: a watch that outlasts an outage ends with it

Cause: the fake store's watch used up its only timer while its host was refused. Once the outage was over it waited for a change without a deadline, so tests of whole controllers saw watches that are deaf until their client gives up, which the real store does not have.

Change: the watch keeps its deadline; past it, it answers as soon as the host is served again.

--- a/internal/fake/store_watch.go
+++ b/internal/fake/store_watch.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -41,32 +42,40 @@
 		writeJSON(w, http.StatusGone, wire.ErrorResponse{Error: "no longer kept"})
 		return
 	}
-	timeout := time.NewTimer(request.wait)
-	defer timeout.Stop()
+	deadline := time.Now().Add(request.wait)
 	for {
-		response := wire.WatchResponse{Events: []wire.WatchEvent{}}
+		response, refused := wire.WatchResponse{Events: []wire.WatchEvent{}}, false
 		changed := make(chan struct{})
-		s.do(func() { response = s.eventsSince(request, r.RemoteAddr, changed) })
-		if len(response.Events) > 0 {
+		s.do(func() { response, refused = s.eventsSince(request, r.RemoteAddr, changed), s.refuses(r.RemoteAddr) })
+		// A watch stays open while its host is refused, also past its deadline.
+		if !refused && (len(response.Events) > 0 || !time.Now().Before(deadline)) {
 			writeJSON(w, http.StatusOK, response)
 			return
 		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			refused := false
-			s.do(func() { refused = s.refuses(r.RemoteAddr) })
-			if refused {
-				continue // the watch stays open while the host is refused, and then until a change
-			}
-			writeJSON(w, http.StatusOK, response)
-			return
-		case <-r.Context().Done():
+		if !waitForChange(r.Context(), changed, deadline, refused) {
 			return
 		}
 	}
 }
 
+// waitForChange waits until a watch must check again: after a change, or at its deadline unless its
+// host is refused. It returns false if ctx ends first.
+func waitForChange(ctx context.Context, changed <-chan struct{}, deadline time.Time, refused bool) bool {
+	var expired <-chan time.Time
+	if !refused {
+		timeout := time.NewTimer(time.Until(deadline))
+		defer timeout.Stop()
+		expired = timeout.C
+	}
+	select {
+	case <-changed:
+	case <-expired:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // eventsSince returns the events for a watch from a host. If there are none, or the host is
 // refused, it registers changed, which is closed when the watch must check again.
 func (s *KVStore) eventsSince(request watchRequest, host string, changed chan struct{}) wire.WatchResponse {
