--- a/internal/controller/cluster_faults_test.go
+++ b/internal/controller/cluster_faults_test.go
@@ -6,25 +6,36 @@
 	"time"
 
 	"leadproxy/internal/fake"
+	"leadproxy/internal/ledger"
 )
 
-// faultOnPath applies the configured injector, if there is one, to the POST requests of one path.
-func faultOnPath(path string, configured *atomic.Pointer[fake.FaultInjector]) fake.FaultInjector {
+// faultOn applies the configured injector, if there is one, to the requests that match.
+func faultOn(matches func(r *http.Request) bool, configured *atomic.Pointer[fake.FaultInjector]) fake.FaultInjector {
 	return func(from string, r *http.Request) fake.InjectedFault {
-		if inject := configured.Load(); inject != nil && r.URL.Path == path && r.Method == http.MethodPost {
+		if inject := configured.Load(); inject != nil && matches(r) {
 			return (*inject)(from, r)
 		}
 		return fake.InjectedFault{}
 	}
 }
 
-// firstFault applies the second injector to requests into which the first one injects no fault.
-func firstFault(first, second fake.FaultInjector) fake.FaultInjector {
+// faultOnPath applies the configured injector, if there is one, to the POST requests of one path.
+func faultOnPath(path string, configured *atomic.Pointer[fake.FaultInjector]) fake.FaultInjector {
+	return faultOn(func(r *http.Request) bool { return r.URL.Path == path && r.Method == http.MethodPost }, configured)
+}
+
+// isJobWatch reports whether a request is the leader's watch of the job records.
+func isJobWatch(r *http.Request) bool { return fake.IsWatch(r, ledger.JobPrefix) }
+
+// firstFault returns an injector that injects the first fault which one of the injectors returns.
+func firstFault(injectors ...fake.FaultInjector) fake.FaultInjector {
 	return func(from string, r *http.Request) fake.InjectedFault {
-		if fault := first(from, r); fault.Kind != fake.NoFault {
-			return fault
+		for _, inject := range injectors {
+			if fault := inject(from, r); fault.Kind != fake.NoFault {
+				return fault
+			}
 		}
-		return second(from, r)
+		return fake.InjectedFault{}
 	}
 }
 
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -32,9 +32,9 @@
 	operator      settings.Operator
 	namePrefix    string // of the hosts' names on the network
 	leaderActions *leaderActionChecker
-	// The faults of writes to the key-value store, commands to agents, scale-outs and machine
-	// deletions; nil: none.
-	writeFaults, commandFaults, scaleOutFaults, deleteFaults atomic.Pointer[fake.FaultInjector]
+	// The faults of writes to the key-value store, its reads and listings, the leader's watch of
+	// the job records, commands to agents, scale-outs and machine deletions; nil: none.
+	writeFaults, readFaults, watchFaults, commandFaults, scaleOutFaults, deleteFaults atomic.Pointer[fake.FaultInjector]
 	// commandsDelayed is set by tests that delay commands, so that tasks may start after their
 	// job's cancellation was confirmed.
 	commandsDelayed bool
@@ -159,7 +159,8 @@
 	if config.budgets != nil {
 		c.operator.Rollouts = settings.Rollouts{Enabled: true, Budgets: *config.budgets}
 	}
-	c.store = fake.NewKVStore(t, c.net.Host(c.namePrefix+"state"), c.namePrefix+"state:1", faultOnPath("/txn", &c.writeFaults))
+	c.store = fake.NewKVStore(t, c.net.Host(c.namePrefix+"state"), c.namePrefix+"state:1",
+		firstFault(faultOnPath("/txn", &c.writeFaults), faultOn(fake.IsRead, &c.readFaults), faultOn(isJobWatch, &c.watchFaults)))
 	c.store.SetClockDrift(config.clockDrift)
 	for key, value := range config.ledger {
 		c.store.Put(key, value)
--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"time"
 
 	"leadproxy/internal/transport"
@@ -21,19 +22,30 @@
 	ResponseLost           // executed, no response
 	Duplicated             // executed twice, second response returned
 	Delayed                // executed after a delay, no response: the sender times out first
+	ResponseLate           // executed, response sent after a delay
 	Unavailable            // not executed, 503 response
 )
 
 // InjectedFault is a fault that is injected into one request.
 type InjectedFault struct {
 	Kind  FaultKind
-	Delay time.Duration // used by Delayed only
+	Delay time.Duration // used by Delayed and ResponseLate only
 }
 
 // FaultInjector returns the fault to inject into a request from a host. It may read the body of r,
 // which is a copy.
 type FaultInjector func(from string, r *http.Request) InjectedFault
 
+// IsWatch reports whether a request to the key-value store is a watch of the keys under a prefix.
+func IsWatch(r *http.Request, prefix string) bool {
+	return r.Method == http.MethodGet && r.URL.Path == "/changes" && r.FormValue("under") == prefix
+}
+
+// IsRead reports whether a request to the key-value store reads a key or a page of a listing.
+func IsRead(r *http.Request) bool {
+	return r.Method == http.MethodGet && (r.URL.Path == "/store" || strings.HasPrefix(r.URL.Path, "/store/"))
+}
+
 // withFaults returns a handler that serves requests with h and injects faults into them. ctx ends
 // delayed and copied requests. A nil injector injects no faults.
 func withFaults(ctx context.Context, h http.Handler, inject FaultInjector) http.Handler {
@@ -68,6 +80,12 @@
 				}
 			}()
 			<-r.Context().Done()
+		case ResponseLate:
+			recorder := httptest.NewRecorder()
+			h.ServeHTTP(recorder, copyRequest())
+			transport.Pause(r.Context(), injected.Delay)
+			w.WriteHeader(recorder.Code)
+			w.Write(recorder.Body.Bytes())
 		case Unavailable:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
