Scheduler: no status from memory while a predecessor is unknown

Cause: an answer from stale knowledge, with a check in one path and not in another. A controller that does not lead accepts job B, whose ancestor A is cancelled, and the records call B cancelled. The leader accepts C, which needs B, reads the records to admit it and calls it cancelled too. Its core learns C at once, but B only from its watch of the job records. Until then B counts as unfinished, and terminalStatePending looked for cancellations in flight only, not for ancestors that the core does not know: C was queued from memory. The window is as long as the watch is late: 22 s if its answer is lost, and some milliseconds when a new leader has accepted C while it read the ledger, without any loss.

Change: a status with an unknown ancestor is left to the records. So that nobody is without an answer for good, the core has unknown predecessors read (recordReads: at the next tick, chains without further ticks, eight at once), records that jobapi reads are passed to this controller's core, and one that can't be decoded counts as unfinished for good, for the leader and for the records alike (the records answered 503 each time).

Five new mutants are caught.

Why it works: what the records call cancelled follows from the records of all unfinished ancestors. A core that knows them all, with no write of a cancellation in flight, has at least what any reader has seen.

--- a/internal/controller/lost_watch_test.go
+++ b/internal/controller/lost_watch_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"leadproxy/internal/fake"
+	"leadproxy/internal/ledger"
 	"leadproxy/internal/wire"
 )
 
@@ -44,21 +45,29 @@
 	time.Sleep(time.Second)
 }
 
-// submitCancelledPipeline submits job-070000, cancels it, and has the followers accept a chain of the
-// given length that depends on it. The leader accepts the last job, whose ID is returned. Its status
-// must be cancelled at once.
-func (c *cluster) submitCancelledPipeline(length int) (last *wire.Job) {
+// chainJobID returns the ID of the i-th job of a chain. A job's ID sorts before that of its
+// predecessor.
+func chainJobID(i int) string { return fmt.Sprintf("job-%06d", 79000-i) }
+
+// submitCancelled submits the first job of a chain and cancels it.
+func (c *cluster) submitCancelled() {
 	c.t.Helper()
-	jobID := func(i int) string { return fmt.Sprintf("job-07%04d", i) }
-	first := newClusterJob(jobID(0))
+	first := newClusterJob(chainJobID(0))
 	c.submitTo(c.leader(), first)
 	if code, status := c.users.RetryUntilFinal(fake.RequestCancel, first.ID, nil); status != wire.JobCancelled {
 		c.t.Errorf("cancellation of the first job: %d %s, want %s", code, status, wire.JobCancelled)
 	}
+}
+
+// submitCancelledPipeline submits and cancels the first job of a chain, and has a follower accept the
+// given number of jobs after it. The leader accepts the last job, which is returned.
+func (c *cluster) submitCancelledPipeline(length int) (last *wire.Job) {
+	c.t.Helper()
+	c.submitCancelled()
 	for i := 1; i <= length; i++ {
-		c.submitTo(c.follower(), newClusterJob(jobID(i), jobID(i-1)))
+		c.submitTo(c.follower(), newClusterJob(chainJobID(i), chainJobID(i-1)))
 	}
-	last = newClusterJob(jobID(length+1), jobID(length))
+	last = newClusterJob(chainJobID(length+1), chainJobID(length))
 	c.submitTo(c.leader(), last)
 	return last
 }
@@ -67,7 +76,7 @@
 // predecessor another controller has accepted, and which is cancelled with it. No controller may then
 // call it queued.
 func TestCancelledDependentIsNotCalledQueuedWhileTheWatchIsLost(t *testing.T) {
-	for _, length := range []int{1, 3} {
+	for _, length := range []int{1, 3, 70} {
 		t.Run(fmt.Sprintf("%d jobs that the leader has not seen", length), func(t *testing.T) {
 			runScenarioOnce(t, clusterConfig{}, false, func(c *cluster) {
 				time.Sleep(5 * time.Second) // all controllers have announced their capabilities
@@ -83,6 +92,98 @@
 	}
 }
 
+// TestNewLeaderDoesNotCallACancelledDependentQueued: a new leader accepts a job while it reads the
+// ledger, which lacks the job's predecessor, and its watch reports the predecessor late.
+func TestNewLeaderDoesNotCallACancelledDependentQueued(t *testing.T) {
+	runScenarioOnce(t, clusterConfig{}, false, func(c *cluster) {
+		time.Sleep(5 * time.Second) // all controllers have announced their capabilities
+		c.submitCancelled()
+		late := fake.FaultInjector(func(_ string, r *http.Request) fake.InjectedFault {
+			if r.FormValue("under") != ledger.JobPrefix {
+				return fake.InjectedFault{}
+			}
+			return fake.InjectedFault{Kind: fake.ResponseLate, Delay: 2 * time.Second}
+		})
+		c.readFaults.Store(&late)
+		c.watchFaults.Store(&late)
+		c.kill(c.leader())
+		c.awaitNewTerm()
+		time.Sleep(time.Second)
+		c.submitTo(c.follower(), newClusterJob(chainJobID(1), chainJobID(0)))
+		last := newClusterJob(chainJobID(2), chainJobID(1))
+		c.submitTo(c.leader(), last)
+		for range 30 {
+			c.users.QueryEverywhere(last.ID, last)
+			time.Sleep(200 * time.Millisecond)
+		}
+		c.readFaults.Store(nil)
+		c.watchFaults.Store(nil)
+		c.startAll()
+	})
+}
+
+// TestDependentsAreAnsweredDuringALongOutage: the key-value store is out for longer than a job may go
+// unanswered, right after the leader has accepted a job whose predecessors its watch has not reported.
+func TestDependentsAreAnsweredDuringALongOutage(t *testing.T) {
+	runScenarioOnce(t, clusterConfig{}, false, func(c *cluster) {
+		time.Sleep(5 * time.Second) // all controllers have announced their capabilities
+		c.loseJobWatches()
+		last := c.submitCancelledPipeline(3)
+		c.store.SetOutage(true)
+		for range 20 {
+			time.Sleep(5 * time.Second)
+			for i := range 5 {
+				c.wantAnswered(chainJobID(i), wire.JobCancelled)
+			}
+		}
+		c.store.SetOutage(false)
+		c.watchFaults.Store(nil)
+		c.users.QueryEverywhere(last.ID, last)
+	})
+}
+
+// wantAnswered fails the test unless a controller answers a status request with the given status.
+func (c *cluster) wantAnswered(jobID, want string) {
+	c.t.Helper()
+	for i := range c.controllers {
+		if _, status := c.users.Call(i, fake.RequestStatus, jobID, nil); status == want {
+			return
+		}
+	}
+	c.t.Errorf("no controller answers that %s is %s", jobID, want)
+}
+
+// TestDependentsOfAMalformedRecordAreAnswered: the record of a job can no longer be decoded. The jobs
+// that depend on it must not run, but users are told that they are queued, until it is repaired.
+func TestDependentsOfAMalformedRecordAreAnswered(t *testing.T) {
+	runScenarioOnce(t, clusterConfig{}, false, func(c *cluster) {
+		time.Sleep(5 * time.Second) // all controllers have announced their capabilities
+		leader := c.leader()
+		first := newClusterJob(chainJobID(0))
+		c.submitTo(leader, first)
+		c.submitTo(leader, newClusterJob(chainJobID(1), first.ID))
+		c.submitTo(leader, newClusterJob(chainJobID(2), chainJobID(1)))
+		key := ledger.JobKey(first.ID)
+		record := string(c.store.Value(key))
+		c.kill(leader)
+		c.store.Put(key, `[]`)
+		c.awaitNewTerm()
+		time.Sleep(5 * time.Second)
+		for _, jobID := range []string{chainJobID(1), chainJobID(2)} {
+			for i := range c.controllers {
+				if code, status := c.users.Call(i, fake.RequestStatus, jobID, nil); i != leader && status != wire.JobQueued {
+					t.Errorf("status of %s at %s: %d %s, want %s", jobID, c.controllerName(i), code, status, wire.JobQueued)
+				}
+			}
+		}
+		c.store.Put(key, record)
+		c.startAll()
+		for i := range 3 {
+			c.users.Poll(newClusterJob(chainJobID(i)))
+		}
+	})
+}
+
 // cancelPipelinesWhileSubmitted submits pipelines of all shapes one after the other. The first job of
 // each is cancelled while the others are submitted, all of them at random controllers.
 func (c *cluster) cancelPipelinesWhileSubmitted(firstNumber, count int) {
--- a/internal/dispatch/effects.go
+++ b/internal/dispatch/effects.go
@@ -23,6 +23,8 @@
 			go t.sendCommands(ctx, t.number, effect)
 		case scheduler.InspectAgent:
 			go t.inspectAgent(ctx, effect)
+		case scheduler.ReadJobRecord:
+			go t.readJobRecord(ctx, effect.JobID)
 		case scheduler.ResignLeadership:
 			t.elector.Resign(t.number)
 		case scheduler.SendTransfers:
--- a/internal/dispatch/job_watch.go
+++ b/internal/dispatch/job_watch.go
@@ -79,3 +79,18 @@
 	}
 	d.postEvent(ctx, scheduler.JobRecordEvent{JobID: job, Record: record, Version: version})
 }
+
+// readJobRecord reads the record of one job and posts the result to the core.
+func (t *term) readJobRecord(ctx context.Context, jobID string) {
+	result := scheduler.RecordReadResult{JobID: jobID}
+	stored, err := ledger.ReadJob(ctx, t.store, kvstore.PriorityLeader, jobID)
+	switch {
+	case err == nil:
+		result.Outcome = scheduler.RecordFound
+		result.Record = scheduler.JobRecordEvent{JobID: jobID, Record: stored.Record, Version: stored.Version}
+	case errors.Is(err, ledger.ErrNoRecord), errors.Is(err, ledger.ErrMalformedRecord):
+		result.Outcome = scheduler.RecordUnreadable
+	}
+	t.log.Debug("job record of a predecessor read", "leader_term", t.number, "job", jobID, "version", stored.Version, "error", err)
+	t.postEvent(ctx, result)
+}
--- a/internal/dispatch/user_requests.go
+++ b/internal/dispatch/user_requests.go
@@ -12,9 +12,10 @@
 var (
 	// ErrJobUnknown means that the core has no job with that ID.
 	ErrJobUnknown = errors.New("job is not known to the leader")
-	// ErrTerminalStatePending means that the job's terminal state is being written. Whether the
-	// job has ended is known only from a fresh read of its record.
-	ErrTerminalStatePending = errors.New("terminal state of the job is being written")
+	// ErrTerminalStatePending means that the job's terminal state is being written, or that a job
+	// it depends on is not known. Whether the job has ended is known only from a fresh read of
+	// its record and those of its ancestors.
+	ErrTerminalStatePending = errors.New("terminal state of the job is not known to the leader")
 	// ErrCellUnreachable means that the job may run in another cell, which does not respond.
 	// Its text is part of an HTTP response.
 	ErrCellUnreachable = errors.New("the cell that may run the job does not answer")
@@ -51,9 +52,9 @@
 	return reply.Status, nil
 }
 
-// NotifyJobCreated posts the record of a new job to the core without waiting for the watch. If the
-// mailbox is full, the record is dropped, because the watch delivers it too.
-func (d *Dispatcher) NotifyJobCreated(record scheduler.JobRecordEvent) {
+// NotifyJobRecord posts a job record that was created or read to the core without waiting for the
+// watch. If the mailbox is full, the record is dropped, because the watch delivers it too.
+func (d *Dispatcher) NotifyJobRecord(record scheduler.JobRecordEvent) {
 	select {
 	case d.mailboxes.internalEvents <- record:
 	default:
--- a/internal/jobapi/cancellations.go
+++ b/internal/jobapi/cancellations.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"leadproxy/internal/dispatch"
-	"leadproxy/internal/scheduler"
+	"leadproxy/internal/ledger"
 	"leadproxy/internal/wire"
 )
 
@@ -55,7 +55,7 @@
 	}
 	status, err := s.statusFromRecords(ctx, request.JobID)
 	switch {
-	case errors.Is(err, errNoRecord):
+	case errors.Is(err, ledger.ErrNoRecord):
 		return jobNotFound
 	case err == nil && status.Status != wire.JobQueued:
 		s.Log.Debug("cancellation answered from the job's record", "job", request.JobID, "status", status.Status)
@@ -64,21 +64,20 @@
 	return retryLater(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
 }
 
-// announceRecord reads the record of a job that this controller's dispatcher does not know yet, and
-// passes it to the dispatcher. It returns the zero response on success, and an error response if
-// the job does not exist or its record can't be read.
+// announceRecord reads the record of a job that this controller's dispatcher does not know yet, which
+// also passes it to the dispatcher. It returns the zero response on success, and an error response
+// if the job does not exist or its record can't be read.
 func (s *Service) announceRecord(ctx context.Context, jobID string) Response {
 	stored, err := s.readRecord(ctx, jobID)
 	switch {
-	case errors.Is(err, errNoRecord):
+	case errors.Is(err, ledger.ErrNoRecord):
 		return jobNotFound
-	case errors.Is(err, errMalformedRecord):
+	case errors.Is(err, ledger.ErrMalformedRecord):
 		return errorResponse(http.StatusInternalServerError, "the job's record can't be read")
 	case err != nil:
 		return storeUnavailable
-	case stored.record.Origin != "":
+	case stored.Record.Origin != "":
 		return errorResponse(http.StatusNotFound, "there is no such job of this cell")
 	}
-	s.Dispatcher.NotifyJobCreated(scheduler.JobRecordEvent{JobID: jobID, Record: stored.record, Version: stored.version})
 	return Response{}
 }
--- a/internal/jobapi/dependencies.go
+++ b/internal/jobapi/dependencies.go
@@ -46,7 +46,7 @@
 	lookups := s.lookUpDependencies(ctx, job.DependsOn, localOnly)
 	for range job.DependsOn {
 		lookup := <-lookups
-		notAccepted := errors.Is(lookup.err, errNoRecord)
+		notAccepted := errors.Is(lookup.err, ledger.ErrNoRecord)
 		switch {
 		case lookup.err != nil && !notAccepted:
 			// This takes precedence over a dependency that certainly does not exist:
@@ -64,7 +64,7 @@
 type dependencyLookup struct {
 	jobID string
 	state string
-	err   error // errNoRecord if the job was never accepted
+	err   error // ledger.ErrNoRecord if the job was never accepted
 }
 
 // lookUpDependencies reads the states of jobs concurrently. It sends one result per job, in any
@@ -104,7 +104,8 @@
 }
 
 // anyAncestorCancelled reports whether one of the jobs or one of their ancestors is cancelled. The
-// ancestors of a job that is done do not count.
+// ancestors of a job that is done do not count. A job whose record can't be decoded counts as
+// unfinished without ancestors, as it does for the leader: repeating the request would not help.
 func (s *Service) anyAncestorCancelled(ctx context.Context, jobs []string) (bool, error) {
 	visited := map[string]bool{}
 	for pending := slices.Clone(jobs); len(pending) > 0; {
@@ -119,14 +120,14 @@
 		visited[jobID] = true
 		stored, err := s.readRecord(ctx, jobID)
 		switch {
-		case errors.Is(err, errNoRecord):
+		case errors.Is(err, ledger.ErrNoRecord), errors.Is(err, ledger.ErrMalformedRecord):
 		case err != nil:
 			return false, err
-		case stored.record.TerminalState == wire.JobDone:
-		case stored.record.TerminalState == wire.JobCancelled:
+		case stored.Record.TerminalState == wire.JobDone:
+		case stored.Record.TerminalState == wire.JobCancelled:
 			return true, nil
-		case stored.record.Job != nil:
-			pending = append(pending, stored.record.Job.DependsOn...)
+		case stored.Record.Job != nil:
+			pending = append(pending, stored.Record.Job.DependsOn...)
 		}
 	}
 	return false, nil
--- a/internal/jobapi/fakes_test.go
+++ b/internal/jobapi/fakes_test.go
@@ -97,7 +97,7 @@
 	return wire.JobStatus{}, dispatch.ErrNotLeader
 }
 
-func (fakeDispatcher) NotifyJobCreated(scheduler.JobRecordEvent) {}
+func (fakeDispatcher) NotifyJobRecord(scheduler.JobRecordEvent) {}
 
 // newTestService returns the service of controller n1, a follower, with one team and one machine
 // type. change, unless nil, modifies the configuration.
--- a/internal/jobapi/idempotency.go
+++ b/internal/jobapi/idempotency.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return Response{}
 	}
-	return s.duplicateSubmissionResponse(ctx, request, stored.record)
+	return s.duplicateSubmissionResponse(ctx, request, stored.Record)
 }
 
 // duplicateSubmissionResponse responds to a repeated submission of an accepted job. The record must
--- a/internal/jobapi/service.go
+++ b/internal/jobapi/service.go
@@ -50,7 +50,7 @@
 type Dispatcher interface {
 	Status(ctx context.Context, job string) (wire.JobStatus, error)
 	Cancel(ctx context.Context, job string) (wire.JobStatus, error)
-	NotifyJobCreated(record scheduler.JobRecordEvent)
+	NotifyJobRecord(record scheduler.JobRecordEvent)
 }
 
 // MachineTypes returns the machine types that the cloud offers, and whether they are known yet.
--- a/internal/jobapi/status.go
+++ b/internal/jobapi/status.go
@@ -10,6 +10,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"leadproxy/internal/dispatch"
+	"leadproxy/internal/ledger"
 	"leadproxy/internal/wire"
 )
 
@@ -36,7 +37,7 @@
 	}
 	status, err := s.statusFromRecords(ctx, request.JobID)
 	switch {
-	case errors.Is(err, errNoRecord):
+	case errors.Is(err, ledger.ErrNoRecord):
 		return jobNotFound
 	case err != nil:
 		return s.forwardOrFallBack(ctx, request, storeUnavailable)
@@ -91,18 +92,18 @@
 }
 
 // statusFromRecords determines the status of a job only from its record and those of its ancestors.
-// The error is errNoRecord if this cell has not accepted the job from a user.
+// The error is ledger.ErrNoRecord if this cell has not accepted the job from a user.
 func (s *Service) statusFromRecords(ctx context.Context, jobID string) (wire.JobStatus, error) {
 	stored, err := s.readRecord(ctx, jobID)
 	if err != nil {
 		return wire.JobStatus{}, err
 	}
-	if stored.record.Origin != "" {
-		return wire.JobStatus{}, errNoRecord // users query only the origin cell
+	if stored.Record.Origin != "" {
+		return wire.JobStatus{}, ledger.ErrNoRecord // users query only the origin cell
 	}
-	state, err := s.recordedState(ctx, &stored.record)
+	state, err := s.recordedState(ctx, &stored.Record)
 	if err != nil {
 		return wire.JobStatus{}, err
 	}
-	return wire.JobStatus{ID: jobID, Status: state, Done: stored.record.Done}, nil
+	return wire.JobStatus{ID: jobID, Status: state, Done: stored.Record.Done}, nil
 }
--- a/internal/jobapi/submissions.go
+++ b/internal/jobapi/submissions.go
@@ -47,10 +47,10 @@
 	stored, err := s.readRecord(ctx, request.JobID)
 	switch {
 	case err == nil:
-		return s.duplicateSubmissionResponse(ctx, request, stored.record)
+		return s.duplicateSubmissionResponse(ctx, request, stored.Record)
 	case decision.undecided:
 		return s.forwardOrFallBack(ctx, request, storeUnavailable)
-	case !errors.Is(err, errNoRecord) && decision.rejection.Status != http.StatusServiceUnavailable:
+	case !errors.Is(err, ledger.ErrNoRecord) && decision.rejection.Status != http.StatusServiceUnavailable:
 		return s.forwardOrFallBack(ctx, request, storeUnavailable)
 	}
 	return decision.rejection
@@ -64,7 +64,7 @@
 		return s.handleRecordFailure(ctx, request, err)
 	}
 	s.Log.Debug("submission recorded", "job", job.ID, "class", job.Class, "tasks", job.Tasks)
-	s.Dispatcher.NotifyJobCreated(scheduler.JobRecordEvent{JobID: job.ID, Record: record, Version: version})
+	s.Dispatcher.NotifyJobRecord(scheduler.JobRecordEvent{JobID: job.ID, Record: record, Version: version})
 	return JSON(http.StatusCreated, wire.JobResponse{ID: job.ID, Status: status})
 }
 
--- a/internal/property/mutants.go
+++ b/internal/property/mutants.go
@@ -48,7 +48,7 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
-	mutatedFile, overlayFile := filepath.Join(dir, m.File), filepath.Join(dir, "overlay.json")
+	mutatedFile, overlayFile := filepath.Join(dir, filepath.Base(m.File)), filepath.Join(dir, "overlay.json")
 	overlay, err := json.Marshal(map[string]map[string]string{"Replace": {original: mutatedFile}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -54,6 +54,7 @@
 	teams         quota.Teams       // teams and their quotas
 	machines      machineTable      // all machines
 	jobs          jobTable          // all jobs, their dependencies and their records
+	recordReads   recordReads       // reads of the records of unknown jobs
 	cancellations cancellationWatch // tasks of cancelled jobs
 
 	commands      commands          // commands to agents, and responses to heartbeats
@@ -91,6 +92,7 @@
 	c.teams = quota.NewTeams(cfg.Platform.Facts.Teams)
 	c.machines = newMachineTable()
 	c.jobs = newJobTable(c)
+	c.recordReads = newRecordReads(c)
 	c.cancellations = newCancellationWatch(c)
 	c.commands = newCommands(c)
 	c.agents = newAgents(c)
@@ -127,6 +129,8 @@
 	// Users and their jobs.
 	case JobRecordEvent:
 		c.handleJobRecord(e)
+	case RecordReadResult:
+		c.handleRecordRead(e)
 	case CancelRequest:
 		c.handleCancelRequest(e)
 	case StatusRequest:
@@ -201,6 +205,8 @@
 	}
 	c.placement.endBackoffs()
 	c.jobs.removeCleanedUp()
+	c.recordReads.requestQueued()
+	c.recordReads.logOverdue()
 	c.machines.dropGone(&c.writes)
 	c.cancellations.logOverdueJobs()
 	c.recordUnreachable()
--- a/internal/scheduler/dependencies.go
+++ b/internal/scheduler/dependencies.go
@@ -14,7 +14,9 @@
 //
 // A predecessor counts as done only once its record with that state is durable: until then a new
 // leader may run its last task again. A predecessor that this leader does not know yet, because
-// another controller has just accepted it, counts as unfinished.
+// another controller has just accepted it, counts as unfinished, and its record is read
+// (recordReads). It may be cancelled, so until then users are not told the status of its dependents
+// from memory.
 //
 // An unfinished job with a cancelled ancestor is cancelled. This follows from durable state alone:
 // a record's terminal state, done or cancelled, never changes, and a job whose ancestor never ends
@@ -34,15 +36,16 @@
 func (j *job) isCancelled() bool { return j.end.durable && j.end.state == wire.JobCancelled }
 
 // linkJob links a new job to its predecessors, and to the known jobs that depend on it. It returns
-// the dependents that have no unfinished predecessor left.
-func (t *jobTable) linkJob(j *job) (ready []*job) {
+// the dependents that have no unfinished predecessor left, and the IDs of predecessors that are not
+// known and that no other job depends on.
+func (t *jobTable) linkJob(j *job) (ready []*job, unknown []string) {
 	if j.spec != nil && !j.ended() {
 		for _, id := range j.spec.DependsOn {
 			if index, ok := t.indexByID[id]; ok {
 				predecessor := t.list[index]
 				t.graph.AddDependency(&j.dependencies, &predecessor.dependencies, predecessor.isDone())
-			} else {
-				t.graph.AddUnknownDependency(&j.dependencies, id)
+			} else if t.graph.AddUnknownDependency(&j.dependencies, id) {
+				unknown = append(unknown, id)
 			}
 		}
 	}
@@ -51,9 +54,12 @@
 			ready = append(ready, dependent)
 		}
 	}
-	return ready
+	return ready, unknown
 }
 
+// markUnreadable records that the record of an unknown job can't be read.
+func (t *jobTable) markUnreadable(jobID string) { t.graph.MarkUnreadable(jobID) }
+
 // checkDependencies is called once a job has been linked. It cancels the job if a predecessor is
 // cancelled; otherwise it raises the priority of the job's predecessors where needed.
 func (c *Core) checkDependencies(j *job) {
@@ -134,10 +140,13 @@
 	}
 }
 
-// linkDependencies adds a new job to the graph and marks the dependents ready that waited only for
-// it.
+// linkDependencies adds a new job to the graph, has the records of its unknown predecessors read, and
+// marks the dependents ready that waited only for it.
 func (c *Core) linkDependencies(j *job) {
-	for _, ready := range c.jobs.linkJob(j) {
+	dependents, unknown := c.jobs.linkJob(j)
+	c.recordReads.finish(j.id)
+	c.recordReads.add(unknown)
+	for _, ready := range dependents {
 		c.markReady(ready, c.clock.now)
 	}
 }
@@ -166,9 +175,9 @@
 
 // terminalStatePending reports whether the key-value store may already hold a terminal state of the
 // job that this leader does not know to be durable: the job's own terminal state is being written,
-// or the cancellation of one of its ancestors is. The write may have been applied and its response
-// lost. If another controller then read the record and told the user, answering "queued" would
-// contradict that.
+// or the cancellation of one of its ancestors is, or the leader does not know one of them. A write
+// may have been applied and its response lost. If another controller then read the record and told
+// the user, answering "queued" would contradict that.
 func (t *jobTable) terminalStatePending(j *job) bool {
 	if j.end.durable {
 		return false
@@ -176,14 +185,17 @@
 	if j.ended() {
 		return true
 	}
-	if len(t.cancelling) == 0 {
+	if len(t.cancelling) == 0 && !t.graph.AnyUnknown() {
 		return false // the usual case: the ancestors need not be visited
 	}
+	if j.dependencies.Unknown() > 0 {
+		return true
+	}
 	return t.graph.AnyAncestor(&j.dependencies, func(index int32) depgraph.Visit {
 		switch {
 		case t.list[index].end.durable:
 			return depgraph.Skip
-		case t.cancelling[index]:
+		case t.cancelling[index] || t.list[index].dependencies.Unknown() > 0:
 			return depgraph.Found
 		}
 		return depgraph.Continue
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -13,9 +13,10 @@
 
 // Users and their jobs.
 
-func (JobRecordEvent) isEvent() {}
-func (CancelRequest) isEvent()  {}
-func (StatusRequest) isEvent()  {}
+func (JobRecordEvent) isEvent()   {}
+func (RecordReadResult) isEvent() {}
+func (CancelRequest) isEvent()    {}
+func (StatusRequest) isEvent()    {}
 
 // Agents.
 
@@ -68,6 +69,12 @@
 		Record  ledger.JobRecord
 		Version uint64
 	}
+	// RecordReadResult is the result of a ReadJobRecord effect.
+	RecordReadResult struct {
+		JobID   string
+		Outcome RecordReadOutcome
+		Record  JobRecordEvent // set with RecordFound
+	}
 	// CancelRequest is a user's request to cancel a job.
 	CancelRequest struct {
 		JobID   string
@@ -129,6 +136,16 @@
 	Tick struct{}
 )
 
+// RecordReadOutcome is the outcome of a ReadJobRecord effect.
+type RecordReadOutcome int
+
+// The outcomes of a ReadJobRecord effect.
+const (
+	RecordNotRead    RecordReadOutcome = iota // the key-value store did not answer
+	RecordFound                               // the record was read
+	RecordUnreadable                          // there is no record, or it can't be decoded
+)
+
 // CommandOutcome is the outcome of a SendCommands effect.
 type CommandOutcome int
 
@@ -148,6 +165,7 @@
 func (SendCommands) isEffect()     {}
 func (InspectAgent) isEffect()     {}
 func (WriteLedger) isEffect()      {}
+func (ReadJobRecord) isEffect()    {}
 func (UserReply) isEffect()        {}
 func (CallCloud) isEffect()        {}
 func (ResignLeadership) isEffect() {}
@@ -186,14 +204,18 @@
 	}
 	// WriteLedger writes to the ledger.
 	WriteLedger struct{ Writes []ledger.Write }
+	// ReadJobRecord reads the record of a job that others depend on and that the core does not
+	// know.
+	ReadJobRecord struct{ JobID string }
 	// UserReply is the reply to a status request or a cancellation.
 	UserReply struct {
 		ReplyTo Recipient
 		Known   bool
 		Status  wire.JobStatus
 		// TerminalStatePending reports that the write of the job's terminal state is not
-		// confirmed. The key-value store may hold it already, and another controller may have
-		// returned it to a user, so the recipient must read the store to be as up to date.
+		// confirmed, or that a job it depends on is not known. The key-value store may hold a
+		// terminal state already, and another controller may have returned it to a user, so
+		// the recipient must read the store to be as up to date.
 		TerminalStatePending bool
 		// CellUnreachable reports that the job may run in another cell that does not respond.
 		CellUnreachable bool
--- a/internal/scheduler/mutants_test.go
+++ b/internal/scheduler/mutants_test.go
@@ -19,6 +19,20 @@
 	{Name: "responses have no required stops", File: "heartbeat_responses.go", From: "list := c.requiredStops(m, pending.heartbeat, trust)", To: "list := []wire.Command{}"},
 }
 
+// statusMutants each remove one check that keeps the status of a job with an unknown ancestor from
+// being given from memory.
+var statusMutants = []property.Mutant{
+	{Name: "unknown predecessors are not looked for", File: "dependencies.go", From: " && !t.graph.AnyUnknown() {", To: " {"},
+	{Name: "unknown predecessors of the job itself do not count", File: "dependencies.go", From: "	if j.dependencies.Unknown() > 0 {\n		return true\n	}\n", To: ""},
+	{Name: "unknown predecessors of ancestors do not count", File: "dependencies.go", From: " || t.list[index].dependencies.Unknown() > 0:", To: ":"},
+	{Name: "an unreadable predecessor stays unknown", File: "depgraph/graph.go", From: "	job.unreadable = true\n", To: "	job.unreadable = false\n"},
+	{Name: "a read that failed is not repeated", File: "record_reads.go", From: "		r.queue = append(r.queue, jobID)\n	}\n}\n\n// logOverdue", To: "	}\n}\n\n// logOverdue"},
+}
+
 func TestMutantsAreCaught(t *testing.T) {
 	property.CatchMutants(t, "TestRenewals", mutants)
 }
+
+func TestStatusMutantsAreCaught(t *testing.T) {
+	property.CatchMutants(t, "TestGraph|UnknownPredecessors|Unreadable|NoStatusFromMemory", statusMutants)
+}
--- a/internal/scheduler/unknown_predecessors_test.go
+++ b/internal/scheduler/unknown_predecessors_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 
 	"leadproxy/internal/ledger"
@@ -67,3 +68,98 @@
 		})
 	}
 }
+
+// takeRecordReads returns the IDs of the jobs whose records the core has requested since the last call.
+func (h *harness) takeRecordReads() (jobIDs []string) {
+	remaining := h.otherEffects[:0]
+	for _, effect := range h.otherEffects {
+		if read, ok := effect.(ReadJobRecord); ok {
+			jobIDs = append(jobIDs, read.JobID)
+			continue
+		}
+		remaining = append(remaining, effect)
+	}
+	h.otherEffects = remaining
+	return jobIDs
+}
+
+// answerRead answers a read with the record of a job that was accepted.
+func (h *harness) answerRead(j *wire.Job) {
+	record := JobRecordEvent{JobID: j.ID, Record: ledger.JobRecord{Job: j, AcceptedMS: h.now.Milliseconds()}, Version: 3}
+	h.step(RecordReadResult{JobID: j.ID, Outcome: RecordFound, Record: record})
+}
+
+func TestRecordsOfUnknownPredecessorsAreRead(t *testing.T) {
+	t.Run("not while the watch may deliver them", func(t *testing.T) {
+		h := newHarness(t, ledger.Snapshot{})
+		h.submit(newDependentJob("job-2", "job-1"))
+		h.submit(newDependentJob("job-1"))
+		h.step(Tick{})
+		h.want("reads", h.takeRecordReads(), []string{})
+	})
+	t.Run("once, and again after a failure", func(t *testing.T) {
+		h := newHarness(t, ledger.Snapshot{})
+		h.submit(newDependentJob("job-2", "job-1"))
+		h.submit(newDependentJob("job-3", "job-1"))
+		h.want("reads before a tick", h.takeRecordReads(), []string{})
+		h.step(Tick{})
+		h.step(Tick{})
+		h.want("reads", h.takeRecordReads(), []string{"job-1"})
+		h.step(RecordReadResult{JobID: "job-1", Outcome: RecordNotRead})
+		h.step(Tick{})
+		h.want("reads after a failure", h.takeRecordReads(), []string{"job-1"})
+		h.answerRead(newDependentJob("job-1"))
+		h.want("the records decide", h.statusReply("job-3").TerminalStatePending, false)
+		h.step(Tick{})
+		h.want("reads once it is known", h.takeRecordReads(), []string{})
+	})
+	t.Run("of predecessors that a new term's snapshot lacks", func(t *testing.T) {
+		h := newHarness(t, ledger.Snapshot{Jobs: []ledger.SavedJob{{ID: "job-2", Version: 3, Record: ledger.JobRecord{Job: newDependentJob("job-2", "job-1"), AcceptedMS: 1}}}})
+		h.want("the records decide", h.statusReply("job-2").TerminalStatePending, true)
+		h.step(Tick{})
+		h.want("reads", h.takeRecordReads(), []string{"job-1"})
+	})
+	t.Run("a chain without waiting for ticks", func(t *testing.T) {
+		const length = 100
+		h := newHarness(t, ledger.Snapshot{})
+		jobID := func(i int) string { return fmt.Sprintf("job-%d", i) }
+		h.submit(newDependentJob("job-last", jobID(0)))
+		h.step(Tick{})
+		for i := range length {
+			h.want("reads", h.takeRecordReads(), []string{jobID(i)})
+			h.answerRead(newDependentJob(jobID(i), jobID(i+1)))
+		}
+		h.step(JobRecordEvent{JobID: jobID(length), Record: ledger.JobRecord{Job: newDependentJob(jobID(length)).CancelledSummary(), TerminalState: wire.JobCancelled}, Version: 4})
+		h.want("status of the last job", h.jobStatus("job-last"), wire.JobCancelled)
+	})
+	t.Run("a bounded number at the same time", func(t *testing.T) {
+		h := newHarness(t, ledger.Snapshot{})
+		for i := range 3 * maxRecordReads {
+			h.submit(newDependentJob(fmt.Sprintf("job-1%d", i), fmt.Sprintf("job-2%d", i)))
+		}
+		h.step(Tick{})
+		h.step(Tick{})
+		h.want("reads", len(h.takeRecordReads()), maxRecordReads)
+	})
+}
+
+func TestUnreadablePredecessorDoesNotLeaveItsDependentsUnanswered(t *testing.T) {
+	h := newHarness(t, ledger.Snapshot{})
+	h.bringUp("vm-1")
+	h.submit(newDependentJob("job-2", "job-1"))
+	h.submit(newDependentJob("job-3", "job-2"))
+	h.step(RecordReadResult{JobID: "job-1", Outcome: RecordUnreadable})
+	h.submit(newDependentJob("job-4", "job-1"))
+	for _, jobID := range []string{"job-2", "job-3", "job-4"} {
+		reply := h.statusReply(jobID)
+		h.want("the records decide on "+jobID, reply.TerminalStatePending, false)
+		h.want("status of "+jobID, reply.Status.Status, wire.JobQueued)
+	}
+	h.step(Tick{})
+	h.want("reads", h.takeRecordReads(), []string{})
+	h.want("started while it is unreadable", h.takeStartedJobs(), "")
+	h.submit(newDependentJob("job-1"))
+	h.want("started once its record was repaired", h.takeStartedJobs(), "job-1")
+	h.finishTask("vm-1", "job-1")
+	h.want("started once it is done", h.takeStartedJobs(), "job-2 job-4")
+}
