Logs and metrics that tell who leads, what the leader knows and why it answered

Change: log lines for the beginning and end of terms on all controllers, for a watch of job records that fails and continues, for predecessors that stay unknown, and (debug) the source of each answer to a user with the reason why the leader's memory was not used. `cancellation answered from the job's record` is now `cancellation answered` with source=records.

The golden files of the settings have the new key and no other change.

--- a/cmd/leadproxy/run.go
+++ b/cmd/leadproxy/run.go
@@ -38,6 +38,9 @@
 	if err := settings.CheckBudgets(platform, operator); err != nil {
 		return err
 	}
+	if err := settings.CheckMetrics(platform, operator); err != nil {
+		return err
+	}
 	if c.Check {
 		fmt.Println("the settings are valid")
 		return nil
--- a/internal/controller/assembly.go
+++ b/internal/controller/assembly.go
@@ -13,6 +13,7 @@
 	"leadproxy/internal/kvstore"
 	"leadproxy/internal/leadertransfer"
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/metrics"
 	"leadproxy/internal/peers"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/softstate"
@@ -35,6 +36,7 @@
 	reachability *reachabilityMonitor
 	followers    followers
 	services     peerServices
+	metrics      *metrics.Metrics
 }
 
 // followers replicate the leader's state, so that this controller can take over quickly. Each
@@ -56,7 +58,7 @@
 // that it already starts end with ctx; start starts the rest.
 func assemble(ctx context.Context, level int, network transport.Network, platform *settings.Platform, operator settings.Operator, log *slog.Logger) (*components, error) {
 	facts := platform.Facts
-	c := &components{platform: platform, log: log, sockets: divideSockets(facts.Resources)}
+	c := &components{platform: platform, log: log, sockets: divideSockets(facts.Resources), metrics: metrics.New()}
 	c.connections = &connectionTracker{closeAbove: int64(c.sockets.closeAbove), scarceAbove: int64(c.sockets.scarceAbove)}
 	rate := dispatch.FollowerShare(facts.ControllerCount)
 	store := kvstore.New(ctx, network, platform.Services.Store, facts.Store, rate, log)
@@ -81,8 +83,9 @@
 	c.health = &healthMonitor{storeServing: store.Serving, peers: others, log: log}
 	c.jobs = jobapi.New(ctx, jobapi.Config{
 		Platform: platform, Elector: c.elector, Store: store, Dispatcher: c.dispatcher, Peers: others, MachineTypes: types,
-		StoreShare: rate, PipelinesSupported: c.capabilityCheck(capability.Pipelines), Healthy: c.health.Healthy, Log: log,
+		StoreShare: rate, PipelinesSupported: c.capabilityCheck(capability.Pipelines), Healthy: c.health.Healthy, Metrics: c.metrics, Log: log,
 	})
+	c.registerMetricSources(store)
 	c.heartbeats = newHeartbeatHandler(ctx, platform.Name, c.elector, c.dispatcher, others, c.connections, log)
 	c.reachability = &reachabilityMonitor{
 		elector:             c.elector,
@@ -135,6 +138,7 @@
 		PipelinesSupported: c.capabilityCheck(capability.Pipelines),
 		TransfersSupported: c.capabilityCheck(capability.Transfers),
 		Neighbours:         neighbours,
+		Metrics:            c.metrics,
 		TraceTransfer:      tracer.RecordStep,
 	}
 	// Assigning a nil pointer would make the interface fields non-nil.
--- a/internal/controller/cluster_processes_test.go
+++ b/internal/controller/cluster_processes_test.go
@@ -30,7 +30,9 @@
 	}
 	go func(host *fake.Host, level int, done chan struct{}) {
 		defer close(done)
-		if err := runAtLevel(ctx, level, host, process.platform, c.operator, log); err != nil && !host.IsDown() {
+		operator := c.operator
+		operator.MetricsAddress = process.metricsAddress
+		if err := runAtLevel(ctx, level, host, process.platform, operator, log); err != nil && !host.IsDown() {
 			c.t.Errorf("controller %s failed: %v", process.platform.Name, err)
 		}
 	}(process.host, process.level, process.done)
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -101,9 +101,11 @@
 type controllerProcess struct {
 	platform *settings.Platform
 	level    int // capability level that its version supports
-	host     *fake.Host
-	cancel   context.CancelFunc
-	done     chan struct{}
+	// metricsAddress is where the controller serves its metrics; empty: it does not.
+	metricsAddress string
+	host           *fake.Host
+	cancel         context.CancelFunc
+	done           chan struct{}
 }
 
 // runScenario runs a scenario on three clusters of its own: a plain one, one whose users also submit
@@ -198,7 +200,7 @@
 		if i < config.oldVersions {
 			level = 0
 		}
-		controllers = append(controllers, &controllerProcess{level: level, platform: &settings.Platform{Name: name, Zone: zone,
+		controllers = append(controllers, &controllerProcess{level: level, metricsAddress: name + ":82", platform: &settings.Platform{Name: name, Zone: zone,
 			PublicAddr: name + ":80", PeerAddr: name + ":81", Facts: config.facts(), Services: settings.Services{Store: prefix + "state:1", Cloud: prefix + "cloud:1"}}})
 	}
 	for i, process := range controllers {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -42,6 +42,9 @@
 	}
 	log.Info("serving", "node", platform.Name, "zone", platform.Zone, "public_address", platform.PublicAddr, "peer_address", platform.PeerAddr, "peers", len(platform.Peers))
 	components.start(ctx)
+	if operator.MetricsAddress != "" {
+		go serveMetrics(ctx, network, operator.MetricsAddress, components.metrics, log)
+	}
 	return components.serve(ctx, public, internal)
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"leadproxy/internal/election"
 	"leadproxy/internal/federation"
 	"leadproxy/internal/kvstore"
+	"leadproxy/internal/metrics"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/softstate"
 	"leadproxy/internal/standby"
@@ -45,6 +46,8 @@
 	SoftState SoftStateViewer
 	// Neighbours sends requests to the leaders of other cells.
 	Neighbours Neighbours
+	// Metrics counts reads of records and failures of the watch.
+	Metrics *metrics.Metrics
 	// TraceTransfer records the steps of transfers between cells.
 	TraceTransfer func(federation.TransferStep)
 }
@@ -81,6 +84,7 @@
 	expectedMachines atomic.Int64
 	// unansweredCommands is the number of consecutive commands that no agent has answered.
 	unansweredCommands atomic.Int64
+	observations       observations
 }
 
 // NewDispatcher returns a dispatcher. Call Run to start it.
--- a/internal/dispatch/event_loop.go
+++ b/internal/dispatch/event_loop.go
@@ -25,6 +25,7 @@
 		effects := t.core.Flush()
 		throttle.recordPlacement(began, time.Since(began))
 		t.expectedMachines.Store(int64(t.core.ExpectedAgents()))
+		t.observations.setUnknown(t.core.UnknownPredecessors())
 		t.executeEffects(ctx, effects)
 		t.recordFailover(effects)
 	}
--- a/internal/dispatch/job_watch.go
+++ b/internal/dispatch/job_watch.go
@@ -10,6 +10,7 @@
 
 	"leadproxy/internal/kvstore"
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/metrics"
 	"leadproxy/internal/scheduler"
 	"leadproxy/internal/transport"
 )
@@ -23,25 +24,67 @@
 	listPageSize = 1000
 )
 
+// jobWatch watches the job records for one term. The goroutine that executes run owns its fields.
+type jobWatch struct {
+	*Dispatcher
+	term     uint64
+	revision uint64 // up to which all records have been posted to the core
+	// failingSince is when the first of the requests that failed in a row was sent; zero: the last
+	// one succeeded.
+	failingSince time.Time
+}
+
 // watchJobs watches the key-value store after a revision and posts the job records that any
 // controller creates to the core, until ctx ends.
-func (d *Dispatcher) watchJobs(ctx context.Context, revision uint64) {
+func (d *Dispatcher) watchJobs(ctx context.Context, term, revision uint64) {
+	watch := jobWatch{Dispatcher: d, term: term, revision: revision}
+	watch.run(ctx)
+}
+
+func (w *jobWatch) run(ctx context.Context) {
+	w.observations.watchAnswered(w.revision)
+	defer w.observations.watchEnded()
 	for ctx.Err() == nil {
-		changes, err := d.store.Watch(ctx, ledger.JobPrefix, revision, watchTimeout)
+		sent := time.Now()
+		changes, err := w.store.Watch(ctx, ledger.JobPrefix, w.revision, watchTimeout)
 		if errors.Is(err, kvstore.ErrCompacted) {
-			revision = d.rereadJobs(ctx)
+			w.log.Info("changes of job records are compacted, reading all records", "leader_term", w.term, "after", w.revision)
+			w.recordSuccess(w.rereadJobs(ctx))
 			continue
 		}
 		if err != nil {
+			w.recordFailure(ctx, sent, err)
 			transport.Pause(ctx, watchRetryInterval)
 			continue
 		}
 		for _, change := range changes.Events {
 			if change.Set != "" {
-				d.postJobRecord(ctx, change.Set, change.Value, change.Version)
+				w.postJobRecord(ctx, change.Set, change.Value, change.Version)
 			}
 		}
-		revision = max(revision, changes.Revision)
+		w.log.Debug("job records watched", "leader_term", w.term, "after", w.revision, "up_to", changes.Revision, "changes", len(changes.Events), "seconds", time.Since(sent).Seconds())
+		w.recordSuccess(max(w.revision, changes.Revision))
+	}
+}
+
+// recordSuccess records that all records up to a revision have been posted to the core.
+func (w *jobWatch) recordSuccess(revision uint64) {
+	if !w.failingSince.IsZero() {
+		w.log.Info("watch of job records continues", "leader_term", w.term, "from", w.revision, "up_to", revision, "seconds", time.Since(w.failingSince).Seconds())
+	}
+	w.revision, w.failingSince = revision, time.Time{}
+	w.observations.watchAnswered(revision)
+}
+
+// recordFailure records that a request got no usable response. It logs the first one in a row.
+func (w *jobWatch) recordFailure(ctx context.Context, sent time.Time, err error) {
+	if ctx.Err() != nil {
+		return // the term has ended
+	}
+	w.config.Metrics.CountWatchFailure()
+	if w.failingSince.IsZero() {
+		w.failingSince = sent
+		w.log.Info("watch of job records failed", "leader_term", w.term, "after", w.revision, "seconds", time.Since(sent).Seconds(), "error", err)
 	}
 }
 
@@ -91,6 +134,14 @@
 	case errors.Is(err, ledger.ErrNoRecord), errors.Is(err, ledger.ErrMalformedRecord):
 		result.Outcome = scheduler.RecordUnreadable
 	}
+	t.config.Metrics.CountRecordRead(readOutcomes[result.Outcome])
 	t.log.Debug("job record of a predecessor read", "leader_term", t.number, "job", jobID, "version", stored.Version, "error", err)
 	t.postEvent(ctx, result)
 }
+
+// readOutcomes maps the outcomes of reads to those of the metrics.
+var readOutcomes = map[scheduler.RecordReadOutcome]metrics.ReadOutcome{
+	scheduler.RecordFound:      metrics.ReadFound,
+	scheduler.RecordUnreadable: metrics.ReadUnreadable,
+	scheduler.RecordNotRead:    metrics.ReadFailed,
+}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -71,7 +71,7 @@
 	}()
 	cloud := autoscaler.NewClient(d.config.Network, d.config.Platform.Services.Cloud, d.config.Platform.Facts.Cloud.RPS*leaderCloudShare)
 	go cloud.Run(ctx)
-	go d.watchJobs(ctx, snapshot.Revision)
+	go d.watchJobs(ctx, number, snapshot.Revision)
 
 	softState := d.loadSoftState(ctx, number)
 	now, wall := d.readClocks()
@@ -87,6 +87,9 @@
 	}
 	defer t.ticker.Stop()
 	defer d.expectedMachines.Store(0)
+	defer d.observations.setUnknown(0, 0)
+	d.log.Info("term began", "leader_term", number, "first_fencing_token", scheduler.FirstFencingToken(number), "revision", snapshot.Revision, "jobs", len(snapshot.Jobs))
+	defer d.log.Info("term ended", "leader_term", number)
 	t.executeEffects(ctx, t.core.InitialEffects())
 	t.run(ctx)
 }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -96,7 +96,9 @@
 		return fmt.Errorf("read the leader key: %w", err)
 	}
 	if len(page.Entries) == 0 || page.Entries[0].Key != LeaderKey {
-		e.view.publish(&View{})
+		if e.view.publish(&View{}) {
+			e.log.Info("no controller leads", "revision", page.Revision)
+		}
 		return e.campaignUnlessYielding(ctx)
 	}
 	e.yield.recordLeader()
@@ -105,7 +107,9 @@
 	if holder.Controller == e.self.Controller {
 		return e.revokeStaleTerm(ctx, entry)
 	}
-	e.view.publish(&View{Leader: holder.Controller, Term: entry.Version})
+	if e.view.publish(&View{Leader: holder.Controller, Term: entry.Version}) {
+		e.log.Info("another controller leads", "leader", holder.Controller, "leader_term", entry.Version, "revision", page.Revision)
+	}
 	return e.awaitChange(ctx, page.Revision)
 }
 
--- a/internal/election/leader_term.go
+++ b/internal/election/leader_term.go
@@ -76,6 +76,7 @@
 	for ctx.Err() == nil {
 		remaining := t.elector.grants.runIfNoActiveGrant(publish)
 		if remaining <= 0 {
+			t.elector.log.Info("leadership begins", "leader_term", t.number, "lease_remaining_s", time.Until(t.expiry).Seconds())
 			return
 		}
 		transport.Pause(ctx, remaining)
@@ -157,6 +158,7 @@
 // stops acting before the lease is revoked.
 func (t *leaderTerm) stepDown(ctx context.Context) {
 	t.elector.view.publish(&View{})
+	t.elector.log.Info("leadership resigned", "leader_term", t.number)
 	t.elector.yield.recordResignation()
 	if err := t.elector.store.RevokeLease(ctx, t.leaseID); err != nil {
 		t.elector.log.Debug("lease not revoked, it expires by itself", "leader_term", t.number, "error", err)
--- a/internal/election/view.go
+++ b/internal/election/view.go
@@ -42,17 +42,19 @@
 	return p
 }
 
-// publish replaces the latest view, and puts it into changes unless only the lease expiry differs.
-func (p *viewPublisher) publish(v *View) {
+// publish replaces the latest view, and puts it into changes unless only the lease expiry differs. It
+// reports whether more than that differs.
+func (p *viewPublisher) publish(v *View) (changed bool) {
 	previous := p.latest.Swap(v)
 	if previous.sameRole(v) {
-		return
+		return false
 	}
 	select {
 	case <-p.changes:
 	default:
 	}
 	p.changes <- v
+	return true
 }
 
 // View returns the latest view.
--- a/internal/jobapi/cancellations.go
+++ b/internal/jobapi/cancellations.go
@@ -8,6 +8,7 @@
 
 	"leadproxy/internal/dispatch"
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/metrics"
 	"leadproxy/internal/wire"
 )
 
@@ -32,6 +33,9 @@
 		}
 		status, err = s.Dispatcher.Cancel(ctx, request.JobID)
 	}
+	if err != nil {
+		s.recordNoAnswer(request)
+	}
 	switch {
 	case errors.Is(err, dispatch.ErrCellUnreachable):
 		return retryLater(http.StatusServiceUnavailable, 1, err.Error())
@@ -41,7 +45,7 @@
 		return retryLater(http.StatusServiceUnavailable, 1, "the cancellation could not be recorded")
 	}
 	// The status that the dispatcher returns is durable.
-	s.Log.Debug("cancellation answered", "job", request.JobID, "status", status.Status, "leader_term", view.Term)
+	s.recordAnswer(request, sourcedStatus{JobStatus: status, source: metrics.LeaderMemory, term: view.Term}, nil)
 	return JSON(http.StatusOK, wire.JobResponse{ID: request.JobID, Status: status.Status})
 }
 
@@ -50,6 +54,7 @@
 func (s *Service) cancelAtLeader(ctx context.Context, leader string, request Request) Response {
 	if !request.LocalOnly && leader != "" && leader != s.Platform.Name {
 		if response, err := s.askPeer(ctx, cancelTimeout, leader, request); err == nil {
+			s.recordAnswer(request, sourcedStatus{source: metrics.OtherController}, nil)
 			return response
 		}
 	}
@@ -58,9 +63,10 @@
 	case errors.Is(err, ledger.ErrNoRecord):
 		return jobNotFound
 	case err == nil && status.Status != wire.JobQueued:
-		s.Log.Debug("cancellation answered from the job's record", "job", request.JobID, "status", status.Status)
+		s.recordAnswer(request, status, nil)
 		return JSON(http.StatusOK, wire.JobResponse{ID: request.JobID, Status: status.Status})
 	}
+	s.recordNoAnswer(request)
 	return retryLater(http.StatusServiceUnavailable, 1, "no controller leads at the moment")
 }
 
--- a/internal/jobapi/fakes_test.go
+++ b/internal/jobapi/fakes_test.go
@@ -13,6 +13,7 @@
 	"leadproxy/internal/election"
 	"leadproxy/internal/kvstore"
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/metrics"
 	"leadproxy/internal/scheduler"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
@@ -118,6 +119,7 @@
 		},
 		StoreShare:         0.5,
 		PipelinesSupported: func() bool { return true },
+		Metrics:            metrics.New(),
 		Log:                log,
 	}
 	if change != nil {
--- a/internal/jobapi/forwarding.go
+++ b/internal/jobapi/forwarding.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"leadproxy/internal/metrics"
 )
 
 // forwardTimeout bounds the wait for each controller to which a request is forwarded.
@@ -35,8 +37,21 @@
 // for example because the key-value store refuses only this controller. It returns fallback if no
 // other controller can serve the request, or if the request is LocalOnly.
 func (s *Service) forwardOrFallBack(ctx context.Context, request Request, fallback Response) Response {
+	if response := s.forward(ctx, request); !response.IsZero() {
+		s.recordAnswer(request, sourcedStatus{source: metrics.OtherController}, nil)
+		return response
+	}
+	if !fallback.IsZero() {
+		s.recordNoAnswer(request)
+	}
+	return fallback
+}
+
+// forward returns the response of the first other controller that can serve a request, or the zero
+// response if there is none.
+func (s *Service) forward(ctx context.Context, request Request) Response {
 	if request.LocalOnly {
-		return fallback
+		return Response{}
 	}
 	for _, controller := range s.forwardingOrder() {
 		if ctx.Err() != nil {
@@ -46,7 +61,7 @@
 			return response
 		}
 	}
-	return fallback
+	return Response{}
 }
 
 // forwardingOrder returns the names of the other controllers, the leader first, because the leader
--- a/internal/jobapi/idempotency.go
+++ b/internal/jobapi/idempotency.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/metrics"
 	"leadproxy/internal/wire"
 )
 
@@ -30,14 +31,19 @@
 	if record.Origin != "" {
 		return errorResponse(http.StatusUnprocessableEntity, "a job of this name runs here for cell %s", record.Origin)
 	}
+	var notFromLeader error
 	if record.TerminalState == "" {
-		if status, err := s.statusFromLeader(ctx, request.JobID, request.LocalOnly); err == nil {
+		var status sourcedStatus
+		if status, notFromLeader = s.statusFromLeader(ctx, request.JobID, request.LocalOnly); notFromLeader == nil {
+			s.recordAnswer(request, status, nil)
 			return JSON(http.StatusOK, wire.JobResponse{ID: request.JobID, Status: status.Status})
 		}
 	}
 	state, err := s.recordedState(ctx, &record)
 	if err != nil {
+		s.recordNoAnswer(request)
 		return storeUnavailable
 	}
+	s.recordAnswer(request, sourcedStatus{JobStatus: wire.JobStatus{Status: state}, source: metrics.Records}, notFromLeader)
 	return JSON(http.StatusOK, wire.JobResponse{ID: request.JobID, Status: state})
 }
--- a/internal/jobapi/service.go
+++ b/internal/jobapi/service.go
@@ -11,6 +11,7 @@
 	"net/http"
 
 	"leadproxy/internal/election"
+	"leadproxy/internal/metrics"
 	"leadproxy/internal/scheduler"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
@@ -71,6 +72,8 @@
 	// Healthy reports whether this controller can serve users. If it is nil, the controller
 	// counts as healthy.
 	Healthy func() bool
+	// Metrics counts the answers to users.
+	Metrics *metrics.Metrics
 	Log     *slog.Logger
 }
 
--- a/internal/jobapi/status.go
+++ b/internal/jobapi/status.go
@@ -11,6 +11,7 @@
 
 	"leadproxy/internal/dispatch"
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/metrics"
 	"leadproxy/internal/wire"
 )
 
@@ -29,8 +30,10 @@
 	if !wire.ValidJobID(request.JobID) {
 		return jobNotFound
 	}
-	if status, err := s.statusFromLeader(ctx, request.JobID, request.LocalOnly); err == nil {
-		return JSON(http.StatusOK, status)
+	status, notFromLeader := s.statusFromLeader(ctx, request.JobID, request.LocalOnly)
+	if notFromLeader == nil {
+		s.recordAnswer(request, status, nil)
+		return JSON(http.StatusOK, status.JobStatus)
 	}
 	if response := s.forwardUnlessServing(ctx, &request); !response.IsZero() {
 		return response
@@ -42,68 +45,70 @@
 	case err != nil:
 		return s.forwardOrFallBack(ctx, request, storeUnavailable)
 	}
-	return JSON(http.StatusOK, status)
+	s.recordAnswer(request, status, notFromLeader)
+	return JSON(http.StatusOK, status.JobStatus)
 }
 
 // statusFromLeader asks the leader, which may be this controller, for the status of a job. The
 // answer of another controller is also accepted if that controller has read it from the job's
 // record.
-func (s *Service) statusFromLeader(ctx context.Context, jobID string, localOnly bool) (wire.JobStatus, error) {
-	if status, err := s.statusFromDispatcher(ctx, jobID); err == nil {
+func (s *Service) statusFromLeader(ctx context.Context, jobID string, localOnly bool) (sourcedStatus, error) {
+	status, err := s.statusFromDispatcher(ctx, jobID)
+	if err == nil {
 		return status, nil
 	}
 	leader := s.Elector.View().Leader
 	if localOnly || leader == "" || leader == s.Platform.Name {
-		return wire.JobStatus{}, errLeaderUnavailable
+		return sourcedStatus{}, fmt.Errorf("%w: %w", errLeaderUnavailable, err)
 	}
 	response, err := s.askPeer(ctx, leaderStatusTimeout, leader, Request{Kind: Status, JobID: jobID})
 	if err != nil {
-		return wire.JobStatus{}, err
+		return sourcedStatus{}, err
 	}
 	if response.Status != http.StatusOK {
-		return wire.JobStatus{}, fmt.Errorf("status code %d from controller %s: %w", response.Status, leader, errLeaderUnavailable)
+		return sourcedStatus{}, fmt.Errorf("status code %d from controller %s: %w", response.Status, leader, errLeaderUnavailable)
 	}
-	var status wire.JobStatus
-	if err := json.Unmarshal(response.Body, &status); err != nil {
-		return wire.JobStatus{}, fmt.Errorf("malformed response from controller %s: %w", leader, err)
+	answer := sourcedStatus{source: metrics.OtherController}
+	if err := json.Unmarshal(response.Body, &answer.JobStatus); err != nil {
+		return sourcedStatus{}, fmt.Errorf("malformed response from controller %s: %w", leader, err)
 	}
-	return status, nil
+	return answer, nil
 }
 
 // statusFromDispatcher asks the dispatcher of this controller, if it leads. It fails if the term
-// has ended meanwhile, or while the job's terminal state is being written: a leader that learns
-// late that its write succeeded would report a job as queued that another controller has already
-// read as done.
-func (s *Service) statusFromDispatcher(ctx context.Context, jobID string) (wire.JobStatus, error) {
+// has ended meanwhile, or while the job's terminal state is being written or one of its ancestors is
+// not known: a leader that learns late what the store holds would report a job as queued that
+// another controller has already read as ended.
+func (s *Service) statusFromDispatcher(ctx context.Context, jobID string) (sourcedStatus, error) {
 	view := s.Elector.View()
 	if !view.IsLeader(time.Now()) {
-		return wire.JobStatus{}, dispatch.ErrNotLeader
+		return sourcedStatus{}, dispatch.ErrNotLeader
 	}
 	ctx, cancel := context.WithTimeout(ctx, dispatcherTimeout)
 	defer cancel()
 	status, err := s.Dispatcher.Status(ctx, jobID)
 	if err != nil {
-		return wire.JobStatus{}, err
+		return sourcedStatus{}, err
 	}
 	if !s.Elector.IsLeader(view.Term) {
-		return wire.JobStatus{}, dispatch.ErrNotLeader
+		return sourcedStatus{}, dispatch.ErrNotLeader
 	}
-	return status, nil
+	return sourcedStatus{JobStatus: status, source: metrics.LeaderMemory, term: view.Term}, nil
 }
 
 // statusFromRecords determines the status of a job only from its record and those of its ancestors.
 // The error is ledger.ErrNoRecord if this cell has not accepted the job from a user.
-func (s *Service) statusFromRecords(ctx context.Context, jobID string) (wire.JobStatus, error) {
+func (s *Service) statusFromRecords(ctx context.Context, jobID string) (sourcedStatus, error) {
 	stored, err := s.readRecord(ctx, jobID)
 	if err != nil {
-		return wire.JobStatus{}, err
+		return sourcedStatus{}, err
 	}
 	if stored.Record.Origin != "" {
-		return wire.JobStatus{}, ledger.ErrNoRecord // users query only the origin cell
+		return sourcedStatus{}, ledger.ErrNoRecord // users query only the origin cell
 	}
 	state, err := s.recordedState(ctx, &stored.Record)
 	if err != nil {
-		return wire.JobStatus{}, err
+		return sourcedStatus{}, err
 	}
-	return wire.JobStatus{ID: jobID, Status: state, Done: stored.Record.Done}, nil
+	return sourcedStatus{JobStatus: wire.JobStatus{ID: jobID, Status: state, Done: stored.Record.Done}, source: metrics.Records}, nil
 }
--- a/internal/jobapi/submissions.go
+++ b/internal/jobapi/submissions.go
@@ -8,6 +8,7 @@
 
 	"leadproxy/internal/kvstore"
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/metrics"
 	"leadproxy/internal/scheduler"
 	"leadproxy/internal/wire"
 )
@@ -65,6 +66,7 @@
 	}
 	s.Log.Debug("submission recorded", "job", job.ID, "class", job.Class, "tasks", job.Tasks)
 	s.Dispatcher.NotifyJobRecord(scheduler.JobRecordEvent{JobID: job.ID, Record: record, Version: version})
+	s.recordAnswer(request, sourcedStatus{JobStatus: wire.JobStatus{Status: status}, source: metrics.Records}, nil)
 	return JSON(http.StatusCreated, wire.JobResponse{ID: job.ID, Status: status})
 }
 
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -9,6 +9,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 
 	"leadproxy/internal/settings"
 	"leadproxy/internal/transport"
@@ -26,6 +27,8 @@
 	limiter      *rateLimiter
 	// renewals is the connection that only RenewLease uses.
 	renewals *transport.Conn
+	// revision is the highest revision in a response.
+	revision atomic.Uint64
 }
 
 // New returns a client of the store at an address, whose rate limiter runs until ctx ends. share is
@@ -53,3 +56,15 @@
 // Serving reports whether the store served this controller's last request. It returns true before
 // the first request.
 func (c *Client) Serving() bool { return c.availability.serving.Load() }
+
+// Revision returns the highest revision of the store that a response has named, 0 before the first.
+func (c *Client) Revision() uint64 { return c.revision.Load() }
+
+// observeRevision records the revision that a response names.
+func (c *Client) observeRevision(revision uint64) {
+	for known := c.revision.Load(); revision > known; known = c.revision.Load() {
+		if c.revision.CompareAndSwap(known, revision) {
+			return
+		}
+	}
+}
--- a/internal/kvstore/entries.go
+++ b/internal/kvstore/entries.go
@@ -23,6 +23,7 @@
 	switch resp.status {
 	case http.StatusOK:
 		err = resp.decode(&entry)
+		c.observeRevision(entry.Version)
 		return entry, err == nil, err
 	case http.StatusNotFound:
 		return entry, false, nil
@@ -43,6 +44,7 @@
 	switch resp.status {
 	case http.StatusOK, http.StatusConflict:
 		err = resp.decode(&result)
+		c.observeRevision(result.Revision)
 		return err == nil && resp.status == http.StatusOK, result, err
 	}
 	if bytes.Contains(resp.body, []byte(noSuchLease)) {
@@ -69,5 +71,6 @@
 		return page, resp.rejectionError()
 	}
 	err = resp.decode(&page)
+	c.observeRevision(page.Revision)
 	return page, err
 }
--- a/internal/kvstore/watch.go
+++ b/internal/kvstore/watch.go
@@ -26,6 +26,7 @@
 	switch resp.status {
 	case http.StatusOK:
 		err = resp.decode(&changes)
+		c.observeRevision(changes.Revision)
 		return changes, err
 	case http.StatusGone:
 		return changes, r.wrapError(ErrCompacted)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -32,6 +32,9 @@
 // a counter within one term. The higher bits hold the term.
 const termCounterBits = 24
 
+// FirstFencingToken returns the lowest fencing token of a term.
+func FirstFencingToken(term uint64) uint64 { return term << termCounterBits }
+
 // Core is the leader's state for one term. Events enter through Step only. The state is divided
 // into parts. Each part has its own type; only that type's methods write its fields, and its pointer
 // fields list the other parts that it reads. A part reads only parts declared above it in Core.
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -138,7 +138,7 @@
 	}
 	name = strings.Clone(name) // usually a substring of a heartbeat's body, which it would keep in memory
 	m := &machine{index: int32(len(c.machines.list)), name: name, typeIndex: -1, zone: -1,
-		agent:    agentstate.New(c.term<<termCounterBits, c.clock.termStart+c.agents.lease),
+		agent:    agentstate.New(FirstFencingToken(c.term), c.clock.termStart+c.agents.lease),
 		commands: machineCommands{unresolvedStarts: map[uint64]uint64{}},
 		capacity: capacity{idleSince: c.clock.now},
 		indexed:  indexEntry{pool: -1},
--- a/internal/settings/golden_operator_test.go
+++ b/internal/settings/golden_operator_test.go
@@ -61,6 +61,7 @@
 	{"fleet", "boot_patience", "9", func(o Operator) any { return o.BootPatience }},
 	{"fleet", "warm_spread", "9", func(o Operator) any { return o.HeadroomSpread }},
 	{"fleet", "max_machines", "9", func(o Operator) any { return o.MaxMachines }},
+	{"metrics", "address", "9465", func(o Operator) any { return o.MetricsAddress }},
 	{"cell", "name", "cusco", func(o Operator) any { return o.Cells.Name }},
 	{"cell", "spill", "no", func(o Operator) any { return o.Cells.DelegateJobs }},
 	{"cell", "shortage_s", "90", func(o Operator) any { return o.Cells.ShortageFor }},
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -34,6 +34,8 @@
 	HeadroomSpread float64
 	// MaxMachines is the maximum number of machines in the fleet; 0 means no limit.
 	MaxMachines int
+	// MetricsAddress is the address at which metrics are served; empty means that they are not.
+	MetricsAddress string
 	// Cells configures this cell and its neighbours.
 	Cells Cells
 	// Standby configures the warm standby of the controllers that are not the leader.
@@ -74,6 +76,9 @@
 			"warm_spread":   inifile.Number(&operator.HeadroomSpread, 0, 10),
 			"max_machines":  machineBound(&operator.MaxMachines),
 		},
+		metricsSection: {
+			"address": metricsAddress(&operator.MetricsAddress),
+		},
 	}
 }
 
