Store client: a lost answer to a watch is noticed after 7 s, not 22 s

What callers saw: with the answers to the followers' watches of the leader key lost, no controller led for up to 21.7 s after the leader failed. Agents whose lease is shorter kill their tasks then, and nothing is placed or cancelled meanwhile. The leader's watch of the job records was deaf as long: jobs that other controllers had accepted stayed unknown to it.

Change: election, job watch and standby share kvstore.WatchDuration, 5 s. An idle watch is then one request in 5 s.

Why it works: a lost answer is noticed after 7 s, and the next round reads the leader key anew. With 3 s of the leader's lease that is well below any lease of agents.

--- a/internal/controller/cluster_faults_test.go
+++ b/internal/controller/cluster_faults_test.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"leadproxy/internal/election"
 	"leadproxy/internal/fake"
 	"leadproxy/internal/ledger"
 )
@@ -27,6 +28,9 @@
 // isJobWatch reports whether a request is the leader's watch of the job records.
 func isJobWatch(r *http.Request) bool { return fake.IsWatch(r, ledger.JobPrefix) }
 
+// isLeaderWatch reports whether a request is a follower's watch of the leader key.
+func isLeaderWatch(r *http.Request) bool { return fake.IsWatch(r, election.LeaderKey) }
+
 // firstFault returns an injector that injects the first fault which one of the injectors returns.
 func firstFault(injectors ...fake.FaultInjector) fake.FaultInjector {
 	return func(from string, r *http.Request) fake.InjectedFault {
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -33,8 +33,9 @@
 	namePrefix    string // of the hosts' names on the network
 	leaderActions *leaderActionChecker
 	// The faults of writes to the key-value store, its reads and listings, the leader's watch of
-	// the job records, commands to agents, scale-outs and machine deletions; nil: none.
-	writeFaults, readFaults, watchFaults, commandFaults, scaleOutFaults, deleteFaults atomic.Pointer[fake.FaultInjector]
+	// the job records, the followers' watches of the leader key, commands to agents, scale-outs and
+	// machine deletions; nil: none.
+	writeFaults, readFaults, watchFaults, electionFaults, commandFaults, scaleOutFaults, deleteFaults atomic.Pointer[fake.FaultInjector]
 	// commandsDelayed is set by tests that delay commands, so that tasks may start after their
 	// job's cancellation was confirmed.
 	commandsDelayed bool
@@ -162,7 +163,8 @@
 		c.operator.Rollouts = settings.Rollouts{Enabled: true, Budgets: *config.budgets}
 	}
 	c.store = fake.NewKVStore(t, c.net.Host(c.namePrefix+"state"), c.namePrefix+"state:1",
-		firstFault(faultOnPath("/txn", &c.writeFaults), faultOn(fake.IsRead, &c.readFaults), faultOn(isJobWatch, &c.watchFaults)))
+		firstFault(faultOnPath("/txn", &c.writeFaults), faultOn(fake.IsRead, &c.readFaults), faultOn(isJobWatch, &c.watchFaults),
+			faultOn(isLeaderWatch, &c.electionFaults)))
 	c.store.SetClockDrift(config.clockDrift)
 	for key, value := range config.ledger {
 		c.store.Put(key, value)
--- a/internal/controller/lost_watch_test.go
+++ b/internal/controller/lost_watch_test.go
@@ -227,3 +227,43 @@
 		c.readFaults.Store(nil)
 	})
 }
+
+// TestTasksSurviveAFailoverWhileElectionWatchesAreLost: the followers' watches of the leader key lose
+// their responses, and the leader fails at different moments of these watches. A new one must lead
+// before the agents' leases expire.
+func TestTasksSurviveAFailoverWhileElectionWatchesAreLost(t *testing.T) {
+	for offset := 30 * time.Second; offset < 54*time.Second; offset += 4 * time.Second {
+		t.Run(fmt.Sprint("the leader fails after ", offset), func(t *testing.T) {
+			config := clusterConfig{runTime: func(string) time.Duration { return 2 * time.Minute }}
+			runScenarioOnce(t, config, false, func(c *cluster) {
+				c.submitJobs(0, 4, time.Second, nil)
+				c.awaitRunning(12)
+				c.electionFaults.Store(c.randomFaults(1, fake.ResponseLost, 0, 0))
+				time.Sleep(offset) // the watches that were open before have ended
+				failed := time.Now()
+				c.kill(c.leader())
+				c.awaitNewTerm()
+				if took := time.Since(failed); took >= agentLease {
+					t.Errorf("a new leader was elected %s after the failure, want less than the agents' lease of %s", took, agentLease)
+				}
+				time.Sleep(agentLease)
+				for task, runs := range countRuns(c.checker.TaskRuns()) {
+					if runs > 1 {
+						t.Errorf("task %s was started %d times, want once", task, runs)
+					}
+				}
+				c.electionFaults.Store(nil)
+				c.startAll()
+			})
+		})
+	}
+}
+
+// countRuns returns how often each task was started.
+func countRuns(runs []fake.TaskRun) map[string]int {
+	counts := map[string]int{}
+	for _, run := range runs {
+		counts[run.Task]++
+	}
+	return counts
+}
--- a/internal/dispatch/job_watch.go
+++ b/internal/dispatch/job_watch.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// watchTimeout bounds how long one watch request waits for changes.
-	watchTimeout = 20 * time.Second
 	// watchRetryInterval is the delay before a failed request is retried.
 	watchRetryInterval = 200 * time.Millisecond
 	// listPageSize is the number of job records per page of a listing.
@@ -46,7 +44,7 @@
 	defer w.observations.watchEnded()
 	for ctx.Err() == nil {
 		sent := time.Now()
-		changes, err := w.store.Watch(ctx, ledger.JobPrefix, w.revision, watchTimeout)
+		changes, err := w.store.Watch(ctx, ledger.JobPrefix, w.revision, kvstore.WatchDuration)
 		if errors.Is(err, kvstore.ErrCompacted) {
 			w.log.Info("changes of job records are compacted, reading all records", "leader_term", w.term, "after", w.revision)
 			w.recordSuccess(w.rereadJobs(ctx))
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -134,12 +134,10 @@
 	return nil
 }
 
-// watchDuration bounds one watch of the leader key.
-const watchDuration = 20 * time.Second
-
-// awaitChange waits until the leader key may have changed after a revision, for watchDuration at most.
+// awaitChange waits until the leader key may have changed after a revision, for kvstore.WatchDuration
+// at most.
 func (e *Elector) awaitChange(ctx context.Context, revision uint64) error {
-	_, err := e.store.Watch(ctx, LeaderKey, revision, watchDuration)
+	_, err := e.store.Watch(ctx, LeaderKey, revision, kvstore.WatchDuration)
 	if err == nil || errors.Is(err, kvstore.ErrCompacted) {
 		return nil
 	}
--- a/internal/kvstore/watch.go
+++ b/internal/kvstore/watch.go
@@ -10,6 +10,10 @@
 	"leadproxy/internal/wire"
 )
 
+// WatchDuration is how long a watch waits for changes. The caller notices a lost response only after
+// it and watchGrace, which together must be far shorter than an agent's lease.
+const WatchDuration = 5 * time.Second
+
 // watchGrace is how much longer than the requested wait the response to a watch may take.
 const watchGrace = 2 * time.Second
 
--- a/internal/standby/follower.go
+++ b/internal/standby/follower.go
@@ -19,8 +19,6 @@
 }
 
 const (
-	// watchTimeout is how long the store holds a watch open until there is a change.
-	watchTimeout = 15 * time.Second
 	// watchInterval is the minimum time from the response to a watch until the next watch. Each
 	// watch takes one request from this controller's share of the store's request rate, and since
 	// the leader writes all the time, each would return at once.
@@ -222,7 +220,7 @@
 			return ctx.Err()
 		}
 		watchCtx, cancel := context.WithCancel(ctx)
-		results := f.watch(watchCtx, watchTimeout)
+		results := f.watch(watchCtx, kvstore.WatchDuration)
 		select {
 		case p := <-f.promotions:
 			cancel()
