Scheduler tests: a benchmark counts its commands, the table of owners is checked

Cause: BusySecond reported dispatch.Direct/s under a key that no longer exists, always 0. TestRecordsAreWrittenByTheirOwners skips a record whose type its table does not name, so that a misspelled row would go unseen.

Change: the benchmark takes the key from the type and fails if a count is zero; the test checks that the table lists exactly the types of the parts of jobs and machines, and that their owners are parts of the core.

No row is misspelled today; with one row changed by hand the test fails ("lacks contact", "lists contacts").

--- a/internal/scheduler/core_parts_test.go
+++ b/internal/scheduler/core_parts_test.go
@@ -83,6 +83,9 @@
 	"transfer":        "delegations",
 }
 
+// scalarRecords lists the types of fields of jobs and machines that have no fields of their own.
+var scalarRecords = []string{"machineState"}
+
 // TestRecordsAreWrittenByTheirOwners checks that the parts of a job and of a machine are written only by
 // their own methods and by those of the part of Core that owns them.
 func TestRecordsAreWrittenByTheirOwners(t *testing.T) {
@@ -92,6 +95,7 @@
 	for name, typ := range fieldsOf(files, "machine") {
 		records[name] = typ
 	}
+	checkRecordOwners(t, records, coreParts(t, files))
 	coreAndParts := map[string]bool{"Core": true}
 	for _, typ := range coreParts(t, files) {
 		coreAndParts[typ] = true
@@ -116,6 +120,31 @@
 	}
 }
 
+// checkRecordOwners checks that recordOwners lists the types of the given records and of no others, and
+// that their owners are parts of Core. Scalars have no owner.
+func checkRecordOwners(t *testing.T, records, parts map[string]string) {
+	t.Helper()
+	used := map[string]bool{}
+	for name, typ := range records {
+		used[typ] = true
+		if recordOwners[typ] == "" && !slices.Contains(scalarRecords, typ) {
+			t.Errorf("recordOwners lacks %s, the type of the field %s of a job or machine", typ, name)
+		}
+	}
+	owners := map[string]bool{}
+	for _, typ := range parts {
+		owners[typ] = true
+	}
+	for typ, owner := range recordOwners {
+		if !used[typ] {
+			t.Errorf("recordOwners lists %s, which is no type of a field of a job or machine", typ)
+		}
+		if !owners[owner] {
+			t.Errorf("recordOwners names %s as an owner, which is no part of Core", owner)
+		}
+	}
+}
+
 // forEachWrite calls f for each write in a method of this package, with the selector path of the
 // expression that is written.
 func forEachWrite(files []*ast.File, f func(method *ast.FuncDecl, path []string, at token.Pos)) {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -197,7 +197,10 @@
 		s.run(time.Second, 300)
 	}
 	b.StopTimer()
-	for _, key := range []string{"reports", "dispatch.Direct", "writes"} {
+	for _, key := range []string{"reports", fmt.Sprintf("%T", SendCommands{}), "writes"} {
+		if s.counts[key] == 0 {
+			b.Errorf("no %s were counted, want some", key)
+		}
 		b.ReportMetric(float64(s.counts[key])/float64(b.N), key+"/s")
 	}
 	b.ReportMetric(float64(s.core.attempts.count), "starts")
