--- a/internal/scheduler/dependencies_bench_test.go
+++ b/internal/scheduler/dependencies_bench_test.go
@@ -41,3 +41,32 @@
 		}
 	}
 }
+
+// BenchmarkPipelineStatus measures a status query for the last job of a chain: in the usual case, while
+// an unrelated job is being cancelled, and while an unrelated predecessor is unknown.
+func BenchmarkPipelineStatus(b *testing.B) {
+	const length = 100
+	last := fmt.Sprintf("job-%d", length-1)
+	for _, condition := range []string{"usual", "cancelling", "unknown predecessor"} {
+		b.Run(condition, func(b *testing.B) {
+			h := newHarness(b, ledger.Snapshot{})
+			h.submit(newDependentJob("job-0"))
+			for i := 1; i < length; i++ {
+				h.submit(newDependentJob(fmt.Sprintf("job-%d", i), fmt.Sprintf("job-%d", i-1)))
+			}
+			h.submit(newDependentJob("job-other"))
+			h.holdWrites = true
+			switch condition {
+			case "cancelling":
+				h.step(CancelRequest{JobID: "job-other", ReplyTo: testRecipient("u")})
+			case "unknown predecessor":
+				h.submit(newDependentJob("job-dependent", "job-unknown"))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				h.core.Step(StatusRequest{JobID: last, ReplyTo: testRecipient("u")}, h.now, h.now.Milliseconds())
+				h.core.Flush()
+			}
+		})
+	}
+}
