Metrics: all label values appear from the start, at zero

Cause: a rate over a counter that appears with its first event misses that event.

Change: the counters of all label values are created with the registry.

Result: TestServe finds two of them at zero.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -82,9 +82,22 @@
 		}),
 	}
 	m.registry.MustRegister(m.answers, m.recordReads, m.watchFailures)
+	m.initLabels()
 	return m
 }
 
+// initLabels makes the counters of all label values appear from the start, at zero.
+func (m *Metrics) initLabels() {
+	for _, request := range []Request{Submission, StatusQuery, Cancellation} {
+		for _, source := range []Source{LeaderMemory, Records, OtherController, NoSource} {
+			m.answers.WithLabelValues(string(request), string(source))
+		}
+	}
+	for _, outcome := range []ReadOutcome{ReadFound, ReadUnreadable, ReadFailed} {
+		m.recordReads.WithLabelValues(string(outcome))
+	}
+}
+
 // CountAnswer counts an answer to a user.
 func (m *Metrics) CountAnswer(request Request, source Source) {
 	m.answers.WithLabelValues(string(request), string(source)).Inc()
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -59,7 +59,9 @@
 	for _, want := range []string{
 		`leadproxy_answers_total{request="status",source="leader_memory"} 2`,
 		`leadproxy_answers_total{request="cancellation",source="records"} 1`,
+		`leadproxy_answers_total{request="submission",source="none"} 0`,
 		`leadproxy_predecessor_reads_total{outcome="found"} 1`,
+		`leadproxy_predecessor_reads_total{outcome="unreadable"} 0`,
 		"leadproxy_job_watch_failures_total 1", "leadproxy_leader 1", "leadproxy_leader_term 221",
 		"leadproxy_leader_lease_remaining_seconds 1.5", "leadproxy_store_available 0", "leadproxy_store_revision 479",
 		"leadproxy_job_watch_revision 238", "leadproxy_job_watch_age_seconds 22",
