Soak and users: lost and late answers to reads and watches, early cancellations

The soak lost and delayed transactions, commands and calls alone, and the users' pipelines were cancelled only after all their jobs were accepted. maxKillLeadersDuration was 20 s though such faults last up to 25 s.

Change: schedules also lose and delay answers to the store's watches, reads and listings, drawn from a generator of their own, so that the other faults of a seed stay as they were, except near a series of killed leaders, whose length is now derived from its parts. Two pipelines in five have their first job cancelled before the others are submitted. fake.FirstFault serves both kinds of tests.

--- a/internal/controller/cluster_faults_test.go
+++ b/internal/controller/cluster_faults_test.go
@@ -31,18 +31,6 @@
 // isLeaderWatch reports whether a request is a follower's watch of the leader key.
 func isLeaderWatch(r *http.Request) bool { return fake.IsWatch(r, election.LeaderKey) }
 
-// firstFault returns an injector that injects the first fault which one of the injectors returns.
-func firstFault(injectors ...fake.FaultInjector) fake.FaultInjector {
-	return func(from string, r *http.Request) fake.InjectedFault {
-		for _, inject := range injectors {
-			if fault := inject(from, r); fault.Kind != fake.NoFault {
-				return fault
-			}
-		}
-		return fake.InjectedFault{}
-	}
-}
-
 // randomFaults returns an injector that injects a fault of the given kind into each request with the
 // given probability. The fault's delay is between minDelay and maxDelay.
 func (c *cluster) randomFaults(probability float64, kind fake.FaultKind, minDelay, maxDelay time.Duration) *fake.FaultInjector {
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -163,7 +163,7 @@
 		c.operator.Rollouts = settings.Rollouts{Enabled: true, Budgets: *config.budgets}
 	}
 	c.store = fake.NewKVStore(t, c.net.Host(c.namePrefix+"state"), c.namePrefix+"state:1",
-		firstFault(faultOnPath("/txn", &c.writeFaults), faultOn(fake.IsRead, &c.readFaults), faultOn(isJobWatch, &c.watchFaults),
+		fake.FirstFault(faultOnPath("/txn", &c.writeFaults), faultOn(fake.IsRead, &c.readFaults), faultOn(isJobWatch, &c.watchFaults),
 			faultOn(isLeaderWatch, &c.electionFaults)))
 	c.store.SetClockDrift(config.clockDrift)
 	for key, value := range config.ledger {
@@ -242,7 +242,7 @@
 		BootTime:   config.bootTime, ListLag: 2 * time.Second, MaxMachines: config.maxMachines,
 		Agent: fake.AgentConfig{Controllers: known, HeartbeatInterval: config.timings.heartbeat, Lease: config.timings.lease + time.Duration(config.clockDrift*float64(config.timings.lease)), ImageFetchTime: 500 * time.Millisecond,
 			RunTime: config.runTime, Checker: c.checker, CommandFaults: faultOnPath("/commands", &c.commandFaults)},
-		Faults:  firstFault(faultOnPath("/machines", &c.scaleOutFaults), faultOnPath("/machines/delete", &c.deleteFaults)),
+		Faults:  fake.FirstFault(faultOnPath("/machines", &c.scaleOutFaults), faultOnPath("/machines/delete", &c.deleteFaults)),
 		NewHost: func(name string) (transport.Network, string) { return c.net.Host(name), name + ":9000" },
 	})
 }
--- a/internal/fake/deployment.go
+++ b/internal/fake/deployment.go
@@ -33,9 +33,9 @@
 	// UseRelays inserts a Relay into the connections from controllers and agents to
 	// controllers, and from controllers to the key-value store. Deployment.Relays lists them.
 	UseRelays bool
-	// WriteFaults injects faults into requests to the key-value store, CommandFaults into
+	// StoreFaults injects faults into requests to the key-value store, CommandFaults into
 	// requests to agents, and CloudFaults into requests to the cloud; nil: none.
-	WriteFaults, CommandFaults, CloudFaults FaultInjector
+	StoreFaults, CommandFaults, CloudFaults FaultInjector
 }
 
 // The default durations of a deployment.
@@ -69,7 +69,7 @@
 	t.Helper()
 	plan.setDefaults()
 	network := transport.TCP{}
-	d := &Deployment{Store: NewKVStore(t, network, "127.0.0.1:0", plan.WriteFaults)}
+	d := &Deployment{Store: NewKVStore(t, network, "127.0.0.1:0", plan.StoreFaults)}
 	d.Checker = NewChecker(t, Limits{CancelDeadline: plan.CancelDeadline, TeamCPULimits: plan.TeamCPULimits, MaxWaiting: 90 * time.Second, MaxUnanswered: 75 * time.Second})
 	addresses := controllerAddresses{public: ReserveAddresses(t, plan.Controllers), peer: ReserveAddresses(t, plan.Controllers)}
 	d.Users = NewUsers(t, network, addresses.public, d.Checker, cmp.Or(plan.Seed, 1))
--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -36,6 +36,18 @@
 // which is a copy.
 type FaultInjector func(from string, r *http.Request) InjectedFault
 
+// FirstFault returns an injector that injects the first fault which one of the injectors returns.
+func FirstFault(injectors ...FaultInjector) FaultInjector {
+	return func(from string, r *http.Request) InjectedFault {
+		for _, inject := range injectors {
+			if fault := inject(from, r); fault.Kind != NoFault {
+				return fault
+			}
+		}
+		return InjectedFault{}
+	}
+}
+
 // IsWatch reports whether a request to the key-value store is a watch of the keys under a prefix.
 func IsWatch(r *http.Request, prefix string) bool {
 	return r.Method == http.MethodGet && r.URL.Path == "/changes" && r.FormValue("under") == prefix
--- a/internal/fake/user_pipelines.go
+++ b/internal/fake/user_pipelines.go
@@ -13,6 +13,7 @@
 	oldDependencyShare  = 0.3              // last stage also depends on an earlier pipeline
 	lateLastStageShare  = 0.2              // last stage is submitted late
 	cancelledShare      = 0.4              // one stage is cancelled
+	cancelledAtOnce     = 0.4              // the first stage is cancelled before the others are submitted
 	maxPipelineDelay    = 30 * time.Second // before a late last stage or a cancellation
 	lastStage           = 3                // index of the last stage
 	lastStageDeadlineS  = 60.0
@@ -21,8 +22,8 @@
 // Pipelines makes users submit pipelines one after the other until stop is called. A pipeline has a
 // first stage, two stages that depend on it, and a last stage that depends on both. The last stage
 // has a deadline and a higher priority, and sometimes also depends on a job of an earlier pipeline,
-// which may have ended long before. In some pipelines one stage is cancelled, and in some the last
-// stage is submitted late.
+// which may have ended long before. In some pipelines one stage is cancelled, in some the first one
+// already while the others are submitted, and in some the last stage is submitted late.
 func (u *Users) Pipelines() (stop func()) {
 	stopped := make(chan struct{})
 	var earlier []string // job IDs of the last stages of earlier pipelines
@@ -49,6 +50,7 @@
 		j := jobs[lastStage]
 		j.DependsOn = append(j.DependsOn, earlier[int(u.Random()*float64(len(earlier)))])
 	}
+	cancelAtOnce := u.Random() < cancelledAtOnce
 	for stage, j := range jobs {
 		if stage == lastStage && u.Random() < lateLastStageShare {
 			time.Sleep(u.randomDelay(maxPipelineDelay))
@@ -57,6 +59,12 @@
 			return ""
 		}
 		u.Poll(j)
+		if cancelAtOnce && stage == 0 {
+			u.RetryUntilFinal(RequestCancel, j.ID, nil)
+		}
+		if cancelAtOnce {
+			u.QueryEverywhere(j.ID, j)
+		}
 	}
 	if u.Random() < cancelledShare {
 		cancelled := jobs[int(u.Random()*float64(len(jobs)))]
--- a/internal/soak/combinations_test.go
+++ b/internal/soak/combinations_test.go
@@ -17,9 +17,16 @@
 // exclusionMargin is the minimum time between an exclusive fault and any other.
 const exclusionMargin = 5 * time.Second
 
-// maxKillLeadersDuration is the assumed maximum duration of a killLeaders fault, whose kills follow
-// one another.
-const maxKillLeadersDuration = 20 * time.Second
+// The kills of a killLeaders fault follow one another.
+const (
+	leaderKills           = 4
+	minLeaderKillInterval = 4 * time.Second
+	leaderDowntime        = time.Second
+	maxHeartbeatInterval  = 8 * time.Second // of all agentTimes
+	// maxKillLeadersDuration is the maximum duration of a killLeaders fault, whose share is at most
+	// one half.
+	maxKillLeadersDuration = (leaderKills-1)*(minLeaderKillInterval+maxHeartbeatInterval/2) + leaderDowntime
+)
 
 // overlaps reports whether a fault overlaps another one or is within exclusionMargin of it.
 func (f scheduledFault) overlaps(other scheduledFault) bool {
--- a/internal/soak/fault_kinds_test.go
+++ b/internal/soak/fault_kinds_test.go
@@ -28,6 +28,10 @@
 	duplicateHeartbeats faultKind = "heartbeats are duplicated and the copies delayed"
 	replayedHeartbeats  faultKind = "old heartbeats are replayed to every controller"
 	cancelJobs          faultKind = "users cancel many jobs at once"
+	lostWatches         faultKind = "watches get no response"
+	lateWatches         faultKind = "responses to watches are late"
+	lostReads           faultKind = "reads and listings get no response"
+	lateReads           faultKind = "responses to reads and listings are late"
 )
 
 // faultKinds are the kinds that schedules are drawn from. Kinds that have led to violations before
@@ -42,3 +46,7 @@
 	duplicateHeartbeats, replayedHeartbeats,
 	cancelJobs, cancelJobs,
 }
+
+// readFaultKinds are the kinds of faults of the key-value store's reads and watches. They are drawn in
+// addition to faultKinds.
+var readFaultKinds = []faultKind{lostWatches, lostWatches, lateWatches, lostReads, lateReads}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -9,6 +9,7 @@
 // beginFault begins a fault and returns the function that ends it.
 func (r *run) beginFault(f scheduledFault) (end func()) {
 	commandShare := min(1, 2*f.share)
+	watchShare := min(1, 2*f.share)
 	switch f.kind {
 	case killController, killAllControllers, killLeaders, suspendController:
 		return r.beginProcessFault(f)
@@ -26,6 +27,14 @@
 		return r.writeFaults.begin(messageFault{fake.Delayed, f.share, minMessageDelay, maxMessageDelay})
 	case lostResponses:
 		return r.writeFaults.begin(messageFault{kind: fake.ResponseLost, share: f.share})
+	case lostWatches:
+		return r.watchFaults.begin(messageFault{kind: fake.ResponseLost, share: watchShare})
+	case lateWatches:
+		return r.watchFaults.begin(messageFault{fake.ResponseLate, watchShare, 0, maxReadDelay})
+	case lostReads:
+		return r.readFaults.begin(messageFault{kind: fake.ResponseLost, share: f.share / 2})
+	case lateReads:
+		return r.readFaults.begin(messageFault{fake.ResponseLate, f.share / 2, 0, maxReadDelay})
 	case lostCommands:
 		return r.commandFaults.begin(messageFault{kind: fake.RequestLost, share: commandShare})
 	case lateCommands:
--- a/internal/soak/message_faults_test.go
+++ b/internal/soak/message_faults_test.go
@@ -9,11 +9,11 @@
 	"leadproxy/internal/fake"
 )
 
-// messageFaults injects the active fault into POST requests.
+// messageFaults injects the active fault into the requests that match.
 type messageFaults struct {
-	path   string                       // of the affected requests; "": all
-	active atomic.Pointer[messageFault] // nil: none
-	random chan *rand.Rand              // holds the one generator while it is not in use
+	matches func(r *http.Request) bool
+	active  atomic.Pointer[messageFault] // nil: none
+	random  chan *rand.Rand              // holds the one generator while it is not in use
 }
 
 // messageFault is a fault that is injected into a share of the requests.
@@ -23,16 +23,24 @@
 	minDelay, maxDelay time.Duration
 }
 
-func newMessageFaults(path string, seed uint64) *messageFaults {
-	m := &messageFaults{path: path, random: make(chan *rand.Rand, 1)}
+func newMessageFaults(matches func(r *http.Request) bool, seed uint64) *messageFaults {
+	m := &messageFaults{matches: matches, random: make(chan *rand.Rand, 1)}
 	m.random <- rand.New(rand.NewPCG(seed, 2))
 	return m
 }
 
+// isPost returns a function that reports whether a request is a POST request to a path; "" is any.
+func isPost(path string) func(r *http.Request) bool {
+	return func(r *http.Request) bool { return r.Method == http.MethodPost && (path == "" || r.URL.Path == path) }
+}
+
+// isWatch reports whether a request is a watch of any keys.
+func isWatch(r *http.Request) bool { return fake.IsWatch(r, r.FormValue("under")) }
+
 // inject decides which fault is injected into a request.
 func (m *messageFaults) inject(_ string, request *http.Request) fake.InjectedFault {
 	f := m.active.Load()
-	if f == nil || request.Method != http.MethodPost || m.path != "" && request.URL.Path != m.path {
+	if f == nil || !m.matches(request) {
 		return fake.InjectedFault{}
 	}
 	random := <-m.random
@@ -53,4 +61,5 @@
 const (
 	minMessageDelay = 2 * time.Second
 	maxMessageDelay = 14 * time.Second
+	maxReadDelay    = 3 * time.Second
 )
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -21,6 +21,8 @@
 	deployment     *fake.Deployment
 	random         *rand.Rand
 	writeFaults    *messageFaults
+	readFaults     *messageFaults
+	watchFaults    *messageFaults
 	commandFaults  *messageFaults
 	cloudFaults    *messageFaults
 	cancellable    chan []*wire.Job // holds the jobs that run until they are cancelled
@@ -55,9 +57,11 @@
 	r := &run{
 		t: t, plan: p, program: program, random: rand.New(rand.NewPCG(p.seed, 3)),
 		schedule:      newSchedule(p.seed, controllerCount, p.times, p.faultDuration),
-		writeFaults:   newMessageFaults("/txn", p.seed),
-		commandFaults: newMessageFaults("/commands", p.seed),
-		cloudFaults:   newMessageFaults("", p.seed),
+		writeFaults:   newMessageFaults(isPost("/txn"), p.seed),
+		readFaults:    newMessageFaults(fake.IsRead, p.seed),
+		watchFaults:   newMessageFaults(isWatch, p.seed),
+		commandFaults: newMessageFaults(isPost("/commands"), p.seed),
+		cloudFaults:   newMessageFaults(isPost(""), p.seed),
 		cancellable:   make(chan []*wire.Job, 1), faultFreeSince: make(chan time.Time, 1), usersStopped: make(chan struct{}),
 	}
 	r.cancellable <- nil
@@ -77,7 +81,8 @@
 		TeamCPULimits: map[string]float64{"tight": tightTeamCPUs}, OperatorSettings: operatorSettings,
 		HeartbeatInterval: p.times.heartbeatInterval, AgentLease: p.times.lease, CancelDeadline: p.times.cancelDeadline,
 		RunTime: p.runTime, SlowCheckpoints: true, Seed: p.seed, UseRelays: true,
-		WriteFaults: r.writeFaults.inject, CommandFaults: r.commandFaults.inject, CloudFaults: r.cloudFaults.inject,
+		StoreFaults:   fake.FirstFault(r.writeFaults.inject, r.readFaults.inject, r.watchFaults.inject),
+		CommandFaults: r.commandFaults.inject, CloudFaults: r.cloudFaults.inject,
 	})
 }
 
@@ -122,19 +127,15 @@
 // scheduleLeaderKills adds the further kills of a killLeaders fault: the then current leader is
 // killed and restarted after a short downtime, one after the other.
 func (r *run) scheduleLeaderKills(f scheduledFault, pending *timeline) {
-	const (
-		kills    = 4
-		downtime = time.Second
-	)
-	interval := 4*time.Second + time.Duration(f.share*float64(r.plan.times.heartbeatInterval))
-	for k := 1; k < kills; k++ {
+	interval := minLeaderKillInterval + time.Duration(f.share*float64(r.plan.times.heartbeatInterval))
+	for k := 1; k < leaderKills; k++ {
 		at := f.start + time.Duration(k)*interval
 		if at >= r.plan.faultDuration {
 			return
 		}
 		pending.add(at, func() {
 			end := r.beginProcessFault(scheduledFault{kind: killController, target: currentLeader})
-			pending.add(at+downtime, end)
+			pending.add(at+leaderDowntime, end)
 		})
 	}
 }
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -35,6 +35,7 @@
 	maxFaultInterval      = 7 * time.Second
 	firstCombinationStart = 20 * time.Second // machines are working by then
 	combinationInterval   = 30 * time.Second
+	maxReadFaultInterval  = 20 * time.Second
 	minFaultDuration      = 200 * time.Millisecond
 )
 
@@ -47,6 +48,7 @@
 		f.duration = min(f.duration, length-start)
 		s = append(s, f)
 	}
+	s = append(s, readFaults(seed, times, length)...)
 	nextCombination := random.IntN(len(combinations))
 	for start := firstCombinationStart; start < length; start += combinationInterval {
 		c := combinations[nextCombination%len(combinations)](start+time.Duration(random.Int64N(int64(combinationInterval/3))), times)
@@ -60,6 +62,18 @@
 	return s
 }
 
+// readFaults draws the faults of reads and watches from a generator of their own, so that those of a
+// schedule's other faults do not depend on them.
+func readFaults(seed uint64, times agentTimes, length time.Duration) (s schedule) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	for start := firstFaultStart; start < length; start += time.Duration(random.Int64N(int64(maxReadFaultInterval))) {
+		f := scheduledFault{kind: readFaultKinds[random.IntN(len(readFaultKinds))], start: start, share: 0.1 + 0.4*random.Float64()}
+		f.duration = min(minFaultDuration+time.Duration(random.Int64N(int64(times.lease))), length-start)
+		s = append(s, f)
+	}
+	return s
+}
+
 // randomFault draws a fault that begins at start.
 func randomFault(random *rand.Rand, controllers int, times agentTimes, start time.Duration) scheduledFault {
 	f := scheduledFault{
@@ -96,7 +110,7 @@
 			drawn[f.kind] = true
 		}
 	}
-	for _, kind := range faultKinds {
+	for _, kind := range slices.Concat(faultKinds, readFaultKinds) {
 		if !drawn[kind] {
 			t.Errorf("no schedule has the fault %q", kind)
 		}
