Tests: compaction while watches are lost, notifications into a full mailbox

Cause: two of the ways in which the core gets records out of order or not at all had no test: reading all records anew, in the order of their names, and a notification that a full mailbox drops.

Change: TestPipelinesWithLossyReads also compacts the store's history in each round; TestNotificationsNeverBlock fills the mailbox.

--- a/internal/controller/lost_watch_test.go
+++ b/internal/controller/lost_watch_test.go
@@ -210,7 +210,7 @@
 }
 
 // TestPipelinesWithLossyReads: watches, reads and listings lose or delay a share of their responses,
-// while pipelines are submitted and cancelled and the leader restarts.
+// while pipelines are submitted and cancelled, the leader restarts and the store is compacted.
 func TestPipelinesWithLossyReads(t *testing.T) {
 	runWithSeeds(t, clusterConfig{maxMachines: 30}, func(c *cluster, random *rand.Rand) {
 		time.Sleep(5 * time.Second) // all controllers have announced their capabilities
@@ -219,7 +219,9 @@
 		c.cancelPipelinesWhileSubmitted(0, 10)
 		for round := range 3 {
 			c.restart(c.leader(), randomDuration(random, 200*time.Millisecond, 4*time.Second))
-			c.cancelPipelinesWhileSubmitted(10*(round+1), 10)
+			c.cancelPipelinesWhileSubmitted(10*(round+1), 5)
+			c.store.Compact() // the leader's next watch has it read all records anew
+			c.cancelPipelinesWhileSubmitted(10*(round+1)+5, 5)
 		}
 		c.readFaults.Store(c.randomFaults(0.05, fake.ResponseLost, 0, 0))
 		c.cancelPipelinesWhileSubmitted(40, 10)
--- a/internal/dispatch/mailboxes_test.go
+++ b/internal/dispatch/mailboxes_test.go
@@ -124,3 +124,15 @@
 		t.Errorf("received %T after the context ended, want no event", event)
 	}
 }
+
+// TestNotificationsNeverBlock: job records are dropped while the mailbox is full, and the core learns
+// of them from the watch or reads them.
+func TestNotificationsNeverBlock(t *testing.T) {
+	d := &Dispatcher{mailboxes: newMailboxes()}
+	for range internalEventCapacity + 1 {
+		d.NotifyJobRecord(scheduler.JobRecordEvent{JobID: "job-000001"})
+	}
+	if queued := len(d.mailboxes.internalEvents); queued != internalEventCapacity {
+		t.Errorf("%d records are queued, want %d", queued, internalEventCapacity)
+	}
+}
