Job API: a test of allocations no longer counts the runtime's own

It reads the allocations of the whole process. Traced on a scratch copy with the race detector, ten processes at once: between two readings with nothing in between, 5 to 11 KiB are allocated in 15 of 30 processes, once in 4,000 readings, as in readings around ReadBody, which itself allocates under 1 KiB. They come early in a process, so most likely from threads that the runtime starts.

Change: each case is read five times and the least counts, since the runtime's allocations only add. Bound and cases are as before.

--- a/internal/jobapi/http_test.go
+++ b/internal/jobapi/http_test.go
@@ -140,8 +140,16 @@
 		runtime.ReadMemStats(&after)
 		return after.TotalAlloc - before.TotalAlloc, err
 	}
+	// The runtime's own allocations, as of threads that it starts, are counted too. They add to some
+	// of the reads only.
+	const attempts = 5
 	for _, announced := range []int64{1000, wire.MaxBodyBytes, wire.MaxBodyBytes + 1, -1} {
-		if allocated, err := read(announced, "{"); err == nil || allocated > 16<<10 {
+		allocated, err := read(announced, "{")
+		for range attempts - 1 {
+			again, _ := read(announced, "{")
+			allocated = min(allocated, again)
+		}
+		if err == nil || allocated > 16<<10 {
 			t.Errorf("%d bytes announced, one sent: %d bytes allocated, error %v, want an error and at most 16 KiB", announced, allocated, err)
 		}
 	}
