--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -17,7 +17,9 @@
 )
 
 // cases lists the cases by name.
-var cases = map[string]func(root, record string) int{}
+var cases = map[string]func(root, record string) int{
+	"repeated-start": runRepeatedStart,
+}
 
 func init() {
 	// The controllers are killed when the thread that started them ends, so that must be the main one.
