--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,6 +19,7 @@
 // cases lists the cases by name.
 var cases = map[string]func(root, record string) int{
 	"repeated-start": runRepeatedStart,
+	"no-estimate":    runNoEstimate,
 }
 
 func init() {
