--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,6 +18,7 @@
 
 // cases lists the cases by name.
 var cases = map[string]func(root, record string) int{
+	"sick-machine":   runSickMachine,
 	"repeated-start": runRepeatedStart,
 	"no-estimate":    runNoEstimate,
 }
