Scheduler: a forget travels only with a token that rules out copies of starts

Cause: an agent that was told to forget an ended attempt executes a copy of its start, unless it has seen a higher fencing token since. The leader waited for such a token only while a start had no answer. A 200 proves that the original has arrived; it proves nothing about copies.

Change: each machine has the highest token of a direct command with starts. Forgets are left out of a response whose token is not higher. The token is raised along with starts, or for eight ended attempts, if no command is in flight, and for 64 in any case; other forgets wait for the raise that comes every quarter of a lease. New: the fake's fault "answered, and executed again later", termination notices of fake machines, and the soak's repeated commands.

Why it works: whoever carries out the forget has seen the token of the response, and from then on refuses every command with a lower one, whoever leads.

--- a/internal/fake/agent.go
+++ b/internal/fake/agent.go
@@ -65,6 +65,7 @@
 	inboundCut, outboundCut bool
 	duplicateDelay          func() time.Duration // delay of duplicate heartbeats; nil: none are sent
 	savedHeartbeat          []byte               // encoded; nil: none
+	terminationAt           time.Time            // announced by a termination notice; zero: there is none
 }
 
 // agentTickInterval is the interval at which an agent advances its tasks and checks its lease.
--- a/internal/fake/agent_faults.go
+++ b/internal/fake/agent_faults.go
@@ -31,6 +31,15 @@
 // machine.
 func (a *Agent) SetOutboundCut(on bool) { a.do(func() { a.outboundCut = on }) }
 
+// NoticeTermination gives the machine a notice that it will be terminated after the given time. The
+// caller terminates it.
+func (a *Agent) NoticeTermination(after time.Duration) {
+	a.do(func() {
+		a.terminationAt = time.Now().Add(after)
+		a.signalChange()
+	})
+}
+
 // DuplicateHeartbeats makes the agent send a copy of each heartbeat after a delay; nil stops it.
 func (a *Agent) DuplicateHeartbeats(delay func() time.Duration) {
 	a.do(func() { a.duplicateDelay = delay })
--- a/internal/fake/agent_heartbeats.go
+++ b/internal/fake/agent_heartbeats.go
@@ -24,6 +24,10 @@
 		Machine: a.name, Address: a.Addr(), CapacityPool: a.request.CapacityPool,
 		AgentEpoch: a.agentEpoch, Sequence: a.sequence, FencingToken: a.fencingToken, Tasks: []wire.TaskStatus{},
 	}
+	if !a.terminationAt.IsZero() {
+		left := max(0, time.Until(a.terminationAt).Seconds())
+		heartbeat.TerminationNoticeS = &left
+	}
 	for _, t := range a.tasks {
 		heartbeat.Tasks = append(heartbeat.Tasks, t.TaskStatus)
 	}
--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -24,12 +24,13 @@
 	Delayed                // executed after a delay, no response: the sender times out first
 	ResponseLate           // executed, response sent after a delay
 	Unavailable            // not executed, 503 response
+	Repeated               // executed and answered, and executed again after a delay
 )
 
 // InjectedFault is a fault that is injected into one request.
 type InjectedFault struct {
 	Kind  FaultKind
-	Delay time.Duration // used by Delayed and ResponseLate only
+	Delay time.Duration // used by Delayed, ResponseLate and Repeated only
 }
 
 // FaultInjector returns the fault to inject into a request from a host. It may read the body of r,
@@ -85,13 +86,11 @@
 			h.ServeHTTP(httptest.NewRecorder(), copyRequest())
 			h.ServeHTTP(w, copyRequest())
 		case Delayed:
-			go func() {
-				transport.Pause(ctx, injected.Delay)
-				if ctx.Err() == nil {
-					h.ServeHTTP(httptest.NewRecorder(), copyRequest())
-				}
-			}()
+			go serveLater(ctx, h, copyRequest(), injected.Delay)
 			<-r.Context().Done()
+		case Repeated:
+			h.ServeHTTP(w, copyRequest())
+			go serveLater(ctx, h, copyRequest(), injected.Delay)
 		case ResponseLate:
 			recorder := httptest.NewRecorder()
 			h.ServeHTTP(recorder, copyRequest())
@@ -107,3 +106,11 @@
 		}
 	})
 }
+
+// serveLater serves a request after a delay, unless ctx ends first. The response is discarded.
+func serveLater(ctx context.Context, h http.Handler, r *http.Request, delay time.Duration) {
+	transport.Pause(ctx, delay)
+	if ctx.Err() == nil {
+		h.ServeHTTP(httptest.NewRecorder(), r)
+	}
+}
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -40,6 +40,9 @@
 	// unresolvedStarts are the starts that may still be executed: by attempt, the token whose
 	// acknowledgement rules that out.
 	unresolvedStarts map[uint64]uint64
+	// directStartToken is the highest fencing token of the direct commands with starts so far. Until
+	// the agent has seen a higher one, a copy of such a command would be executed.
+	directStartToken uint64
 	// responseNumber is the 1-based index in pendingResponses of the response that carries the
 	// commands; 0: there is none.
 	responseNumber int
@@ -70,6 +73,13 @@
 	m.unresolvedStarts[attempt] = math.MaxUint64
 }
 
+// recordDirectStart records that a start is sent in a direct command with the given token. No token
+// rules it out yet.
+func (m *machineCommands) recordDirectStart(attempt, token uint64) {
+	m.addUnresolvedStart(attempt)
+	m.directStartToken = max(m.directStartToken, token)
+}
+
 // resolveAllOnToken sets all starts to be resolved once token is acknowledged: from then on the
 // agent rejects commands with a lower one.
 func (m *machineCommands) resolveAllOnToken(token uint64) {
@@ -176,7 +186,7 @@
 			alloc.state = allocationSent
 			// The start may be executed at any time until the command's outcome is known or a
 			// raised token rules it out.
-			m.commands.addUnresolvedStart(command.Attempt)
+			m.commands.recordDirectStart(command.Attempt, inFlight.fencingToken)
 			inFlight.startedAttempts = append(inFlight.startedAttempts, command.Attempt)
 			inFlight.startDeliveries = append(inFlight.startDeliveries, &alloc.start)
 		}
--- a/internal/scheduler/heartbeat_responses.go
+++ b/internal/scheduler/heartbeat_responses.go
@@ -158,54 +158,6 @@
 	return list, starts
 }
 
-// minForgetBatch is how many successful tasks are forgotten together. An agent sends a heartbeat as
-// soon as its tasks change, so separate forgets cost one heartbeat each, a third of all heartbeats
-// in a large cell. They are sent with another command that changes the tasks anyway, or once there
-// are this many.
-const minForgetBatch = 8
-
-// appendForgetsAndPending appends to the stops for a trusted heartbeat the other commands of its
-// response: the forgets of ended tasks, and the machine's pending commands. The deliveries are
-// those of the starts in the list.
-func (c *commands) appendForgetsAndPending(m *machine, heartbeat *wire.Heartbeat, list []wire.Command) ([]wire.Command, StartDeliveries) {
-	var forgetDone []wire.Command
-	for i := range heartbeat.Tasks {
-		if len(list)+len(forgetDone) >= maxCommandsPerResponse {
-			break
-		}
-		task := &heartbeat.Tasks[i]
-		if task.Status != wire.TaskEnded || !c.mayForget(m, task) {
-			continue
-		}
-		forget := wire.Command{Verb: wire.VerbForget, Task: task.Task, Attempt: task.Attempt}
-		if task.ExitReason == wire.ExitDone {
-			forgetDone = append(forgetDone, forget)
-		} else {
-			list = append(list, forget)
-		}
-	}
-	list, starts := c.appendPendingCommands(m, heartbeat, list)
-	if len(list) > 0 || len(forgetDone) >= minForgetBatch {
-		list = append(list, forgetDone...)
-	}
-	return list, starts
-}
-
-// mayForget reports whether an agent may forget an ended attempt: not while a copy of its start may
-// still arrive, since the agent would run it again, and a successful one not before its end is in
-// the ledger.
-func (c *commands) mayForget(m *machine, task *wire.TaskStatus) bool {
-	if _, unresolved := m.commands.unresolvedStarts[task.Attempt]; unresolved {
-		return false
-	}
-	found := c.jobs.findTask(m, task)
-	j := found.job
-	if j == nil || task.ExitReason != wire.ExitDone || j.end.durable {
-		return true
-	}
-	return int(found.index) < len(j.progress.tasks) && j.progress.tasks[found.index].state == taskDurable
-}
-
 // holdForUnreachable holds the response to a machine with an unreachable-agent record until the
 // record is withdrawn, and reports whether it does.
 func (c *commands) holdForUnreachable(pending pendingResponse) bool {
--- a/internal/scheduler/heartbeat_responses_test.go
+++ b/internal/scheduler/heartbeat_responses_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/wire"
@@ -198,3 +199,95 @@
 	h.core.sendPlannedStarts(h.core.jobs.list[1], m)
 	h.want("commands with a start", commandVerbs(h.sendHeartbeat(h.newHeartbeat("vm-1", termToken, done, running))), "start forget ")
 }
+
+// TestForgetRulesOutCopiesOfTheStart guards against a task that a repeated command starts on a second
+// machine: an agent executes the copy of a start whose attempt it has forgotten, unless it has seen a
+// higher token since. So a forget travels only with a token above those of all direct commands that
+// started tasks on the machine, also of those whose starts the agent refused.
+func TestForgetRulesOutCopiesOfTheStart(t *testing.T) {
+	for _, exitReason := range []string{wire.ExitStopped, wire.ExitError, wire.ExitNoCapacity, wire.ExitInUse, wire.ExitNoSuchTask, wire.ExitDone} {
+		t.Run(exitReason, func(t *testing.T) {
+			h := newHarness(t, ledger.Snapshot{})
+			h.bringUp("vm-1")
+			h.submit(newTestJob("job-1", minForgetBatch, 0.25))
+			startToken := h.sentCommands[0].Request.FencingToken
+			var ended []wire.TaskStatus
+			for _, start := range h.startCommands() {
+				ended = append(ended, newTaskStatus(start, wire.TaskEnded, exitReason))
+			}
+			h.completeCommands(CommandExecuted)
+			response := h.sendHeartbeat(h.newHeartbeat("vm-1", termToken, ended...))
+			h.completeCommands(CommandExecuted) // further starts, of the tasks that were not done
+			for range 3 {
+				if strings.Contains(commandVerbs(response), "forget") && response.FencingToken <= startToken {
+					t.Errorf("forget with token %d, want a higher one than %d of the start", response.FencingToken, startToken)
+				}
+				response = h.acknowledge("vm-1", ended...)
+			}
+			h.want("forgets in the end", strings.Count(commandVerbs(response), "forget"), minForgetBatch)
+		})
+	}
+}
+
+// TestFewForgetsWaitForTheNextToken: ended attempts that are too few for a batch, on a machine that
+// gets no other commands, are forgotten once the token is raised anyway.
+func TestFewForgetsWaitForTheNextToken(t *testing.T) {
+	h := newHarness(t, ledger.Snapshot{})
+	h.bringUp("vm-1")
+	h.submit(newTestJob("job-1", 1, 4))
+	start := h.startCommands()[0]
+	h.completeCommands(CommandExecuted)
+	h.step(CancelRequest{JobID: "job-1", ReplyTo: testRecipient("u")}) // so that the task is not started again
+	h.completeCommands(CommandExecuted)
+	for ; h.now < 9*time.Second; h.advance(time.Second) {
+		response := h.acknowledge("vm-1", newTaskStatus(start, wire.TaskEnded, wire.ExitStopped))
+		if !strings.Contains(commandVerbs(response), "forget") {
+			continue
+		}
+		if response.FencingToken <= termToken {
+			t.Errorf("forget with token %d, want a higher one than %d of the start", response.FencingToken, uint64(termToken))
+		}
+		return
+	}
+	t.Error("no forget within 9 s, want one with the token that is raised after a quarter of a lease, 7.5 s")
+}
+
+// TestForgetWaitsForCommandsInFlight: a raised token would have the agent reject the commands that
+// are on their way to it, so a forget that needs one waits for their results. It does not wait for
+// good: with many ended attempts, heartbeats would exceed the protocol's bound on a body.
+func TestForgetWaitsForCommandsInFlight(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		ended, forgets int
+		inFlight       bool
+	}{
+		{"no command in flight", minForgetBatch, minForgetBatch, false},
+		{"command in flight", minForgetBatch, 0, true},
+		{"command in flight, one attempt below the bound", maxUnforgotten - 1, 0, true},
+		{"command in flight, many ended attempts", maxUnforgotten, maxUnforgotten, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, ledger.Snapshot{})
+			h.bringUp("vm-1")
+			job := newTestJob("job-1", test.ended, 0.001)
+			job.MemGB = 0.001
+			h.submit(job)
+			var ended []wire.TaskStatus
+			for _, start := range h.startCommands() {
+				ended = append(ended, newTaskStatus(start, wire.TaskEnded, wire.ExitDone))
+			}
+			h.want("starts", len(ended), test.ended)
+			h.completeCommands(CommandExecuted)
+			if test.inFlight {
+				h.submit(newTestJob("job-2", 1, 0.001))
+				h.want("commands in flight", len(h.sentCommands), 1)
+			}
+			h.sendHeartbeat(h.newHeartbeat("vm-1", termToken, ended...))
+			got := commandVerbs(h.sendHeartbeat(h.newHeartbeat("vm-1", termToken, ended...)))
+			h.want("forgets", strings.Count(got, "forget"), test.forgets)
+			h.completeCommands(CommandExecuted)
+			got = commandVerbs(h.acknowledge("vm-1", ended...))
+			h.want("forgets once no command is in flight", strings.Count(got, "forget"), test.ended)
+		})
+	}
+}
--- a/internal/scheduler/mutants_test.go
+++ b/internal/scheduler/mutants_test.go
@@ -19,6 +19,15 @@
 	{Name: "responses have no required stops", File: "heartbeat_responses.go", From: "list := c.requiredStops(m, pending.heartbeat, trust)", To: "list := []wire.Command{}"},
 }
 
+// copyMutants each remove one check that keeps the copy of a start from running a forgotten attempt
+// again.
+var copyMutants = []property.Mutant{
+	{Name: "a forget travels with any token", File: "forgets.go", From: "	case m.agent.FencingToken() > m.commands.directStartToken:", To: "	case m.agent.FencingToken() > 0:"},
+	{Name: "a forget travels with the token of the latest start", File: "forgets.go", From: "	case m.agent.FencingToken() > m.commands.directStartToken:", To: "	case m.agent.FencingToken() >= m.commands.directStartToken:"},
+	{Name: "the tokens of starts are not recorded", File: "commands.go", From: "	m.directStartToken = max(m.directStartToken, token)\n", To: ""},
+	{Name: "forgets do not wait for a token", File: "forgets.go", From: "		forgetDone, forgetOthers = nil, nil\n", To: "		forgetDone = forgetDone[:]\n"},
+}
+
 // statusMutants each remove one check that keeps the status of a job with an unknown ancestor from
 // being given from memory.
 var statusMutants = []property.Mutant{
@@ -33,6 +42,10 @@
 	property.CatchMutants(t, "TestRenewals", mutants)
 }
 
+func TestCopyMutantsAreCaught(t *testing.T) {
+	property.CatchMutants(t, "TestRenewals|TestForget", copyMutants)
+}
+
 func TestStatusMutantsAreCaught(t *testing.T) {
 	property.CatchMutants(t, "TestGraph|UnknownPredecessors|Unreadable|NoStatusFromMemory", statusMutants)
 }
--- a/internal/scheduler/renewal_model_test.go
+++ b/internal/scheduler/renewal_model_test.go
@@ -23,8 +23,10 @@
 // This model test runs a core with agents that implement only the protocol, and loses, delays and
 // duplicates the messages between them. Its invariants: a response that may renew an agent's lease
 // contains the stops of all tasks in its heartbeat whose jobs were reported to users as cancelled,
-// and none of these tasks is still running cancel_s later. TestEveryResponseStopsCancelledTasks has
-// the single cases in which that failed; this test searches for others.
+// none of these tasks is still running cancel_s later, and no agent starts an attempt a second time,
+// also when a command that was carried out arrives again. TestEveryResponseStopsCancelledTasks and
+// TestForgetRulesOutCopiesOfTheStart have single cases in which that failed; this test searches for
+// others.
 
 // The model's agents use the times of testConfig.
 const (
@@ -40,6 +42,8 @@
 	tasks                         []wire.TaskStatus
 	knownAttempts                 map[uint64]bool
 	hung                          bool
+	startedAttempts               map[uint64]bool // all so far, also those that were forgotten
+	startedTwice                  []string        // tasks of which an attempt was started a second time
 }
 
 // nextHeartbeat returns a heartbeat with the agent's present tasks and the next sequence number.
@@ -56,7 +60,10 @@
 		i := slices.IndexFunc(a.tasks, func(task wire.TaskStatus) bool { return task.Attempt == command.Attempt })
 		switch {
 		case command.Verb == wire.VerbStart && !a.knownAttempts[command.Attempt]:
-			a.knownAttempts[command.Attempt] = true
+			if a.startedAttempts[command.Attempt] {
+				a.startedTwice = append(a.startedTwice, command.Task)
+			}
+			a.knownAttempts[command.Attempt], a.startedAttempts[command.Attempt] = true, true
 			a.tasks = append(a.tasks, wire.TaskStatus{Task: command.Task, Attempt: command.Attempt, Status: wire.TaskRunning})
 		case command.Verb == wire.VerbStop && i >= 0 && a.tasks[i].Status != wire.TaskEnded:
 			a.tasks[i].Status, a.tasks[i].ExitReason = wire.TaskEnded, wire.ExitStopped
@@ -117,7 +124,7 @@
 func runRenewalHistory(t testingT, random property.Chooser, steps int) {
 	history := &renewalHistory{t: t, random: random, harness: newHarness(t, ledger.Snapshot{}), cancelledAt: map[string]time.Duration{}, heartbeats: map[testRecipient]*wire.Heartbeat{}, responses: map[testRecipient]*wire.HeartbeatResponse{}}
 	for i := range 4 {
-		history.agents = append(history.agents, &modelAgent{name: fmt.Sprintf("vm-%d", i+1), epoch: 1, knownAttempts: map[uint64]bool{}})
+		history.agents = append(history.agents, &modelAgent{name: fmt.Sprintf("vm-%d", i+1), epoch: 1, knownAttempts: map[uint64]bool{}, startedAttempts: map[uint64]bool{}})
 	}
 	for range steps {
 		history.performRandomAction()
@@ -210,7 +217,8 @@
 	return r.responses[replyTo]
 }
 
-// finishRandomCommand picks a direct command in flight, which is executed, lost or delayed.
+// finishRandomCommand picks a direct command in flight, which is executed, lost or delayed. A command
+// that was executed may arrive again at any later time.
 func (r *renewalHistory) finishRandomCommand() {
 	if len(r.harness.sentCommands) == 0 {
 		return
@@ -221,14 +229,28 @@
 	i := slices.IndexFunc(r.agents, func(agent *modelAgent) bool { return agent.name == sent.Machine })
 	if i < 0 || r.agents[i].hung || r.random.IntN(3) == 0 {
 		if i >= 0 && r.random.IntN(2) == 0 {
-			agent := r.agents[i]
-			r.delayedMessages = append(r.delayedMessages, func() { agent.executeRequest(sent.Request) })
+			r.delayCommand(r.agents[i], sent.Request)
 		}
 		r.harness.step(CommandResult{CommandID: sent.CommandID, Outcome: CommandOutcomeUnknown})
 		return
 	}
 	agent := r.agents[i]
-	r.harness.step(CommandResult{CommandID: sent.CommandID, Outcome: agent.executeRequest(sent.Request), Heartbeat: agent.nextHeartbeat()})
+	outcome := r.executeCommand(agent, sent.Request)
+	r.harness.step(CommandResult{CommandID: sent.CommandID, Outcome: outcome, Heartbeat: agent.nextHeartbeat()})
+}
+
+// executeCommand has an agent execute a direct command, of which a copy may arrive later.
+func (r *renewalHistory) executeCommand(agent *modelAgent, request wire.CommandRequest) CommandOutcome {
+	outcome := agent.executeRequest(request)
+	if outcome == CommandExecuted && r.random.IntN(2) == 0 {
+		r.delayCommand(agent, request)
+	}
+	return outcome
+}
+
+// delayCommand has a direct command arrive at a later time.
+func (r *renewalHistory) delayCommand(agent *modelAgent, request wire.CommandRequest) {
+	r.delayedMessages = append(r.delayedMessages, func() { r.executeCommand(agent, request) })
 }
 
 // confirmDeletion lets the cloud delete a machine whose deletion was requested, unless it is one of
@@ -275,8 +297,7 @@
 	previous := r.harness
 	for _, sent := range previous.sentCommands {
 		if i := slices.IndexFunc(r.agents, func(agent *modelAgent) bool { return agent.name == sent.Machine }); i >= 0 {
-			agent := r.agents[i]
-			r.delayedMessages = append(r.delayedMessages, func() { agent.executeRequest(sent.Request) })
+			r.delayCommand(r.agents[i], sent.Request)
 		}
 	}
 	r.harness = newHarnessWithConfig(r.t, previous.now, cfg, snapshot)
@@ -313,6 +334,10 @@
 		}
 	}
 	for _, agent := range r.agents {
+		for _, task := range agent.startedTwice {
+			r.t.Errorf("an attempt of %s was started a second time on %s", task, agent.name)
+		}
+		agent.startedTwice = nil
 		for _, task := range agent.tasks {
 			jobID := wire.JobIDOfTask(task.Task)
 			if cancelledAt, cancelled := r.cancelledAt[jobID]; cancelled && !agent.hung && task.Status != wire.TaskEnded && r.harness.now-cancelledAt > modelCancel {
--- a/internal/soak/fault_kinds_test.go
+++ b/internal/soak/fault_kinds_test.go
@@ -19,6 +19,7 @@
 	lostCommands        faultKind = "commands are lost"
 	lateCommands        faultKind = "commands are delayed"
 	duplicateCommands   faultKind = "commands are duplicated"
+	repeatedCommands    faultKind = "commands that were answered arrive again later"
 	cloudOutage         faultKind = "the cloud is unavailable"
 	hungMachines        faultKind = "machines hang"
 	inboundCut          faultKind = "machines receive nothing"
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -41,6 +41,8 @@
 		return r.commandFaults.begin(messageFault{fake.Delayed, commandShare, minMessageDelay, maxMessageDelay})
 	case duplicateCommands:
 		return r.commandFaults.begin(messageFault{kind: fake.Duplicated, share: commandShare})
+	case repeatedCommands:
+		return r.repeatFaults.begin(messageFault{fake.Repeated, commandShare, minMessageDelay, maxMessageDelay})
 	case cloudOutage:
 		return r.cloudFaults.begin(messageFault{kind: fake.Unavailable, share: 1})
 	case cancelJobs:
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -24,6 +24,7 @@
 	readFaults     *messageFaults
 	watchFaults    *messageFaults
 	commandFaults  *messageFaults
+	repeatFaults   *messageFaults // of commands that commandFaults leaves alone
 	cloudFaults    *messageFaults
 	cancellable    chan []*wire.Job // holds the jobs that run until they are cancelled
 	faultFreeSince chan time.Time   // holds the time since which there have been no faults; zero: there may be faults
@@ -61,6 +62,7 @@
 		readFaults:    newMessageFaults(fake.IsRead, p.seed),
 		watchFaults:   newMessageFaults(isWatch, p.seed),
 		commandFaults: newMessageFaults(isPost("/commands"), p.seed),
+		repeatFaults:  newMessageFaults(isPost("/commands"), p.seed),
 		cloudFaults:   newMessageFaults(isPost(""), p.seed),
 		cancellable:   make(chan []*wire.Job, 1), faultFreeSince: make(chan time.Time, 1), usersStopped: make(chan struct{}),
 	}
@@ -82,7 +84,7 @@
 		HeartbeatInterval: p.times.heartbeatInterval, AgentLease: p.times.lease, CancelDeadline: p.times.cancelDeadline,
 		RunTime: p.runTime, SlowCheckpoints: true, Seed: p.seed, UseRelays: true,
 		StoreFaults:   fake.FirstFault(r.writeFaults.inject, r.readFaults.inject, r.watchFaults.inject),
-		CommandFaults: r.commandFaults.inject, CloudFaults: r.cloudFaults.inject,
+		CommandFaults: fake.FirstFault(r.commandFaults.inject, r.repeatFaults.inject), CloudFaults: r.cloudFaults.inject,
 	})
 }
 
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -36,6 +36,7 @@
 	firstCombinationStart = 20 * time.Second // machines are working by then
 	combinationInterval   = 30 * time.Second
 	maxReadFaultInterval  = 20 * time.Second
+	maxRepeatInterval     = 40 * time.Second
 	minFaultDuration      = 200 * time.Millisecond
 )
 
@@ -49,6 +50,7 @@
 		s = append(s, f)
 	}
 	s = append(s, readFaults(seed, times, length)...)
+	s = append(s, repeatFaults(seed, times, length, s)...)
 	nextCombination := random.IntN(len(combinations))
 	for start := firstCombinationStart; start < length; start += combinationInterval {
 		c := combinations[nextCombination%len(combinations)](start+time.Duration(random.Int64N(int64(combinationInterval/3))), times)
@@ -74,6 +76,23 @@
 	return s
 }
 
+// repeatFaults draws the faults in which commands are repeated, from a generator of their own. They
+// keep away from reboots: an agent that has lost its fencing token executes any command, however old,
+// which no controller can prevent.
+func repeatFaults(seed uint64, times agentTimes, length time.Duration, others schedule) (s schedule) {
+	random := rand.New(rand.NewPCG(seed, 6))
+	for start := firstFaultStart; start < length; start += time.Duration(random.Int64N(int64(maxRepeatInterval))) {
+		f := scheduledFault{kind: repeatedCommands, start: start, share: 0.1 + 0.4*random.Float64()}
+		f.duration = min(minFaultDuration+time.Duration(random.Int64N(int64(times.lease))), length-start)
+		lastCopy := f
+		lastCopy.duration += maxMessageDelay
+		if !slices.ContainsFunc(others, func(other scheduledFault) bool { return other.kind == rebootedMachines && lastCopy.overlaps(other) }) {
+			s = append(s, f)
+		}
+	}
+	return s
+}
+
 // randomFault draws a fault that begins at start.
 func randomFault(random *rand.Rand, controllers int, times agentTimes, start time.Duration) scheduledFault {
 	f := scheduledFault{
@@ -110,7 +129,7 @@
 			drawn[f.kind] = true
 		}
 	}
-	for _, kind := range slices.Concat(faultKinds, readFaultKinds) {
+	for _, kind := range slices.Concat(faultKinds, readFaultKinds, []faultKind{repeatedCommands}) {
 		if !drawn[kind] {
 			t.Errorf("no schedule has the fault %q", kind)
 		}
