Placement: a machine gets no more tasks than a heartbeat can list

Cause: a machine was bounded by its cores, GPUs and memory alone. A heartbeat lists all tasks and may have 64 KiB; a longer one gets 400 from every controller, and the lease expires. Ended attempts that can't be forgotten yet are listed as well.

Change: the number of tasks is a resource of slowfit.Size; a machine has 384, a task and an ended attempt in the newest heartbeat take one each.

Why it works: 384 tasks and 64 ended attempts of 144 bytes are 63 KiB, and the longest status has some 135 bytes.

--- a/internal/scheduler/allocations.go
+++ b/internal/scheduler/allocations.go
@@ -56,9 +56,11 @@
 	load        float64 // load added in the current phase of the SLOW-FIT goal
 	phase       uint32
 	allocations []*allocation
-	idleSince   time.Duration
-	images      []cachedImage // least recently used first
-	reserved    bool          // reserved for the first task of one job
+	// endedAttempts is the number of ended attempts in the newest heartbeat, which still lists them.
+	endedAttempts int
+	idleSince     time.Duration
+	images        []cachedImage // least recently used first
+	reserved      bool          // reserved for the first task of one job
 }
 
 // allocation returns the allocation of an attempt on the machine, or nil.
@@ -105,6 +107,20 @@
 	c.free = total.Minus(used)
 }
 
+// placeable returns the resources for further tasks. Ended attempts that a heartbeat still lists take the
+// place of a task.
+func (c *capacity) placeable() slowfit.Size {
+	return c.free.Minus(slowfit.Size{Tasks: float64(c.endedAttempts)})
+}
+
+// setEndedAttempts sets the number of ended attempts that the agent still lists. It reports whether the
+// machine may run further tasks and could not before, for the number of its tasks.
+func (c *capacity) setEndedAttempts(count int) (freed bool) {
+	wasFull := c.placeable().Tasks < 1
+	c.endedAttempts = count
+	return wasFull && c.placeable().Tasks >= 1
+}
+
 // markUsed records when the machine was last in use.
 func (c *capacity) markUsed(at time.Duration) { c.idleSince = at }
 
--- a/internal/scheduler/amounts_test.go
+++ b/internal/scheduler/amounts_test.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -13,11 +15,15 @@
 	"leadproxy/internal/wire"
 )
 
+// maxHeartbeatBytes is the protocol's bound on a request body.
+const maxHeartbeatBytes = 64 << 10
+
 // capacityWorld is a cloud without machines at first, which rents machines of type m4 to a core, and
 // their agents. Messages are neither lost nor delayed.
 type capacityWorld struct {
 	*harness
 	hasCapacity func(pool wire.CapacityPool) bool
+	maxMachines int // that the cloud has
 	runTime     func(jobID string) time.Duration
 	machines    []*worldMachine
 	rented      int             // number of machines rented so far
@@ -33,14 +39,15 @@
 	endsAt      map[uint64]time.Duration // by attempt
 }
 
-// The times of the machines of a capacityWorld.
+// The defaults of a capacityWorld.
 const (
 	worldBootTime          = 5 * time.Second
 	worldHeartbeatInterval = time.Second
+	worldMachines          = 60
 )
 
 func newCapacityWorld(t testingT) *capacityWorld {
-	return &capacityWorld{harness: newHarness(t, ledger.Snapshot{}), started: map[string]bool{},
+	return &capacityWorld{harness: newHarness(t, ledger.Snapshot{}), started: map[string]bool{}, maxMachines: worldMachines,
 		hasCapacity: func(wire.CapacityPool) bool { return true }, runTime: func(string) time.Duration { return time.Second }}
 }
 
@@ -55,6 +62,7 @@
 		w.answerCloudCalls()
 		for _, m := range w.machines {
 			w.advanceMachine(m)
+			w.applyResponses()
 		}
 		w.executeCommands()
 	}
@@ -67,11 +75,11 @@
 	w.scaleOuts, w.deletedMachines = nil, nil
 	for i := range requests {
 		result := autoscaler.Result{Call: autoscaler.Call{ScaleOut: &requests[i]}}
-		if !w.hasCapacity(requests[i].CapacityPool) {
+		if !w.hasCapacity(requests[i].CapacityPool) || len(w.machines) >= w.maxMachines {
 			result.Err = autoscaler.ErrNoCapacity
 		}
 		for range requests[i].Count {
-			if result.Err != nil {
+			if result.Err != nil || len(w.machines) >= w.maxMachines {
 				break
 			}
 			w.rented++
@@ -108,11 +116,28 @@
 	}
 	m.heartbeatAt = w.now + worldHeartbeatInterval
 	heartbeat := m.heartbeat()
-	if response := w.sendHeartbeat(heartbeat); response != nil && response.FencingToken >= m.fencingToken {
-		m.fencingToken = response.FencingToken
-		m.execute(response.Commands)
+	if body, err := json.Marshal(heartbeat); err != nil || len(body) > maxHeartbeatBytes {
+		w.t.Errorf("a heartbeat of %s with %d tasks has %d bytes, want at most %d", m.name, len(m.tasks), len(body), maxHeartbeatBytes)
+	}
+	w.step(HeartbeatEvent{Heartbeat: heartbeat, ReplyTo: testRecipient(m.name)})
+}
+
+// applyResponses has the agents apply the responses to their heartbeats. Some are held for a time.
+func (w *capacityWorld) applyResponses() {
+	effects := w.recentEffects
+	w.recentEffects, w.responseCommands = nil, nil
+	for _, effect := range effects {
+		reply, ok := effect.(HeartbeatReply)
+		if !ok || reply.Response == nil {
+			continue
+		}
+		for _, m := range w.machines {
+			if reply.ReplyTo == testRecipient(m.name) && reply.Response.FencingToken >= m.fencingToken {
+				m.fencingToken = reply.Response.FencingToken
+				m.execute(reply.Response.Commands)
+			}
+		}
 	}
-	w.responseCommands = nil
 }
 
 // heartbeat returns the machine's next heartbeat.
@@ -163,7 +188,7 @@
 	taskMemory     = []float64{0, 1e-9, 0.08, 1, 16}
 	imageSizes     = []float64{0, 1e-9, 1, 1e9}
 	checkpointings = []float64{0, 1e-9, 30, 1e9}
-	taskCounts     = []int{1, 3, 60, 300}
+	taskCounts     = []int{1, 3, 60, 900}
 )
 
 // drawAmounts returns a job with random amounts.
@@ -249,6 +274,7 @@
 func TestHugeEstimatesDoNotRentWithoutBound(t *testing.T) {
 	const jobs = 6
 	w := newCapacityWorld(t)
+	w.maxMachines = math.MaxInt
 	w.runTime = func(string) time.Duration { return time.Hour }
 	for i := range jobs {
 		j := newTestJob(fmt.Sprintf("job-%d", i+1), 1, 4)
@@ -287,6 +313,31 @@
 	}
 }
 
+// TestTinyTasksDoNotFillAHeartbeat guards against machines with more tasks than a heartbeat may list: the
+// controllers refuse the heartbeat, and the machine is lost with all its tasks. Ended attempts are listed
+// as well, as long as their ends can't be written.
+func TestTinyTasksDoNotFillAHeartbeat(t *testing.T) {
+	const longestID = "job-10000000000000000000000000000001"
+	for _, cores := range []float64{0, 1e-9, 0.001} {
+		for _, runTime := range []time.Duration{time.Second, time.Minute} {
+			for _, storeOut := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%v cores, tasks run %v, store out %v", cores, runTime, storeOut), func(t *testing.T) {
+					w := newCapacityWorld(t)
+					w.runTime = func(string) time.Duration { return runTime }
+					j := newTestJob(longestID, 3000, cores)
+					j.MemGB = cores
+					w.submit(j)
+					w.runUntil(maxStartDelay, func() bool { return w.startedTasks(j.ID) > 0 })
+					w.holdWrites = storeOut
+					w.runUntil(time.Minute, func() bool { return false })
+					w.releaseWrites()
+					w.awaitStarts(j)
+				})
+			}
+		}
+	}
+}
+
 // TestJobsStartWhateverTheirAmounts searches for amounts with which an accepted job does not start: in
 // each market, on deployments without machines and with full ones, and behind other jobs of a pipeline.
 func TestJobsStartWhateverTheirAmounts(t *testing.T) {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -117,7 +117,7 @@
 
 // taskSize returns the resources that one task of a job takes on its machine.
 func taskSize(spec *wire.Job) slowfit.Size {
-	return slowfit.Size{CPUs: spec.CPUs, GPUs: spec.GPUs, MemGB: spec.MemGB}
+	return slowfit.Size{CPUs: spec.CPUs, GPUs: spec.GPUs, MemGB: spec.MemGB, Tasks: 1}
 }
 
 // setArrival sets the time from which the job's waiting time counts.
--- a/internal/scheduler/machine_types.go
+++ b/internal/scheduler/machine_types.go
@@ -35,10 +35,14 @@
 	bootTime time.Duration // moving average of observed boots; at first what the cloud states
 }
 
+// maxTasksPerMachine keeps a heartbeat below the protocol's 64 KiB: a task's status takes up to 144
+// bytes, and maxUnforgotten ended attempts may be listed besides.
+const maxTasksPerMachine = 384
+
 // update replaces the description of the type by the cloud's current one.
 func (t *machineType) update(typ wire.MachineType, zones *nameTable) {
 	t.MachineType = typ
-	t.total = slowfit.Size{CPUs: typ.CPUs, GPUs: typ.GPUs, MemGB: typ.MemGB}
+	t.total = slowfit.Size{CPUs: typ.CPUs, GPUs: typ.GPUs, MemGB: typ.MemGB, Tasks: maxTasksPerMachine}
 	t.zones = t.zones[:0]
 	for _, zone := range typ.Zones {
 		t.zones = append(t.zones, zones.intern(zone))
--- a/internal/scheduler/placement_index.go
+++ b/internal/scheduler/placement_index.go
@@ -66,7 +66,7 @@
 	for _, alloc := range m.capacity.allocations {
 		tags |= imageTag(p.jobs.list[alloc.job].request.image)
 	}
-	p.index.Update(m.index, m.capacity.free, load, tags)
+	p.index.Update(m.index, m.capacity.placeable(), load, tags)
 }
 
 // imageTag returns the index tag of an image, one of 64 bits. Different images may share a tag.
--- a/internal/scheduler/task_reports.go
+++ b/internal/scheduler/task_reports.go
@@ -6,8 +6,12 @@
 // command result.
 func (c *Core) reconcileTasks(m *machine, heartbeat *wire.Heartbeat, source statusSource) {
 	c.agents.countHeartbeat()
+	ended := 0
 	for i := range heartbeat.Tasks {
 		task := &heartbeat.Tasks[i]
+		if task.Status == wire.TaskEnded {
+			ended++
+		}
 		found := c.jobs.findTask(m, task)
 		j, index, alloc := found.job, found.index, found.allocation
 		if j == nil {
@@ -30,6 +34,9 @@
 			c.updateTaskStatus(m, j, alloc, task.Status)
 		}
 	}
+	if m.capacity.setEndedAttempts(ended) {
+		c.placement.markNeeded()
+	}
 	c.releaseMissing(m, heartbeat, source)
 }
 
--- a/internal/slowfit/index_test.go
+++ b/internal/slowfit/index_test.go
@@ -76,7 +76,7 @@
 // zones, spot and on demand. goalFactor is c.
 func newIndexHarness(t failer, chooser property.Chooser, extraMachines int, scale, goalFactor float64) *indexHarness {
 	h := &indexHarness{t: t, chooser: chooser, scale: scale, index: &Index{}, indexGoal: Goal{C: goalFactor}, scanGoal: Goal{C: goalFactor}}
-	for _, size := range []Size{{4, 0, 16}, {8, 0, 32}, {8, 2, 32}, {32, 0, 128}} {
+	for _, size := range []Size{{CPUs: 4, GPUs: 0, MemGB: 16}, {CPUs: 8, GPUs: 0, MemGB: 32}, {CPUs: 8, GPUs: 2, MemGB: 32}, {CPUs: 32, GPUs: 0, MemGB: 128}} {
 		for zone := range 2 {
 			for _, spot := range []bool{true, false} {
 				h.index.AddPool(size)
--- a/internal/slowfit/place_bench_test.go
+++ b/internal/slowfit/place_bench_test.go
@@ -14,7 +14,7 @@
 }
 
 func benchmarkPlace(b *testing.B, machines int) {
-	sizes := []Size{{4, 0, 16}, {8, 0, 32}, {32, 2, 128}}
+	sizes := []Size{{CPUs: 4, GPUs: 0, MemGB: 16}, {CPUs: 8, GPUs: 0, MemGB: 32}, {CPUs: 32, GPUs: 2, MemGB: 128}}
 	index := &Index{}
 	for pool := range 6 {
 		index.AddPool(sizes[pool/2])
--- a/internal/slowfit/pool.go
+++ b/internal/slowfit/pool.go
@@ -35,7 +35,7 @@
 }
 
 // unschedulable is the leaf of an unschedulable machine. No task fits it.
-var unschedulable = node{free: Size{CPUs: -1, GPUs: -1, MemGB: -1}, load: math.Inf(1)}
+var unschedulable = node{free: Size{CPUs: -1, GPUs: -1, MemGB: -1, Tasks: -1}, load: math.Inf(1)}
 
 // isSchedulable reports whether some machine of the subtree is schedulable.
 func (n *node) isSchedulable() bool { return !math.IsInf(n.load, 1) }
@@ -43,7 +43,7 @@
 // merge returns the parent node of two nodes.
 func merge(a, b *node) node {
 	return node{
-		free: Size{max(a.free.CPUs, b.free.CPUs), max(a.free.GPUs, b.free.GPUs), max(a.free.MemGB, b.free.MemGB)},
+		free: Size{max(a.free.CPUs, b.free.CPUs), max(a.free.GPUs, b.free.GPUs), max(a.free.MemGB, b.free.MemGB), max(a.free.Tasks, b.free.Tasks)},
 		load: min(a.load, b.load),
 		tags: a.tags | b.tags,
 	}
--- a/internal/slowfit/size.go
+++ b/internal/slowfit/size.go
@@ -8,6 +8,8 @@
 // Size is an amount of each resource.
 type Size struct {
 	CPUs, GPUs, MemGB float64
+	// Tasks is the number of tasks: 1 for a task, and what a machine may run at once.
+	Tasks float64
 }
 
 // tolerance absorbs rounding errors in sums of decimal amounts.
@@ -15,22 +17,22 @@
 
 // Plus returns the sum of s and other.
 func (s Size) Plus(other Size) Size {
-	return Size{s.CPUs + other.CPUs, s.GPUs + other.GPUs, s.MemGB + other.MemGB}
+	return Size{s.CPUs + other.CPUs, s.GPUs + other.GPUs, s.MemGB + other.MemGB, s.Tasks + other.Tasks}
 }
 
 // Minus returns s less other.
 func (s Size) Minus(other Size) Size {
-	return Size{s.CPUs - other.CPUs, s.GPUs - other.GPUs, s.MemGB - other.MemGB}
+	return Size{s.CPUs - other.CPUs, s.GPUs - other.GPUs, s.MemGB - other.MemGB, s.Tasks - other.Tasks}
 }
 
 // Times returns s multiplied by factor.
 func (s Size) Times(factor float64) Size {
-	return Size{s.CPUs * factor, s.GPUs * factor, s.MemGB * factor}
+	return Size{s.CPUs * factor, s.GPUs * factor, s.MemGB * factor, s.Tasks * factor}
 }
 
 // Within reports whether a task of size s fits into free.
 func (s Size) Within(free Size) bool {
-	return s.CPUs <= free.CPUs+tolerance && s.GPUs <= free.GPUs+tolerance && s.MemGB <= free.MemGB+tolerance
+	return s.CPUs <= free.CPUs+tolerance && s.GPUs <= free.GPUs+tolerance && s.MemGB <= free.MemGB+tolerance && s.Tasks <= free.Tasks+tolerance
 }
 
 // maxSlots is the result of Slots for a task that needs no resources, and its upper bound.
@@ -38,7 +40,7 @@
 
 // Slots returns how many tasks of size s fit into free.
 func (s Size) Slots(free Size) int {
-	slots := min(slotsOf(s.CPUs, free.CPUs), slotsOf(s.GPUs, free.GPUs), slotsOf(s.MemGB, free.MemGB))
+	slots := min(slotsOf(s.CPUs, free.CPUs), slotsOf(s.GPUs, free.GPUs), slotsOf(s.MemGB, free.MemGB), slotsOf(s.Tasks, free.Tasks))
 	return int(max(0, slots))
 }
 
@@ -54,7 +56,7 @@
 // of any resource that the task takes. It is infinite if the machine lacks a resource that the task
 // needs.
 func (s Size) Share(total Size) float64 {
-	return max(shareOf(s.CPUs, total.CPUs), shareOf(s.GPUs, total.GPUs), shareOf(s.MemGB, total.MemGB))
+	return max(shareOf(s.CPUs, total.CPUs), shareOf(s.GPUs, total.GPUs), shareOf(s.MemGB, total.MemGB), shareOf(s.Tasks, total.Tasks))
 }
 
 // shareOf returns the share that an amount takes of a machine's total of one resource.
