Placement: a tiny task does not fit a machine that is full

What callers saw: a job whose tasks need less than a millionth of a core and of a GB was placed on a full machine, refused by its agent, and placed there again. No machine was rented, since the job did not wait.

Cause: the tolerance for rounding errors was an amount, 1e-6.

Change: it is 1e-9 at most, and at most a millionth of the task's amount.

Evidence: TestTinyTaskDoesNotWaitForAFullMachine failed before with 1e-9 and 1e-7, "no task of job-2 starts within 4m0s"; its simulated agents refuse what exceeds a machine. It passes, with TestFit.

Why it works: what a task needs is always more than the tolerance.

--- a/internal/scheduler/amounts_test.go
+++ b/internal/scheduler/amounts_test.go
@@ -104,6 +104,11 @@
 	for i := range m.tasks {
 		task := &m.tasks[i]
 		if _, known := m.endsAt[task.Attempt]; !known {
+			if !w.fits(m, i) {
+				task.Status, task.ExitReason = wire.TaskEnded, wire.ExitNoCapacity
+				m.endsAt[task.Attempt] = w.now
+				continue
+			}
 			w.started[task.Task] = true
 			m.endsAt[task.Attempt] = w.now + w.runTime(wire.JobIDOfTask(task.Task))
 		}
@@ -140,6 +145,19 @@
 	}
 }
 
+// fits reports whether the resources of a machine suffice for a task and those before it. A refusal must
+// not depend on rounding errors.
+func (w *capacityWorld) fits(m *worldMachine, index int) bool {
+	const machineCores, machineGB, roundingError = 4, 16, 1e-12
+	cores, gb := 0.0, 0.0
+	for _, task := range m.tasks[:index+1] {
+		if j := w.submittedJobs[wire.JobIDOfTask(task.Task)]; task.Status != wire.TaskEnded {
+			cores, gb = cores+j.CPUs, gb+j.MemGB
+		}
+	}
+	return cores <= machineCores+roundingError && gb <= machineGB+roundingError
+}
+
 // heartbeat returns the machine's next heartbeat.
 func (m *worldMachine) heartbeat() *wire.Heartbeat {
 	heartbeat := m.nextHeartbeat()
@@ -338,6 +356,25 @@
 	}
 }
 
+// TestTinyTaskDoesNotWaitForAFullMachine guards against a job that is placed on a full machine again and
+// again, whose agent refuses it, because next to nothing fits the tolerance for rounding errors.
+func TestTinyTaskDoesNotWaitForAFullMachine(t *testing.T) {
+	for _, amount := range []float64{5e-324, 1e-9, 1e-7} {
+		t.Run(fmt.Sprint(amount), func(t *testing.T) {
+			w := newCapacityWorld(t)
+			w.runTime = func(string) time.Duration { return time.Hour }
+			full := newTestJob("job-1", 1, 4)
+			full.MemGB = 16
+			tiny := newTestJob("job-2", 1, amount)
+			tiny.MemGB = amount
+			for _, j := range []*wire.Job{full, tiny} {
+				w.submit(j)
+				w.awaitStarts(j)
+			}
+		})
+	}
+}
+
 // TestJobsStartWhateverTheirAmounts searches for amounts with which an accepted job does not start: in
 // each market, on deployments without machines and with full ones, and behind other jobs of a pipeline.
 func TestJobsStartWhateverTheirAmounts(t *testing.T) {
--- a/internal/slowfit/size.go
+++ b/internal/slowfit/size.go
@@ -12,9 +12,16 @@
 	Tasks float64
 }
 
-// tolerance absorbs rounding errors in sums of decimal amounts.
+// tolerance absorbs rounding errors in numbers of tasks and in loads.
 const tolerance = 1e-6
 
+// Rounding errors in sums of decimal amounts are absorbed up to maxRoundingError, but no more than
+// roundingShare of a task's amount: a task that needs next to nothing does not fit a full machine.
+const (
+	maxRoundingError = 1e-9 // cores, GPUs or GB
+	roundingShare    = 1e-6
+)
+
 // Plus returns the sum of s and other.
 func (s Size) Plus(other Size) Size {
 	return Size{s.CPUs + other.CPUs, s.GPUs + other.GPUs, s.MemGB + other.MemGB, s.Tasks + other.Tasks}
@@ -32,7 +39,15 @@
 
 // Within reports whether a task of size s fits into free.
 func (s Size) Within(free Size) bool {
-	return s.CPUs <= free.CPUs+tolerance && s.GPUs <= free.GPUs+tolerance && s.MemGB <= free.MemGB+tolerance && s.Tasks <= free.Tasks+tolerance
+	return fits(s.CPUs, free.CPUs) && fits(s.GPUs, free.GPUs) && fits(s.MemGB, free.MemGB) && fits(s.Tasks, free.Tasks)
+}
+
+// fits reports whether an amount of one resource fits into the free amount of it.
+func fits(amount, free float64) bool {
+	if amount <= 0 {
+		return free >= -maxRoundingError
+	}
+	return amount-min(amount*roundingShare, maxRoundingError) <= free
 }
 
 // maxSlots is the result of Slots for a task that needs no resources, and its upper bound.
--- a/internal/slowfit/size_test.go
+++ b/internal/slowfit/size_test.go
@@ -32,3 +32,30 @@
 		})
 	}
 }
+
+// TestFit guards against tasks that need next to nothing and fit a machine that is full, and against
+// rounding errors in sums of decimal amounts that keep a task from the last free part of a machine.
+func TestFit(t *testing.T) {
+	cases := []struct {
+		name string
+		size Size
+		free Size
+		want bool
+	}{
+		{"rounding errors of decimal amounts", Size{CPUs: 0.1}, Size{CPUs: 0.1 - 1e-12}, true},
+		{"a rounding error below zero, and the resource is not needed", Size{MemGB: 1}, Size{CPUs: -1e-12, MemGB: 1}, true},
+		{"next to nothing on a full machine", Size{CPUs: 1e-9}, Size{}, false},
+		{"the least amount on a full machine", Size{CPUs: 5e-324}, Size{}, false},
+		{"a whole machine beside a task that needs little", Size{CPUs: 16}, Size{CPUs: 16 - 1e-6}, false},
+		{"nothing on a full machine", Size{}, Size{}, true},
+		{"as many tasks as a machine may run", Size{Tasks: 1}, Size{Tasks: 0}, false},
+		{"one task less", Size{Tasks: 1}, Size{Tasks: 1}, true},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			if got := testCase.size.Within(testCase.free); got != testCase.want {
+				t.Errorf("%+v within %+v: %t, want %t", testCase.size, testCase.free, got, testCase.want)
+			}
+		})
+	}
+}
