Dispatch: results of a term's effects reach no other term

What callers would see: a task started twice, if a controller wins the leadership again within about two seconds.

Cause: commands are numbered anew in each term, and all terms of a controller shared one queue of events. A result of the former term with the number of a command of the new one was taken for its result; "refused" releases a start that is on its way.

Change: each term has a queue for the results of its commands, inspections, record reads and requests to other cells.

Evidence: TestResultsOfAnEarlierTermAreDropped failed before ("the present term receives scheduler.CommandResult of an earlier term, want no event") and passes.

Why it works: nobody reads the queue of a term that has ended.

--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -21,24 +21,24 @@
 )
 
 // sendCommands sends commands to an agent and posts their outcome to the core.
-func (d *Dispatcher) sendCommands(ctx context.Context, term uint64, effect scheduler.SendCommands) {
+func (t *term) sendCommands(ctx context.Context, effect scheduler.SendCommands) {
 	result := scheduler.CommandResult{CommandID: effect.CommandID}
-	result.Outcome, result.Heartbeat = d.postCommands(ctx, term, effect)
-	d.postEvent(ctx, result)
+	result.Outcome, result.Heartbeat = t.postCommands(ctx, effect)
+	t.postResult(ctx, result)
 }
 
 // postCommands sends commands to an agent in a POST request. The returned heartbeat is the agent's
 // response, or nil if there is none or it is malformed.
-func (d *Dispatcher) postCommands(ctx context.Context, term uint64, effect scheduler.SendCommands) (scheduler.CommandOutcome, *wire.Heartbeat) {
+func (t *term) postCommands(ctx context.Context, effect scheduler.SendCommands) (scheduler.CommandOutcome, *wire.Heartbeat) {
 	// After the lease has expired, another leader may act, so no command may be sent.
-	maySend := func() bool { return d.guard.MayAct(term, "command") }
+	maySend := func() bool { return t.guard.MayAct(t.number, "command") }
 	if !maySend() {
 		return scheduler.CommandNotSent, nil
 	}
 	request := agentRequest{address: effect.Address, method: http.MethodPost, path: "/commands"}
-	request.encode = func() ([]byte, error) { return d.encodeCommands(term, effect) }
-	response, err := d.agentConnections.call(ctx, request, maySend)
-	d.countUnanswered(response, err)
+	request.encode = func() ([]byte, error) { return t.encodeCommands(effect) }
+	response, err := t.agentConnections.call(ctx, request, maySend)
+	t.countUnanswered(response, err)
 	switch {
 	case errors.Is(err, errWithdrawn):
 		return scheduler.CommandWithdrawn, nil
@@ -60,8 +60,8 @@
 
 // encodeCommands returns the request body with those commands that may be sent now. The error is
 // ErrNotLeader or errWithdrawn if nothing may be sent.
-func (d *Dispatcher) encodeCommands(term uint64, effect scheduler.SendCommands) ([]byte, error) {
-	request, err := d.guard.FilterCommandRequest(term, effect)
+func (t *term) encodeCommands(effect scheduler.SendCommands) ([]byte, error) {
+	request, err := t.guard.FilterCommandRequest(t.number, effect)
 	if err != nil {
 		return nil, err
 	}
@@ -96,17 +96,17 @@
 
 // inspectAgent requests an agent's status and posts the response to the core. The request only
 // reads, so it needs no leadership check.
-func (d *Dispatcher) inspectAgent(ctx context.Context, effect scheduler.InspectAgent) {
+func (t *term) inspectAgent(ctx context.Context, effect scheduler.InspectAgent) {
 	result := scheduler.InspectResult{Machine: effect.Machine}
 	request := agentRequest{address: effect.Address, method: http.MethodGet, path: "/inspect"}
-	response, err := d.agentConnections.call(ctx, request, alwaysAllowed)
+	response, err := t.agentConnections.call(ctx, request, alwaysAllowed)
 	switch {
 	case err != nil:
-		d.log.Debug("agent inspection failed", "machine", effect.Machine, "error", err)
+		t.log.Debug("agent inspection failed", "machine", effect.Machine, "error", err)
 	case response.status == http.StatusOK:
 		if result.Heartbeat, err = wire.ParseHeartbeat(response.body); err != nil {
-			d.log.Info("agent inspection response malformed", "machine", effect.Machine, "error", err)
+			t.log.Info("agent inspection response malformed", "machine", effect.Machine, "error", err)
 		}
 	}
-	d.postEvent(ctx, result)
+	t.postResult(ctx, result)
 }
--- a/internal/dispatch/effects.go
+++ b/internal/dispatch/effects.go
@@ -20,7 +20,7 @@
 			t.callCloud(ctx, effect.Call)
 		case scheduler.SendCommands:
 			effect.Starts.Defer()
-			go t.sendCommands(ctx, t.number, effect)
+			go t.sendCommands(ctx, effect)
 		case scheduler.InspectAgent:
 			go t.inspectAgent(ctx, effect)
 		case scheduler.ReadJobRecord:
@@ -74,7 +74,7 @@
 func (t *term) callCloud(ctx context.Context, call autoscaler.Call) {
 	call.MaySend = func() bool { return t.guard.MayAct(t.number, "cloud call") }
 	if !call.MaySend() {
-		go t.postEvent(ctx, scheduler.CloudResult{Result: autoscaler.Result{Call: call, Err: autoscaler.ErrNotExecuted}})
+		go t.postResult(ctx, scheduler.CloudResult{Result: autoscaler.Result{Call: call, Err: autoscaler.ErrNotExecuted}})
 		return
 	}
 	t.cloud.Submit(ctx, call)
--- a/internal/dispatch/federation.go
+++ b/internal/dispatch/federation.go
@@ -54,13 +54,13 @@
 // sendTransfers sends messages to another cell and posts the answers to the core.
 func (t *term) sendTransfers(ctx context.Context, effect scheduler.SendTransfers) {
 	answers, err := t.config.Neighbours.Exchange(ctx, effect.Cell, effect.Messages)
-	t.postEvent(ctx, scheduler.TransferResult{Cell: effect.Cell, Answers: answers, Err: err})
+	t.postResult(ctx, scheduler.TransferResult{Cell: effect.Cell, Answers: answers, Err: err})
 }
 
 // requestCapacity requests capacity from another cell and posts its offer to the core.
 func (t *term) requestCapacity(ctx context.Context, effect scheduler.RequestCapacity) {
 	offer, err := t.config.Neighbours.AskCapacity(ctx, effect.Cell, effect.Cores)
-	t.postEvent(ctx, scheduler.CapacityResult{
+	t.postResult(ctx, scheduler.CapacityResult{
 		Cell: effect.Cell, Cores: offer.Cores, For: offer.For, RetryAfter: offer.RetryAfter, Reason: offer.Reason, Err: err,
 	})
 }
--- a/internal/dispatch/foreign_records.go
+++ b/internal/dispatch/foreign_records.go
@@ -41,7 +41,7 @@
 	for ctx.Err() == nil {
 		result, err := t.tryForeignWrite(ctx, effect, transaction)
 		if err == nil {
-			t.postEvent(ctx, result)
+			t.postResult(ctx, result)
 			return
 		}
 		if errors.Is(err, errTermEnded) {
--- a/internal/dispatch/job_watch.go
+++ b/internal/dispatch/job_watch.go
@@ -134,7 +134,7 @@
 	}
 	t.config.Metrics.CountRecordRead(readOutcomes[result.Outcome])
 	t.log.Debug("job record of a predecessor read", "leader_term", t.number, "job", jobID, "version", stored.Version, "error", err)
-	t.postEvent(ctx, result)
+	t.postResult(ctx, result)
 }
 
 // readOutcomes maps the outcomes of reads to those of the metrics.
--- a/internal/dispatch/mailboxes.go
+++ b/internal/dispatch/mailboxes.go
@@ -7,9 +7,10 @@
 	"leadproxy/internal/scheduler"
 )
 
-// mailboxes are the queues of events for the core, in order of priority: heartbeats of agents,
-// events that decisions depend on, and user requests. Each queue is bounded. Unless stated
-// otherwise, a sender to a full queue blocks until its context ends.
+// mailboxes are the queues of events for the core of the present term, whichever that is, in order of
+// priority: heartbeats of agents, job records and requests that decisions depend on, and user requests. The results of a term's own effects
+// are not among them: they must not reach the core of another term. Each queue is bounded. Unless
+// stated otherwise, a sender to a full queue blocks until its context ends.
 type mailboxes struct {
 	heartbeats     chan request
 	internalEvents chan scheduler.Event
@@ -20,6 +21,7 @@
 const (
 	heartbeatCapacity     = 256
 	internalEventCapacity = 512
+	resultCapacity        = 512
 	userRequestCapacity   = 128
 )
 
@@ -40,6 +42,15 @@
 	}
 }
 
+// postResult queues the result of one of the term's effects for its core. It blocks while the queue is
+// full, until ctx ends; the result is then dropped.
+func (t *term) postResult(ctx context.Context, result scheduler.Event) {
+	select {
+	case t.results <- result:
+	case <-ctx.Done():
+	}
+}
+
 // pollEvent receives the pending event of the highest priority without blocking. It returns false
 // if no event is pending.
 //
@@ -61,6 +72,8 @@
 		return scheduler.WritesRejected{Tags: tags}, true
 	case result := <-t.cloud.Results:
 		return scheduler.CloudResult{Result: result}, true
+	case event := <-t.results:
+		return event, true
 	case event := <-t.mailboxes.internalEvents:
 		return event, true
 	case <-t.ticker.C:
@@ -93,6 +106,8 @@
 		return scheduler.WritesRejected{Tags: tags}, true
 	case result := <-t.cloud.Results:
 		return scheduler.CloudResult{Result: result}, true
+	case event := <-t.results:
+		return event, true
 	case event := <-t.mailboxes.internalEvents:
 		return event, true
 	case <-t.ticker.C:
--- a/internal/dispatch/mailboxes_test.go
+++ b/internal/dispatch/mailboxes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,7 @@
 	ticks := make(chan time.Time, 1)
 	return &testTerm{ticks: ticks, term: &term{
 		Dispatcher: &Dispatcher{log: log, mailboxes: newMailboxes()},
+		results:    make(chan scheduler.Event, resultCapacity),
 		ledger:     ledger.New(1, nil, func() ledger.Limits { return ledger.Limits{} }, log),
 		cloud:      autoscaler.NewClient(transport.TCP{}, "127.0.0.1:1", 1),
 		ticker:     &time.Ticker{C: ticks},
@@ -47,6 +49,8 @@
 		func(e scheduler.Event) bool { _, ok := e.(scheduler.WritesRejected); return ok }},
 	{"cloud results", 2, func(t *testTerm) { t.cloud.Results <- autoscaler.Result{} },
 		func(e scheduler.Event) bool { _, ok := e.(scheduler.CloudResult); return ok }},
+	{"results of effects", 2, func(t *testTerm) { t.postResult(context.Background(), scheduler.CommandResult{}) },
+		func(e scheduler.Event) bool { _, ok := e.(scheduler.CommandResult); return ok }},
 	{"internal events", 2, func(t *testTerm) { t.mailboxes.internalEvents <- scheduler.JobRecordEvent{} },
 		func(e scheduler.Event) bool { _, ok := e.(scheduler.JobRecordEvent); return ok }},
 	{"ticks", 2, func(t *testTerm) { t.ticks <- time.Time{} },
@@ -136,3 +140,27 @@
 		t.Errorf("%d records are queued, want %d", queued, internalEventCapacity)
 	}
 }
+
+// TestResultsOfAnEarlierTermAreDropped guards against the result of an earlier term's command that is taken
+// for that of a command with the same number in the present term, of the same controller: it would release
+// a start that is on its way, and the task would be started a second time.
+func TestResultsOfAnEarlierTermAreDropped(t *testing.T) {
+	earlier := newTestTerm(t)
+	results := []scheduler.Event{
+		scheduler.CommandResult{CommandID: 1, Outcome: scheduler.CommandRejected}, scheduler.InspectResult{Machine: "vm-1"},
+		scheduler.RecordReadResult{JobID: "job-1"}, scheduler.CapacityResult{Cell: "north"},
+	}
+	present := newTestTerm(t)
+	present.Dispatcher = earlier.Dispatcher
+	for _, result := range results {
+		earlier.postResult(t.Context(), result)
+	}
+	if event, ok := present.pollEvent(); ok {
+		t.Errorf("the present term receives %T of an earlier term, want no event", event)
+	}
+	for _, result := range results {
+		if event, ok := earlier.pollEvent(); !ok || !reflect.DeepEqual(event, result) {
+			t.Errorf("the earlier term receives %+v, want its own %+v", event, result)
+		}
+	}
+}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -13,10 +13,13 @@
 // term is one term of leadership. The goroutine that executes lead owns its fields.
 type term struct {
 	*Dispatcher
-	number  uint64
-	core    *scheduler.Core
-	ledger  *ledger.Ledger
-	cloud   *autoscaler.Client
+	number uint64
+	core   *scheduler.Core
+	ledger *ledger.Ledger
+	cloud  *autoscaler.Client
+	// results are the results of the term's effects, except those of ledger and cloud. Commands are
+	// numbered anew in each term, so no other term may receive them.
+	results chan scheduler.Event
 	ticker  *time.Ticker
 	timings failoverTimings
 	// coreValueLimit is the maximum size of a value, in bytes, that was last passed to the
@@ -82,8 +85,9 @@
 	}
 	t := &term{
 		Dispatcher: d, number: number, ledger: ledgerWriter, cloud: cloud, timings: timings, coreValueLimit: valueBytes,
-		core:   scheduler.NewCore(config, snapshot, now, wall, d.log),
-		ticker: time.NewTicker(tickInterval),
+		core:    scheduler.NewCore(config, snapshot, now, wall, d.log),
+		results: make(chan scheduler.Event, resultCapacity),
+		ticker:  time.NewTicker(tickInterval),
 	}
 	defer t.ticker.Stop()
 	defer d.expectedMachines.Store(0)
