Pipelines: deadlines are passed on once to each ancestor

Cause: deadlines were corrected depth first, and a job was visited again for each longer path to it: exponentially often if each stage needs the one before directly and by way of a job that takes as long as all before it.

Change: unfinished ancestors are ordered, each before those that it depends on, and visited once. Deadlines along a pipeline have a lower bound.

Why it works: when a job passes its deadline on, all its dependents have passed theirs on to it.

--- a/internal/scheduler/dependencies.go
+++ b/internal/scheduler/dependencies.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// unfinished reports whether the job has a description and its terminal state is not decided.
+func (j *job) unfinished() bool { return !j.ended() && j.spec != nil }
+
 // firstUnfinishedDependency returns the ID of the first unfinished job that a job depends on, for
 // the log.
 func (t *jobTable) firstUnfinishedDependency(j *job) string {
@@ -96,24 +99,61 @@
 // least its priority class, and gives them a deadline that leaves the job enough time to meet its
 // own. It reports whether any of them was raised.
 func (t *jobTable) raisePredecessorPriorities(j *job) (raised bool) {
-	pending := []*job{j}
-	for len(pending) > 0 {
-		j, pending = pending[len(pending)-1], pending[:len(pending)-1]
-		deadline := j.priority.deadline
-		if deadline != noDeadline {
-			deadline -= t.estimates.expectedRun(j)
+	if !t.raiseDirectPredecessors(j) {
+		return false // the others were raised when the direct ones were
+	}
+	for _, ancestor := range t.unfinishedAncestors(j) {
+		t.raiseDirectPredecessors(ancestor)
+	}
+	return true
+}
+
+// raiseDirectPredecessors raises the jobs that a job names as its dependencies, and reports whether any
+// of them was raised.
+func (t *jobTable) raiseDirectPredecessors(j *job) (raised bool) {
+	deadline := j.priority.deadline
+	if deadline != noDeadline {
+		deadline = max(deadline-t.estimates.expectedRun(j), minDeadline)
+	}
+	for _, index := range j.dependencies.Predecessors() {
+		predecessor := t.list[index]
+		if !predecessor.unfinished() || predecessor.priority.class <= j.priority.class && predecessor.priority.deadline <= deadline {
+			continue
 		}
-		for _, index := range j.dependencies.Predecessors() {
-			predecessor := t.list[index]
-			if predecessor.ended() || predecessor.spec == nil || predecessor.priority.class <= j.priority.class && predecessor.priority.deadline <= deadline {
-				continue
+		predecessor.priority.class, predecessor.priority.deadline = min(predecessor.priority.class, j.priority.class), min(predecessor.priority.deadline, deadline)
+		raised = true
+	}
+	return raised
+}
+
+// unfinishedAncestors returns the unfinished jobs that a job depends on, directly or transitively, each
+// before those that it depends on itself.
+func (t *jobTable) unfinishedAncestors(j *job) []*job {
+	type step struct {
+		job      *job
+		expanded bool // its predecessors have been visited
+	}
+	var predecessorsFirst []*job
+	visited := map[*job]bool{}
+	pending := []step{{job: j}}
+	for len(pending) > 0 {
+		next := pending[len(pending)-1]
+		pending = pending[:len(pending)-1]
+		switch {
+		case next.expanded:
+			predecessorsFirst = append(predecessorsFirst, next.job)
+		case !visited[next.job]:
+			visited[next.job] = true
+			pending = append(pending, step{next.job, true})
+			for _, index := range next.job.dependencies.Predecessors() {
+				if predecessor := t.list[index]; predecessor.unfinished() {
+					pending = append(pending, step{job: predecessor})
+				}
 			}
-			predecessor.priority.class, predecessor.priority.deadline = min(predecessor.priority.class, j.priority.class), min(predecessor.priority.deadline, deadline)
-			raised = true
-			pending = append(pending, predecessor)
 		}
 	}
-	return raised
+	slices.Reverse(predecessorsFirst)
+	return predecessorsFirst[1:] // without the job itself
 }
 
 // raisePriorityFromDependents raises the priority of a job that became known after jobs that depend
--- a/internal/scheduler/dependencies_test.go
+++ b/internal/scheduler/dependencies_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -252,3 +255,78 @@
 	h.finishTask("vm-1", "job-1")
 	h.want("arrival of the second job", job("job-2").priority.arrived, h.now)
 }
+
+// TestDeadlinesOfALongPipelineTakeOneStepForEachJob guards against a core that stands still for minutes: each
+// stage needs the one before directly and by way of a job that takes as long as all stages before it, so
+// that the priorities of a stage were corrected twice for each correction of the next.
+func TestDeadlinesOfALongPipelineTakeOneStepForEachJob(t *testing.T) {
+	const (
+		stages        = 28
+		firstEstimate = 0.1 // s, doubled with each stage
+		limit         = time.Second
+	)
+	h := newHarness(t, ledger.Snapshot{})
+	h.submit(newTestJob("job-1000", 1, 1))
+	for stage := 1; stage <= stages; stage++ {
+		previous := fmt.Sprintf("job-%d", 1000+stage-1)
+		detour := newTestJob(fmt.Sprintf("job-%d", 2000+stage), 1, 1)
+		detour.DependsOn, detour.EstimatedRunS = []string{previous}, firstEstimate*float64(uint64(1)<<(stage-1))
+		h.submit(detour)
+		next := newTestJob(fmt.Sprintf("job-%d", 1000+stage), 1, 1)
+		next.DependsOn, next.EstimatedRunS = []string{detour.ID, previous}, firstEstimate
+		if stage == stages {
+			due := 60.0
+			next.DeadlineS = &due
+		}
+		begin := time.Now()
+		h.submit(next)
+		if took := time.Since(begin); took > limit {
+			t.Errorf("the submission of stage %d took %v, want at most %v", stage, took, limit)
+		}
+	}
+	first := h.core.jobs.list[h.core.jobs.indexByID["job-1000"]]
+	longestPath := firstEstimate*float64(uint64(1)<<stages-1) + firstEstimate*stages
+	h.want("deadline of the first stage in s", math.Round(first.priority.deadline.Seconds()), math.Round(60-longestPath))
+}
+
+// TestDeadlinesLeaveTimeForTheLongestPath compares the deadlines of random pipelines, whose records reach
+// the core in any order, with the least that any path to a dependent with a deadline leaves.
+func TestDeadlinesLeaveTimeForTheLongestPath(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 31))
+		jobs := make([]*wire.Job, 2+random.IntN(12))
+		want := make([]float64, len(jobs))
+		for i := range jobs {
+			jobs[i], want[i] = newDependentJob(fmt.Sprintf("job-%d", i)), math.Inf(1)
+			jobs[i].EstimatedRunS = float64(1 + random.IntN(50))
+			for predecessor := range i {
+				if random.IntN(3) == 0 {
+					jobs[i].DependsOn = append(jobs[i].DependsOn, jobs[predecessor].ID)
+				}
+			}
+			if random.IntN(3) == 0 {
+				due := float64(100 + random.IntN(300))
+				jobs[i].DeadlineS, want[i] = &due, due
+			}
+		}
+		h := newHarness(t, ledger.Snapshot{})
+		for _, i := range random.Perm(len(jobs)) {
+			h.submit(jobs[i])
+		}
+		for i := len(jobs) - 1; i >= 0; i-- {
+			for _, predecessor := range jobs[i].DependsOn {
+				index := slices.IndexFunc(jobs, func(j *wire.Job) bool { return j.ID == predecessor })
+				want[index] = min(want[index], want[i]-jobs[i].EstimatedRunS)
+			}
+		}
+		for i, j := range jobs {
+			got := math.Inf(1)
+			if deadline := h.core.jobs.list[h.core.jobs.indexByID[j.ID]].priority.deadline; deadline != noDeadline {
+				got = deadline.Seconds()
+			}
+			if got != want[i] {
+				t.Fatalf("seed %d: deadline of %s is %v s, want %v s", seed, j.ID, got, want[i])
+			}
+		}
+	}
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -103,8 +103,12 @@
 	return !j.ended() && !j.blocked() && len(j.progress.waiting) > 0 && len(j.record.inDoubtHosts) == 0 && now >= j.retry.notBefore
 }
 
-// noDeadline is the deadline of a job without one.
-const noDeadline = time.Duration(math.MaxInt64)
+const (
+	// noDeadline is the deadline of a job without one.
+	noDeadline = time.Duration(math.MaxInt64)
+	// minDeadline bounds the deadlines along a pipeline, so that no difference overflows.
+	minDeadline = -noDeadline / 4
+)
 
 // slack returns the time until the deadline minus the owner's estimate of the run time, or
 // noDeadline.
