Placement: a job avoids a machine that it failed on for 45 s, not for good

Cause: placement left out every machine on which a task of the job had failed, for the whole term. The planner counted the cores of the same machine as available to the job, and so rented no on-demand machine.

Change: the job avoids the machine for 45 s, half of the stated 90 s, and the planner leaves its cores out as long.

Why it works: placement and plan ask the same function, and its answer ends.

--- a/internal/autoscaler/plan_input.go
+++ b/internal/autoscaler/plan_input.go
@@ -44,6 +44,7 @@
 // RunningMachine is a machine that is up.
 type RunningMachine struct {
 	CapacityPool
+	Index int32 // assigned by the caller
 	// BusyCoreSeconds is the remaining work of the tasks on the machine, in core-seconds.
 	BusyCoreSeconds float64
 }
@@ -60,6 +61,8 @@
 	// Overdue is set if none of its tasks has started although they have waited too long.
 	Overdue bool
 	Allows  func(CapacityPool) bool
+	// Avoids, unless nil, reports whether its tasks do not start on a running machine.
+	Avoids func(machine int32) bool
 }
 
 // Lower bounds of what a task is counted with, so that no amount turns its work into nothing.
@@ -121,7 +124,7 @@
 func (p *PlanInput) availableCores(group *TaskGroup, seconds float64) float64 {
 	cores := 0.0
 	for _, m := range p.Running {
-		if p.suits(m.CapacityPool, group) {
+		if p.suits(m.CapacityPool, group) && (group.Avoids == nil || !group.Avoids(m.Index)) {
 			cores += max(0, p.Types[m.Type].Total.CPUs-m.BusyCoreSeconds/seconds)
 		}
 	}
--- a/internal/scheduler/amounts_test.go
+++ b/internal/scheduler/amounts_test.go
@@ -34,6 +34,7 @@
 type worldMachine struct {
 	modelAgent
 	pool        wire.CapacityPool
+	sick        bool // every task that starts fails
 	upAt        time.Duration
 	heartbeatAt time.Duration
 	endsAt      map[uint64]time.Duration // by attempt
@@ -109,6 +110,11 @@
 				m.endsAt[task.Attempt] = w.now
 				continue
 			}
+			if m.sick {
+				task.Status, task.ExitReason = wire.TaskEnded, wire.ExitError
+				m.endsAt[task.Attempt] = w.now
+				continue
+			}
 			w.started[task.Task] = true
 			m.endsAt[task.Attempt] = w.now + w.runTime(wire.JobIDOfTask(task.Task))
 		}
--- a/internal/scheduler/failure_attribution.go
+++ b/internal/scheduler/failure_attribution.go
@@ -23,8 +23,17 @@
 	// suspectThreshold is how many machines a job must fail on, without any task done, before
 	// the job itself is considered faulty.
 	suspectThreshold = 3
+	// failureAvoidance is how long a job avoids a machine on which one of its tasks has failed. The
+	// machine may be well again, and the only one with room.
+	failureAvoidance = 45 * time.Second
 )
 
+// avoids reports whether the job starts no task on a machine because one has recently failed there. A
+// suspect job avoids none.
+func (j *job) avoids(machineIndex int32, now time.Duration) bool {
+	return now < j.retry.failedOn[machineIndex] && !j.suspect()
+}
+
 // suspect reports whether the job, rather than the machines it failed on, is considered faulty.
 func (j *job) suspect() bool {
 	return j.progress.done == 0 && len(j.retry.failedOn) >= suspectThreshold
@@ -34,9 +43,9 @@
 // when enough jobs have failed on it, or at once when another task of the job has succeeded.
 func (p *placement) recordFailure(m *machine, j *job, taskIndex int32, attempt uint64) {
 	if j.retry.failedOn == nil {
-		j.retry.failedOn = map[int32]bool{}
+		j.retry.failedOn = map[int32]time.Duration{}
 	}
-	j.retry.failedOn[m.index] = true
+	j.retry.failedOn[m.index] = p.clock.now + failureAvoidance
 	p.log.Info("task failed", "machine", m.name, "task", wire.TaskName{JobID: j.id, Index: int(taskIndex)}.String(), "attempt", attempt, "machines", len(j.retry.failedOn))
 	if j.suspect() {
 		// A suspect job is retried with back-off until its user cancels it.
@@ -73,12 +82,19 @@
 	p.log.Info("machine quarantined: tasks fail on it", "machine", m.name, "jobs", len(m.health.failedJobs), "allocations", len(m.capacity.allocations))
 }
 
-// endBackoffs makes the jobs whose back-off has expired eligible for placement.
+// endBackoffs makes the jobs whose back-off has expired eligible for placement, and those that avoided a
+// machine until now.
 func (p *placement) endBackoffs() {
 	for _, j := range p.jobs.active {
 		if j.retry.notBefore > 0 && p.clock.now >= j.retry.notBefore {
 			j.retry.notBefore = 0
 			p.needed = true
 		}
+		for _, until := range j.retry.failedOn {
+			if until > p.lastBackoffCheck && until <= p.clock.now {
+				p.needed = true
+			}
+		}
 	}
+	p.lastBackoffCheck = p.clock.now
 }
--- a/internal/scheduler/failure_attribution_test.go
+++ b/internal/scheduler/failure_attribution_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/wire"
@@ -44,3 +45,49 @@
 		})
 	}
 }
+
+// TestJobDoesNotWaitBesideTheMachineItFailedOn guards against a job that waits for good because its tasks
+// failed on the only machine with room: placement never used that machine again for the job, and the
+// planner rented no other one, since it counted the machine as available.
+func TestJobDoesNotWaitBesideTheMachineItFailedOn(t *testing.T) {
+	const maxWait = 90 * time.Second // while a machine that fits has room
+	for _, test := range []struct {
+		name        string
+		staysSick   bool
+		maxMachines int
+	}{
+		{"the machine is well again, and the cloud has no other", false, 2},
+		{"the machine stays faulty, and the cloud has others", true, 4},
+	} {
+		for name, market := range markets {
+			t.Run(test.name+", "+name, func(t *testing.T) {
+				w := newCapacityWorld(t)
+				w.hasCapacity, w.maxMachines = market, 2
+				w.runTime = func(jobID string) time.Duration {
+					if jobID == "job-1" {
+						return time.Hour
+					}
+					return time.Second
+				}
+				busy := newTestJob("job-1", 1, 4)
+				busy.EstimatedRunS = 3600
+				w.submit(busy)
+				w.awaitStarts(busy)
+				j := newTestJob("job-2", 3, 0.5)
+				due := 60.0
+				j.DeadlineS = &due
+				w.submit(j)
+				w.runUntil(time.Minute, func() bool { return len(w.machines) == 2 })
+				sick := w.machines[1]
+				sick.sick = true
+				if !w.runUntil(time.Minute, func() bool { return len(w.core.jobs.list[1].retry.failedOn) > 0 }) {
+					t.Fatal("no task failed on the machine that fails every task")
+				}
+				sick.sick, w.maxMachines = test.staysSick, test.maxMachines
+				if !w.runUntil(maxWait, func() bool { return w.startedTasks(j.ID) == j.Tasks }) {
+					t.Errorf("%d of %d tasks started within %v", w.startedTasks(j.ID), j.Tasks, maxWait)
+				}
+			})
+		}
+	}
+}
--- a/internal/scheduler/fair_share.go
+++ b/internal/scheduler/fair_share.go
@@ -63,7 +63,7 @@
 	var best *machine
 	leastWork := 0.0
 	for _, m := range p.machines.live {
-		if !m.indexed.schedulable || m.capacity.reserved || !j.allowsMachine(m.typeIndex, m.zone, m.spot) || j.retry.failedOn[m.index] || !j.request.size.Within(m.capacity.total) {
+		if !m.indexed.schedulable || m.capacity.reserved || !j.allowsMachine(m.typeIndex, m.zone, m.spot) || j.avoids(m.index, p.clock.now) || !j.request.size.Within(m.capacity.total) {
 			continue
 		}
 		if work := p.remainingWork(m); best == nil || work < leastWork {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -66,9 +66,11 @@
 
 // retry is the retry state of a job: its back-off and the machines on which its tasks failed.
 type retry struct {
-	notBefore time.Duration  // no task starts before this time; 0: not delayed
-	backoff   time.Duration  // last back-off delay
-	failedOn  map[int32]bool // by machine index
+	notBefore time.Duration // no task starts before this time; 0: not delayed
+	backoff   time.Duration // last back-off delay
+	// failedOn are the machines on which tasks have failed: by machine index, until when the job
+	// avoids the machine.
+	failedOn map[int32]time.Duration
 }
 
 // jobRecord tracks what the ledger holds of a job and what remains to be written.
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -33,6 +33,7 @@
 
 	goal             slowfit.Goal
 	queueEmptySince  time.Duration // when a task last waited or the goal was last lowered
+	lastBackoffCheck time.Duration // when endBackoffs was last called
 	index            slowfit.Index
 	poolKeys         []poolKey // by pool number of the index
 	poolIndexByKey   map[poolKey]int32
--- a/internal/scheduler/placement_index.go
+++ b/internal/scheduler/placement_index.go
@@ -135,7 +135,7 @@
 		},
 	}
 	if len(j.retry.failedOn) > 0 && !j.suspect() {
-		request.Allowed = func(machineIndex int32) bool { return !j.retry.failedOn[machineIndex] }
+		request.Allowed = func(machineIndex int32) bool { return !j.avoids(machineIndex, p.clock.now) }
 	}
 	return request
 }
--- a/internal/scheduler/scaling_plan.go
+++ b/internal/scheduler/scaling_plan.go
@@ -94,7 +94,7 @@
 		input.ProvisionedCores += m.capacity.total.CPUs
 		pool := autoscaler.CapacityPool{Type: m.typeIndex, Zone: m.zone, Spot: m.spot}
 		if m.trusted(p.term) {
-			input.Running = append(input.Running, autoscaler.RunningMachine{CapacityPool: pool, BusyCoreSeconds: p.placement.remainingWork(m)})
+			input.Running = append(input.Running, autoscaler.RunningMachine{CapacityPool: pool, Index: m.index, BusyCoreSeconds: p.placement.remainingWork(m)})
 		} else {
 			input.Pending = append(input.Pending, autoscaler.PendingMachine{CapacityPool: pool, Free: m.capacity.free})
 		}
@@ -133,6 +133,7 @@
 		if count > 0 {
 			input.Queued = append(input.Queued, autoscaler.TaskGroup{Size: j.request.size, Count: count, RunTime: p.estimates.expectedRun(j), Slack: j.slack(p.clock.now),
 				Overdue: j.startOverdue(p.clock.now),
+				Avoids:  func(machine int32) bool { return j.avoids(machine, p.clock.now) },
 				Allows:  func(pool autoscaler.CapacityPool) bool { return j.allowsMachine(pool.Type, pool.Zone, pool.Spot) }})
 		}
 	}
