--- a/internal/scheduler/forgets.go
+++ b/internal/scheduler/forgets.go
@@ -15,9 +15,8 @@
 
 const (
 	// minForgetBatch is how many successful tasks are forgotten together. An agent sends a heartbeat
-	// as soon as its tasks change, so separate forgets cost one heartbeat each, a third of all
-	// heartbeats in a large cell. They are sent with another command that changes the tasks anyway,
-	// or once there are this many.
+	// as soon as its tasks change, so separate forgets would cost one heartbeat each. They are sent
+	// with another command that changes the tasks anyway, or once there are this many.
 	minForgetBatch = 8
 	// maxUnforgotten is how many ended attempts, at most, wait for a time without a direct command
 	// in flight. A heartbeat lists them all, and its size is bounded.
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -77,9 +77,9 @@
 
 // placePriorityClass starts tasks of the jobs of one priority class. In a full cell, the first job
 // in the queue would take each piece of capacity that becomes free, mostly on a machine without its
-// image, and a tenth of all cores waited for images. Jobs that can afford to wait are therefore
-// first placed only on machines that have their image; other jobs of the same priority may overtake
-// them on other machines.
+// image, and its cores would wait for the image. Jobs that can afford to wait are therefore first
+// placed only on machines that have their image; other jobs of the same priority may overtake them
+// on other machines.
 func (p *placement) placePriorityClass(queue []*job, uncertain []quota.Units) {
 	if len(queue) > 1 {
 		for _, j := range queue {
--- a/internal/scheduler/probes.go
+++ b/internal/scheduler/probes.go
@@ -12,10 +12,10 @@
 // leader probes the machines that the cloud lists as running: it sends an empty direct command with
 // the token, whose result is the acknowledgement.
 
-// The bounds on concurrent probes. A probe costs as much as several heartbeats, and probing all
-// machines at once delayed a small controller for seconds, including the heartbeats that would have
-// had the same result. So the limit starts low, grows by one with each result that arrives within
-// fastProbeLatency, and is halved by each one that takes slowProbeLatency or more.
+// The bounds on concurrent probes. A probe costs as much as several heartbeats, and too many at once
+// delay the heartbeats that have the same result. So the limit starts low, grows by one with each
+// result that arrives within fastProbeLatency, and is halved by each one that takes slowProbeLatency
+// or more.
 const (
 	minConcurrentProbes = 4
 	maxConcurrentProbes = 64
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -36,8 +36,7 @@
 	checkInterval = 2 * time.Second
 	// One job in tightTeamOneIn belongs to a team that is sometimes at its CPU limit,
 	// tightTeamCPUs. With more jobs a backlog of that team would build up until the end of the
-	// run: with one job in four and half the limit, jobs of a run with 300 machines had not ended
-	// five minutes after the faults, all of them of that team.
+	// run.
 	tightTeamOneIn = 6
 	tightTeamCPUs  = 24
 )
