--- a/internal/dispatch/mailboxes.go
+++ b/internal/dispatch/mailboxes.go
@@ -8,9 +8,10 @@
 )
 
 // mailboxes are the queues of events for the core of the present term, whichever that is, in order of
-// priority: heartbeats of agents, job records and requests that decisions depend on, and user requests. The results of a term's own effects
-// are not among them: they must not reach the core of another term. Each queue is bounded. Unless
-// stated otherwise, a sender to a full queue blocks until its context ends.
+// priority: heartbeats of agents, job records and requests that decisions depend on, and user requests.
+// The results of a term's own effects are not among them: they must not reach the core of another
+// term. Each queue is bounded. Unless stated otherwise, a sender to a full queue blocks until its
+// context ends.
 type mailboxes struct {
 	heartbeats     chan request
 	internalEvents chan scheduler.Event
