Ledger: a transaction that deletes keys moves the fence

What callers saw: records of finished jobs that came back after they had been deleted.

Cause: a transaction that creates a key has its absence as a condition, and once the key is deleted, a copy of it finds its conditions met. The fence was moved only after a transaction without an answer.

Change: a transaction with deletions moves the fence too, and keeps one change for it.

TestDeletionMovesFence and TestDeletionsLeaveRoomForTheFence.

Why it works: the fence's version is a condition of every transaction, so those from before the deletion fail.

--- a/internal/controller/repeated_commands_test.go
+++ b/internal/controller/repeated_commands_test.go
@@ -10,6 +10,23 @@
 	"leadproxy/internal/wire"
 )
 
+// controllerRestarts are the ways in which controllers restart in the middle of a scenario.
+var controllerRestarts = map[string]func(c *cluster, r *rand.Rand){
+	"no controller restarts": func(*cluster, *rand.Rand) {},
+	"the leader restarts": func(c *cluster, r *rand.Rand) {
+		if leader := c.leader(); leader >= 0 {
+			c.restart(leader, randomDuration(r, 100*time.Millisecond, time.Second))
+		}
+	},
+	"all controllers restart": func(c *cluster, r *rand.Rand) {
+		for i := range c.controllers {
+			c.kill(i)
+		}
+		time.Sleep(randomDuration(r, time.Second, 7*time.Second))
+		c.startAll()
+	},
+}
+
 // TestRepeatedStarts guards against a task that a repeated command starts on a second machine: tasks
 // move off machines with termination notices, their ended attempts are forgotten there, and copies of
 // the commands that started them arrive while all, one or none of the controllers restart.
@@ -18,21 +35,7 @@
 		noticeTime = 12 * time.Second
 		rounds     = 4
 	)
-	for name, restart := range map[string]func(c *cluster, r *rand.Rand){
-		"no controller restarts": func(*cluster, *rand.Rand) {},
-		"the leader restarts": func(c *cluster, r *rand.Rand) {
-			if leader := c.leader(); leader >= 0 {
-				c.restart(leader, randomDuration(r, 100*time.Millisecond, time.Second))
-			}
-		},
-		"all controllers restart": func(c *cluster, r *rand.Rand) {
-			for i := range c.controllers {
-				c.kill(i)
-			}
-			time.Sleep(randomDuration(r, time.Second, 7*time.Second))
-			c.startAll()
-		},
-	} {
+	for name, restart := range controllerRestarts {
 		t.Run(name, func(t *testing.T) {
 			runWithSeeds(t, clusterConfig{maxMachines: 24, runTime: longRunning(40 * time.Second)}, func(c *cluster, r *rand.Rand) {
 				c.commandFaults.Store(c.randomFaults(1, fake.Repeated, 500*time.Millisecond, 9*time.Second))
--- a/internal/ledger/transaction.go
+++ b/internal/ledger/transaction.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/segmentio/encoding/json"
@@ -17,6 +18,7 @@
 
 // batch collects the writes of one transaction, within its limits.
 type batch struct {
+	deletes   bool // a write deletes its key, so that the transaction moves the fence
 	writes    []*pendingWrite
 	isolated  bool // its only write must not share a transaction
 	bytes     int
@@ -32,6 +34,13 @@
 	if len(b.writes) > 0 && (b.isolated || isolated || b.bytes+size > b.maxBytes) {
 		return false
 	}
+	if write.deletes() && !b.deletes {
+		if len(b.writes) > 0 && len(b.writes)+1 >= b.maxWrites {
+			return false
+		}
+		b.deletes = true
+		b.maxWrites-- // one change is the fence
+	}
 	b.writes = append(b.writes, write)
 	b.isolated = isolated
 	b.bytes += size
@@ -51,7 +60,8 @@
 // Every transaction is conditional on the version of the fence, a key that has nothing to do with
 // the agents' fencing tokens. The transaction after one of unknown outcome moves the fence, that is,
 // writes it to change its version, so that a late execution of the earlier one always fails its
-// conditions. Without the fence, a late transaction that creates a key would find its condition met
+// conditions. So does a transaction that deletes keys, for the copies of those that created them.
+// Without the fence, a late or repeated transaction that creates a key would find its condition met
 // if the key has been deleted in the meantime, and would restore it.
 type transactionBuilder struct {
 	term     uint64
@@ -72,7 +82,7 @@
 // build returns the transaction for the given writes, conditional on the term, on the fence and on
 // the known versions of the written keys.
 func (b *transactionBuilder) build(writes []*pendingWrite) transaction {
-	t := transaction{writes: writes, movesFence: b.outcomeUnknown}
+	t := transaction{writes: writes, movesFence: b.outcomeUnknown || slices.ContainsFunc(writes, (*pendingWrite).deletes)}
 	t.request.Conditions = []wire.Condition{{Key: election.LeaderKey, Version: b.term}, {Key: fenceKey, Version: b.versions[fenceKey]}}
 	if t.movesFence {
 		t.request.Changes = append(t.request.Changes, wire.Change{Set: fenceKey, Value: json.RawMessage(strconv.FormatUint(b.term, 10))})
@@ -84,9 +94,12 @@
 	return t
 }
 
+// deletes reports whether the write deletes its key.
+func (w *pendingWrite) deletes() bool { return w.value == nil }
+
 // change returns the write as a change of a transaction.
 func (w *pendingWrite) change() wire.Change {
-	if w.value == nil {
+	if w.deletes() {
 		return wire.Change{Delete: w.key}
 	}
 	return wire.Change{Set: w.key, Value: w.value}
@@ -106,7 +119,7 @@
 		b.versions[fenceKey], b.outcomeUnknown = revision, false
 	}
 	for _, write := range t.writes {
-		if write.value == nil {
+		if write.deletes() {
 			delete(b.versions, write.key)
 		} else {
 			b.versions[write.key] = revision
--- a/internal/ledger/transaction_test.go
+++ b/internal/ledger/transaction_test.go
@@ -52,3 +52,43 @@
 		t.Errorf("versions %v, want 4 for known, 2 for new and none for unseen", b.versions)
 	}
 }
+
+// TestDeletionMovesFence guards against a deleted key that a repeated transaction restores: the copy of the
+// one that created it finds its other conditions met.
+func TestDeletionMovesFence(t *testing.T) {
+	b := transactionBuilder{term: testTerm, versions: map[string]uint64{fenceKey: 3}}
+	creation := b.build([]*pendingWrite{{key: "a", value: []byte("1")}})
+	b.recordCommit(creation, 8)
+	deletion := b.build([]*pendingWrite{{key: "a"}})
+	if creation.movesFence || !deletion.movesFence {
+		t.Errorf("the creation moves the fence: %t, the deletion: %t, want false, true", creation.movesFence, deletion.movesFence)
+	}
+	b.recordCommit(deletion, 9)
+	if b.versions[fenceKey] != 9 || b.versions["a"] != 0 {
+		t.Errorf("versions %v, want 9 for the fence and none for a", b.versions)
+	}
+}
+
+// TestDeletionsLeaveRoomForTheFence checks that a batch with deletions has one write less.
+func TestDeletionsLeaveRoomForTheFence(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		writes []Write
+		want   int
+	}{
+		{"no deletion", []Write{{Key: "a", Value: 1}, {Key: "b", Value: 1}, {Key: "c", Value: 1}}, 3},
+		{"a deletion first", []Write{{Key: "a"}, {Key: "b", Value: 1}, {Key: "c", Value: 1}}, 2},
+		{"a deletion last", []Write{{Key: "a", Value: 1}, {Key: "b", Value: 1}, {Key: "c"}}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := newTestLedger(nil, Limits{MaxChanges: 3, TransactionBytes: 1000})
+			if err := l.enqueue(test.writes); err != nil {
+				t.Fatal(err)
+			}
+			first := l.nextTransaction()
+			if len(first.writes) != test.want || len(first.request.Changes) > 3 {
+				t.Errorf("%d writes and %d changes, want %d and at most 3", len(first.writes), len(first.request.Changes), test.want)
+			}
+		})
+	}
+}
