Autoscaler: an overdue job gets one on-demand machine, not one for each task

What operators would see: an array of which no task has started within a minute had on-demand machines rented for all its tasks, one with each plan, though it needs one to begin.

Cause: the plan counted the job as overdue as long as it had not started, also while a machine for it was booting.

Change: it counts only while no pending machine holds any of its tasks.

Why it works: once a pending machine holds a task, the ordinary rule decides about the others, as before.

--- a/internal/autoscaler/planner.go
+++ b/internal/autoscaler/planner.go
@@ -148,6 +148,10 @@
 		return groupScaleOut{}
 	}
 	late := p.lateTasks(group, p.Types[best.Type].BootTime)
+	if late == 0 && group.Overdue && tasks == group.Count {
+		// The machines that were expected to have room have none, and no pending one holds a task.
+		late = 1
+	}
 	if late == 0 {
 		return groupScaleOut{}
 	}
@@ -172,12 +176,7 @@
 		seconds = lateWaitBootTimes * bootTime.Seconds()
 	}
 	missingCores := p.queuedCoreSeconds/seconds - p.availableCores(group, seconds)
-	late := atMost(math.Ceil(missingCores/group.cores()), group.Count)
-	if group.Overdue {
-		// The machines that were expected to have room have none.
-		return max(late, 1)
-	}
-	return late
+	return atMost(math.Ceil(missingCores/group.cores()), group.Count)
 }
 
 // sizeScaleOut decides how many machines of a pool to rent for wanted tasks of a group, at least one;
--- a/internal/scheduler/amounts_test.go
+++ b/internal/scheduler/amounts_test.go
@@ -337,6 +337,22 @@
 	}
 }
 
+// TestOverdueArrayRentsOneMachine guards against on-demand machines for all tasks of an array without a
+// deadline: it needs one to begin, and the others wait for cheaper ones.
+func TestOverdueArrayRentsOneMachine(t *testing.T) {
+	w := newCapacityWorld(t)
+	w.hasCapacity = markets["on demand only"]
+	w.runTime = func(string) time.Duration { return time.Hour }
+	full := newTestJob("job-1", 1, 4)
+	w.submit(full)
+	w.awaitStarts(full)
+	rentedBefore := w.rented
+	w.submit(newTestJob("job-2", 40, 4))
+	w.runUntil(maxStartDelay, func() bool { return w.startedTasks("job-2") > 0 })
+	w.want("tasks started", w.startedTasks("job-2"), 1)
+	w.want("machines rented for the array", w.rented-rentedBefore, 1)
+}
+
 // TestTinyTasksDoNotFillAHeartbeat guards against machines with more tasks than a heartbeat may list: the
 // controllers refuse the heartbeat, and the machine is lost with all its tasks. Ended attempts are listed
 // as well, as long as their ends can't be written.
