--- a/review/standins2/hunt.go
+++ b/review/standins2/hunt.go
@@ -130,7 +130,7 @@
 		kinds = []string{"crash", "crashleader", "crashleader", "crashall", "outage", "refuse", "cutstore", "cutworkers", "zones", "hang", "hang", "cutmachine", "spot", "spot", "sick", "cloud", "take", "txn", "txn", "repeats", "repeats", "loses"}
 	}
 	kind := pick(r, kinds...)
-	span := time.Duration(300+r.IntN(9000)) * time.Millisecond
+	span := time.Duration(300+r.IntN(huntSpan())) * time.Millisecond
 	n := w.nodes[r.IntN(len(w.nodes))]
 	if leader := w.leader(); leader != nil && r.IntN(2) == 0 {
 		n = leader
@@ -256,3 +256,10 @@
 	}
 	return 1400
 }
+
+func huntSpan() int {
+	if os.Getenv("LONG") != "" {
+		return 20000
+	}
+	return 9000
+}
--- a/review/standins2/world.go
+++ b/review/standins2/world.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -135,12 +137,25 @@
 	return w
 }
 
+// freeAddr returns a free loopback address. Its port lies below those that the system gives to
+// outgoing connections, so that it stays free while a controller is down.
 func freeAddr() string {
-	listener := listen()
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		if !usedAddrs[addr] {
+			usedAddrs[addr] = true
+			return addr
+		}
+	}
 }
 
+var usedAddrs = map[string]bool{}
+
 // forWorkers returns the address at which a worker reaches the node.
 func (n *node) forWorkers(k *worker) string {
 	if k.world.site.relayWorkers {
