--- a/review/standins2/checker.go
+++ b/review/standins2/checker.go
@@ -31,7 +31,8 @@
 	FlushS    float64  `json:"flush_s"`
 	DueS      *float64 `json:"due_s"`
 
-	run time.Duration // how long each task really runs
+	run    time.Duration // how long each task really runs
+	faulty bool          // it was submitted with a mistake: each task fails on every machine
 }
 
 // checker judges what users, workers and the platform see by the rules of the protocol.
--- a/review/standins2/hunt.go
+++ b/review/standins2/hunt.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +29,9 @@
 	s := site{zones: huntRooms, controllers: 3, reportS: 2, leaseS: 14, cancelS: 24, limits: siteLimits{rps: 250, writeRPS: 100, valueKB: 16, txnOps: 32},
 		cloudRPS: 4, listLagS: 4, teams: []team{{"red", 8, 20, 0, 0}, {"blue", 0, 14, 0, 0}, {"free", 0, 0, 0, 0}}, cpuShare: 1, ramMB: 342, sockets: 2500,
 		clockErrorMS: 5, relayPeers: true, relayStore: true, relayWorkers: true, logLevel: "debug"}
+	if os.Getenv("DRAIN") != "" {
+		s.settings += "[drain]\nenabled = yes\n[budget]\njobs = 2\nwindow_s = 5\n"
+	}
 	if os.Getenv("FAST") != "" {
 		s.reportS, s.leaseS, s.cancelS = 1, 7, 13
 	}
@@ -75,6 +82,9 @@
 		j.GPUs = 1
 		j.Loaners = true
 	}
+	if os.Getenv("FAULTY") != "" && r.IntN(5) == 0 {
+		j.faulty = true
+	}
 	if r.IntN(3) == 0 {
 		j.SnapshotS, j.FlushS = 2, pick(r, 0.5, 2, 5)
 	}
@@ -104,6 +114,9 @@
 		}
 	}()
 	kinds := strings.Fields(os.Getenv("KINDS"))
+	if os.Getenv("DRAIN") != "" {
+		go w.huntDrains(stop)
+	}
 	for trouble && time.Now().Before(stop) {
 		time.Sleep(time.Duration(1000+r.IntN(5000)) * time.Millisecond)
 		go w.huntTrouble(r.Uint64(), kinds)
@@ -136,57 +149,57 @@
 		n = leader
 	}
 	w.record("trouble %s for %v, node %s", kind, span, n.name)
-	switch kind {
-	case "crash", "crashleader":
-		w.huntCrash(n)
-	case "crashall":
-		for _, n := range w.nodes {
-			go w.huntCrash(n)
-		}
-	case "outage":
-		w.store.setOutage(true)
-		time.Sleep(span)
-		w.store.setOutage(false)
-	case "refuse":
-		n.front.refuse(true)
-		time.Sleep(span)
-		n.front.refuse(false)
-	case "cutstore":
-		n.storeRelay.hold(true)
-		time.Sleep(span)
-		n.storeRelay.hold(false)
-	case "cutworkers":
-		for _, relay := range n.workerRelays {
-			relay.hold(true)
-		}
-		time.Sleep(span)
-		for _, relay := range n.workerRelays {
-			relay.hold(false)
-		}
-	case "zones":
-		a, b := w.nodes[0], w.nodes[1]
-		relays := []*relay{a.peerRelays[b.name], b.peerRelays[a.name], a.workerRelays[b.zone], b.workerRelays[a.zone]}
-		for _, relay := range relays {
-			relay.hold(true)
-		}
+	if begin := w.huntKinds()[kind]; begin != nil {
+		begin(n, span)
+		return
+	}
+	w.huntMachineTrouble(r, kind, span)
+}
+
+// huntKinds returns the troubles that don't concern one machine, by name. Each lasts for a span.
+func (w *world) huntKinds() map[string]func(n *node, span time.Duration) {
+	during := func(set func(on bool), span time.Duration) {
+		set(true)
 		time.Sleep(span)
-		for _, relay := range relays {
-			relay.hold(false)
+		set(false)
+	}
+	crash := func(n *node, _ time.Duration) { w.huntCrash(n) }
+	return map[string]func(n *node, span time.Duration){
+		"crash": crash, "crashleader": crash,
+		"crashall": func(*node, time.Duration) {
+			for _, n := range w.nodes {
+				go w.huntCrash(n)
+			}
+		},
+		"outage":     func(_ *node, span time.Duration) { during(w.store.setOutage, span) },
+		"refuse":     func(n *node, span time.Duration) { during(n.front.refuse, span) },
+		"cutstore":   func(n *node, span time.Duration) { during(n.storeRelay.hold, span) },
+		"cloud":      func(_ *node, span time.Duration) { during(w.cloud.setOutage, span) },
+		"txn":        func(n *node, span time.Duration) { during(n.front.disturb, span) },
+		"cutworkers": func(n *node, span time.Duration) { during(holdAll(slices.Collect(maps.Values(n.workerRelays))), span) },
+		"zones": func(_ *node, span time.Duration) {
+			a, b := w.nodes[0], w.nodes[1]
+			during(holdAll([]*relay{a.peerRelays[b.name], b.peerRelays[a.name], a.workerRelays[b.zone], b.workerRelays[a.zone]}), span)
+		},
+	}
+}
+
+// holdAll returns a function that begins or ends a cut of all relays.
+func holdAll(relays []*relay) func(on bool) {
+	return func(on bool) {
+		for _, r := range relays {
+			r.hold(on)
 		}
-	case "txn":
-		n.front.mu.Lock()
-		n.front.fault = func() string { return pick(r, "", "", "lost", "late", "twice", "twice") }
-		n.front.mu.Unlock()
-		time.Sleep(span)
-		n.front.mu.Lock()
-		n.front.fault = nil
-		n.front.mu.Unlock()
-	case "cloud":
-		w.cloud.setOutage(true)
-		time.Sleep(span)
-		w.cloud.setOutage(false)
-	default:
-		w.huntMachineTrouble(r, kind, span)
+	}
+}
+
+// disturb begins or ends faults of transactions.
+func (f *storeFront) disturb(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = nil
+	if on {
+		f.fault = func() string { return []string{"", "", "lost", "late", "twice", "twice"}[rand.IntN(6)] }
 	}
 }
 
@@ -263,3 +276,15 @@
 	}
 	return 9000
 }
+
+// huntDrains begins plans that drain machines.
+func (w *world) huntDrains(stop time.Time) {
+	for n := 1; time.Now().Before(stop); n++ {
+		plan := filepath.Join(w.dir, "plan.ini")
+		text := fmt.Sprintf("[plan]\nname = p%d\ntypes = small, mid, big\ncanary = 1\nbatch = 2\nsurge = %s\ncheck_s = 1\nhealth_s = 40\nwait_s = 5\n", n, []string{"no", "yes"}[n%2])
+		os.WriteFile(plan, []byte(text), 0o600)
+		out, err := exec.Command(w.program, "drain", "start", "--config", w.nodes[n%3].config, plan).CombinedOutput()
+		w.record("drain plan %d: %v %s", n, err, out)
+		time.Sleep(12 * time.Second)
+	}
+}
--- a/review/standins2/hunt_cells.go
+++ b/review/standins2/hunt_cells.go
@@ -25,7 +25,7 @@
 			cloudRPS: 4, listLagS: 2, teams: []team{{"red", 0, 0, 0, 0}}, cpuShare: 1, ramMB: 342, sockets: 2500,
 			clockErrorMS: 5, relayPeers: true, relayStore: true, relayWorkers: true, logLevel: "debug"}
 		flavors := []flavor{{Name: "small", VCPUs: 4, MemGB: 16, CacheGB: 20, FetchGBPerS: 2, Rate: 0.16, MarketPrice: 0.07, StartupS: 3, Rooms: []string{"a"}}}
-		return newWorld(s, out, flavors, map[pool]int{{"small", "a", true}: 2})
+		return newWorld(s, out, flavors, map[pool]int{{"small", "a", true}: 1})
 	}
 	a, b := mk(), mk()
 	b.cloud.capacity = map[pool]int{{"small", "a", true}: 6}
@@ -42,7 +42,7 @@
 	toB, relaysB := links(b)
 	toA, _ := links(a)
 	cellLinks = relaysB
-	fleet := "[fleet]\nmax_machines = 2\n"
+	fleet := "[fleet]\nmax_machines = 1\n"
 	a.site.settings = fleet + "[cell]\nname = lima\nspill = yes\nshortage_s = 1\nmax_wait_s = 2\n[neighbour.arequipa]\ncontrollers = " + strings.Join(toB, ", ") + "\npreference = 1\nmax_jobs = 100\nmax_cores = 256\ntake_back_s = 12\n[class.strict]\nrepeat = no\n"
 	b.site.settings = "[fleet]\nmax_machines = 6\n[cell]\nname = arequipa\nspill = no\n[neighbour.lima]\ncontrollers = " + strings.Join(toA, ", ") + "\npreference = 1\nlend_cores = 128\n[class.strict]\nrepeat = no\n"
 	for _, w := range []*world{a, b} {
@@ -72,7 +72,7 @@
 				cancelAfter = time.Duration(users.IntN(15000)) * time.Millisecond
 			}
 			go w.huntUser(j, cancelAfter)
-			time.Sleep(time.Duration(users.IntN(2000)) * time.Millisecond)
+			time.Sleep(time.Duration(users.IntN(1300)) * time.Millisecond)
 		}
 	}()
 	kinds := []string{"crash", "crashleader", "crashleader", "crashall", "outage", "refuse", "cutstore", "hang", "cutmachine", "spot", "take", "txn", "repeats", "loses"}
@@ -81,13 +81,9 @@
 		if r.IntN(4) == 0 {
 			go func(span time.Duration) {
 				w.record("trouble: the cells are cut for %v", span)
-				for _, l := range cellLinks {
-					l.hold(true)
-				}
+				holdAll(cellLinks)(true)
 				time.Sleep(span)
-				for _, l := range cellLinks {
-					l.hold(false)
-				}
+				holdAll(cellLinks)(false)
 			}(time.Duration(500+r.IntN(15000)) * time.Millisecond)
 			continue
 		}
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +36,12 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	w := chosen.build(out)
 	time.AfterFunc(playLimit(), func() { fail("the case takes too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		fail("ended by a signal")
+	}()
 	w.startAll()
 	if err := chosen.play(w, trouble); err != nil {
 		w.record("the case could not run: %v", err)
--- a/review/standins2/relay.go
+++ b/review/standins2/relay.go
@@ -54,18 +54,6 @@
 	}
 }
 
-// reset resets all open connections.
-func (r *relay) reset() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for conn := range r.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
-		conn.Close()
-	}
-}
-
 func (r *relay) connect(client net.Conn) {
 	if held, healed := r.state(); held {
 		<-healed
--- a/review/standins2/worker.go
+++ b/review/standins2/worker.go
@@ -125,7 +125,7 @@
 		case "running":
 			p.done += now.Sub(p.last)
 			p.last = now
-			if k.sick && p.done > 500*time.Millisecond {
+			if (k.sick || p.job.faulty) && p.done > 500*time.Millisecond {
 				k.endPiece(p, "error", false)
 			} else if p.done >= p.job.run {
 				k.endPiece(p, "done", false)
