--- a/review/standins2/case_reservation.go
+++ b/review/standins2/case_reservation.go
@@ -66,7 +66,7 @@
 		w.kill(leader)
 		time.Sleep(4 * time.Second)
 		w.start(leader)
-		time.Sleep(6 * time.Second)
+		time.Sleep(8 * time.Second)
 		w.cloud.setOutage(false)
 		w.record("the cloud is back")
 	}
