Placement: one place decides whether a task may start on a machine

Cause, from the leader's log with three lines added on a scratch copy: the types of a job's request were nil both for "not resolved yet" and for "any". When machine types became known in a new term, placeJob returned before it resolved them (its size was known as infeasible), reserveMachine took nil for any type, and 10 s later placeReserved started the task there although the types were resolved by then: it did not ask again.

Change: types are not resolved any more; the description's names are compared with the name of the machine's type. placement.refusal decides on type, zone, kind, gang, spread, machines to avoid, team limit and state. It is asked for a reservation, as long as the reservation lasts, before a start's resources are reserved, and before a start that waited for its host is queued. A refusal ends the reservation or releases the allocation. The key of a pool of the index and that of the planner are one type now.

--- a/internal/scheduler/cloud_results.go
+++ b/internal/scheduler/cloud_results.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// updateTypes applies the machine types read from the cloud. When a type is new, machines of it and
-// jobs that may use it are updated.
+// updateTypes applies the machine types read from the cloud. When a type is new, machines of it are
+// updated and may be used.
 func (c *Core) updateTypes(types []wire.MachineType) {
 	for _, t := range types {
 		i, isNew := c.types.findOrAdd(t)
@@ -44,9 +44,6 @@
 					c.updateDescription(m, t.Name, c.machines.zones.list[m.zone], m.spot, "")
 				}
 			}
-			for _, j := range c.jobs.active {
-				j.request.clearTypes()
-			}
 			c.placement.markNeeded()
 		}
 	}
--- a/internal/scheduler/fair_share.go
+++ b/internal/scheduler/fair_share.go
@@ -38,7 +38,7 @@
 	slices.SortStableFunc(aged, func(a, b *job) int { return cmp.Compare(a.priority.arrived, b.priority.arrived) })
 	for _, j := range aged {
 		if p.placeJob(j, uncertain, func(placed int) bool { return placed == 0 }) == 0 && p.withinTeamLimit(j, uncertain) {
-			p.reserveMachine(j)
+			p.reserveMachine(j, uncertain)
 		}
 	}
 }
@@ -53,7 +53,7 @@
 
 // reserveMachine reserves a machine for a job's first task: of the suitable machines, the one with
 // the least remaining work.
-func (p *placement) reserveMachine(j *job) {
+func (p *placement) reserveMachine(j *job, uncertain []quota.Units) {
 	limitReached := len(p.reservingJobs) > 0 && len(p.reservingJobs) >= len(p.machines.live)/reservedMachinesDivisor
 	triedRecently := j.placement.reservationTriedAt > 0 && p.clock.now-j.placement.reservationTriedAt < reservationInterval
 	if limitReached || triedRecently {
@@ -63,7 +63,7 @@
 	var best *machine
 	leastWork := 0.0
 	for _, m := range p.machines.live {
-		if !m.indexed.schedulable || m.capacity.reserved || !j.allowsMachine(m.typeIndex, m.zone, m.spot) || j.avoids(m.index, p.clock.now) || !j.request.size.Within(m.capacity.total) {
+		if m.capacity.reserved || !j.request.size.Within(m.capacity.total) || p.refusal(proposedStart{job: j, machine: m}, uncertain) != startAllowed {
 			continue
 		}
 		if work := p.remainingWork(m); best == nil || work < leastWork {
@@ -80,17 +80,21 @@
 }
 
 // placeReserved starts the first task of each job whose reserved machine has enough free resources,
-// on that machine and without consulting SLOW-FIT. It ends reservations that are no longer needed.
+// on that machine and without consulting SLOW-FIT. It ends reservations that are no longer needed, and
+// those of machines on which the task may not start. A job whose team is at its limit keeps its machine
+// until the machine has room.
 func (p *placement) placeReserved(uncertain []quota.Units) {
 	p.reservingJobs = slices.DeleteFunc(p.reservingJobs, func(j *job) bool {
 		m := j.placement.reservedMachine
 		stillWaiting := !j.progress.startedOnce && j.progress.allocated == 0 && j.placeable(p.clock.now)
-		if stillWaiting && m.indexed.schedulable && !j.request.size.Within(m.capacity.free) {
+		reason := p.refusal(proposedStart{job: j, machine: m}, uncertain)
+		mayStartLater := stillWaiting && (reason == startAllowed || reason == refusedTeamLimit)
+		if mayStartLater && !j.request.size.Within(m.capacity.free) {
 			return false
 		}
 		m.capacity.reserved, j.placement.reservedMachine = false, nil
-		if stillWaiting && m.indexed.schedulable && p.withinTeamLimit(j, uncertain) {
-			p.startOn(j, m)
+		if stillWaiting && reason == startAllowed {
+			p.start(j, m, uncertain)
 		}
 		p.refreshIndex(m)
 		return true
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -1,9 +1,12 @@
 package scheduler
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
+	"strings"
 	"time"
 
 	"leadproxy/internal/autoscaler"
@@ -88,15 +91,71 @@
 // newHarnessWithConfig returns a harness whose term begins at now, in a cloud with one machine type m4
 // in zones a and b.
 func newHarnessWithConfig(t testingT, now time.Duration, cfg Config, s ledger.Snapshot) *harness {
+	h := newHarnessWithoutTypes(t, now, cfg, s)
+	h.learnTypes(testMachineType("m4", 4))
+	return h
+}
+
+// newHarnessWithoutTypes returns a harness whose term begins at now. The cloud has not yet answered
+// which machine types it has.
+func newHarnessWithoutTypes(t testingT, now time.Duration, cfg Config, s ledger.Snapshot) *harness {
 	h := &harness{now: now, t: t, sequences: map[string]uint64{}, writesByKey: map[string]ledger.Write{}, submittedJobs: map[string]*wire.Job{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	h.core = NewCore(cfg, s, now, now.Milliseconds(), log)
 	h.recordEffects(h.core.InitialEffects())
-	h.step(CloudResult{autoscaler.Result{Call: autoscaler.Call{Types: true}, Types: []wire.MachineType{
-		{Name: "m4", CPUs: 4, MemGB: 16, CacheGB: 20, Price: 1, SpotPrice: 0.5, BootS: 40, Zones: []string{"a", "b"}}}}})
 	return h
 }
 
+// testMachineType returns a machine type in zones a and b with 4 GB for each core.
+func testMachineType(name string, cpus float64) wire.MachineType {
+	return wire.MachineType{Name: name, CPUs: cpus, MemGB: 4 * cpus, CacheGB: 20, Price: cpus / 4, SpotPrice: cpus / 8, BootS: 40, Zones: []string{"a", "b"}}
+}
+
+// learnTypes has the cloud answer with machine types.
+func (h *harness) learnTypes(types ...wire.MachineType) {
+	h.step(CloudResult{autoscaler.Result{Call: autoscaler.Call{Types: true}, Types: types}})
+}
+
+// ledgerEntries returns the contents of the ledger, sorted by key.
+func (h *harness) ledgerEntries() []wire.Entry {
+	values := map[string]any{}
+	for jobID, j := range h.submittedJobs {
+		values[ledger.JobKey(jobID)] = ledger.JobRecord{Job: j, AcceptedMS: 1}
+	}
+	for key, write := range h.writesByKey {
+		values[key] = write.Value
+	}
+	var entries []wire.Entry
+	for key, value := range values {
+		text, err := json.Marshal(value)
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		if value != nil {
+			entries = append(entries, wire.Entry{Key: key, Value: text, Version: 1})
+		}
+	}
+	slices.SortFunc(entries, func(a, b wire.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return entries
+}
+
+// nextTerm returns a harness whose term follows this one. Its leader reads the given contents of the
+// ledger, and the cloud has not yet answered which machine types it has.
+func (h *harness) nextTerm(entries []wire.Entry) *harness {
+	cfg := h.core.cfg
+	cfg.Term++
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	snapshot := ledger.New(cfg.Term, nil, func() ledger.Limits { return ledger.Limits{} }, log).LoadEntries(entries, 1)
+	next := newHarnessWithoutTypes(h.t, h.now, cfg, snapshot)
+	next.submittedJobs = h.submittedJobs
+	for key, write := range h.writesByKey {
+		if _, rewritten := next.writesByKey[key]; !rewritten {
+			next.writesByKey[key] = write
+		}
+	}
+	return next
+}
+
 // step applies one event and records the effects.
 func (h *harness) step(e Event) {
 	h.core.Step(e, h.now, h.now.Milliseconds())
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -40,8 +40,7 @@
 	team  int32
 	class int32
 	image int32
-	zone  int32   // -1: any
-	types []int32 // nil: not resolved yet, or any type is allowed
+	zone  int32 // or anyZone
 }
 
 // priority determines a job's position in the queue. Class and deadline are the job's own, or those
@@ -56,7 +55,7 @@
 type jobPlacement struct {
 	tasksByZone      []int         // only for gang and spread jobs: allocated tasks by zone
 	gangZoneChosenAt time.Duration // when gangZone was chosen; 0: never
-	gangZone         int32         // the zone last chosen for a gang without tasks; -1: none
+	gangZone         int32         // the zone last chosen for a gang without tasks, or anyZone
 
 	reservedMachine    *machine      // reserved for the job's first task, or nil
 	reservationTriedAt time.Duration // when a machine to reserve was last searched for; 0: never
@@ -129,9 +128,6 @@
 // setArrival sets the time from which the job's waiting time counts.
 func (p *priority) setArrival(at time.Duration) { p.arrived = at }
 
-// clearTypes causes the machine types to be resolved again, after new types became known.
-func (r *request) clearTypes() { r.types = nil }
-
 // delayUntil keeps the job's tasks from starting before a time.
 func (r *retry) delayUntil(at time.Duration) { r.notBefore = at }
 
--- a/internal/scheduler/job_events.go
+++ b/internal/scheduler/job_events.go
@@ -14,7 +14,7 @@
 		index:    int32(len(c.jobs.list)),
 		id:       id,
 		spec:     record.Job,
-		request:  request{zone: -1},
+		request:  request{zone: anyZone},
 		priority: priority{deadline: noDeadline},
 		progress: progress{total: record.Tasks, done: record.Done},
 		end:      jobEnd{state: record.TerminalState, durable: record.TerminalState != "", cleanedUp: record.Job == nil},
@@ -39,7 +39,7 @@
 
 // requestOf resolves the names in a job's description to indices.
 func (c *Core) requestOf(spec *wire.Job) request {
-	r := request{size: taskSize(spec), class: c.classIndex(spec.Class), image: c.placement.images.intern(spec.Image), zone: -1, team: c.teams.Index(spec.Team)}
+	r := request{size: taskSize(spec), class: c.classIndex(spec.Class), image: c.placement.images.intern(spec.Image), zone: anyZone, team: c.teams.Index(spec.Team)}
 	if spec.Zone != nil {
 		r.zone = c.machines.zones.intern(*spec.Zone)
 	}
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"leadproxy/internal/autoscaler"
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/scheduler/agentstate"
 )
@@ -130,6 +131,11 @@
 	return false
 }
 
+// pool returns the capacity pool that the machine belongs to.
+func (m *machine) pool() autoscaler.CapacityPool {
+	return autoscaler.CapacityPool{Type: m.typeIndex, Zone: m.zone, Spot: m.spot}
+}
+
 // findOrAddMachine returns the machine with the given name, and adds it if this term doesn't know
 // it yet.
 func (c *Core) findOrAddMachine(name string) *machine {
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -2,9 +2,9 @@
 
 import (
 	"log/slog"
-	"slices"
 	"time"
 
+	"leadproxy/internal/autoscaler"
 	"leadproxy/internal/scheduler/quota"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/slowfit"
@@ -35,8 +35,8 @@
 	queueEmptySince  time.Duration // when a task last waited or the goal was last lowered
 	lastBackoffCheck time.Duration // when endBackoffs was last called
 	index            slowfit.Index
-	poolKeys         []poolKey // by pool number of the index
-	poolIndexByKey   map[poolKey]int32
+	poolKeys         []autoscaler.CapacityPool // by pool number of the index
+	poolIndexByKey   map[autoscaler.CapacityPool]int32
 	staleMachines    []*machine // machines whose index entry must be refreshed
 	schedulableCores float64    // cores of all schedulable machines
 	reservingJobs    []*job     // jobs with a reserved machine
@@ -45,7 +45,7 @@
 func newPlacement(c *Core) placement {
 	return placement{clock: &c.clock, log: c.log, types: &c.types, classes: &c.classes, estimates: &c.estimates, teams: &c.teams,
 		jobs: &c.jobs, machines: &c.machines, agents: &c.agents, attempts: &c.attempts, startOn: c.startOn,
-		poolIndexByKey: map[poolKey]int32{}, goal: slowfit.Goal{C: c.cfg.Operator.SlowFitC}}
+		poolIndexByKey: map[autoscaler.CapacityPool]int32{}, goal: slowfit.Goal{C: c.cfg.Operator.SlowFitC}}
 }
 
 // markNeeded schedules a placement at the end of the step, after a change that may allow waiting
@@ -93,13 +93,6 @@
 	}
 }
 
-// allowsMachine reports whether the constraints in the job's description allow its tasks on a
-// machine of the given type, zone and spot kind. Gang scheduling and spreading are checked
-// elsewhere.
-func (j *job) allowsMachine(typeIndex, zone int32, spot bool) bool {
-	return (j.request.types == nil || slices.Contains(j.request.types, typeIndex)) && (j.request.zone < 0 || j.request.zone == zone) && (j.spec.Spot || !spot)
-}
-
 // withinTeamLimit reports whether the quota of a job's team allows one more task of the job.
 func (p *placement) withinTeamLimit(j *job, uncertain []quota.Units) bool {
 	return p.teams.Team(j.request.team).AllowsAnother(j.request.size, uncertain[j.request.team])
@@ -113,8 +106,7 @@
 	if len(j.progress.waiting) == 0 || !p.attempts.hasAttemptsLeft() || p.index.Infeasible(j.request.size) || !p.withinTeamLimit(j, uncertain) {
 		return 0
 	}
-	p.resolveTypes(j)
-	onlyZone := int32(-1)
+	onlyZone := anyZone
 	if j.spec.Gang {
 		onlyZone = p.gangZone(j)
 	}
@@ -127,16 +119,30 @@
 			return placed
 		}
 		m := p.machines.list[machineIndex]
-		p.startOn(j, m)
+		if !p.start(j, m, uncertain) {
+			return placed
+		}
 		placed++
-		if onlyZone < 0 && j.spec.Gang {
+		if onlyZone == anyZone && j.spec.Gang {
 			onlyZone = m.zone
 		}
 	}
 	return placed
 }
 
-// startOn reserves resources for a job's next task on a machine and starts it there.
+// start starts a job's next task on a machine, unless it may not start there. It reports whether it
+// did.
+func (p *placement) start(j *job, m *machine, uncertain []quota.Units) bool {
+	if reason := p.refusal(proposedStart{job: j, machine: m}, uncertain); reason != startAllowed {
+		p.log.Error("machine chosen for a task that may not start there", "machine", m.name, "job", j.id, "reason", reason)
+		return false
+	}
+	p.startOn(j, m)
+	return true
+}
+
+// startOn reserves resources for a job's next task on a machine and starts it there. Only
+// placement.start calls it.
 func (c *Core) startOn(j *job, m *machine) {
 	taskIndex := j.progress.popWaiting()
 	alloc := c.allocate(m, j, taskIndex, c.attempts.nextAttempt(), purposeRun)
@@ -183,7 +189,7 @@
 }
 
 // gangZone chooses the zone of a job whose tasks must all run in one zone: the zone in which it
-// already has tasks, or else the one with free resources for the most of them; -1 if there is none.
+// already has tasks, or else the one with free resources for the most of them; anyZone if there is none.
 // The search examines all machines, so its result is kept for one second.
 func (p *placement) gangZone(j *job) int32 {
 	for zone, tasks := range j.placement.tasksByZone {
@@ -195,11 +201,11 @@
 		return j.placement.gangZone
 	}
 	slots := make([]int, len(p.machines.zones.list))
-	bestZone := int32(-1)
+	bestZone := anyZone
 	for _, m := range p.machines.live {
-		if m.indexed.schedulable && j.allowsMachine(m.typeIndex, m.zone, m.spot) {
+		if m.indexed.schedulable && p.types.allowsPool(j, m.pool()) {
 			slots[m.zone] += j.request.size.Slots(m.capacity.free)
-			if bestZone < 0 || slots[m.zone] > slots[bestZone] {
+			if bestZone == anyZone || slots[m.zone] > slots[bestZone] {
 				bestZone = m.zone
 			}
 		}
@@ -219,9 +225,3 @@
 	}
 	j.placement.tasksByZone[zone] += change
 }
-
-// spreadLimitReached reports whether a spread job may have no more tasks in a zone, which is when
-// half of them are there.
-func (j *job) spreadLimitReached(zone int32) bool {
-	return j.spec.Spread && int(zone) < len(j.placement.tasksByZone) && j.placement.tasksByZone[zone] >= (j.progress.total+1)/2
-}
--- a/internal/scheduler/placement_index.go
+++ b/internal/scheduler/placement_index.go
@@ -8,12 +8,6 @@
 	"leadproxy/internal/slowfit"
 )
 
-// poolKey is what all machines of one pool of the index have in common.
-type poolKey struct {
-	typeIndex, zone int32
-	spot            bool
-}
-
 // indexEntry is a machine's entry in the SLOW-FIT index.
 type indexEntry struct {
 	pool        int32 // pool number; -1: in no pool yet
@@ -44,7 +38,7 @@
 		p.index.MarkUnschedulable(m.index)
 		return
 	}
-	key := poolKey{m.typeIndex, m.zone, m.spot}
+	key := m.pool()
 	pool, ok := p.poolIndexByKey[key]
 	if !ok {
 		pool = int32(p.index.AddPool(m.capacity.total))
@@ -121,10 +115,10 @@
 	request := slowfit.Request{Task: j.request.size, PreferredBonus: imageBonus, PreferredTag: imageTag(j.request.image),
 		ScorePool: func(pool int) (bool, int) {
 			key := p.poolKeys[pool]
-			if !j.allowsMachine(key.typeIndex, key.zone, key.spot) || onlyZone >= 0 && key.zone != onlyZone || j.spreadLimitReached(key.zone) {
+			if !p.types.allowsNextIn(j, key) || onlyZone != anyZone && key.Zone != onlyZone {
 				return false, 0
 			}
-			if key.spot {
+			if key.Spot {
 				return true, spotBonus
 			}
 			return true, 0
@@ -134,7 +128,7 @@
 			return m.hasImage(j.request.image) || p.imageFetchPending(m, j.request.image)
 		},
 	}
-	if len(j.retry.failedOn) > 0 && !j.suspect() {
+	if len(j.retry.failedOn) > 0 {
 		request.Allowed = func(machineIndex int32) bool { return !j.avoids(machineIndex, p.clock.now) }
 	}
 	return request
--- a/internal/scheduler/plan_views.go
+++ b/internal/scheduler/plan_views.go
@@ -10,6 +10,7 @@
 type planViews struct {
 	term         uint64
 	clock        *clock
+	types        *machineTypes
 	estimates    *runEstimates
 	jobs         *jobTable
 	machines     *machineTable
@@ -19,7 +20,7 @@
 }
 
 func newPlanViews(c *Core) planViews {
-	return planViews{term: c.term, clock: &c.clock, estimates: &c.estimates, jobs: &c.jobs,
+	return planViews{term: c.term, clock: &c.clock, types: &c.types, estimates: &c.estimates, jobs: &c.jobs,
 		machines: &c.machines, agents: &c.agents, disruptions: &c.disruptions, replacements: &c.replacements}
 }
 
@@ -114,7 +115,7 @@
 // gang-scheduled job, a machine of the same zone.
 func (v *planViews) hasCapacityElsewhere(from *machine, j *job) bool {
 	return slices.ContainsFunc(v.machines.live, func(m *machine) bool {
-		return m != from && v.agents.schedulable(m) && j.allowsMachine(m.typeIndex, m.zone, m.spot) && j.request.size.Within(m.capacity.free) && (!j.spec.Gang || m.zone == from.zone)
+		return m != from && v.agents.schedulable(m) && v.types.allowsPool(j, m.pool()) && j.request.size.Within(m.capacity.free) && (!j.spec.Gang || m.zone == from.zone)
 	})
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -77,20 +77,6 @@
 	return 1
 }
 
-// resolveTypes resolves the machine type names in a job's description. Unknown names are left out
-// until clearTypes is called.
-func (p *placement) resolveTypes(j *job) {
-	if j.spec.Types == nil || j.request.types != nil {
-		return
-	}
-	j.request.types = []int32{}
-	for _, name := range j.spec.Types {
-		if typeIndex, ok := p.types.indexByName[name]; ok {
-			j.request.types = append(j.request.types, typeIndex)
-		}
-	}
-}
-
 // ageBucket orders jobs of one priority class. First come those that have waited for maxStartDelay
 // or more, the longest first, so that every job is placed eventually; then those that can meet
 // their deadline; then those that no longer can.
--- a/internal/scheduler/quota/quota.go
+++ b/internal/scheduler/quota/quota.go
@@ -83,7 +83,13 @@
 // AllowsAnother reports whether the limit allows one more task of a size, in addition to the
 // allocations and to uncertain, what its tasks may use without the leader seeing it.
 func (t *Team) AllowsAnother(size slowfit.Size, uncertain Units) bool {
-	return t.Allows(t.allocated.Plus(uncertain).Plus(UnitsOf(size)))
+	return t.AllowsMore(size, 1, uncertain)
+}
+
+// AllowsMore is like AllowsAnother for any number of tasks. Zero tasks are allowed if the present use
+// is within the limit.
+func (t *Team) AllowsMore(size slowfit.Size, tasks int, uncertain Units) bool {
+	return t.Allows(t.allocated.Plus(uncertain).Plus(UnitsOf(size).Times(tasks)))
 }
 
 // AdditionalTasks returns how many more tasks of a size the limit allows when the team uses the
--- a/internal/scheduler/renewal_model_test.go
+++ b/internal/scheduler/renewal_model_test.go
@@ -1,13 +1,9 @@
 package scheduler
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
-	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -16,7 +12,6 @@
 	"leadproxy/internal/autoscaler"
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/property"
-	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
 )
 
@@ -265,24 +260,7 @@
 // changeLeader starts a new term from the contents of the ledger. The record of a cancelled job may
 // have become unreadable. Direct commands of the earlier leader may still arrive.
 func (r *renewalHistory) changeLeader() {
-	records := map[string]any{}
-	for jobID, j := range r.harness.submittedJobs {
-		records[ledger.JobKey(jobID)] = ledger.JobRecord{Job: j, AcceptedMS: 1}
-	}
-	for key, write := range r.harness.writesByKey {
-		records[key] = write.Value
-	}
-	var entries []wire.Entry
-	for key, value := range records {
-		text, err := json.Marshal(value)
-		if err != nil {
-			r.t.Fatal(err)
-		}
-		if value != nil {
-			entries = append(entries, wire.Entry{Key: key, Value: text, Version: 1})
-		}
-	}
-	slices.SortFunc(entries, func(a, b wire.Entry) int { return strings.Compare(a.Key, b.Key) })
+	entries := r.harness.ledgerEntries()
 	for i := range entries {
 		for _, jobID := range r.jobIDs {
 			if _, cancelled := r.cancelledAt[jobID]; cancelled && entries[i].Key == ledger.JobKey(jobID) && r.random.IntN(10) == 0 {
@@ -290,23 +268,14 @@
 			}
 		}
 	}
-	cfg := testConfig(settings.Defaults(), settings.Team{Name: "t"})
-	cfg.Term = r.harness.core.term + 1
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	snapshot := ledger.New(cfg.Term, nil, func() ledger.Limits { return ledger.Limits{} }, log).LoadEntries(entries, 1)
 	previous := r.harness
 	for _, sent := range previous.sentCommands {
 		if i := slices.IndexFunc(r.agents, func(agent *modelAgent) bool { return agent.name == sent.Machine }); i >= 0 {
 			r.delayCommand(r.agents[i], sent.Request)
 		}
 	}
-	r.harness = newHarnessWithConfig(r.t, previous.now, cfg, snapshot)
-	r.harness.submittedJobs = previous.submittedJobs
-	for key, write := range previous.writesByKey {
-		if _, rewritten := r.harness.writesByKey[key]; !rewritten {
-			r.harness.writesByKey[key] = write
-		}
-	}
+	r.harness = previous.nextTerm(entries)
+	r.harness.learnTypes(testMachineType("m4", 4))
 }
 
 // checkEffects takes the core's recent effects, responds to its inspections, and checks the
--- a/internal/scheduler/scale_in.go
+++ b/internal/scheduler/scale_in.go
@@ -116,7 +116,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(waiting, func(j *job) bool {
-		return j.allowsMachine(m.typeIndex, m.zone, m.spot) && j.request.size.Within(m.capacity.total)
+		return r.types.allowsPool(j, m.pool()) && j.request.size.Within(m.capacity.total)
 	})
 }
 
--- a/internal/scheduler/scaling_plan.go
+++ b/internal/scheduler/scaling_plan.go
@@ -92,11 +92,10 @@
 			continue
 		}
 		input.ProvisionedCores += m.capacity.total.CPUs
-		pool := autoscaler.CapacityPool{Type: m.typeIndex, Zone: m.zone, Spot: m.spot}
 		if m.trusted(p.term) {
-			input.Running = append(input.Running, autoscaler.RunningMachine{CapacityPool: pool, Index: m.index, BusyCoreSeconds: p.placement.remainingWork(m)})
+			input.Running = append(input.Running, autoscaler.RunningMachine{CapacityPool: m.pool(), Index: m.index, BusyCoreSeconds: p.placement.remainingWork(m)})
 		} else {
-			input.Pending = append(input.Pending, autoscaler.PendingMachine{CapacityPool: pool, Free: m.capacity.free})
+			input.Pending = append(input.Pending, autoscaler.PendingMachine{CapacityPool: m.pool(), Free: m.capacity.free})
 		}
 	}
 }
@@ -124,7 +123,6 @@
 		used[i] = p.teams.Team(int32(i)).Allocated()
 	}
 	for _, j := range p.placement.sortedQueue() {
-		p.placement.resolveTypes(j)
 		count := min(len(j.progress.waiting), p.teams.Team(j.request.team).AdditionalTasks(j.request.size, used[j.request.team]))
 		used[j.request.team] = used[j.request.team].Plus(quota.UnitsOf(j.request.size).Times(count))
 		if j.suspect() {
@@ -134,7 +132,7 @@
 			input.Queued = append(input.Queued, autoscaler.TaskGroup{Size: j.request.size, Count: count, RunTime: p.estimates.expectedRun(j), Slack: j.slack(p.clock.now),
 				Overdue: j.startOverdue(p.clock.now),
 				Avoids:  func(machine int32) bool { return j.avoids(machine, p.clock.now) },
-				Allows:  func(pool autoscaler.CapacityPool) bool { return j.allowsMachine(pool.Type, pool.Zone, pool.Spot) }})
+				Allows:  func(pool autoscaler.CapacityPool) bool { return p.types.allowsPool(j, pool) }})
 		}
 	}
 }
--- a/internal/scheduler/task_stops.go
+++ b/internal/scheduler/task_stops.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"leadproxy/internal/scheduler/quota"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
 )
@@ -35,17 +36,22 @@
 }
 
 // sendPlannedStarts queues the starts of a job on a machine once that host is durable in the job's
-// record. If the machine is not schedulable any more or the job has ended, their allocations are
-// released.
+// record. The allocations of those that are no longer allowed are released.
 func (c *Core) sendPlannedStarts(j *job, m *machine) {
+	var uncertain []quota.Units
 	for _, alloc := range slices.Clone(m.capacity.allocations) {
-		switch {
-		case alloc.job != j.index || alloc.state != allocationPlanned:
-		case c.agents.schedulable(m) && !j.ended():
-			c.commands.queueStart(j, m, alloc)
-		default:
+		if alloc.job != j.index || alloc.state != allocationPlanned {
+			continue
+		}
+		if uncertain == nil {
+			uncertain = c.delegations.uncertainUse()
+		}
+		if reason := c.placement.refusal(proposedStart{job: j, machine: m, allocated: true}, uncertain); reason != startAllowed {
+			c.log.Info("planned start dropped", "machine", m.name, "task", c.jobs.taskName(alloc), "attempt", alloc.attempt, "reason", reason)
 			c.stopAllocation(m, alloc, 0)
+			continue
 		}
+		c.commands.queueStart(j, m, alloc)
 	}
 }
 
