Scheduler: a new leader avoids machines on which earlier attempts have failed

Callers saw a task start again on the machine where it had just failed, after a change of the leader.

Cause: the failures of a job are kept in memory alone, and handleAttemptEnd took every ended attempt without an allocation for one that it had processed before. In a new term, "no failure known" also meant "not told yet": the agents still list the failed attempts.

Change: the failure of an attempt of an earlier term is attributed once, as one of this term is (recordEarlierFailure).

--- a/internal/scheduler/failure_attribution.go
+++ b/internal/scheduler/failure_attribution.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// recordEarlierFailure attributes the failure of an attempt without an allocation. It is one of an
+// earlier leader, whose record of it is lost, or was attributed before: agents list an ended attempt
+// until they are told to forget it.
+func (p *placement) recordEarlierFailure(m *machine, j *job, taskIndex int32, attempt uint64) {
+	_, known := j.retry.failedOn[m.index]
+	if !known && attempt>>termCounterBits < p.term {
+		p.recordFailure(m, j, taskIndex, attempt)
+	}
+}
+
 // recordSuccess records that a task of a job succeeded. The job's earlier failures are therefore
 // attributed to the machines, which are quarantined.
 func (p *placement) recordSuccess(j *job) {
--- a/internal/scheduler/failure_attribution_test.go
+++ b/internal/scheduler/failure_attribution_test.go
@@ -91,3 +91,30 @@
 		}
 	}
 }
+
+// TestFailureUnderEarlierLeaderIsAvoided guards against a new leader that starts a task on the machine
+// which lists the failed attempt of the job, because an earlier leader started that attempt.
+func TestFailureUnderEarlierLeaderIsAvoided(t *testing.T) {
+	const earlierAttempt = (testTerm-1)<<termCounterBits + 1
+	for _, test := range []struct {
+		name   string
+		reason string
+		starts int
+	}{
+		{"failed", wire.ExitError, 0},
+		{"stopped", wire.ExitStopped, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			saved := ledger.SavedJob{ID: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, Hosts: savedHosts("vm-1")}
+			h := newHarness(t, ledger.Snapshot{Jobs: []ledger.SavedJob{saved}})
+			ended := wire.TaskStatus{Task: "job-1/0", Attempt: earlierAttempt, Status: wire.TaskEnded, ExitReason: test.reason}
+			for _, token := range []uint64{0, termToken, termToken} {
+				h.sendHeartbeat(h.newHeartbeat("vm-1", token, ended))
+			}
+			h.want("starts on the machine that lists the attempt", len(h.startCommands()), test.starts)
+			h.waitReporting(failureAvoidance+time.Second, "vm-1")
+			h.want("starts in the end", len(h.startCommands()) > 0, true)
+			h.want("machines of failures", len(h.core.jobs.list[0].retry.failedOn), 1-test.starts)
+		})
+	}
+}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -15,6 +15,7 @@
 // SLOW-FIT goal and index, and reservations. Only placement writes its fields, the placement state
 // of a job, and the index entry of a machine.
 type placement struct {
+	term      uint64
 	clock     *clock
 	log       *slog.Logger
 	types     *machineTypes
@@ -43,7 +44,7 @@
 }
 
 func newPlacement(c *Core) placement {
-	return placement{clock: &c.clock, log: c.log, types: &c.types, classes: &c.classes, estimates: &c.estimates, teams: &c.teams,
+	return placement{term: c.term, clock: &c.clock, log: c.log, types: &c.types, classes: &c.classes, estimates: &c.estimates, teams: &c.teams,
 		jobs: &c.jobs, machines: &c.machines, agents: &c.agents, attempts: &c.attempts, startOn: c.startOn,
 		poolIndexByKey: map[autoscaler.CapacityPool]int32{}, goal: slowfit.Goal{C: c.cfg.Operator.SlowFitC}}
 }
--- a/internal/scheduler/start_constraints_test.go
+++ b/internal/scheduler/start_constraints_test.go
@@ -202,9 +202,6 @@
 		case wire.ExitDone:
 			r.done[jobID]++
 		case wire.ExitError:
-			if task.Attempt>>termCounterBits != r.harness.core.term {
-				continue // of an earlier leader
-			}
 			if r.failures[jobID] == nil {
 				r.failures[jobID] = map[string]time.Duration{}
 			}
--- a/internal/scheduler/task_reports.go
+++ b/internal/scheduler/task_reports.go
@@ -110,6 +110,10 @@
 // handleAttemptEnd processes the end of an attempt that its agent reports: it frees the allocation,
 // and the task either has ended or is requeued. alloc is nil if there is no allocation.
 func (c *Core) handleAttemptEnd(m *machine, j *job, index int32, alloc *allocation, task *wire.TaskStatus) {
+	if alloc == nil && task.ExitReason == wire.ExitError && !j.ended() && j.progress.tasks != nil {
+		c.placement.recordEarlierFailure(m, j, index, task.Attempt)
+		return
+	}
 	if alloc == nil && (task.ExitReason != wire.ExitDone || j.progress.tasks == nil || j.ended() || j.progress.tasks[index].state != taskWaiting) {
 		return // processed before
 	}
