Scheduler: plans, returns and drains count zones as placement does

Operators saw machines rented, or kept idle, for the next task of a gang or spread job in zones where it may not start, and drains that counted a machine as room for a task which it can't take.

Cause: the planner and mayScaleIn asked only what the job's description says, not where its other tasks are; hasCapacityElsewhere had its own rule for gangs and none for spread, reserved machines and machines to avoid.

Change: all three ask the functions that placement asks (allowsNextIn, allowsZoneBesideOthers). The only task of a gang may move to another zone.

--- a/internal/scheduler/plan_views.go
+++ b/internal/scheduler/plan_views.go
@@ -111,11 +111,12 @@
 	return view
 }
 
-// hasCapacityElsewhere reports whether another machine can run a task of a job now; for a
-// gang-scheduled job, a machine of the same zone.
+// hasCapacityElsewhere reports whether another machine can run a task of a job now that one machine
+// runs.
 func (v *planViews) hasCapacityElsewhere(from *machine, j *job) bool {
 	return slices.ContainsFunc(v.machines.live, func(m *machine) bool {
-		return m != from && v.agents.schedulable(m) && v.types.allowsPool(j, m.pool()) && j.request.size.Within(m.capacity.free) && (!j.spec.Gang || m.zone == from.zone)
+		hasRoom := m != from && v.agents.schedulable(m) && !m.capacity.reserved && j.request.size.Within(m.capacity.free)
+		return hasRoom && v.types.allowsPool(j, m.pool()) && j.allowsZoneBesideOthers(m.zone, from.zone, 1) && !j.avoids(m.index, v.clock.now)
 	})
 }
 
--- a/internal/scheduler/scale_in.go
+++ b/internal/scheduler/scale_in.go
@@ -116,7 +116,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(waiting, func(j *job) bool {
-		return r.types.allowsPool(j, m.pool()) && j.request.size.Within(m.capacity.total)
+		return r.types.allowsNextIn(j, m.pool()) && j.request.size.Within(m.capacity.total)
 	})
 }
 
--- a/internal/scheduler/scaling_plan.go
+++ b/internal/scheduler/scaling_plan.go
@@ -132,7 +132,7 @@
 			input.Queued = append(input.Queued, autoscaler.TaskGroup{Size: j.request.size, Count: count, RunTime: p.estimates.expectedRun(j), Slack: j.slack(p.clock.now),
 				Overdue: j.startOverdue(p.clock.now),
 				Avoids:  func(machine int32) bool { return j.avoids(machine, p.clock.now) },
-				Allows:  func(pool autoscaler.CapacityPool) bool { return p.types.allowsPool(j, pool) }})
+				Allows:  func(pool autoscaler.CapacityPool) bool { return p.types.allowsNextIn(j, pool) }})
 		}
 	}
 }
