Scheduler: a leader without machine types neither delegates nor refuses for good

Neighbours saw jobs of a cell whose new leader had not heard its machine types yet: it delegated jobs that it could run, and refused jobs of other cells for good with "none of its tasks fits a machine type here".

Cause: an empty list of types meant both "not known yet" and "there are none".

Change: machineTypes.known tells them apart. Until then no shortage is observed, and the refusal is temporary.

--- a/internal/scheduler/capacity_pools.go
+++ b/internal/scheduler/capacity_pools.go
@@ -105,7 +105,7 @@
 // the largest type up to the operator's limit, or one call's worth if there is no limit.
 func (p *capacityPools) scalableCores() float64 {
 	limit := p.cfg.Operator.MaxMachines
-	if len(p.types.list) == 0 || !p.anyPoolOpen() {
+	if !p.types.known() || !p.anyPoolOpen() {
 		return 0
 	}
 	largest := 0.0
--- a/internal/scheduler/federation_test.go
+++ b/internal/scheduler/federation_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -19,6 +20,14 @@
 // newCellHarness returns a harness for cell "lima" with neighbour "puno". Its only machine has
 // four cores and is up, and the settings allow no further machine.
 func newCellHarness(t *testing.T, change func(operator *settings.Operator), teams ...settings.Team) *harness {
+	h := newHarnessWithSettings(t, cellSettings(change), ledger.Snapshot{}, teams...)
+	h.bringUp("vm-1")
+	h.step(TransfersEnabled{})
+	return h
+}
+
+// cellSettings returns the operator settings of cell "lima".
+func cellSettings(change func(operator *settings.Operator)) settings.Operator {
 	operator := settings.Defaults()
 	operator.MaxMachines = 1
 	operator.Cells = settings.Cells{Name: "lima", DelegateJobs: true, ShortageFor: 5 * time.Second, MaxWait: 10 * time.Second, Repeatable: map[string]bool{},
@@ -26,10 +35,7 @@
 	if change != nil {
 		change(&operator)
 	}
-	h := newHarnessWithSettings(t, operator, ledger.Snapshot{}, teams...)
-	h.bringUp("vm-1")
-	h.step(TransfersEnabled{})
-	return h
+	return operator
 }
 
 // waitReporting advances the time while the machine sends heartbeats with its tasks.
@@ -282,3 +288,24 @@
 	}
 	h.want("queue order within one priority", strings.Join(order, " "), "job-2 job-87")
 }
+
+// TestTransfersBeforeMachineTypesAreKnown guards against a leader that takes "no machine type is known
+// yet" for "there is none": it delegated its jobs at once, and refused those of other cells for good.
+func TestTransfersBeforeMachineTypesAreKnown(t *testing.T) {
+	h := newHarnessWithoutTypes(t, 0, testConfig(cellSettings(func(operator *settings.Operator) { operator.MaxMachines = 10 }), settings.Team{Name: "t"}), ledger.Snapshot{})
+	h.bringUp("vm-1")
+	h.step(TransfersEnabled{})
+	h.submit(newTestJob("job-1", 1, 1))
+	h.want("messages to the neighbour", len(h.offersAfterShortage(100, nil)), 0)
+
+	description, err := json.Marshal(newTestJob("job-80", 1, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.want("offer before", offerForeignJob(h, "job-80", string(description)), federation.OutcomeRefused)
+	reply, _ := lastEffect[TransferReply](h)
+	h.want("the refusal is temporary", reply.Answers[0].Temporary, true)
+	h.learnTypes(testMachineType("m4", 4))
+	h.acknowledge("vm-1")
+	h.want("job-1 starts", len(h.startCommands()), 1)
+}
--- a/internal/scheduler/foreign_jobs.go
+++ b/internal/scheduler/foreign_jobs.go
@@ -84,6 +84,9 @@
 	case !f.neighbours.transfersEnabled:
 		return federation.Refusal{Reason: "not all controllers here know transfers", Temporary: true}
 	}
+	if !f.types.known() {
+		return federation.Refusal{Reason: "the machine types are not known yet", Temporary: true}
+	}
 	spec, err := wire.ParseJob(body.Job)
 	if err != nil {
 		return federation.Refusal{Reason: "the job can't be read: " + err.Error()}
--- a/internal/scheduler/machine_types.go
+++ b/internal/scheduler/machine_types.go
@@ -16,6 +16,9 @@
 
 func newMachineTypes() machineTypes { return machineTypes{indexByName: map[string]int32{}} }
 
+// known reports whether the cloud has told this leader its machine types.
+func (t *machineTypes) known() bool { return len(t.list) > 0 }
+
 // findOrAdd returns the index of a type, and adds the type if it is new.
 func (t *machineTypes) findOrAdd(typ wire.MachineType) (index int32, isNew bool) {
 	if i, known := t.indexByName[typ.Name]; known {
--- a/internal/scheduler/scaling_plan.go
+++ b/internal/scheduler/scaling_plan.go
@@ -42,7 +42,7 @@
 
 // planDue plans scale-in and scale-out if planInterval has passed and the machine types are known.
 func (p *capacityPlanner) planDue() {
-	if p.clock.now < p.nextPlan || len(p.types.list) == 0 {
+	if p.clock.now < p.nextPlan || !p.types.known() {
 		return
 	}
 	p.nextPlan = p.clock.now + planInterval
@@ -137,9 +137,10 @@
 	}
 }
 
-// canScaleOut reports whether machines are starting or could be requested.
+// canScaleOut reports whether machines are starting or could be requested. Before the machine types are
+// known, that can't be ruled out.
 func (p *capacityPlanner) canScaleOut() bool {
-	if len(p.scaleOuts.awaitingResult()) > 0 {
+	if !p.types.known() || len(p.scaleOuts.awaitingResult()) > 0 {
 		return true
 	}
 	if slices.ContainsFunc(p.machines.live, func(m *machine) bool { return m.state == machineStarting && m.typeIndex >= 0 }) {
