Scheduler: a job whose hosts can't be read may run anywhere for two leases

Cause: "hosts unknown" was taken for "no hosts" in two ways. The team's use did not count the job's tasks, so that other jobs exceeded the limit; and the job's tasks were started again after one lease, although an agent whose heartbeat without the term's token was answered late in that lease may list them with the token only in the next one.

Change: until two leases have passed, the tasks count as uncertain use and are not started.

Measured: before, two of three cases of TestUnreadableHosts fail (a start beyond the limit; the same task started on a second machine); all pass now.

--- a/internal/scheduler/delegated_jobs.go
+++ b/internal/scheduler/delegated_jobs.go
@@ -137,7 +137,7 @@
 	use := make([]quota.Units, d.teams.Len())
 	transfers := !d.transfers.Idle()
 	for _, j := range d.jobs.active {
-		if len(j.record.inDoubtHosts) > 0 && j.end.state != wire.JobDone {
+		if j.record.mayHaveUnseenTasks(d.clock.now) && j.end.state != wire.JobDone {
 			tasks := j.progress.total - j.progress.done - j.progress.allocated
 			use[j.request.team] = use[j.request.team].Plus(quota.UnitsOf(j.request.size).Times(max(tasks, 0)))
 		}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -83,6 +83,10 @@
 	hostChunks         []int          // for each key with hosts: the index in hosts of its first one
 	inDoubtHosts       map[int32]bool // machines on which an earlier leader may have started tasks not seen yet
 
+	// hostsUnknownUntil is until when tasks of an earlier leader may run on any machine, because the
+	// ledger's record of the hosts can't be read; 0: it can.
+	hostsUnknownUntil time.Duration
+
 	finishedKeys   map[string]bool // keys that hold finished tasks
 	chunksInParts  map[int]bool    // chunks of finished tasks that are written in parts
 	unwrittenTasks []int32         // tasks that have ended and are not written yet
--- a/internal/scheduler/job_records.go
+++ b/internal/scheduler/job_records.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/wire"
@@ -134,6 +135,15 @@
 	r.inDoubtHosts[machine] = true
 }
 
+// setHostsUnknown records that any machine may run tasks of the job until a time.
+func (r *jobRecord) setHostsUnknown(until time.Duration) { r.hostsUnknownUntil = until }
+
+// mayHaveUnseenTasks reports whether an earlier leader may have started tasks that this one has not
+// seen yet.
+func (r *jobRecord) mayHaveUnseenTasks(now time.Duration) bool {
+	return len(r.inDoubtHosts) > 0 || now < r.hostsUnknownUntil
+}
+
 // resolveInDoubt records that the job's tasks on a machine are known. It reports whether no machine
 // is left in doubt.
 func (r *jobRecord) resolveInDoubt(machine int32) (last bool) {
--- a/internal/scheduler/restore.go
+++ b/internal/scheduler/restore.go
@@ -51,9 +51,12 @@
 	c.jobs.restoreFinished(j, saved)
 	c.restoreHosts(j, saved.Hosts)
 	if saved.HostsUnknown {
-		// Its tasks may run on unknown machines. Within one lease, running agents send a heartbeat,
-		// and all others have ended their tasks.
-		j.retry.delayUntil(c.clock.now + c.agents.lease)
+		// Its tasks may run on unknown machines. Within one lease, running agents get this term's
+		// token, and all others have ended their tasks. Within another one, those agents list their
+		// tasks with the token, or have ended them too.
+		until := c.clock.now + 2*c.agents.lease
+		j.record.setHostsUnknown(until)
+		j.retry.delayUntil(until)
 	}
 	if !hasDependencies(&saved.Record) && j.transfer.origin == "" {
 		c.demand.observeArrival(j)
--- a/internal/scheduler/restore_test.go
+++ b/internal/scheduler/restore_test.go
@@ -7,6 +7,7 @@
 
 	"leadproxy/internal/autoscaler"
 	"leadproxy/internal/ledger"
+	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
 )
 
@@ -119,3 +120,45 @@
 	h.want("starts", len(h.startCommands()), 0)
 	h.want("cleaned up", h.core.jobs.list[0].end.cleanedUp, true)
 }
+
+// TestUnreadableHosts guards against a leader that can't read a job's hosts and takes that for "no
+// machine runs its tasks": it exceeded the team's limit with other jobs, and started a task again that an
+// agent had not listed with the term's token yet.
+func TestUnreadableHosts(t *testing.T) {
+	running := newTaskStatus(wire.Command{Task: "job-1/0", Attempt: 6<<termCounterBits | 1}, wire.TaskRunning, "")
+	saved := ledger.Snapshot{Jobs: []ledger.SavedJob{{ID: "job-1", Record: ledger.JobRecord{Job: newTestJob("job-1", 1, 1)}, HostsUnknown: true}}}
+	newTerm := func(jobs int, limit float64) *harness {
+		h := newHarness(t, saved, settings.Team{Name: "t", CPUsMax: limit})
+		h.bringUp("vm-9")
+		for i := range jobs {
+			h.submit(newTestJob(fmt.Sprintf("job-%d", 2+i), 1, 1))
+		}
+		return h
+	}
+	// listAfterALease has an agent list the task without the term's token, which renews its lease, and
+	// with the token after more than a lease.
+	listAfterALease := func(h *harness) {
+		lease := h.core.agents.lease
+		h.waitReporting(lease-time.Second, "vm-9")
+		h.sendHeartbeat(h.newHeartbeat("vm-1", 0, running))
+		h.waitReporting(3*time.Second, "vm-9")
+		h.sendHeartbeat(h.newHeartbeat("vm-1", termToken, running))
+		h.waitReporting(2*lease, "vm-9")
+	}
+
+	t.Run("the task runs, and its team is at its limit", func(t *testing.T) {
+		h := newTerm(1, 1)
+		listAfterALease(h)
+		h.want("starts", len(h.startCommands()), 0)
+	})
+	t.Run("the task runs, and there is no limit", func(t *testing.T) {
+		h := newTerm(0, 0)
+		listAfterALease(h)
+		h.want("starts", len(h.startCommands()), 0)
+	})
+	t.Run("no agent lists the task", func(t *testing.T) {
+		h := newTerm(1, 1)
+		h.waitReporting(2*h.core.agents.lease+3*time.Second, "vm-9")
+		h.want("starts", len(h.startCommands()), 1)
+	})
+}
