Tests: late copies of answered starts, with controllers back within a second

Tasks move, some of them back, and jobs are cancelled; copies of all commands arrive up to 20 s longer than the bound on cancellations later, while no controller, the leader, the same leader again, or all controllers in an election are back within a second. No product code is changed: none of these copies does anything.

--- a/internal/fake/agent_faults.go
+++ b/internal/fake/agent_faults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"leadproxy/internal/wire"
 )
 
 // SetHung makes the machine hang or resumes it. While it hangs its tasks make no progress, and it
@@ -90,3 +92,14 @@
 	case <-a.ctx.Done():
 	}
 }
+
+// FailTasks ends all running tasks with an error.
+func (a *Agent) FailTasks() {
+	a.do(func() {
+		for _, t := range a.tasks {
+			if t.Status == wire.TaskRunning {
+				a.failTask(t)
+			}
+		}
+	})
+}
--- a/internal/fake/agent_tasks.go
+++ b/internal/fake/agent_tasks.go
@@ -113,6 +113,12 @@
 	a.config.Checker.RecordTaskEnd(t.Task, a.name, true)
 }
 
+func (a *Agent) failTask(t *agentTask) {
+	t.Status, t.ExitReason = wire.TaskEnded, wire.ExitError
+	a.signalChange()
+	a.config.Checker.RecordTaskEnd(t.Task, a.name, false)
+}
+
 // stopTask ends a task. A running task saves a checkpoint first if its job has checkpoints and the
 // command's grace period (0 if absent) is long enough for one. A checkpoint that is being saved is
 // aborted only if the grace period is 0.
--- a/internal/scheduler/start_constraints_test.go
+++ b/internal/scheduler/start_constraints_test.go
@@ -35,6 +35,12 @@
 	return heartbeat
 }
 
+// reboot restarts the machine: it has lost its tasks and its token, and counts from the beginning.
+func (a *pooledAgent) reboot(now time.Duration) {
+	a.epoch, a.sequence, a.fencingToken, a.leaseRenewedAt = 1, 0, 0, now
+	a.tasks, a.knownAttempts = nil, map[uint64]bool{}
+}
+
 // constraintHistory is one run of the model.
 type constraintHistory struct {
 	t       testingT
@@ -43,17 +49,26 @@
 	agents  []*pooledAgent
 	rented  int // number of machines so far
 	jobs    int // number of jobs so far
+	// maxAgents is the most machines at a time.
+	maxAgents int
 	// failures are the failures that the present leader has been told, by job and machine.
 	failures map[string]map[string]time.Duration
 	done     map[string]int // tasks done so far, by job
 	late     []func()       // each delivers a command that was delayed
 	starts   int            // starts executed so far
-	reserved bool           // a machine has been reserved for a job
+	copies   bool           // commands that were answered arrive again
+	reboots  bool           // machines are back at once, without their tasks and tokens
+	// cancelledAt is when users were told that a job is cancelled.
+	cancelledAt map[string]time.Duration
+	placedOn    map[string][]string // machines on which a task has started, by task
+	movedBack   int                 // starts on a machine that the task had left for another one
+	reserved    bool                // a machine has been reserved for a job
 }
 
 func newConstraintHistory(t testingT, random *rand.Rand) *constraintHistory {
 	cfg := testConfig(settings.Defaults(), settings.Team{Name: "t", CPUsMax: constraintTeamCores}, settings.Team{Name: "t2", CPUsMax: constraintTeamCores})
-	r := &constraintHistory{t: t, random: random, harness: newHarnessWithoutTypes(t, 0, cfg, ledger.Snapshot{}), failures: map[string]map[string]time.Duration{}, done: map[string]int{}}
+	r := &constraintHistory{t: t, random: random, maxAgents: 12, harness: newHarnessWithoutTypes(t, 0, cfg, ledger.Snapshot{}), failures: map[string]map[string]time.Duration{}, done: map[string]int{},
+		cancelledAt: map[string]time.Duration{}, placedOn: map[string][]string{}}
 	for range 5 {
 		r.rentMachine()
 	}
@@ -97,7 +112,7 @@
 		r.harness.holdWrites = true
 	case action < 25 && r.harness.holdWrites:
 		r.harness.releaseWrites()
-	case action < 26:
+	case action < 26 && len(r.agents) < r.maxAgents:
 		r.rentMachine()
 	case action < 27 && len(r.agents) > 3:
 		r.agents = slices.DeleteFunc(r.agents, func(other *pooledAgent) bool { return other == agent })
@@ -105,9 +120,15 @@
 	case action < 28 && r.random.IntN(2) == 0:
 		r.changeLeader()
 	case action < 30 && len(r.late) > 0:
-		deliver := r.late[0]
-		r.late = r.late[1:]
+		i := r.random.IntN(len(r.late))
+		deliver := r.late[i]
+		r.late = slices.Delete(r.late, i, i+1)
 		deliver()
+	case action < 31 && r.copies && r.jobs > 0:
+		jobID := fmt.Sprintf("job-%06d", 1+r.random.IntN(r.jobs))
+		r.harness.step(CancelRequest{JobID: jobID, ReplyTo: testRecipient(jobID)})
+	case action < 32 && r.reboots:
+		agent.reboot(r.harness.now)
 	default:
 		r.letTimePass(1 + r.random.IntN(20))
 	}
@@ -153,7 +174,11 @@
 			continue
 		}
 		task.Status, task.ExitReason = wire.TaskEnded, wire.ExitDone
-		if r.random.IntN(3) == 0 {
+		failing := 1
+		if r.copies {
+			failing = 2 // failed tasks move
+		}
+		if r.random.IntN(3) < failing {
 			task.ExitReason = wire.ExitError
 		}
 		r.sendHeartbeat(agent)
@@ -218,9 +243,7 @@
 		effects, commands := r.harness.recentEffects, r.harness.sentCommands
 		r.harness.recentEffects, r.harness.sentCommands = nil, nil
 		for _, effect := range effects {
-			if reply, ok := effect.(HeartbeatReply); ok && reply.Response != nil {
-				r.applyResponse(reply)
-			}
+			r.handleEffect(effect)
 		}
 		for _, sent := range commands {
 			r.finishCommand(sent)
@@ -228,6 +251,24 @@
 	}
 }
 
+// handleEffect delivers a response or the status of an inspected agent, and records a cancellation.
+func (r *constraintHistory) handleEffect(effect Effect) {
+	switch effect := effect.(type) {
+	case HeartbeatReply:
+		if effect.Response != nil {
+			r.applyResponse(effect)
+		}
+	case InspectAgent:
+		if agent := r.find(effect.Machine); agent != nil {
+			r.harness.step(InspectResult{Machine: agent.name, Heartbeat: agent.heartbeat()})
+		}
+	case UserReply:
+		if _, known := r.cancelledAt[effect.Status.ID]; !known && effect.Status.Status == wire.JobCancelled {
+			r.cancelledAt[effect.Status.ID] = r.harness.now
+		}
+	}
+}
+
 // find returns the agent of a machine, or nil.
 func (r *constraintHistory) find(name string) *pooledAgent {
 	for _, agent := range r.agents {
@@ -259,6 +300,9 @@
 	}
 	r.checkAvoided(agent, sent.Request.Commands)
 	outcome := r.executeRequest(agent, sent.Request)
+	if r.copies && r.random.IntN(2) == 0 {
+		r.delay(sent)
+	}
 	r.harness.step(CommandResult{CommandID: sent.CommandID, Outcome: outcome, Heartbeat: agent.heartbeat()})
 }
 
@@ -289,10 +333,20 @@
 		if isNew {
 			r.starts++
 			r.checkStart(agent, command.Task)
+			r.recordPlace(agent, command.Task)
 		}
 	}
 }
 
+// recordPlace records the machine on which a task has started.
+func (r *constraintHistory) recordPlace(agent *pooledAgent, task string) {
+	places := r.placedOn[task]
+	if i := slices.Index(places, agent.name); i >= 0 && i < len(places)-1 {
+		r.movedBack++
+	}
+	r.placedOn[task] = append(places, agent.name)
+}
+
 // checkAvoided checks that commands start no task on a machine that its job avoids.
 func (r *constraintHistory) checkAvoided(agent *pooledAgent, commands []wire.Command) {
 	for _, command := range commands {
@@ -314,6 +368,9 @@
 	if !typeAllowed || !zoneAllowed || agent.pool.Spot && !j.Spot {
 		r.t.Errorf("%s starts on %s of %+v; its job allows the types %v, the zone %v, spot %t", task, agent.name, agent.pool, j.Types, j.Zone, j.Spot)
 	}
+	if cancelledAt, cancelled := r.cancelledAt[j.ID]; cancelled && r.harness.now-cancelledAt > modelCancel {
+		r.t.Errorf("%s starts on %s %v after its job was reported as cancelled", task, agent.name, r.harness.now-cancelledAt)
+	}
 	inZone, inJob, ofTask, teamCores := 0, 0, 0, 0.0
 	for _, other := range r.agents {
 		for _, running := range other.tasks {
