Scheduler: starts travel only in responses to heartbeats

A direct command may be carried out again at any later time; a response to a heartbeat never.

Change: no direct command carries a start. Where no heartbeat is being answered, the leader wakes the agent by a direct start of a task that does not exist: it is refused, and the agent reports at once. Starts that wait have not left; they are released if the wake-up fails, the agent is not heard of, or placement.refusal says no. The setting direct_starts (off) restores the earlier way. The soak repeats commands beside reboots now.

--- a/internal/controller/agent_failures_test.go
+++ b/internal/controller/agent_failures_test.go
@@ -229,9 +229,8 @@
 }
 
 // TestMachineReboots: machines reboot within a fraction of a second, so that their agents number
-// heartbeats from the beginning, while old heartbeats arrive and leaders fail. Commands are not
-// delayed here: an agent that has lost its fencing token executes any command, however old, which
-// no controller can prevent.
+// heartbeats from the beginning, while old heartbeats arrive and leaders fail.
+// TestLateCopiesReachRebootedMachines has late copies of commands besides.
 func TestMachineReboots(t *testing.T) {
 	runWithSeeds(t, clusterConfig{runTime: longRunning(30 * time.Second)}, func(c *cluster, r *rand.Rand) {
 		jobs := c.submitJobs(0, 12, 300*time.Millisecond, nil)
--- a/internal/controller/late_copies_test.go
+++ b/internal/controller/late_copies_test.go
@@ -106,3 +106,23 @@
 	c.commandFaults.Store(nil)
 	time.Sleep(cancelLimit + 20*time.Second) // the last copies arrive
 }
+
+// TestLateCopiesReachRebootedMachines guards against the same when machines are back within a second,
+// some of them in an election or again soon after.
+func TestLateCopiesReachRebootedMachines(t *testing.T) {
+	for _, name := range []string{"no controller", "the leader", "all controllers, again in the election"} {
+		t.Run(name, func(t *testing.T) {
+			runWithSeeds(t, lateCopiesConfig, func(c *cluster, r *rand.Rand) {
+				c.withLateCopies(r, func() {
+					for range 3 {
+						for _, agent := range c.cloud.Agents() {
+							agent.Reboot()
+						}
+						quickRestarts[name](c, r)
+						time.Sleep(randomDuration(r, 0, 10*time.Second))
+					}
+				})
+			})
+		})
+	}
+}
--- a/internal/scheduler/command_results.go
+++ b/internal/scheduler/command_results.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"leadproxy/internal/scheduler/agentstate"
+	"leadproxy/internal/wire"
 )
 
 // startSuspension is how long nothing is started on a machine after a command was not sent, or its
@@ -48,6 +49,9 @@
 	if m.state == machineGone {
 		return
 	}
+	if command.wakeup {
+		c.handleWakeupResult(m, result.Outcome)
+	}
 	if command.addressFromSoftState && (result.Outcome == CommandOutcomeUnknown || result.Outcome == CommandNotSent) {
 		// The address is wrong or outdated. That does not show that the machine can't be reached.
 		c.agents.dropInheritedAddress(m)
@@ -71,19 +75,26 @@
 	case CommandExecuted:
 		c.commands.resolveStarts(command, func(alloc *allocation) { alloc.state = allocationConfirmed })
 	}
-	if result.Heartbeat != nil && result.Heartbeat.Machine == m.name && result.Heartbeat.FencingToken>>termCounterBits <= c.term {
-		// The agent created this status after the command was sent. If it is older than the newest
-		// heartbeat known then, the agent has restarted.
-		if agentstate.PositionOf(result.Heartbeat).Before(command.positionWhenSent) {
-			c.handleAgentRestart(m, result.Heartbeat)
-		}
-		c.applyHeartbeat(m, result.Heartbeat, fromCommandResult)
-	}
+	c.applyCommandStatus(command, result.Heartbeat)
 	if result.Outcome == CommandExecuted {
 		c.commands.repeatStops(command, result.Heartbeat)
 	}
 }
 
+// applyCommandStatus applies the status of the agent in the result of a command, if there is one.
+func (c *Core) applyCommandStatus(command *commandInFlight, heartbeat *wire.Heartbeat) {
+	m := command.machine
+	if heartbeat == nil || heartbeat.Machine != m.name || heartbeat.FencingToken>>termCounterBits > c.term {
+		return
+	}
+	// The agent created this status after the command was sent. If it is older than the newest
+	// heartbeat known then, the agent has restarted.
+	if agentstate.PositionOf(heartbeat).Before(command.positionWhenSent) {
+		c.handleAgentRestart(m, heartbeat)
+	}
+	c.applyHeartbeat(m, heartbeat, fromCommandResult)
+}
+
 // handleUnknownOutcome keeps the allocations of a command that may or may not have been executed.
 // The token has been raised since: once the agent has acknowledged the raised token, it rejects the
 // command, and an attempt that is missing then will never run.
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -19,24 +19,29 @@
 	jobs    *jobTable
 	// cancellations counts the stops of cancelled tasks.
 	cancellations *cancellationWatch
+	// directStarts is set if starts may be sent as direct commands.
+	directStarts bool
 
 	pendingResponses        []pendingResponse // sent at the end of this step
 	responsesAwaitingWrites []pendingResponse // held until the starts for their machines are durable
 	responsesToUnreachable  []pendingResponse // held until the unreachable-agent records of their machines are withdrawn
 	machinesWithCommands    []*machine        // have commands to be sent at the end of this step
+	machinesToWake          []*machine        // have starts that wait for a heartbeat
 	inFlight                map[uint64]*commandInFlight
 	lastCommandID           uint64
 }
 
 func newCommands(c *Core) commands {
-	return commands{term: c.term, clock: &c.clock, log: c.log, effects: &c.effects, jobs: &c.jobs, cancellations: &c.cancellations,
+	return commands{term: c.term, clock: &c.clock, log: c.log, effects: &c.effects, jobs: &c.jobs, cancellations: &c.cancellations, directStarts: c.cfg.Operator.DirectStarts,
 		inFlight: map[uint64]*commandInFlight{}}
 }
 
 // machineCommands is what is to be sent to the agent of one machine, or is in flight to it.
 type machineCommands struct {
 	pending  []wire.Command
-	inFlight int // direct commands without a result
+	listed   bool // the machine is in commands.machinesWithCommands
+	waking   bool // a wake-up of the agent is in flight
+	inFlight int  // direct commands without a result
 	// unresolvedStarts are the starts that may still be executed: by attempt, the token whose
 	// acknowledgement rules that out.
 	unresolvedStarts map[uint64]uint64
@@ -110,6 +115,7 @@
 	startDeliveries      StartDeliveries // of startedAttempts, in the same order
 	stoppedAttempts      []uint64
 	probe                bool
+	wakeup               bool
 	sentAt               time.Duration // set for probes only
 	addressFromSoftState bool          // a probe to an address known only from inherited soft state
 }
@@ -134,7 +140,8 @@
 
 // queueCommand queues a command that is sent to a machine at the end of the step.
 func (c *commands) queueCommand(m *machine, command wire.Command) {
-	if len(m.commands.pending) == 0 {
+	if !m.commands.listed {
+		m.commands.listed = true
 		c.machinesWithCommands = append(c.machinesWithCommands, m)
 	}
 	m.commands.pending = append(m.commands.pending, command)
@@ -148,17 +155,21 @@
 	c.commands.releaseHeldResponses()
 	c.commands.sendResponses()
 	c.commands.sendPendingCommands()
+	c.sendWakeups()
 	c.scaleIns.sendDeletes()
 }
 
 // sendPendingCommands sends the commands that no response carries as direct commands.
 func (c *commands) sendPendingCommands() {
 	for _, m := range c.machinesWithCommands {
+		m.commands.listed = false
 		if m.commands.heldHeartbeat != nil {
 			continue // its commands are sent with the held response
 		}
-		batch := m.commands.pending
-		m.commands.pending = nil
+		batch := c.takeDirect(m)
+		if len(m.commands.pending) > 0 {
+			c.machinesToWake = append(c.machinesToWake, m)
+		}
 		for len(batch) > 0 {
 			count := min(len(batch), maxCommandsPerResponse)
 			c.sendBatch(m, batch[:count])
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -202,6 +202,7 @@
 		c.expireLease(m)
 		if m.indexed.schedulable != c.agents.schedulable(m) {
 			// Its agent became unreachable, or the suspension of its starts has ended.
+			c.releaseRefusedStarts(m)
 			c.placement.markIndexStale(m)
 			c.placement.markNeeded()
 		}
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -81,10 +81,11 @@
 }
 
 // testConfig returns a configuration with heartbeats every 3 s, a lease of 30 s and a cancellation
-// bound of 60 s.
+// bound of 60 s. Direct starts are allowed, so that a test sees each start at once.
 func testConfig(operator settings.Operator, teams ...settings.Team) Config {
 	platform := &settings.Platform{Facts: settings.Facts{ControllerCount: 3, Teams: teams,
 		AgentTiming: settings.AgentTiming{HeartbeatS: 3, LeaseS: 30, CancelS: 60}}}
+	operator.DirectStarts = true
 	return Config{Term: testTerm, Platform: platform, Operator: operator, MaxValueBytes: 16 << 10}
 }
 
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -93,6 +93,7 @@
 	if !wasSchedulable && c.agents.schedulable(m) {
 		c.placement.markNeeded()
 	}
+	c.releaseRefusedStarts(m)
 	return true
 }
 
--- a/internal/scheduler/renewal_model_test.go
+++ b/internal/scheduler/renewal_model_test.go
@@ -54,6 +54,9 @@
 	for _, command := range commands {
 		i := slices.IndexFunc(a.tasks, func(task wire.TaskStatus) bool { return task.Attempt == command.Attempt })
 		switch {
+		case command.Verb == wire.VerbStart && command.Task == wakeTaskName && !a.knownAttempts[command.Attempt]:
+			a.knownAttempts[command.Attempt] = true
+			a.tasks = append(a.tasks, newTaskStatus(command, wire.TaskEnded, wire.ExitNoSuchTask))
 		case command.Verb == wire.VerbStart && !a.knownAttempts[command.Attempt]:
 			if a.startedAttempts[command.Attempt] {
 				a.startedTwice = append(a.startedTwice, command.Task)
--- a/internal/scheduler/start_constraints_test.go
+++ b/internal/scheduler/start_constraints_test.go
@@ -328,7 +328,7 @@
 // execute has an agent execute commands one at a time, and checks each start.
 func (r *constraintHistory) execute(agent *pooledAgent, commands []wire.Command) {
 	for _, command := range commands {
-		isNew := command.Verb == wire.VerbStart && !agent.knownAttempts[command.Attempt]
+		isNew := command.Verb == wire.VerbStart && command.Task != wakeTaskName && !agent.knownAttempts[command.Attempt]
 		agent.execute([]wire.Command{command})
 		if isNew {
 			r.starts++
--- a/internal/scheduler/task_reports.go
+++ b/internal/scheduler/task_reports.go
@@ -110,41 +110,52 @@
 // handleAttemptEnd processes the end of an attempt that its agent reports: it frees the allocation,
 // and the task either has ended or is requeued. alloc is nil if there is no allocation.
 func (c *Core) handleAttemptEnd(m *machine, j *job, index int32, alloc *allocation, task *wire.TaskStatus) {
-	if alloc == nil && task.ExitReason == wire.ExitError && !j.ended() && j.progress.tasks != nil {
-		c.placement.recordEarlierFailure(m, j, index, task.Attempt)
+	if alloc == nil {
+		c.handleEndWithoutAllocation(m, j, index, task)
 		return
 	}
-	if alloc == nil && (task.ExitReason != wire.ExitDone || j.progress.tasks == nil || j.ended() || j.progress.tasks[index].state != taskWaiting) {
-		return // processed before
+	if task.ExitReason != wire.ExitDone && !task.CheckpointSaved {
+		c.spending.addLostWork(m, alloc)
 	}
-	if alloc != nil {
-		if task.ExitReason != wire.ExitDone && !task.CheckpointSaved {
-			c.spending.addLostWork(m, alloc)
-		}
-		if task.ExitReason == wire.ExitStopped {
-			c.disruptions.recordDisruption(m, alloc, task.CheckpointSaved, "it was stopped")
-		}
-		c.deallocate(m, alloc)
+	if task.ExitReason == wire.ExitStopped {
+		c.disruptions.recordDisruption(m, alloc, task.CheckpointSaved, "it was stopped")
 	}
+	c.deallocate(m, alloc)
 	switch task.ExitReason {
 	case wire.ExitDone:
-		if alloc != nil && alloc.runningSince > 0 && !alloc.runStartUnknown {
+		if alloc.runningSince > 0 && !alloc.runStartUnknown {
 			c.estimates.addRun(j, c.clock.now-alloc.runningSince)
 		}
-		m.health.clearFailures()
-		c.completeTask(j, index)
+		c.handleSuccess(m, j, index)
+		return
 	case wire.ExitError:
 		c.placement.recordFailure(m, j, index, task.Attempt)
-		c.placement.requeueTask(j, index)
 	case wire.ExitNoSuchTask:
 		// The user has not uploaded the task's description yet.
 		c.placement.extendBackoff(j)
-		c.placement.requeueTask(j, index)
 	case wire.ExitNoCapacity, wire.ExitInUse:
 		c.log.Info("agent rejected a start", "machine", m.name, "task", task.Task, "attempt", task.Attempt, "reason", task.ExitReason)
 		c.placement.extendBackoff(j)
-		c.placement.requeueTask(j, index)
-	default:
-		c.placement.requeueTask(j, index)
 	}
+	c.placement.requeueTask(j, index)
+}
+
+// handleEndWithoutAllocation processes the end of an attempt that was processed before, or that an earlier
+// leader started.
+func (c *Core) handleEndWithoutAllocation(m *machine, j *job, index int32, task *wire.TaskStatus) {
+	if j.progress.tasks == nil || j.ended() {
+		return
+	}
+	switch {
+	case task.ExitReason == wire.ExitError:
+		c.placement.recordEarlierFailure(m, j, index, task.Attempt)
+	case task.ExitReason == wire.ExitDone && j.progress.tasks[index].state == taskWaiting:
+		c.handleSuccess(m, j, index)
+	}
+}
+
+// handleSuccess records that a task has completed on a machine.
+func (c *Core) handleSuccess(m *machine, j *job, index int32) {
+	m.health.clearFailures()
+	c.completeTask(j, index)
 }
--- a/internal/settings/golden_operator_test.go
+++ b/internal/settings/golden_operator_test.go
@@ -57,6 +57,7 @@
 	{"leadership", "lease_s", "5", func(o Operator) any { return o.LeaderLease }},
 	{"leadership", "margin_ms", "300", func(o Operator) any { return o.LeaseMargin }},
 	{"placement", "c", "9", func(o Operator) any { return o.SlowFitC }},
+	{"placement", "direct_starts", "yes", func(o Operator) any { return o.DirectStarts }},
 	{"fleet", "idle_return_s", "90", func(o Operator) any { return o.IdleReturn }},
 	{"fleet", "boot_patience", "9", func(o Operator) any { return o.BootPatience }},
 	{"fleet", "warm_spread", "9", func(o Operator) any { return o.HeadroomSpread }},
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -23,6 +23,9 @@
 	LeaseMargin time.Duration
 	// SlowFitC is the parameter c of the SLOW-FIT placement algorithm.
 	SlowFitC float64
+	// DirectStarts allows starts in direct commands, which agents whose machines have restarted
+	// may carry out again late. Otherwise starts travel only in responses to heartbeats.
+	DirectStarts bool
 	// IdleReturn is how long a machine beyond the headroom may be idle before it is returned to the
 	// cloud.
 	IdleReturn time.Duration
@@ -68,7 +71,8 @@
 			"margin_ms": inifile.Milliseconds(&operator.LeaseMargin, 50, 500),
 		},
 		"placement": {
-			"c": inifile.Number(&operator.SlowFitC, 1, 100),
+			"c":             inifile.Number(&operator.SlowFitC, 1, 100),
+			"direct_starts": inifile.YesNo(&operator.DirectStarts),
 		},
 		"fleet": {
 			"idle_return_s": inifile.Seconds(&operator.IdleReturn, 5, 86400),
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -50,7 +50,7 @@
 		s = append(s, f)
 	}
 	s = append(s, readFaults(seed, times, length)...)
-	s = append(s, repeatFaults(seed, times, length, s)...)
+	s = append(s, repeatFaults(seed, times, length)...)
 	nextCombination := random.IntN(len(combinations))
 	for start := firstCombinationStart; start < length; start += combinationInterval {
 		c := combinations[nextCombination%len(combinations)](start+time.Duration(random.Int64N(int64(combinationInterval/3))), times)
@@ -76,19 +76,13 @@
 	return s
 }
 
-// repeatFaults draws the faults in which commands are repeated, from a generator of their own. They
-// keep away from reboots: an agent that has lost its fencing token executes any command, however old,
-// which no controller can prevent.
-func repeatFaults(seed uint64, times agentTimes, length time.Duration, others schedule) (s schedule) {
+// repeatFaults draws the faults in which commands are repeated, from a generator of their own.
+func repeatFaults(seed uint64, times agentTimes, length time.Duration) (s schedule) {
 	random := rand.New(rand.NewPCG(seed, 6))
 	for start := firstFaultStart; start < length; start += time.Duration(random.Int64N(int64(maxRepeatInterval))) {
 		f := scheduledFault{kind: repeatedCommands, start: start, share: 0.1 + 0.4*random.Float64()}
 		f.duration = min(minFaultDuration+time.Duration(random.Int64N(int64(times.lease))), length-start)
-		lastCopy := f
-		lastCopy.duration += maxMessageDelay
-		if !slices.ContainsFunc(others, func(other scheduledFault) bool { return other.kind == rebootedMachines && lastCopy.overlaps(other) }) {
-			s = append(s, f)
-		}
+		s = append(s, f)
 	}
 	return s
 }
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -60,14 +60,14 @@
 // PriorityName returns the name of a priority class. A class out of range counts as the nearest one.
 func PriorityName(class int) string { return priorities[min(max(class, 0), len(priorities)-1)] }
 
-// A job id is jobIDPrefix followed by 1 to maxJobIDDigits decimal digits.
+// A job id is JobIDPrefix followed by 1 to MaxJobIDDigits decimal digits.
 const (
-	jobIDPrefix    = "job-"
-	maxJobIDDigits = 32
+	JobIDPrefix    = "job-"
+	MaxJobIDDigits = 32
 )
 
 // ValidJobID reports whether text has the form of a job id.
 func ValidJobID(text string) bool {
-	digits, found := strings.CutPrefix(text, jobIDPrefix)
-	return found && len(digits) <= maxJobIDDigits && isDigits(digits)
+	digits, found := strings.CutPrefix(text, JobIDPrefix)
+	return found && len(digits) <= MaxJobIDDigits && isDigits(digits)
 }
