Scheduler: an answered heartbeat ends the wake-up of its agent

A start that became pending after the heartbeat was answered, and before the result of the wake-up was known, would have waited for the agent's next regular heartbeat (found by reading; TestStartsTravelInResponses covers it). The simulated machines of the benchmark refuse wake-ups as agents do.

--- a/internal/scheduler/heartbeat_responses.go
+++ b/internal/scheduler/heartbeat_responses.go
@@ -24,6 +24,7 @@
 // attachCommandsToNextResponse makes the response that is queued next carry the commands for a
 // machine. It is called for the newest heartbeat of the machine's agent.
 func (c *commands) attachCommandsToNextResponse(m *machine) {
+	m.commands.endWakeup() // starts that become pending after this response need another one
 	if m.commands.heldHeartbeat != nil {
 		// The agent no longer waits for the response to the earlier heartbeat.
 		m.commands.heldHeartbeat = nil
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -127,6 +127,10 @@
 	for _, command := range commands {
 		switch command.Verb {
 		case wire.VerbStart:
+			if command.Task == wakeTaskName {
+				m.heartbeat.Tasks = append(m.heartbeat.Tasks, newTaskStatus(command, wire.TaskEnded, wire.ExitNoSuchTask))
+				break
+			}
 			m.heartbeat.Tasks = append(m.heartbeat.Tasks, wire.TaskStatus{Task: command.Task, Attempt: command.Attempt, Status: wire.TaskRunning})
 			m.taskEndTimes[command.Attempt] = now + 10*time.Second + time.Duration(command.Attempt%7)*time.Second
 		case wire.VerbForget:
