--- a/internal/scheduler/mutants_test.go
+++ b/internal/scheduler/mutants_test.go
@@ -38,6 +38,20 @@
 	{Name: "a read that failed is not repeated", File: "record_reads.go", From: "		r.queue = append(r.queue, jobID)\n	}\n}\n\n// logOverdue", To: "	}\n}\n\n// logOverdue"},
 }
 
+// startMutants each remove one check that keeps a task from starting where or in a way it must not.
+var startMutants = []property.Mutant{
+	{Name: "the machine's state is not asked", File: "start_constraints.go", From: "	case !p.agents.schedulable(m):\n		return refusedMachineState\n", To: ""},
+	{Name: "type, zone and kind are not asked", File: "start_constraints.go", From: "	case !p.types.allowsPool(j, m.pool()):\n		return refusedPool\n", To: ""},
+	{Name: "gang and spread are not asked", File: "start_constraints.go", From: "	case !j.allowsZoneBesideOthers(m.zone, m.zone, own):", To: "	case own < 0:"},
+	{Name: "machines to avoid are not asked", File: "start_constraints.go", From: "	case j.avoids(m.index, p.clock.now):\n		return refusedAvoided\n", To: ""},
+	{Name: "the team's limit is not asked", File: "start_constraints.go", From: "	case !p.teams.Team(j.request.team).AllowsMore(j.request.size, another, uncertain[j.request.team]):", To: "	case another < 0:"},
+	{Name: "an unknown type suits any job", File: "start_constraints.go", From: "pool.Type < 0 ||", To: "pool.Type >= 0 &&"},
+	{Name: "a reservation is kept although it is refused", File: "fair_share.go", From: "stillWaiting && (reason == startAllowed || reason == refusedTeamLimit)", To: "stillWaiting"},
+	{Name: "starts are sent directly", File: "wakeups.go", From: "	if c.directStarts {", To: "	if !c.directStarts {"},
+	{Name: "starts that wait for a heartbeat are not asked again", File: "wakeups.go", From: "	if !m.commands.hasPendingStarts() {\n		return\n	}\n	uncertain", To: "	if m.agent.Epoch() > 0 {\n		return\n	}\n	uncertain"},
+	{Name: "starts are kept although the wake-up failed", File: "wakeups.go", From: "	if outcome != CommandExecuted {", To: "	if outcome == CommandExecuted {"},
+}
+
 func TestMutantsAreCaught(t *testing.T) {
 	property.CatchMutants(t, "TestRenewals", mutants)
 }
@@ -49,3 +63,7 @@
 func TestStatusMutantsAreCaught(t *testing.T) {
 	property.CatchMutants(t, "TestGraph|UnknownPredecessors|Unreadable|NoStatusFromMemory", statusMutants)
 }
+
+func TestStartMutantsAreCaught(t *testing.T) {
+	property.CatchMutants(t, "TestReservation|TestPlannedStart|TestStarts|TestPendingStarts|TestUnknownType", startMutants)
+}
--- a/internal/scheduler/reservations_test.go
+++ b/internal/scheduler/reservations_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"leadproxy/internal/autoscaler"
 	"leadproxy/internal/ledger"
 	"leadproxy/internal/settings"
 	"leadproxy/internal/wire"
@@ -128,9 +129,12 @@
 		{"the job avoids the machine", func(h *harness, j *job, m *machine) {
 			j.retry.failedOn = map[int32]time.Duration{m.index: h.now + failureAvoidance}
 		}, 0},
+		{"the team is beyond its limit", func(h *harness, j *job, _ *machine) {
+			h.core.teams.Team(j.request.team).Allocate(j.request.size)
+		}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			h := newHarness(t, ledger.Snapshot{})
+			h := newHarness(t, ledger.Snapshot{}, settings.Team{Name: "t", CPUsMax: 4})
 			h.bringUp("vm-1")
 			h.holdWrites = true
 			h.submit(newTestJob("job-1", 1, 4))
@@ -143,3 +147,14 @@
 		})
 	}
 }
+
+// TestUnknownTypeSuitsOnlyJobsWithoutTypes guards against a machine whose type is not known yet counting as
+// one of any type.
+func TestUnknownTypeSuitsOnlyJobsWithoutTypes(t *testing.T) {
+	h := newHarness(t, ledger.Snapshot{})
+	unknown := autoscaler.CapacityPool{Type: -1, Spot: true}
+	j := &job{spec: newTestJob("job-1", 1, 1), request: request{zone: anyZone}}
+	h.want("without types", h.core.types.allowsPool(j, unknown), true)
+	j.spec.Types = []string{"m4"}
+	h.want("with types", h.core.types.allowsPool(j, unknown), false)
+}
