--- a/internal/scheduler/allocations.go
+++ b/internal/scheduler/allocations.go
@@ -12,7 +12,7 @@
 
 const (
 	allocationPlanned   allocationState = iota // its host record is not durable yet
-	allocationQueued                           // its start is sent at the end of this step
+	allocationQueued                           // its start waits for the next response, or is sent at the end of this step
 	allocationSent                             // its start is in flight, or the outcome of its start is unknown
 	allocationConfirmed                        // the agent has executed the start, or reported the task
 )
--- a/internal/scheduler/forgets.go
+++ b/internal/scheduler/forgets.go
@@ -8,7 +8,8 @@
 
 // An agent that was told to forget an ended attempt no longer knows it, and would execute a copy of
 // its start. A start in a heartbeat response has no late copies, but a direct command may be carried
-// out again at any later time, also under another leader. So a forget travels only in a response
+// out again at any later time, also under another leader. Direct starts are sent only where the settings
+// allow them, or by a leader of an earlier version. So a forget travels only in a response
 // whose fencing token is higher than those of all direct commands with starts to that agent so far:
 // the agent can't execute the forget without rejecting those commands from then on. A new leader's
 // tokens are higher than all of its predecessors'.
--- a/internal/scheduler/heartbeat_responses.go
+++ b/internal/scheduler/heartbeat_responses.go
@@ -54,8 +54,8 @@
 }
 
 // maxResponseHold is how long a response is held for starts whose host is being written to the
-// ledger. Without the hold the starts would follow in a direct command, which costs as much as
-// several heartbeats.
+// ledger. Without the hold the agent would have to be woken for them, which costs as much as several
+// heartbeats.
 const maxResponseHold = 400 * time.Millisecond
 
 // holdForWrites holds a response while starts for its machine wait for a ledger write, and reports
