Tests: copies of direct starts are still played with direct starts

Since no start is sent directly by default, so TestRepeatedStarts and TestLateCopiesOfAnsweredStarts had no copy of a start any more and were weaker than before. Both allow direct starts now.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -66,6 +66,8 @@
 	reportTo []int
 	// standby makes the controllers follow the leader as standbys.
 	standby bool
+	// directStarts allows starts in direct commands.
+	directStarts bool
 	// budgets, unless nil, enables rollout plans, which drain machines within these budgets.
 	budgets *rollout.Budgets
 	// clockDrift is the share by which the key-value store's clock runs fast and the agents' clocks
@@ -159,6 +161,7 @@
 		c.net, c.checker, c.operator, c.namePrefix, ownsJob = config.cell.net, config.cell.checker, config.cell.operator, config.cell.name+"-", config.cell.ownsJob
 	}
 	c.operator.Standby.Follow, c.operator.Standby.SoftState = config.standby, config.standby
+	c.operator.DirectStarts = config.directStarts
 	if config.budgets != nil {
 		c.operator.Rollouts = settings.Rollouts{Enabled: true, Budgets: *config.budgets}
 	}
--- a/internal/controller/late_copies_test.go
+++ b/internal/controller/late_copies_test.go
@@ -84,7 +84,9 @@
 func TestLateCopiesOfAnsweredStarts(t *testing.T) {
 	for name, restart := range quickRestarts {
 		t.Run(name, func(t *testing.T) {
-			runWithSeeds(t, lateCopiesConfig, func(c *cluster, r *rand.Rand) {
+			config := lateCopiesConfig
+			config.directStarts = true
+			runWithSeeds(t, config, func(c *cluster, r *rand.Rand) {
 				c.withLateCopies(r, func() { restart(c, r) })
 			})
 		})
--- a/internal/controller/repeated_commands_test.go
+++ b/internal/controller/repeated_commands_test.go
@@ -37,7 +37,7 @@
 	)
 	for name, restart := range controllerRestarts {
 		t.Run(name, func(t *testing.T) {
-			runWithSeeds(t, clusterConfig{maxMachines: 24, runTime: longRunning(40 * time.Second)}, func(c *cluster, r *rand.Rand) {
+			runWithSeeds(t, clusterConfig{maxMachines: 24, runTime: longRunning(40 * time.Second), directStarts: true}, func(c *cluster, r *rand.Rand) {
 				c.commandFaults.Store(c.randomFaults(1, fake.Repeated, 500*time.Millisecond, 9*time.Second))
 				for round := range rounds {
 					// A first job leaves idle machines, on which direct commands start the others.
